--- /dev/null
+++ b/src/entry/internal/claimworker.h
@@ -0,0 +1,46 @@
+#ifndef DRAGONFLYLOCK_ENTRY_INTERNAL_CLAIMWORKER_H
+#define DRAGONFLYLOCK_ENTRY_INTERNAL_CLAIMWORKER_H
+
+#include "claims/iclaimservice.h"
+#include "entry/internal/iclaimworker.h"
+#include "global/boundedring.h"
+#include "global/signal.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <thread>
+
+namespace dragonflylock {
+
+/// The thread that keeps claims in the table service.
+class ClaimWorker : public IClaimWorker {
+public:
+  /// Receives the claims that ended.
+  using Receiver = std::function<void(ClaimEnd)>;
+
+  /// \param Service is used by the worker's thread alone.
+  ClaimWorker(std::unique_ptr<IClaimService> Service, Receiver OnEnded);
+  ~ClaimWorker() override;
+
+  /// Starts the thread.
+  void start();
+  /// Ends the thread once all settlements are written, or after \p Longest.
+  void stop(std::chrono::milliseconds Longest);
+  bool submit(ClaimWork Work) override;
+
+private:
+  void run();
+
+  std::unique_ptr<IClaimService> Service_;
+  Receiver OnEnded_;
+  Signal Signal_;
+  BoundedRing<ClaimWork> Work_;
+  std::atomic<bool> IsIdle_ = true;
+  std::atomic<bool> IsStopping_ = false;
+  std::thread Thread_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/entry/internal/decisionloop.cpp
@@ -0,0 +1,327 @@
+#include "entry/internal/decisionloop.h"
+#include "configuration/fleetconfiguration.h"
+#include "entry/internal/failureanswer.h"
+#include "fleet/instancerowcodec.h"
+#include "global/digest.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
+#include "http/ihttpresponder.h"
+#include "metrics/ientrymetrics.h"
+#include "operators/operatorserrors.h"
+#include "peers/ipeerlink.h"
+#include "routing/iinstanceselector.h"
+#include "trace/itracesink.h"
+#include "trace/traceevent.h"
+
+namespace dragonflylock {
+namespace {
+
+constexpr std::size_t CallerRing = 4096;
+constexpr std::size_t OfferRing = 8192;
+constexpr std::size_t ClaimRing = 4096;
+constexpr std::size_t PlatformRing = 64;
+constexpr std::size_t PeerRing = 1024;
+constexpr std::size_t QueryRing = 64;
+constexpr std::size_t BootIdBytes = 6;
+constexpr std::chrono::milliseconds TickInterval{20};
+constexpr std::chrono::milliseconds BeatInterval{500};
+
+HttpRequest forwarded(HttpRequest Request, const std::string &RequestId) {
+  Request.Headers_ = withoutHopByHop(Request.Headers_);
+  Request.Headers_.push_back({headers::RequestId, RequestId});
+  Request.Headers_.push_back({"Via", "1.1 dragonflylock"});
+  return Request;
+}
+
+std::string valueOf(const HttpHeaders &Headers, const char *Name) {
+  const std::string *Found = findHeader(Headers, Name);
+  return Found == nullptr ? std::string() : *Found;
+}
+
+} // namespace
+
+DecisionLoop::DecisionLoop(Identity Self, const IConfigurationParser &Parser,
+                           std::unique_ptr<IInstanceSelector> Selector,
+                           const IClock &Clock, ILogger &Logger)
+    : Self_(std::move(Self)), Clock_(Clock), Logger_(Logger),
+      BootId_(randomId(BootIdBytes)), Callers_(CallerRing, Signal_),
+      Offers_(OfferRing, Signal_), Claims_(ClaimRing, Signal_),
+      Platform_(PlatformRing, Signal_), PeerMessages_(PeerRing, Signal_),
+      Queries_(QueryRing, Signal_), Replica_(Parser),
+      Engine_(std::move(Selector)) {}
+
+DecisionLoop::~DecisionLoop() { stop(); }
+
+void DecisionLoop::start(const ActionRunner::Ports &Ports, IPeerLink &Peers) {
+  Peers_ = &Peers;
+  Metrics_ = &Ports.Metrics_;
+  Trace_ = &Ports.Trace_;
+  Runner_ = std::make_unique<ActionRunner>(Engine_, Ports);
+  Thread_ = std::thread([this] { run(); });
+}
+
+void DecisionLoop::stop() {
+  IsStopping_ = true;
+  Signal_.wake();
+  if (Thread_.joinable())
+    Thread_.join();
+}
+
+void DecisionLoop::onClaimEnded(ClaimEnd Ended) {
+  Claims_.put(std::move(Ended), IsStopping_);
+}
+
+void DecisionLoop::onOfferEnded(EndedOffer Ended) {
+  Offers_.put(std::move(Ended), IsStopping_);
+}
+
+void DecisionLoop::onPeerMessage(PeerMessage Message) {
+  if (!PeerMessages_.tryPut(std::move(Message)))
+    Metrics_->ringRefused("peers");
+}
+
+Result<EntrySnapshot>
+DecisionLoop::snapshot(std::chrono::milliseconds Longest) {
+  auto Promise = std::make_shared<std::promise<EntrySnapshot>>();
+  auto Future = Promise->get_future();
+  bool IsAsked = Queries_.tryPut(std::move(Promise));
+  if (!IsAsked || Future.wait_for(Longest) != std::future_status::ready)
+    return Error(OperatorsErrc::Busy, "no snapshot in time", "try again");
+  return Future.get();
+}
+
+bool DecisionLoop::isReady() const { return IsConfigured_ && !IsDraining_; }
+
+void DecisionLoop::beginDrain() {
+  IsDraining_ = true;
+  Signal_.wake();
+}
+
+void DecisionLoop::run() {
+  while (!IsStopping_) {
+    runOnce();
+    Signal_.waitFor(TickInterval);
+  }
+}
+
+void DecisionLoop::runOnce() {
+  Platform_.drain([this](PlatformEvent E) { take(std::move(E)); });
+  PeerMessages_.drain([this](PeerMessage E) { take(std::move(E)); });
+  Claims_.drain([this](ClaimEnd E) { take(std::move(E)); });
+  Offers_.drain([this](EndedOffer E) { take(std::move(E)); });
+  if (IsRefusing_)
+    Engine_.refuseNewRequests();
+  Callers_.drain([this](CallerEvent E) { take(std::move(E)); });
+  Queries_.drain([this](const SnapshotPromise &E) { take(E); });
+  TimePoint Now = Clock_.now();
+  if (Now >= NextTick_) {
+    NextTick_ = Now + TickInterval;
+    Runner_->run(Engine_.onTick(Now));
+  }
+  if (Now >= NextBeat_) {
+    NextBeat_ = Now + BeatInterval;
+    beat();
+  }
+  Active_ = Engine_.activeRequests();
+}
+
+void DecisionLoop::take(CallerEvent Event) {
+  RequestId Id = NextRequest_++;
+  Exchange &Entry = Runner_->open(Id);
+  Entry.RequestId_ = Self_.Name_ + "-" + BootId_ + "-" + std::to_string(Id);
+  Entry.Responder_ = std::move(Event.Responder_);
+  Entry.ArrivedAt_ = Event.ArrivedAt_;
+
+  const HttpRequest &Request = Event.Request_;
+  RequestHead Head;
+  Head.Id_ = Id;
+  Head.Method_ = Request.Method_;
+  Head.Path_ = std::string(Request.path());
+  Head.HeadSize_ = headSize(Request.Headers_);
+  Head.BodySize_ = Request.Body_.size();
+  std::string Key = valueOf(Request.Headers_, "Idempotency-Key");
+  if (!Key.empty()) {
+    // Callers with different credentials never share a key.
+    Head.ClaimKey_ =
+        digestOf({valueOf(Request.Headers_, "Authorization"), Key});
+    Head.AttemptId_ = Entry.RequestId_;
+    Head.Fingerprint_ =
+        digestOf({Request.Method_, Request.Target_, Request.Body_});
+  }
+  Entry.Key_ = Head.ClaimKey_;
+  Entry.Request_ = std::make_shared<const HttpRequest>(
+      forwarded(std::move(Event.Request_), Entry.RequestId_));
+
+  TraceEvent Record;
+  Record.Kind_ = TraceKind::Received;
+  Record.Request_ = Entry.RequestId_;
+  Record.Key_ = Entry.Key_;
+  Trace_->record(std::move(Record));
+
+  auto Actions = Engine_.onRequest(Event.ArrivedAt_, Head);
+  Entry.Pool_ = Engine_.poolOf(Id);
+  Runner_->run(std::move(Actions));
+}
+
+void DecisionLoop::take(EndedOffer Event) {
+  if (Exchange *Entry = Runner_->find(Event.End_.Id_))
+    Entry->Answer_ = std::move(Event.Answer_);
+  Runner_->run(Engine_.onOfferEnd(Clock_.now(), Event.End_));
+}
+
+void DecisionLoop::take(ClaimEnd Event) {
+  Exchange *Entry = Runner_->find(Event.Request_);
+  if (Entry != nullptr && Event.Verdict_ == ClaimVerdict::Kept)
+    Entry->Answer_ = std::move(Event.Answer_);
+  if (Entry != nullptr && Event.Verdict_ == ClaimVerdict::Granted) {
+    TraceEvent Record;
+    Record.Kind_ = TraceKind::Claimed;
+    Record.Request_ = Entry->RequestId_;
+    Record.Key_ = Entry->Key_;
+    Trace_->record(std::move(Record));
+  }
+  Runner_->run(Engine_.onClaim(Clock_.now(), Event.Request_, Event.Verdict_));
+}
+
+void DecisionLoop::take(PlatformEvent Event) {
+  std::visit([this](const auto &News) { takeNews(News); }, Event);
+}
+
+void DecisionLoop::take(PeerMessage Event) {
+  std::visit([this](const auto &Message) { takeMessage(Message); }, Event);
+}
+
+void DecisionLoop::take(const SnapshotPromise &Query) {
+  Query->set_value(makeSnapshot());
+}
+
+void DecisionLoop::takeNews(const ConfigurationEvent &News) {
+  if (applyConfiguration(News.Version_, News.Document_, "platform"))
+    Peers_->broadcast(ConfigurationNotice{News.Version_, News.Document_});
+}
+
+void DecisionLoop::takeNews(const InstanceList &News) {
+  std::vector<LeavingMark> Fresh = Registry_.onList(News);
+  for (const LeavingMark &Mark : Fresh) {
+    TraceEvent Record;
+    Record.Kind_ = TraceKind::InstanceLeaving;
+    Record.Instance_ = Mark.Id_;
+    Record.Number_ = Mark.Generation_;
+    Trace_->record(std::move(Record));
+  }
+  if (!Fresh.empty())
+    Peers_->broadcast(heartbeat());
+  instancesChanged();
+}
+
+void DecisionLoop::takeNews(const TableChanges &News) {
+  for (const TableRow &Row : News.Rows_)
+    takeRow(Row);
+  for (const std::string &Id : News.Deleted_)
+    Registry_.onRowDeleted(Id);
+  instancesChanged();
+}
+
+void DecisionLoop::takeRow(const TableRow &Row) {
+  auto Decoded = instancerowcodec::decode(Row.Value_);
+  if (!Decoded) {
+    Logger_.write(LogLevel::Error,
+                  LogEvent("instance.row.damaged")
+                      .with("instance", Row.Key_)
+                      .with("error", Decoded.error().message()));
+    return;
+  }
+  Registry_.onRow(Row.Key_, Decoded.value());
+}
+
+void DecisionLoop::takeMessage(const Heartbeat &Message) {
+  Directory_.onHeartbeat(Message, Clock_.now());
+  for (const LeavingMark &Mark : Message.Leaving_)
+    Registry_.onLeaving(Mark);
+  instancesChanged();
+  if (Message.Version_ > Replica_.version())
+    Peers_->send(Message.Name_, ConfigurationRequest{Self_.Name_});
+}
+
+void DecisionLoop::takeMessage(const ConfigurationNotice &Message) {
+  applyConfiguration(Message.Version_, Message.Document_, "peer");
+}
+
+void DecisionLoop::takeMessage(const ConfigurationRequest &Message) {
+  if (Replica_.version() > 0)
+    Peers_->send(Message.Name_,
+                 ConfigurationNotice{Replica_.version(), Replica_.document()});
+}
+
+bool DecisionLoop::applyConfiguration(ConfigurationVersion Version,
+                                      const std::string &Document,
+                                      const char *Source) {
+  auto Offered = Replica_.offer(Version, Document, Clock_.now());
+  if (Offered == ConfigurationReplica::Offered::NotNewer)
+    return false;
+  bool IsApplied = Offered == ConfigurationReplica::Offered::Applied;
+  Logger_.write(
+      IsApplied ? LogLevel::Info : LogLevel::Error,
+      LogEvent(IsApplied ? "configuration.applied" : "configuration.faulty")
+          .with("version", Version)
+          .with("source", Source));
+  if (!IsApplied)
+    return false;
+  VersionSinceMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                        Clock_.wallNow().time_since_epoch())
+                        .count();
+  TraceEvent Record;
+  Record.Kind_ = TraceKind::ConfigurationApplied;
+  Record.Number_ = Version;
+  Trace_->record(std::move(Record));
+  Metrics_->configurationVersion(Version);
+  Engine_.setConfiguration(Replica_.configuration());
+  IsConfigured_ = true;
+  Peers_->broadcast(heartbeat());
+  return true;
+}
+
+void DecisionLoop::instancesChanged() {
+  if (SeenRevision_ == Registry_.revision())
+    return;
+  SeenRevision_ = Registry_.revision();
+  Runner_->run(Engine_.onInstances(Clock_.now(), Registry_));
+}
+
+void DecisionLoop::beat() {
+  Peers_->broadcast(heartbeat());
+  Metrics_->livePeers(Directory_.live(Clock_.now()).size());
+  Metrics_->activeRequests(Engine_.activeRequests(), Engine_.queuedRequests());
+}
+
+Heartbeat DecisionLoop::heartbeat() const {
+  Heartbeat Message{Self_.Name_,     Self_.Zone_, Replica_.version(),
+                    VersionSinceMs_, isReady(),   {}};
+  for (const auto &[Id, Known] : Registry_.instances()) {
+    bool IsCurrent = Known.LeavingGeneration_ && Known.Listed_ &&
+                     *Known.LeavingGeneration_ >= Known.Listed_->Generation_;
+    if (IsCurrent)
+      Message.Leaving_.push_back({Id, *Known.LeavingGeneration_});
+  }
+  return Message;
+}
+
+EntrySnapshot DecisionLoop::makeSnapshot() const {
+  EntrySnapshot Snapshot;
+  Snapshot.Name_ = Self_.Name_;
+  Snapshot.Zone_ = Self_.Zone_;
+  Snapshot.IsReady_ = isReady();
+  Snapshot.Version_ = Replica_.version();
+  Snapshot.VersionSinceMs_ = VersionSinceMs_;
+  Snapshot.Document_ = Replica_.document();
+  Snapshot.Configuration_ = Replica_.configuration();
+  for (const auto &[Id, Known] : Registry_.instances())
+    Snapshot.Instances_.push_back({Id, Known, Engine_.outstandingAt(Id),
+                                   InstanceRegistry::isEligible(Known)});
+  Snapshot.Peers_ = Directory_.live(Clock_.now());
+  Snapshot.Active_ = Engine_.activeRequests();
+  Snapshot.Queued_ = Engine_.queuedRequests();
+  return Snapshot;
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/entry/internal/platformwatcher.cpp
@@ -0,0 +1,99 @@
+#include "entry/internal/platformwatcher.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
+#include "metrics/ientrymetrics.h"
+#include "platform/iplatform.h"
+#include "platform/tablenames.h"
+#include "steering/steeringcodec.h"
+
+namespace dragonflylock {
+
+PlatformWatcher::PlatformWatcher(std::shared_ptr<IPlatform> Platform,
+                                 std::chrono::milliseconds Interval,
+                                 Receiver OnNews, IEntryMetrics &Metrics,
+                                 ILogger &Logger)
+    : Platform_(std::move(Platform)), Interval_(Interval),
+      OnNews_(std::move(OnNews)), Metrics_(Metrics), Logger_(Logger) {}
+
+PlatformWatcher::~PlatformWatcher() { stop(); }
+
+void PlatformWatcher::start() {
+  Thread_ = std::thread([this] { run(); });
+}
+
+void PlatformWatcher::stop() {
+  IsStopping_ = true;
+  Signal_.wake();
+  if (Thread_.joinable())
+    Thread_.join();
+}
+
+void PlatformWatcher::run() {
+  while (!IsStopping_) {
+    pollOnce();
+    Signal_.waitFor(Interval_);
+  }
+}
+
+void PlatformWatcher::pollOnce() {
+  bool IsUp = pollConfiguration() && pollRows() && pollList();
+  if (IsUp && !IsPlatformUp_)
+    Logger_.write(LogLevel::Info, LogEvent("platform.up"));
+  IsPlatformUp_ = IsUp;
+}
+
+bool PlatformWatcher::pollConfiguration() {
+  auto Changes =
+      Platform_->readChanges(tables::Configuration, ConfigurationRevision_);
+  if (!Changes) {
+    noteFailure(Changes.error());
+    return false;
+  }
+  for (const TableRow &Row : Changes.value().Rows_) {
+    auto Stored = steeringcodec::decodeConfiguration(Row.Value_);
+    if (!Stored) {
+      noteFailure(Stored.error());
+      continue;
+    }
+    ConfigurationEvent News{Stored.value().Version_,
+                            std::move(Stored.value().Document_)};
+    if (!OnNews_(std::move(News)))
+      return true;
+  }
+  ConfigurationRevision_ = Changes.value().Revision_;
+  return true;
+}
+
+bool PlatformWatcher::pollRows() {
+  auto Changes = Platform_->readChanges(tables::Instances, RowsRevision_);
+  if (!Changes) {
+    noteFailure(Changes.error());
+    return false;
+  }
+  TableRevision Revision = Changes.value().Revision_;
+  bool IsNews =
+      !Changes.value().Rows_.empty() || !Changes.value().Deleted_.empty();
+  if (!IsNews || OnNews_(std::move(Changes.value())))
+    RowsRevision_ = Revision;
+  return true;
+}
+
+bool PlatformWatcher::pollList() {
+  auto List = Platform_->list();
+  if (!List) {
+    noteFailure(List.error());
+    return false;
+  }
+  OnNews_(std::move(List.value()));
+  return true;
+}
+
+void PlatformWatcher::noteFailure(const Error &Failure) {
+  Metrics_.platformFailed();
+  if (!IsPlatformUp_)
+    return;
+  Logger_.write(LogLevel::Warning,
+                LogEvent("platform.failed").with("error", Failure.message()));
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/entry/internal/platformwatcher.h
@@ -0,0 +1,63 @@
+#ifndef DRAGONFLYLOCK_ENTRY_INTERNAL_PLATFORMWATCHER_H
+#define DRAGONFLYLOCK_ENTRY_INTERNAL_PLATFORMWATCHER_H
+
+#include "entry/entrytypes.h"
+#include "global/signal.h"
+#include "platform/platformtypes.h"
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <thread>
+
+namespace dragonflylock {
+
+class IEntryMetrics;
+class ILogger;
+class IPlatform;
+
+/// The thread that polls the platform for the configuration, the rows of the
+/// instances and the list of instances.
+class PlatformWatcher {
+public:
+  /// Receives news.
+  /// \returns whether it was taken in; if not, it is read again.
+  using Receiver = std::function<bool(PlatformEvent)>;
+
+  /// \param Platform is used by the watcher's thread alone.
+  /// \param Metrics, Logger must outlive the watcher.
+  PlatformWatcher(std::shared_ptr<IPlatform> Platform,
+                  std::chrono::milliseconds Interval, Receiver OnNews,
+                  IEntryMetrics &Metrics, ILogger &Logger);
+  ~PlatformWatcher();
+
+  /// Starts the thread.
+  void start();
+  /// Ends the thread.
+  void stop();
+
+private:
+  void run();
+  void pollOnce();
+  bool pollConfiguration();
+  bool pollRows();
+  bool pollList();
+  void noteFailure(const Error &Failure);
+
+  std::shared_ptr<IPlatform> Platform_;
+  std::chrono::milliseconds Interval_;
+  Receiver OnNews_;
+  IEntryMetrics &Metrics_;
+  ILogger &Logger_;
+  Signal Signal_;
+  TableRevision ConfigurationRevision_ = 0;
+  TableRevision RowsRevision_ = 0;
+  bool IsPlatformUp_ = true;
+  std::atomic<bool> IsStopping_ = false;
+  std::thread Thread_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/http/internal/curltransfer.h
@@ -0,0 +1,91 @@
+#ifndef DRAGONFLYLOCK_HTTP_INTERNAL_CURLTRANSFER_H
+#define DRAGONFLYLOCK_HTTP_INTERNAL_CURLTRANSFER_H
+
+#include "http/httptypes.h"
+
+#include <curl/curl.h>
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <string>
+
+namespace dragonflylock {
+
+/// Prepares a libcurl easy handle for one request and collects its answer.
+///
+/// The handle keeps its connections between requests, as far as the
+/// connection policy of each request lets it.
+class CurlTransfer {
+public:
+  /// Whether a connection may carry more than one request. A request on a
+  /// reused connection may be sent twice by libcurl, so that one that is not
+  /// idempotent needs a fresh one.
+  enum class ConnectionPolicy { Reuse, FreshOnly };
+
+  /// What came of the answer.
+  enum class Completeness {
+    Whole,
+    /// The connection ended before the stated length was reached.
+    Truncated,
+    /// No length was stated, so that the end can't be told from a cut.
+    Unframed,
+    /// More bytes came than were allowed.
+    TooLarge,
+    Missing,
+  };
+
+  CurlTransfer();
+
+  /// Sets the handle up for \p Request, which must live until the end.
+  void prepare(const std::string &BaseUrl, const HttpRequest &Request,
+               std::chrono::milliseconds Longest, std::size_t LargestAnswer,
+               ConnectionPolicy Policy);
+
+  /// Reads the result of the transfer after libcurl has ended it.
+  void finish(CURLcode Code);
+
+  /// \returns whether any byte of the request may have left this process.
+  bool wasOffered() const { return WasOffered_; }
+  /// \returns whether the transfer ended because its time was up.
+  bool wasTimeout() const { return Code_ == CURLE_OPERATION_TIMEDOUT; }
+  /// \returns what came of the answer.
+  Completeness completeness() const { return Completeness_; }
+  /// \returns the answer as far as it was received.
+  HttpAnswer &answer() { return Answer_; }
+  /// \returns libcurl's text for the way the transfer ended.
+  const char *description() const { return curl_easy_strerror(Code_); }
+  /// \returns the handle.
+  CURL *handle() { return Handle_.get(); }
+
+private:
+  struct EasyDeleter {
+    void operator()(CURL *Handle) const { curl_easy_cleanup(Handle); }
+  };
+  struct ListDeleter {
+    void operator()(curl_slist *List) const { curl_slist_free_all(List); }
+  };
+
+  static std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
+                            void *Self);
+  static std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
+                              void *Self);
+  void setMethod(const HttpRequest &Request);
+  void setHeaders(const HttpRequest &Request);
+  Completeness judge() const;
+  bool isFramed() const;
+
+  std::unique_ptr<CURL, EasyDeleter> Handle_;
+  std::unique_ptr<curl_slist, ListDeleter> HeaderList_;
+  HttpAnswer Answer_;
+  std::size_t LargestAnswer_ = 0;
+  bool IsHead_ = false;
+  bool IsTooLarge_ = false;
+  bool WasOffered_ = false;
+  CURLcode Code_ = CURLE_OK;
+  Completeness Completeness_ = Completeness::Missing;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/http/internal/restinioserver.cpp
@@ -0,0 +1,225 @@
+#include "http/internal/restinioserver.h"
+#include "http/httperrors.h"
+#include "http/httptypes.h"
+#include "http/ihttphandler.h"
+#include "http/ihttpresponder.h"
+
+#include <restinio/all.hpp>
+
+#include <atomic>
+
+namespace dragonflylock {
+namespace {
+
+/// Longest time that a handler may take; deadlines of requests are shorter.
+constexpr std::chrono::hours HandlerTimeLimit{24};
+constexpr std::chrono::seconds IdleConnectionLimit{60};
+constexpr std::size_t LargestFieldValue = 64 * 1024;
+
+/// State that answers on any thread share with the server.
+struct Shared {
+  std::atomic<bool> IsClosing_ = false;
+  std::atomic<std::size_t> OpenConnections_ = 0;
+  /// Requests whose answer has not been written.
+  std::atomic<std::size_t> PendingAnswers_ = 0;
+};
+
+class ConnectionCounter {
+public:
+  explicit ConnectionCounter(std::shared_ptr<Shared> State)
+      : State_(std::move(State)) {}
+  void
+  state_changed(const restinio::connection_state::notice_t &Notice) noexcept {
+    restinio::visit(
+        [this](const auto &Cause) {
+          using Kind = std::decay_t<decltype(Cause)>;
+          if constexpr (std::is_same_v<Kind,
+                                       restinio::connection_state::accepted_t>)
+            ++State_->OpenConnections_;
+          if constexpr (std::is_same_v<Kind,
+                                       restinio::connection_state::closed_t>)
+            --State_->OpenConnections_;
+        },
+        Notice.cause());
+  }
+
+private:
+  std::shared_ptr<Shared> State_;
+};
+
+struct Traits : restinio::default_traits_t {
+  using connection_state_listener_t = ConnectionCounter;
+};
+using Server =
+    restinio::running_server_instance_t<restinio::http_server_t<Traits>>;
+
+const char *reasonOf(int Status) {
+  switch (Status) {
+  case httpstatus::Ok:
+    return "OK";
+  case httpstatus::Accepted:
+    return "Accepted";
+  case httpstatus::NotFound:
+    return "Not Found";
+  case httpstatus::Unavailable:
+    return "Service Unavailable";
+  default:
+    return "Status";
+  }
+}
+
+bool mayHaveBody(int Status) {
+  return Status != httpstatus::NoContent && Status != httpstatus::NotModified;
+}
+
+class Responder : public IHttpResponder {
+public:
+  Responder(restinio::request_handle_t Request, std::shared_ptr<Shared> State)
+      : Request_(std::move(Request)), State_(std::move(State)) {
+    ++State_->PendingAnswers_;
+  }
+
+  void answer(HttpAnswer Answer) override {
+    send(std::move(Answer), /*IsShort=*/false);
+  }
+
+  void answerShort(HttpAnswer Answer) override {
+    send(std::move(Answer), /*IsShort=*/true);
+  }
+
+  void abort() override {
+    IsAborted_ = true;
+    if (!IsAnswered_.exchange(true))
+      --State_->PendingAnswers_;
+  }
+  bool isAborted() const { return IsAborted_; }
+
+  ~Responder() override {
+    HttpAnswer Dropped;
+    Dropped.Status_ = httpstatus::InternalError;
+    answer(std::move(Dropped));
+  }
+  Responder(const Responder &) = delete;
+  Responder &operator=(const Responder &) = delete;
+
+private:
+  void send(HttpAnswer Answer, bool IsShort) {
+    if (IsAnswered_.exchange(true))
+      return;
+    auto Builder =
+        Request_->create_response<restinio::user_controlled_output_t>(
+            restinio::http_status_line_t(
+                restinio::http_status_code_t(
+                    static_cast<std::uint16_t>(Answer.Status_)),
+                reasonOf(Answer.Status_)));
+    if (State_->IsClosing_ || IsShort)
+      Builder.connection_close();
+    bool IsHead = Request_->header().method() == restinio::http_method_head();
+    // The length in the answer to HEAD is that of the body left out.
+    bool StatesLength = IsShort || IsHead;
+    for (HttpHeader &Header : Answer.Headers_)
+      Builder.append_header(std::move(Header.Name_), std::move(Header.Value_));
+    bool HasBody = mayHaveBody(Answer.Status_);
+    if (HasBody && !StatesLength)
+      Builder.set_content_length(Answer.Body_.size());
+    if (HasBody && !IsHead)
+      Builder.append_body(std::move(Answer.Body_));
+    Builder.done([State = State_](const auto &) { --State->PendingAnswers_; });
+  }
+
+  restinio::request_handle_t Request_;
+  std::shared_ptr<Shared> State_;
+  std::atomic<bool> IsAnswered_ = false;
+  std::atomic<bool> IsAborted_ = false;
+};
+
+HttpRequest convert(const restinio::request_handle_t &Source) {
+  HttpRequest Request;
+  Request.Method_ = Source->header().method().c_str();
+  Request.Target_ = Source->header().request_target();
+  Source->header().for_each_field([&](const auto &Field) {
+    Request.Headers_.push_back({Field.name(), Field.value()});
+  });
+  Request.Body_ = Source->body();
+  return Request;
+}
+
+} // namespace
+
+struct RestinioServer::Running {
+  std::shared_ptr<Shared> State_ = std::make_shared<Shared>();
+  std::uint16_t Port_ = 0;
+  std::unique_ptr<Server> Instance_;
+};
+
+RestinioServer::RestinioServer(SocketAddress Address, IHttpHandler &Handler,
+                               std::size_t LargestBody)
+    : Address_(std::move(Address)), Handler_(Handler),
+      LargestBody_(LargestBody) {}
+
+RestinioServer::~RestinioServer() { stop(); }
+
+Result<void> RestinioServer::start() {
+  Running_ = std::make_unique<Running>();
+  auto State = Running_->State_;
+  auto Handle = [this, State](restinio::request_handle_t Request) {
+    auto Answerer = std::make_shared<Responder>(Request, State);
+    Handler_.handle(convert(Request), Answerer);
+    // RESTinio closes the connection of a handler that throws; it offers no
+    // other way to close one without an answer.
+    if (Answerer->isAborted())
+      throw std::runtime_error("aborted by the handler");
+    return restinio::request_accepted();
+  };
+  auto RecordPort = [this](asio::ip::tcp::acceptor &Acceptor) {
+    Running_->Port_ = Acceptor.local_endpoint().port();
+  };
+  restinio::server_settings_t<Traits> Settings;
+  Settings.address(Address_.Host_)
+      .port(Address_.Port_)
+      .request_handler(Handle)
+      .connection_state_listener(std::make_shared<ConnectionCounter>(State))
+      .acceptor_post_bind_hook(RecordPort)
+      .handle_request_timeout(HandlerTimeLimit)
+      .read_next_http_message_timelimit(IdleConnectionLimit)
+      .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t()
+                                    .max_body_size(LargestBody_)
+                                    .max_field_value_size(LargestFieldValue));
+  try {
+    Running_->Instance_ = restinio::run_async<Traits>(
+        restinio::own_io_context(), std::move(Settings), 1);
+  } catch (const std::exception &Failure) {
+    Running_.reset();
+    return Error(HttpErrc::CannotListen,
+                 "cannot listen on " + Address_.text() + " (" + Failure.what() +
+                     ")",
+                 "free the port or choose another address");
+  }
+  return {};
+}
+
+void RestinioServer::closeConnectionsAfterAnswers() {
+  if (Running_)
+    Running_->State_->IsClosing_ = true;
+}
+
+void RestinioServer::stop() {
+  if (!Running_)
+    return;
+  Running_->Instance_->stop();
+  Running_->Instance_->wait();
+}
+
+std::uint16_t RestinioServer::port() const {
+  return Running_ ? Running_->Port_ : Address_.Port_;
+}
+
+std::size_t RestinioServer::openConnections() const {
+  return Running_ ? Running_->State_->OpenConnections_.load() : 0;
+}
+
+std::size_t RestinioServer::pendingAnswers() const {
+  return Running_ ? Running_->State_->PendingAnswers_.load() : 0;
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/http/internal/restinioserver.h
@@ -0,0 +1,40 @@
+#ifndef DRAGONFLYLOCK_HTTP_INTERNAL_RESTINIOSERVER_H
+#define DRAGONFLYLOCK_HTTP_INTERNAL_RESTINIOSERVER_H
+
+#include "global/socketaddress.h"
+#include "http/ihttpserver.h"
+
+#include <memory>
+
+namespace dragonflylock {
+
+class IHttpHandler;
+
+/// An HTTP server by RESTinio.
+class RestinioServer : public IHttpServer {
+public:
+  /// \param Address where to listen; port 0 takes a free one.
+  /// \param Handler receives the requests; must outlive the server.
+  /// \param LargestBody bytes; a larger request body closes its connection.
+  RestinioServer(SocketAddress Address, IHttpHandler &Handler,
+                 std::size_t LargestBody);
+  ~RestinioServer() override;
+
+  Result<void> start() override;
+  void closeConnectionsAfterAnswers() override;
+  void stop() override;
+  std::uint16_t port() const override;
+  std::size_t openConnections() const override;
+  std::size_t pendingAnswers() const override;
+
+private:
+  struct Running;
+  SocketAddress Address_;
+  IHttpHandler &Handler_;
+  std::size_t LargestBody_;
+  std::unique_ptr<Running> Running_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/peers/internal/framestream.cpp
@@ -0,0 +1,113 @@
+#include "peers/internal/framestream.h"
+
+#include <asio/buffer.hpp>
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+
+#include <utility>
+
+namespace dragonflylock {
+namespace {
+
+constexpr std::size_t LargestFrame = 8U << 20U;
+constexpr std::size_t LongestQueue = 256;
+constexpr unsigned BitsPerByte = 8;
+constexpr unsigned ByteMask = 0xFF;
+
+std::string withLength(const std::string &Body) {
+  constexpr unsigned LengthBytes = 4;
+  std::string Frame;
+  Frame.reserve(LengthBytes + Body.size());
+  for (unsigned Place = LengthBytes; Place > 0; --Place) {
+    auto Shifted = Body.size() >> (BitsPerByte * (Place - 1));
+    Frame += static_cast<char>(Shifted & ByteMask);
+  }
+  return Frame + Body;
+}
+
+} // namespace
+
+FrameStream::FrameStream(asio::ip::tcp::socket Socket)
+    : Socket_(std::move(Socket)) {}
+
+void FrameStream::start(FrameHandler OnFrame, CloseHandler OnClose) {
+  OnFrame_ = std::move(OnFrame);
+  OnClose_ = std::move(OnClose);
+  std::error_code Ignored;
+  Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  readLength();
+}
+
+void FrameStream::readLength() {
+  auto Self = shared_from_this();
+  asio::async_read(Socket_, asio::buffer(Length_),
+                   [Self](std::error_code Failure, std::size_t) {
+                     if (Failure)
+                       Self->close();
+                     else
+                       Self->readBody();
+                   });
+}
+
+void FrameStream::readBody() {
+  std::size_t Length = 0;
+  for (unsigned char Byte : Length_)
+    Length = (Length << BitsPerByte) | Byte;
+  if (Length > LargestFrame) {
+    close();
+    return;
+  }
+  Body_.resize(Length);
+  auto Self = shared_from_this();
+  asio::async_read(Socket_, asio::buffer(Body_),
+                   [Self](std::error_code Failure, std::size_t) {
+                     if (Failure) {
+                       Self->close();
+                       return;
+                     }
+                     Self->OnFrame_(std::move(Self->Body_));
+                     if (!Self->IsClosed_)
+                       Self->readLength();
+                   });
+}
+
+void FrameStream::send(std::string Body) {
+  if (IsClosed_)
+    return;
+  // The frame at the front may be half written already.
+  if (Outgoing_.size() >= LongestQueue)
+    Outgoing_.erase(Outgoing_.begin() + 1);
+  Outgoing_.push_back(withLength(Body));
+  if (!IsWriting_)
+    writeNext();
+}
+
+void FrameStream::writeNext() {
+  IsWriting_ = true;
+  auto Self = shared_from_this();
+  asio::async_write(Socket_, asio::buffer(Outgoing_.front()),
+                    [Self](std::error_code Failure, std::size_t) {
+                      Self->IsWriting_ = false;
+                      if (Failure) {
+                        Self->close();
+                        return;
+                      }
+                      Self->Outgoing_.pop_front();
+                      if (!Self->Outgoing_.empty())
+                        Self->writeNext();
+                    });
+}
+
+void FrameStream::close() {
+  if (IsClosed_)
+    return;
+  IsClosed_ = true;
+  std::error_code Ignored;
+  Socket_.close(Ignored);
+  OnFrame_ = [](std::string) {};
+  auto OnClose = std::exchange(OnClose_, nullptr);
+  if (OnClose)
+    OnClose();
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/peers/internal/peercodec.cpp
@@ -0,0 +1,129 @@
+#include "peers/peercodec.h"
+
+#include <msgpack.hpp>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+namespace dragonflylock::peercodec {
+namespace {
+
+enum class Kind : std::uint8_t { Heartbeat = 1, Notice = 2, Request = 3 };
+
+using LeavingTuple = msgpack::type::tuple<std::string, std::uint64_t>;
+using HeartbeatTuple =
+    msgpack::type::tuple<std::string, std::string, std::uint64_t, std::int64_t,
+                         bool, std::vector<LeavingTuple>>;
+using NoticeTuple = msgpack::type::tuple<std::uint64_t, std::string>;
+using PairTuple = msgpack::type::tuple<std::string, std::string>;
+
+class Packer {
+public:
+  std::string operator()(const Heartbeat &Message) {
+    std::vector<LeavingTuple> Leaving;
+    for (const LeavingMark &Mark : Message.Leaving_)
+      Leaving.emplace_back(Mark.Id_, Mark.Generation_);
+    return pack(Kind::Heartbeat,
+                HeartbeatTuple(Message.Name_, Message.Zone_, Message.Version_,
+                               Message.VersionSinceMs_, Message.IsReady_,
+                               Leaving));
+  }
+  std::string operator()(const ConfigurationNotice &Message) {
+    return pack(Kind::Notice, NoticeTuple(Message.Version_, Message.Document_));
+  }
+  std::string operator()(const ConfigurationRequest &Message) {
+    return pack(Kind::Request, Message.Name_);
+  }
+
+private:
+  template <typename Content>
+  std::string pack(Kind Which, const Content &Body) {
+    msgpack::sbuffer Buffer;
+    msgpack::pack(Buffer, static_cast<std::uint8_t>(Which));
+    msgpack::pack(Buffer, Body);
+    return {Buffer.data(), Buffer.size()};
+  }
+};
+
+std::string packPair(const std::string &First, const std::string &Second) {
+  msgpack::sbuffer Buffer;
+  msgpack::pack(Buffer, PairTuple(First, Second));
+  return {Buffer.data(), Buffer.size()};
+}
+
+template <typename T> std::optional<T> unpackPair(const std::string &Body) {
+  // The library reports malformed input by exceptions, which end here.
+  try {
+    auto Handle = msgpack::unpack(Body.data(), Body.size());
+    auto Read = Handle.get().as<PairTuple>();
+    return T{Read.get<0>(), Read.get<1>()};
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
+Heartbeat heartbeatFrom(const msgpack::object &Body) {
+  auto Read = Body.as<HeartbeatTuple>();
+  Heartbeat Message{Read.get<0>(), Read.get<1>(), Read.get<2>(),
+                    Read.get<3>(), Read.get<4>(), {}};
+  for (const LeavingTuple &Each : Read.get<5>())
+    Message.Leaving_.push_back({Each.get<0>(), Each.get<1>()});
+  return Message;
+}
+
+PeerMessage messageFrom(Kind Which, const msgpack::object &Body) {
+  if (Which == Kind::Heartbeat)
+    return heartbeatFrom(Body);
+  if (Which == Kind::Request)
+    return ConfigurationRequest{Body.as<std::string>()};
+  auto Read = Body.as<NoticeTuple>();
+  return ConfigurationNotice{Read.get<0>(), Read.get<1>()};
+}
+
+} // namespace
+
+std::string encode(const PeerMessage &Message) {
+  return std::visit(Packer(), Message);
+}
+
+std::optional<PeerMessage> decode(const std::string &Body) {
+  try {
+    std::size_t Offset = 0;
+    auto Head = msgpack::unpack(Body.data(), Body.size(), Offset);
+    auto Rest = msgpack::unpack(Body.data(), Body.size(), Offset);
+    auto Which = Head.get().as<std::uint8_t>();
+    if (Which < 1 || Which > static_cast<std::uint8_t>(Kind::Request))
+      return std::nullopt;
+    return messageFrom(static_cast<Kind>(Which), Rest.get());
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
+std::string encode(const PeerChallenge &Challenge) {
+  return packPair(Challenge.Name_, Challenge.Nonce_);
+}
+
+std::optional<PeerChallenge> decodeChallenge(const std::string &Body) {
+  return unpackPair<PeerChallenge>(Body);
+}
+
+std::string encode(const PeerHello &Hello) {
+  return packPair(Hello.Name_, Hello.Proof_);
+}
+
+std::optional<PeerHello> decodeHello(const std::string &Body) {
+  return unpackPair<PeerHello>(Body);
+}
+
+std::string proofOf(const std::string &Secret, const std::string &Nonce,
+                    const std::string &Name) {
+  std::string Message = Nonce + Name;
+  unsigned char Digest[EVP_MAX_MD_SIZE];
+  unsigned Length = 0;
+  HMAC(EVP_sha256(), Secret.data(), static_cast<int>(Secret.size()),
+       reinterpret_cast<const unsigned char *>(Message.data()), Message.size(),
+       Digest, &Length);
+  return {reinterpret_cast<const char *>(Digest), Length};
+}
+
+} // namespace dragonflylock::peercodec
--- /dev/null
+++ b/src/peers/internal/peerdirectory.cpp
@@ -0,0 +1,24 @@
+#include "peers/peerdirectory.h"
+
+namespace dragonflylock {
+namespace {
+
+/// A peer that was silent for this time is not live.
+constexpr std::chrono::seconds Silence{3};
+
+} // namespace
+
+void PeerDirectory::onHeartbeat(const Heartbeat &Message, TimePoint Now) {
+  Peers_[Message.Name_] = {Message, Now};
+}
+
+std::vector<Heartbeat> PeerDirectory::live(TimePoint Now) const {
+  std::vector<Heartbeat> Live;
+  for (const auto &[Name, State] : Peers_) {
+    if (Now - State.HeardAt_ < Silence)
+      Live.push_back(State.Last_);
+  }
+  return Live;
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/peers/internal/tcppeerlink.cpp
@@ -0,0 +1,260 @@
+#include "peers/internal/tcppeerlink.h"
+#include "http/httperrors.h"
+#include "peers/internal/framestream.h"
+#include "peers/ipeerlistener.h"
+#include "peers/peercodec.h"
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/steady_timer.hpp>
+#include <openssl/crypto.h>
+#include <openssl/rand.h>
+
+#include <set>
+#include <thread>
+
+namespace dragonflylock {
+namespace {
+
+constexpr std::chrono::milliseconds ReconnectInterval{300};
+/// A connection attempt that was swallowed is given up after this time.
+constexpr std::chrono::milliseconds ConnectLimit{1000};
+constexpr std::size_t NonceBytes = 32;
+
+std::string makeNonce() {
+  std::string Nonce(NonceBytes, '\0');
+  RAND_bytes(reinterpret_cast<unsigned char *>(Nonce.data()),
+             static_cast<int>(Nonce.size()));
+  return Nonce;
+}
+
+bool isEqual(const std::string &Left, const std::string &Right) {
+  return Left.size() == Right.size() &&
+         CRYPTO_memcmp(Left.data(), Right.data(), Left.size()) == 0;
+}
+
+asio::ip::tcp::endpoint endpointOf(const SocketAddress &Address) {
+  return {asio::ip::make_address(Address.Host_), Address.Port_};
+}
+
+/// The connection to one peer, opened again whenever it is lost.
+class Outgoing : public std::enable_shared_from_this<Outgoing> {
+public:
+  Outgoing(asio::io_context &Context, SocketAddress Peer, std::string Name,
+           std::string Secret)
+      : Context_(Context), Peer_(std::move(Peer)), Name_(std::move(Name)),
+        Secret_(std::move(Secret)), Retry_(Context) {}
+
+  void connect() {
+    auto Self = shared_from_this();
+    auto Socket = std::make_shared<asio::ip::tcp::socket>(Context_);
+    Retry_.expires_after(ConnectLimit);
+    Retry_.async_wait([Socket](std::error_code Failure) {
+      std::error_code Ignored;
+      if (!Failure)
+        Socket->close(Ignored);
+    });
+    Socket->async_connect(endpointOf(Peer_),
+                          [Self, Socket](std::error_code Failure) {
+                            Self->Retry_.cancel();
+                            if (Failure)
+                              Self->connectLater();
+                            else
+                              Self->open(std::move(*Socket));
+                          });
+  }
+
+  void send(const std::string &Body) {
+    if (IsGreeted_)
+      Stream_->send(Body);
+  }
+
+  /// \returns the peer's name, empty before it was first reached.
+  const std::string &peerName() const { return PeerName_; }
+
+  void stop() {
+    IsStopped_ = true;
+    Retry_.cancel();
+    if (Stream_)
+      Stream_->close();
+  }
+
+private:
+  void open(asio::ip::tcp::socket Socket) {
+    if (IsStopped_)
+      return;
+    auto Self = shared_from_this();
+    Stream_ = std::make_shared<FrameStream>(std::move(Socket));
+    Stream_->start([Self](std::string Frame) { Self->greet(Frame); },
+                   [Self] {
+                     Self->IsGreeted_ = false;
+                     Self->connectLater();
+                   });
+  }
+
+  void greet(const std::string &Frame) {
+    auto Challenge = peercodec::decodeChallenge(Frame);
+    if (!Challenge || IsGreeted_) {
+      Stream_->close();
+      return;
+    }
+    PeerName_ = Challenge->Name_;
+    PeerHello Hello{Name_,
+                    peercodec::proofOf(Secret_, Challenge->Nonce_, Name_)};
+    Stream_->send(peercodec::encode(Hello));
+    IsGreeted_ = true;
+  }
+
+  void connectLater() {
+    if (IsStopped_)
+      return;
+    auto Self = shared_from_this();
+    Retry_.expires_after(ReconnectInterval);
+    Retry_.async_wait([Self](std::error_code Failure) {
+      if (!Failure && !Self->IsStopped_)
+        Self->connect();
+    });
+  }
+
+  asio::io_context &Context_;
+  SocketAddress Peer_;
+  std::string Name_;
+  std::string Secret_;
+  std::string PeerName_;
+  asio::steady_timer Retry_;
+  std::shared_ptr<FrameStream> Stream_;
+  bool IsGreeted_ = false;
+  bool IsStopped_ = false;
+};
+
+} // namespace
+
+class TcpPeerLink::Implementation {
+public:
+  Implementation(Options Chosen, IPeerListener &Listener)
+      : Options_(std::move(Chosen)), Listener_(Listener), Acceptor_(Context_) {}
+
+  ~Implementation() { stop(); }
+
+  Result<void> start() {
+    try {
+      auto Endpoint = endpointOf(Options_.Listen_);
+      Acceptor_.open(Endpoint.protocol());
+      Acceptor_.set_option(asio::socket_base::reuse_address(true));
+      Acceptor_.bind(Endpoint);
+      Acceptor_.listen();
+    } catch (const std::exception &Failure) {
+      return Error(HttpErrc::CannotListen,
+                   "cannot listen on " + Options_.Listen_.text() + " (" +
+                       Failure.what() + ")",
+                   "free the port or choose another address");
+    }
+    accept();
+    for (const SocketAddress &Peer : Options_.Peers_) {
+      auto Link = std::make_shared<Outgoing>(Context_, Peer, Options_.Name_,
+                                             Options_.Secret_);
+      Outgoing_.push_back(Link);
+      Link->connect();
+    }
+    Thread_ = std::thread([this] { Context_.run(); });
+    return {};
+  }
+
+  /// Sends to the peer of that name, or to all where \p Name is empty.
+  void send(const std::string &Name, std::string Body) {
+    asio::post(Context_, [this, Name, Body = std::move(Body)] {
+      for (const auto &Link : Outgoing_) {
+        if (Name.empty() || Link->peerName() == Name)
+          Link->send(Body);
+      }
+    });
+  }
+
+  void stop() {
+    if (!Thread_.joinable())
+      return;
+    asio::post(Context_, [this] {
+      std::error_code Ignored;
+      Acceptor_.close(Ignored);
+      for (const auto &Link : Outgoing_)
+        Link->stop();
+      for (const auto &Stream : std::set(Incoming_))
+        Stream->close();
+    });
+    Thread_.join();
+  }
+
+private:
+  void accept() {
+    Acceptor_.async_accept(
+        [this](std::error_code Failure, asio::ip::tcp::socket Socket) {
+          if (Failure == asio::error::operation_aborted)
+            return;
+          if (!Failure)
+            serve(std::move(Socket));
+          accept();
+        });
+  }
+
+  void serve(asio::ip::tcp::socket Socket) {
+    auto Stream = std::make_shared<FrameStream>(std::move(Socket));
+    auto Nonce = std::make_shared<std::string>(makeNonce());
+    PeerChallenge Challenge{Options_.Name_, *Nonce};
+    std::weak_ptr<FrameStream> Weak = Stream;
+    Incoming_.insert(Stream);
+    Stream->start(
+        [this, Weak, Nonce](std::string Frame) {
+          receive(Weak, *Nonce, std::move(Frame));
+        },
+        [this, Weak] { Incoming_.erase(Weak.lock()); });
+    Stream->send(peercodec::encode(Challenge));
+  }
+
+  void receive(const std::weak_ptr<FrameStream> &Weak, std::string &Nonce,
+               std::string Frame) {
+    auto Stream = Weak.lock();
+    if (!Nonce.empty()) {
+      auto Hello = peercodec::decodeHello(Frame);
+      bool IsProved = Hello && isEqual(Hello->Proof_,
+                                       peercodec::proofOf(Options_.Secret_,
+                                                          Nonce, Hello->Name_));
+      Nonce.clear();
+      if (!IsProved)
+        Stream->close();
+      return;
+    }
+    auto Message = peercodec::decode(Frame);
+    if (Message)
+      Listener_.onPeerMessage(std::move(*Message));
+    else
+      Stream->close();
+  }
+
+  Options Options_;
+  IPeerListener &Listener_;
+  asio::io_context Context_;
+  asio::ip::tcp::acceptor Acceptor_;
+  std::vector<std::shared_ptr<Outgoing>> Outgoing_;
+  std::set<std::shared_ptr<FrameStream>> Incoming_;
+  std::thread Thread_;
+};
+
+TcpPeerLink::TcpPeerLink(Options Chosen, IPeerListener &Listener)
+    : Implementation_(
+          std::make_unique<Implementation>(std::move(Chosen), Listener)) {}
+
+TcpPeerLink::~TcpPeerLink() = default;
+
+Result<void> TcpPeerLink::start() { return Implementation_->start(); }
+
+void TcpPeerLink::broadcast(const PeerMessage &Message) {
+  Implementation_->send({}, peercodec::encode(Message));
+}
+
+void TcpPeerLink::send(const std::string &Name, const PeerMessage &Message) {
+  Implementation_->send(Name, peercodec::encode(Message));
+}
+
+void TcpPeerLink::stop() { Implementation_->stop(); }
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/peers/peercodec.h
@@ -0,0 +1,32 @@
+#ifndef DRAGONFLYLOCK_PEERS_PEERCODEC_H
+#define DRAGONFLYLOCK_PEERS_PEERCODEC_H
+
+#include "peers/peertypes.h"
+
+#include <optional>
+#include <string>
+
+namespace dragonflylock::peercodec {
+
+/// \returns the msgpack body of \p Message.
+std::string encode(const PeerMessage &Message);
+/// \returns the message, or nothing where the body is not one.
+std::optional<PeerMessage> decode(const std::string &Body);
+
+/// \returns the msgpack body of \p Challenge.
+std::string encode(const PeerChallenge &Challenge);
+/// \returns the challenge, or nothing where the body is not one.
+std::optional<PeerChallenge> decodeChallenge(const std::string &Body);
+
+/// \returns the msgpack body of \p Hello.
+std::string encode(const PeerHello &Hello);
+/// \returns the hello, or nothing where the body is not one.
+std::optional<PeerHello> decodeHello(const std::string &Body);
+
+/// \returns the keyed digest of \p Nonce and \p Name.
+std::string proofOf(const std::string &Secret, const std::string &Nonce,
+                    const std::string &Name);
+
+} // namespace dragonflylock::peercodec
+
+#endif
--- /dev/null
+++ b/src/platform/iinstancedirectory.h
@@ -0,0 +1,19 @@
+#ifndef DRAGONFLYLOCK_PLATFORM_IINSTANCEDIRECTORY_H
+#define DRAGONFLYLOCK_PLATFORM_IINSTANCEDIRECTORY_H
+
+#include "global/result.h"
+#include "platform/platformtypes.h"
+
+namespace dragonflylock {
+
+/// The platform's list of instances.
+class IInstanceDirectory {
+public:
+  virtual ~IInstanceDirectory() = default;
+  /// \returns the list with its age, or a PlatformErrc.
+  virtual Result<InstanceList> list() = 0;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/platform/internal/embeddedplatform.h
@@ -0,0 +1,52 @@
+#ifndef DRAGONFLYLOCK_PLATFORM_INTERNAL_EMBEDDEDPLATFORM_H
+#define DRAGONFLYLOCK_PLATFORM_INTERNAL_EMBEDDEDPLATFORM_H
+
+#include "platform/iplatform.h"
+
+#include <map>
+#include <mutex>
+#include <set>
+
+namespace dragonflylock {
+
+/// The platform's services in the memory of one process; usable by several
+/// threads at a time.
+class EmbeddedPlatform : public IPlatform {
+public:
+  Result<std::optional<TableRow>> read(const RowKey &Row) override;
+  Result<TableChanges> readChanges(const std::string &Table,
+                                   TableRevision Since) override;
+  Result<std::vector<RowVersion>>
+  transact(const std::vector<RowWrite> &Writes) override;
+  Result<std::optional<std::string>> get(const std::string &Name) override;
+  Result<void> put(const std::string &Name,
+                   const std::string &Content) override;
+  Result<InstanceList> list() override;
+  Result<void> perform(InstanceAct Act, const std::string &Id) override;
+
+  /// Adds an instance to the list, or replaces it.
+  void setInstance(const ListedInstance &Instance);
+  /// Takes an instance off the list.
+  void removeInstance(const std::string &Id);
+
+private:
+  struct Table {
+    TableRevision Revision_ = 0;
+    std::map<std::string, TableRow> Rows_;
+    /// Revision at which each row was last written or deleted.
+    std::map<TableRevision, std::string> Order_;
+    std::map<std::string, TableRevision> Touched_;
+  };
+
+  bool holds(const RowWrite &Write);
+  RowVersion apply(const RowWrite &Write);
+
+  std::mutex Mutex_;
+  std::map<std::string, Table> Tables_;
+  std::map<std::string, std::string> Objects_;
+  std::map<std::string, ListedInstance> Instances_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/platform/internal/httpplatform.h
@@ -0,0 +1,46 @@
+#ifndef DRAGONFLYLOCK_PLATFORM_INTERNAL_HTTPPLATFORM_H
+#define DRAGONFLYLOCK_PLATFORM_INTERNAL_HTTPPLATFORM_H
+
+#include "platform/iplatform.h"
+
+#include <chrono>
+#include <memory>
+
+namespace dragonflylock {
+
+class IHttpClient;
+struct HttpAnswer;
+struct HttpRequest;
+
+/// The platform's services over HTTP; for use by one thread.
+class HttpPlatform : public IPlatform {
+public:
+  /// \param BaseUrl for example "http://10.0.0.1:7000".
+  /// \param Client exchanges the requests.
+  /// \param Longest the time after which a call is given up.
+  HttpPlatform(std::string BaseUrl, std::unique_ptr<IHttpClient> Client,
+               std::chrono::milliseconds Longest);
+  ~HttpPlatform() override;
+
+  Result<std::optional<TableRow>> read(const RowKey &Row) override;
+  Result<TableChanges> readChanges(const std::string &Table,
+                                   TableRevision Since) override;
+  Result<std::vector<RowVersion>>
+  transact(const std::vector<RowWrite> &Writes) override;
+  Result<std::optional<std::string>> get(const std::string &Name) override;
+  Result<void> put(const std::string &Name,
+                   const std::string &Content) override;
+  Result<InstanceList> list() override;
+  Result<void> perform(InstanceAct Act, const std::string &Id) override;
+
+private:
+  Result<HttpAnswer> call(const HttpRequest &Request);
+
+  std::string BaseUrl_;
+  std::unique_ptr<IHttpClient> Client_;
+  std::chrono::milliseconds Longest_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/platform/internal/platformcodec.cpp
@@ -0,0 +1,180 @@
+#include "platform/platformcodec.h"
+#include "platform/platformerrors.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace dragonflylock::platformcodec {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::array<InstanceAct, 5> AllActs{
+    InstanceAct::Drain, InstanceAct::Reboot, InstanceAct::Checkpoint,
+    InstanceAct::Throttle, InstanceAct::Stop};
+
+/// Runs \p Read on the parsed body; the library reports wrong types by
+/// exceptions, which end here.
+template <typename T, typename Reader>
+Result<T> decode(const std::string &Body, Reader Read) {
+  try {
+    return Read(Json::parse(Body));
+  } catch (const Json::exception &Failure) {
+    return Error(PlatformErrc::BadAnswer, Failure.what(),
+                 "check that the address is that of the platform");
+  }
+}
+
+Json toJson(const RowWrite &Write) {
+  Json Entry{{"table", Write.Row_.Table_}, {"key", Write.Row_.Key_}};
+  if (Write.Condition_.Kind_ == RowCondition::Kind::Absent)
+    Entry["if_absent"] = true;
+  if (Write.Condition_.Kind_ == RowCondition::Kind::AtVersion)
+    Entry["if_version"] = Write.Condition_.Version_;
+  if (Write.Value_)
+    Entry["value"] = *Write.Value_;
+  return Entry;
+}
+
+RowWrite writeFrom(const Json &Entry) {
+  RowWrite Write;
+  Write.Row_ = {Entry.at("table"), Entry.at("key")};
+  if (Entry.value("if_absent", false))
+    Write.Condition_ = RowCondition::absent();
+  if (Entry.contains("if_version"))
+    Write.Condition_ = RowCondition::at(Entry.at("if_version"));
+  if (Entry.contains("value"))
+    Write.Value_ = Entry.at("value").get<std::string>();
+  return Write;
+}
+
+Json toJson(const ListedInstance &Instance) {
+  bool IsLive = Instance.State_ == InstanceState::Live;
+  return {{"id", Instance.Id_},
+          {"address", Instance.Address_.text()},
+          {"zone", Instance.Zone_},
+          {"rack", Instance.Rack_},
+          {"state", IsLive ? "live" : "leaving"},
+          {"generation", Instance.Generation_}};
+}
+
+ListedInstance instanceFrom(const Json &Entry) {
+  ListedInstance Instance;
+  Instance.Id_ = Entry.at("id");
+  auto Address = SocketAddress::parse(Entry.at("address").get<std::string>());
+  if (Address)
+    Instance.Address_ = Address.value();
+  Instance.Zone_ = Entry.at("zone");
+  Instance.Rack_ = Entry.value("rack", "");
+  Instance.State_ = Entry.value("state", "live") == "live"
+                        ? InstanceState::Live
+                        : InstanceState::Leaving;
+  Instance.Generation_ = Entry.value("generation", 0);
+  return Instance;
+}
+
+} // namespace
+
+std::string encodeWrites(const std::vector<RowWrite> &Writes) {
+  Json Body = Json::array();
+  for (const RowWrite &Write : Writes)
+    Body.push_back(toJson(Write));
+  return Body.dump();
+}
+
+Result<std::vector<RowWrite>> decodeWrites(const std::string &Body) {
+  return decode<std::vector<RowWrite>>(Body, [](const Json &Parsed) {
+    std::vector<RowWrite> Writes;
+    for (const Json &Entry : Parsed)
+      Writes.push_back(writeFrom(Entry));
+    return Writes;
+  });
+}
+
+std::string encodeVersions(const std::vector<RowVersion> &Versions) {
+  return Json(Versions).dump();
+}
+
+Result<std::vector<RowVersion>> decodeVersions(const std::string &Body) {
+  return decode<std::vector<RowVersion>>(Body, [](const Json &Parsed) {
+    return Parsed.get<std::vector<RowVersion>>();
+  });
+}
+
+std::string encodeChanges(const TableChanges &Changes) {
+  Json Rows = Json::array();
+  for (const TableRow &Row : Changes.Rows_)
+    Rows.push_back(
+        {{"key", Row.Key_}, {"version", Row.Version_}, {"value", Row.Value_}});
+  Json Body{{"revision", Changes.Revision_},
+            {"whole", Changes.IsWhole_},
+            {"rows", std::move(Rows)},
+            {"deleted", Changes.Deleted_}};
+  return Body.dump();
+}
+
+Result<TableChanges> decodeChanges(const std::string &Body) {
+  return decode<TableChanges>(Body, [](const Json &Parsed) {
+    TableChanges Changes;
+    Changes.Revision_ = Parsed.at("revision");
+    Changes.IsWhole_ = Parsed.at("whole");
+    for (const Json &Entry : Parsed.at("rows"))
+      Changes.Rows_.push_back(
+          {Entry.at("key"), Entry.at("version"), Entry.at("value")});
+    Changes.Deleted_ = Parsed.at("deleted").get<std::vector<std::string>>();
+    return Changes;
+  });
+}
+
+std::string encodeInstance(const ListedInstance &Instance) {
+  return toJson(Instance).dump();
+}
+
+Result<ListedInstance> decodeInstance(const std::string &Body) {
+  return decode<ListedInstance>(Body, instanceFrom);
+}
+
+std::string encodeInstances(const InstanceList &List) {
+  Json Entries = Json::array();
+  for (const ListedInstance &Instance : List.Instances_)
+    Entries.push_back(toJson(Instance));
+  return Json{{"age_ms", List.Age_.count()}, {"instances", Entries}}.dump();
+}
+
+Result<InstanceList> decodeInstances(const std::string &Body) {
+  return decode<InstanceList>(Body, [](const Json &Parsed) {
+    InstanceList List;
+    List.Age_ = std::chrono::milliseconds(Parsed.at("age_ms").get<int>());
+    for (const Json &Entry : Parsed.at("instances"))
+      List.Instances_.push_back(instanceFrom(Entry));
+    return List;
+  });
+}
+
+const char *nameOf(InstanceAct Act) {
+  switch (Act) {
+  case InstanceAct::Drain:
+    return "drain";
+  case InstanceAct::Reboot:
+    return "reboot";
+  case InstanceAct::Checkpoint:
+    return "checkpoint";
+  case InstanceAct::Throttle:
+    return "throttle";
+  case InstanceAct::Stop:
+    return "stop";
+  }
+  return "stop";
+}
+
+Result<InstanceAct> actOf(std::string_view Name) {
+  for (InstanceAct Act : AllActs) {
+    if (nameOf(Act) == Name)
+      return Act;
+  }
+  return Error(PlatformErrc::NotFound, "no act " + std::string(Name),
+               "use drain, reboot, checkpoint, throttle or stop");
+}
+
+} // namespace dragonflylock::platformcodec
--- /dev/null
+++ b/src/platform/platformcodec.h
@@ -0,0 +1,40 @@
+#ifndef DRAGONFLYLOCK_PLATFORM_PLATFORMCODEC_H
+#define DRAGONFLYLOCK_PLATFORM_PLATFORMCODEC_H
+
+#include "global/result.h"
+#include "platform/platformtypes.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace dragonflylock {
+
+/// The JSON bodies of the platform's protocol; docs/PLATFORM.md describes
+/// them. Each `decode` returns PlatformErrc::BadAnswer for other text.
+namespace platformcodec {
+
+std::string encodeWrites(const std::vector<RowWrite> &Writes);
+Result<std::vector<RowWrite>> decodeWrites(const std::string &Body);
+
+std::string encodeVersions(const std::vector<RowVersion> &Versions);
+Result<std::vector<RowVersion>> decodeVersions(const std::string &Body);
+
+std::string encodeChanges(const TableChanges &Changes);
+Result<TableChanges> decodeChanges(const std::string &Body);
+
+std::string encodeInstance(const ListedInstance &Instance);
+Result<ListedInstance> decodeInstance(const std::string &Body);
+
+std::string encodeInstances(const InstanceList &List);
+Result<InstanceList> decodeInstances(const std::string &Body);
+
+/// \returns the path segment for \p Act, for example "drain".
+const char *nameOf(InstanceAct Act);
+/// \returns the act of that path segment, or PlatformErrc::NotFound.
+Result<InstanceAct> actOf(std::string_view Name);
+
+} // namespace platformcodec
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/platform/tablenames.h
@@ -0,0 +1,25 @@
+#ifndef DRAGONFLYLOCK_PLATFORM_TABLENAMES_H
+#define DRAGONFLYLOCK_PLATFORM_TABLENAMES_H
+
+/// Tables and rows that dragonflylock keeps in the table service.
+namespace dragonflylock::tables {
+
+/// One row, "current": the configuration in force.
+inline constexpr const char *Configuration = "configuration";
+inline constexpr const char *CurrentConfiguration = "current";
+/// A row for each accepted configuration, by its padded version.
+inline constexpr const char *ConfigurationHistory = "configuration-history";
+/// A row for each accepted configuration, by the id of the change.
+inline constexpr const char *ConfigurationChanges = "configuration-changes";
+/// A row for each accepted change, in the order of time.
+inline constexpr const char *Audit = "audit";
+/// A row for each instance: its pool, epoch and phase.
+inline constexpr const char *Instances = "instances";
+/// A row for each idempotency key in use.
+inline constexpr const char *Claims = "claims";
+/// A row for each pool: the instances that are out of service.
+inline constexpr const char *Pools = "pools";
+
+} // namespace dragonflylock::tables
+
+#endif
--- /dev/null
+++ b/src/routing/instanceload.h
@@ -0,0 +1,25 @@
+#ifndef DRAGONFLYLOCK_ROUTING_INSTANCELOAD_H
+#define DRAGONFLYLOCK_ROUTING_INSTANCELOAD_H
+
+#include "global/iclock.h"
+#include "global/socketaddress.h"
+
+#include <cstdint>
+#include <string>
+
+namespace dragonflylock {
+
+/// What one entry instance has at an instance.
+struct InstanceLoad {
+  std::string Id_;
+  std::string Zone_;
+  SocketAddress Address_;
+  /// Offers that have not ended.
+  std::uint64_t Outstanding_ = 0;
+  /// The instance is not chosen before this time after a failed connection.
+  TimePoint SuspectUntil_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/routing/instancetypes.h
@@ -0,0 +1,57 @@
+#ifndef DRAGONFLYLOCK_ROUTING_INSTANCETYPES_H
+#define DRAGONFLYLOCK_ROUTING_INSTANCETYPES_H
+
+#include "platform/platformtypes.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace dragonflylock {
+
+/// Whether an instance serves its pool.
+enum class InstancePhase {
+  Serving,
+  /// It finishes its work before it moves or is maintained.
+  Leaving,
+  /// It is out of service for maintenance.
+  Out,
+};
+
+/// The row that assigns an instance to a pool.
+struct InstanceRow {
+  std::string Pool_;
+  /// Higher after each change of pool or phase.
+  std::uint64_t Epoch_ = 0;
+  InstancePhase Phase_ = InstancePhase::Serving;
+  /// The pool that the instance moves to, where it leaves for one.
+  std::string Target_;
+
+  bool operator==(const InstanceRow &) const = default;
+};
+
+/// Says that one generation of an instance takes no new work.
+struct LeavingMark {
+  std::string Id_;
+  std::uint64_t Generation_ = 0;
+
+  bool operator==(const LeavingMark &) const = default;
+};
+
+/// All that an entry instance knows of one instance.
+struct KnownInstance {
+  std::optional<ListedInstance> Listed_;
+  std::optional<InstanceRow> Row_;
+  /// The highest generation that is known to be leaving.
+  std::optional<std::uint64_t> LeavingGeneration_;
+};
+
+/// \returns the name of \p Phase in rows and tables.
+const char *nameOf(InstancePhase Phase);
+/// \returns the phase of that name; Out for unknown names, so that an
+/// instance in a phase of a later program receives no work.
+InstancePhase instancePhaseOf(const std::string &Name);
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/routing/internal/leastoutstandingselector.cpp
@@ -0,0 +1,39 @@
+#include "routing/internal/leastoutstandingselector.h"
+#include "routing/instanceload.h"
+
+#include <algorithm>
+
+namespace dragonflylock {
+
+LeastOutstandingSelector::LeastOutstandingSelector(std::string Zone)
+    : Zone_(std::move(Zone)) {}
+
+bool LeastOutstandingSelector::isBetter(const InstanceLoad &Left,
+                                        const InstanceLoad &Right) const {
+  bool IsLeftNear = Left.Zone_ == Zone_;
+  bool IsRightNear = Right.Zone_ == Zone_;
+  if (IsLeftNear != IsRightNear)
+    return IsLeftNear;
+  return Left.Outstanding_ < Right.Outstanding_;
+}
+
+InstanceLoad *
+LeastOutstandingSelector::select(const std::vector<InstanceLoad *> &Candidates,
+                                 const std::vector<std::string> &Excluded,
+                                 std::uint64_t SlotLimit, TimePoint Now) {
+  InstanceLoad *Best = nullptr;
+  ++Turn_;
+  for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
+    InstanceLoad *Each = Candidates[(Index + Turn_) % Candidates.size()];
+    if (Each->Outstanding_ >= SlotLimit || Now < Each->SuspectUntil_)
+      continue;
+    if (std::find(Excluded.begin(), Excluded.end(), Each->Id_) !=
+        Excluded.end())
+      continue;
+    if (Best == nullptr || isBetter(*Each, *Best))
+      Best = Each;
+  }
+  return Best;
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/routing/internal/requestengine.cpp
@@ -0,0 +1,356 @@
+#include "routing/requestengine.h"
+#include "configuration/fleetconfiguration.h"
+#include "http/httptypes.h"
+#include "routing/iinstanceselector.h"
+#include "routing/instanceregistry.h"
+
+#include <algorithm>
+
+namespace dragonflylock {
+namespace {
+
+/// How long an instance that refused a connection is passed over.
+constexpr std::chrono::milliseconds SuspicionTime{500};
+
+RoutingErrc kindOf(AnswerFault Fault) {
+  switch (Fault) {
+  case AnswerFault::None:
+  case AnswerFault::Lost:
+    return RoutingErrc::AnswerLost;
+  case AnswerFault::Truncated:
+    return RoutingErrc::AnswerTruncated;
+  case AnswerFault::Unframed:
+    return RoutingErrc::AnswerUnframed;
+  case AnswerFault::TooLarge:
+    return RoutingErrc::AnswerTooLarge;
+  case AnswerFault::Timeout:
+    return RoutingErrc::DeadlineAfterOffer;
+  }
+  return RoutingErrc::AnswerLost;
+}
+
+bool isRetryable(const OfferEnd &End) {
+  switch (End.Fault_) {
+  case AnswerFault::None:
+    return End.Status_ == httpstatus::BadGateway ||
+           End.Status_ == httpstatus::Unavailable ||
+           End.Status_ == httpstatus::GatewayTimeout;
+  case AnswerFault::Lost:
+  case AnswerFault::Truncated:
+    return true;
+  case AnswerFault::Unframed:
+  case AnswerFault::TooLarge:
+  case AnswerFault::Timeout:
+    return false;
+  }
+  return false;
+}
+
+} // namespace
+
+RequestEngine::RequestEngine(std::unique_ptr<IInstanceSelector> Selector)
+    : Selector_(std::move(Selector)) {}
+
+RequestEngine::~RequestEngine() = default;
+
+void RequestEngine::setConfiguration(
+    std::shared_ptr<const FleetConfiguration> Value) {
+  Configuration_ = std::move(Value);
+}
+
+RequestEngine::Actions
+RequestEngine::onInstances(TimePoint Now, const InstanceRegistry &Registry) {
+  for (auto &[Name, Pool] : Pools_)
+    Pool.Eligible_.clear();
+  for (const auto &[Id, Known] : Registry.instances()) {
+    if (!InstanceRegistry::isEligible(Known))
+      continue;
+    InstanceLoad &Load = Loads_[Id];
+    Load.Id_ = Id;
+    Load.Zone_ = Known.Listed_->Zone_;
+    Load.Address_ = Known.Listed_->Address_;
+    Pools_[Known.Row_->Pool_].Eligible_.push_back(&Load);
+  }
+  std::erase_if(Loads_, [&](const auto &Entry) {
+    return Entry.second.Outstanding_ == 0 &&
+           !Registry.instances().contains(Entry.first);
+  });
+  return onTick(Now);
+}
+
+RequestEngine::Actions RequestEngine::onRequest(TimePoint Now,
+                                                const RequestHead &Head) {
+  Actions Out;
+  if (auto Kind = refusal(Head)) {
+    Out.push_back(FailAction{Head.Id_, *Kind, Outcome::NotRun});
+    return Out;
+  }
+  admit(Now, Head, Out);
+  return Out;
+}
+
+std::optional<RoutingErrc>
+RequestEngine::refusal(const RequestHead &Head) const {
+  if (IsRefusing_)
+    return RoutingErrc::ShuttingDown;
+  if (!Configuration_)
+    return RoutingErrc::NoConfiguration;
+  const Route *Found = Configuration_->findRoute(Head.Path_);
+  if (Found == nullptr)
+    return RoutingErrc::NoRoute;
+  const PoolSettings *Settings = Configuration_->findPool(Found->Pool_);
+  if (Head.HeadSize_ > Settings->MaxHead_)
+    return RoutingErrc::HeadTooLarge;
+  if (Head.BodySize_ > Settings->MaxBody_)
+    return RoutingErrc::BodyTooLarge;
+  return std::nullopt;
+}
+
+void RequestEngine::admit(TimePoint Now, const RequestHead &Head,
+                          Actions &Out) {
+  const Route *Found = Configuration_->findRoute(Head.Path_);
+  Request &Entry = Requests_[Head.Id_];
+  Entry.Head_ = Head;
+  Entry.Pool_ = Found->Pool_;
+  Entry.Settings_ = *Configuration_->findPool(Found->Pool_);
+  Entry.Deadline_ = Now + Entry.Settings_.Deadline_;
+  Entry.IsIdempotent_ =
+      Found->Idempotent_.value_or(isIdempotentMethod(Head.Method_));
+  Pools_[Entry.Pool_].Retries_.onRequest(Entry.Settings_.RetryBudget_);
+  Waiting_.emplace(Entry.Deadline_, Head.Id_);
+  if (Entry.IsIdempotent_ || Head.ClaimKey_.empty()) {
+    enqueue(Now, Entry, Out);
+    return;
+  }
+  Entry.Stage_ = Stage::Claiming;
+  ClaimRequest Claim{Head.ClaimKey_, Head.AttemptId_, Head.Fingerprint_};
+  Out.push_back(ClaimAction{Head.Id_, std::move(Claim), Entry.Deadline_});
+}
+
+RequestEngine::Actions RequestEngine::onClaim(TimePoint Now, RequestId Id,
+                                              ClaimVerdict Verdict) {
+  Actions Out;
+  auto Found = Requests_.find(Id);
+  if (Found == Requests_.end() || Found->second.Stage_ != Stage::Claiming) {
+    bool IsOrphan = AbandonedClaims_.erase(Id) > 0;
+    if (IsOrphan && Verdict == ClaimVerdict::Granted)
+      Out.push_back(SettleClaimAction{Id, SettleClaimAction::Kind::Release});
+    return Out;
+  }
+  Request &Entry = Found->second;
+  switch (Verdict) {
+  case ClaimVerdict::Granted:
+    Entry.HasClaim_ = true;
+    enqueue(Now, Entry, Out);
+    break;
+  case ClaimVerdict::Kept:
+    Out.push_back(ReplayAction{Id});
+    forget(Entry);
+    break;
+  case ClaimVerdict::KeyReused:
+    fail(Entry, RoutingErrc::KeyReused, Out);
+    break;
+  case ClaimVerdict::Unknown:
+    failAfterOffer(Entry, RoutingErrc::EarlierAttemptUnknown, Out);
+    break;
+  case ClaimVerdict::Unavailable:
+    fail(Entry, RoutingErrc::ClaimUnavailable, Out);
+    break;
+  }
+  return Out;
+}
+
+void RequestEngine::enqueue(TimePoint Now, Request &Entry, Actions &Out) {
+  PoolState &Pool = Pools_[Entry.Pool_];
+  Entry.Stage_ = Stage::Queued;
+  Pool.Queue_.push_back(Entry.Head_.Id_);
+  RequestId Id = Entry.Head_.Id_;
+  std::string Name = Entry.Pool_;
+  std::uint64_t Limit = Entry.Settings_.QueueLimit_;
+  dispatch(Now, Name, Out);
+  if (Pool.Queue_.size() <= Limit || Pool.Queue_.back() != Id)
+    return;
+  Pool.Queue_.pop_back();
+  fail(Requests_.at(Id), RoutingErrc::QueueFull, Out);
+}
+
+void RequestEngine::dispatch(TimePoint Now, const std::string &Name,
+                             Actions &Out) {
+  PoolState &Pool = Pools_[Name];
+  while (!Pool.Queue_.empty() && offerNext(Now, Pool, Out))
+    continue;
+}
+
+bool RequestEngine::offerNext(TimePoint Now, PoolState &Pool, Actions &Out) {
+  auto Found = Requests_.find(Pool.Queue_.front());
+  if (Found == Requests_.end()) {
+    Pool.Queue_.pop_front();
+    return true;
+  }
+  Request &Entry = Found->second;
+  if (Now >= Entry.Deadline_) {
+    Pool.Queue_.pop_front();
+    fail(Entry, RoutingErrc::DeadlineBeforeOffer, Out);
+    return true;
+  }
+  InstanceLoad *Chosen = Selector_->select(
+      Pool.Eligible_, Entry.Excluded_, Entry.Settings_.SlotsPerInstance_, Now);
+  if (Chosen == nullptr && !Entry.Excluded_.empty()) {
+    // All that are left have failed it once; another try beats none.
+    Chosen = Selector_->select(Pool.Eligible_, {},
+                               Entry.Settings_.SlotsPerInstance_, Now);
+  }
+  if (Chosen == nullptr)
+    return false;
+  Pool.Queue_.pop_front();
+  offer(Entry, *Chosen, Out);
+  return true;
+}
+
+void RequestEngine::offer(Request &Entry, InstanceLoad &Instance,
+                          Actions &Out) {
+  Waiting_.erase({Entry.Deadline_, Entry.Head_.Id_});
+  Entry.Stage_ = Stage::Offered;
+  Entry.Instance_ = Instance.Id_;
+  ++Entry.Attempts_;
+  ++Instance.Outstanding_;
+  Out.push_back(OfferAction{Entry.Head_.Id_, Entry.Attempts_, Instance.Id_,
+                            Instance.Address_, Entry.Deadline_,
+                            Entry.IsIdempotent_, Entry.Settings_.MaxAnswer_});
+}
+
+RequestEngine::Actions RequestEngine::onOfferEnd(TimePoint Now,
+                                                 const OfferEnd &End) {
+  Actions Out;
+  auto Found = Requests_.find(End.Id_);
+  if (Found == Requests_.end())
+    return Out;
+  Request &Entry = Found->second;
+  if (Entry.Stage_ != Stage::Offered || Entry.Attempts_ != End.Attempt_)
+    return Out;
+  std::string Pool = Entry.Pool_;
+  releaseSlot(Entry.Instance_);
+  if (End.WasOffered_)
+    judgeOffered(Now, Entry, End, Out);
+  else
+    judgeUnoffered(Now, Entry, Out);
+  dispatch(Now, Pool, Out);
+  return Out;
+}
+
+void RequestEngine::releaseSlot(const std::string &Instance) {
+  auto Found = Loads_.find(Instance);
+  if (Found != Loads_.end() && Found->second.Outstanding_ > 0)
+    --Found->second.Outstanding_;
+}
+
+void RequestEngine::judgeUnoffered(TimePoint Now, Request &Entry,
+                                   Actions &Out) {
+  auto Load = Loads_.find(Entry.Instance_);
+  if (Load != Loads_.end())
+    Load->second.SuspectUntil_ = Now + SuspicionTime;
+  if (Entry.Attempts_ >= Entry.Settings_.MaxAttempts_) {
+    fail(Entry, RoutingErrc::ConnectFailed, Out);
+    return;
+  }
+  Entry.Excluded_.push_back(Entry.Instance_);
+  requeueFirst(Entry);
+}
+
+void RequestEngine::judgeOffered(TimePoint Now, Request &Entry,
+                                 const OfferEnd &End, Actions &Out) {
+  Entry.WasOffered_ = true;
+  if (isRetryable(End) && tryRetry(Now, Entry, End))
+    return;
+  if (End.Fault_ == AnswerFault::None)
+    relay(Entry, Out);
+  else
+    failAfterOffer(Entry, kindOf(End.Fault_), Out);
+}
+
+bool RequestEngine::tryRetry(TimePoint Now, Request &Entry,
+                             const OfferEnd &End) {
+  if (!Entry.IsIdempotent_ || Now >= Entry.Deadline_)
+    return false;
+  if (Entry.Attempts_ >= Entry.Settings_.MaxAttempts_)
+    return false;
+  if (!Pools_[Entry.Pool_].Retries_.tryRetry())
+    return false;
+  Entry.Excluded_.push_back(Entry.Instance_);
+  requeueFirst(Entry);
+  return true;
+}
+
+void RequestEngine::requeueFirst(Request &Entry) {
+  Entry.Stage_ = Stage::Queued;
+  Waiting_.emplace(Entry.Deadline_, Entry.Head_.Id_);
+  Pools_[Entry.Pool_].Queue_.push_front(Entry.Head_.Id_);
+}
+
+RequestEngine::Actions RequestEngine::onTick(TimePoint Now) {
+  Actions Out;
+  while (!Waiting_.empty() && Waiting_.begin()->first <= Now) {
+    RequestId Id = Waiting_.begin()->second;
+    Request &Entry = Requests_.at(Id);
+    if (Entry.Stage_ == Stage::Claiming)
+      AbandonedClaims_.insert(Id);
+    fail(Entry, RoutingErrc::DeadlineBeforeOffer, Out);
+  }
+  for (auto &[Name, Pool] : Pools_)
+    dispatch(Now, Name, Out);
+  return Out;
+}
+
+void RequestEngine::relay(Request &Entry, Actions &Out) {
+  if (Entry.HasClaim_)
+    Out.push_back(SettleClaimAction{Entry.Head_.Id_,
+                                    SettleClaimAction::Kind::KeepAnswer});
+  Out.push_back(RelayAction{Entry.Head_.Id_});
+  forget(Entry);
+}
+
+void RequestEngine::fail(Request &Entry, RoutingErrc Kind, Actions &Out) {
+  if (Entry.WasOffered_) {
+    failAfterOffer(Entry, Kind, Out);
+    return;
+  }
+  if (Entry.HasClaim_)
+    Out.push_back(
+        SettleClaimAction{Entry.Head_.Id_, SettleClaimAction::Kind::Release});
+  Out.push_back(FailAction{Entry.Head_.Id_, Kind, Outcome::NotRun});
+  forget(Entry);
+}
+
+void RequestEngine::failAfterOffer(Request &Entry, RoutingErrc Kind,
+                                   Actions &Out) {
+  if (Entry.HasClaim_)
+    Out.push_back(SettleClaimAction{Entry.Head_.Id_,
+                                    SettleClaimAction::Kind::RecordUnknown});
+  Out.push_back(FailAction{Entry.Head_.Id_, Kind, Outcome::Unknown});
+  forget(Entry);
+}
+
+void RequestEngine::forget(const Request &Entry) {
+  RequestId Id = Entry.Head_.Id_;
+  Waiting_.erase({Entry.Deadline_, Id});
+  Requests_.erase(Id);
+}
+
+std::size_t RequestEngine::queuedRequests() const {
+  std::size_t Count = 0;
+  for (const auto &[Name, Pool] : Pools_)
+    Count += Pool.Queue_.size();
+  return Count;
+}
+
+std::string RequestEngine::poolOf(RequestId Id) const {
+  auto Found = Requests_.find(Id);
+  return Found == Requests_.end() ? std::string() : Found->second.Pool_;
+}
+
+std::uint64_t RequestEngine::outstandingAt(const std::string &Instance) const {
+  auto Found = Loads_.find(Instance);
+  return Found == Loads_.end() ? 0 : Found->second.Outstanding_;
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/routing/internal/retrybudget.cpp
@@ -0,0 +1,24 @@
+#include "routing/retrybudget.h"
+
+#include <algorithm>
+
+namespace dragonflylock {
+namespace {
+
+/// Retries that may come in one burst.
+constexpr double LargestCredit = 50.0;
+
+} // namespace
+
+void RetryBudget::onRequest(double Share) {
+  Credit_ = std::min(LargestCredit, Credit_ + Share);
+}
+
+bool RetryBudget::tryRetry() {
+  if (Credit_ < 1.0)
+    return false;
+  Credit_ -= 1.0;
+  return true;
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/settings/daemonsettings.h
@@ -0,0 +1,62 @@
+#ifndef DRAGONFLYLOCK_SETTINGS_DAEMONSETTINGS_H
+#define DRAGONFLYLOCK_SETTINGS_DAEMONSETTINGS_H
+
+#include "global/error.h"
+#include "global/ilogger.h"
+#include "global/socketaddress.h"
+#include "platform/platformtypes.h"
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace dragonflylock {
+
+class SettingSource;
+
+/// An instance of the embedded platform and the pool it starts in.
+struct EmbeddedInstance {
+  ListedInstance Listed_;
+  std::string Pool_;
+};
+
+/// The settings of one daemon.
+struct DaemonSettings {
+  std::string Name_;
+  std::string Zone_;
+  SocketAddress Callers_;
+  SocketAddress Operators_;
+  SocketAddress PeerListen_;
+  std::vector<SocketAddress> Peers_;
+  /// Base URL; empty for the embedded platform.
+  std::string PlatformUrl_;
+  std::vector<EmbeddedInstance> EmbeddedInstances_;
+  /// Path of the embedded platform's first configuration; may be empty.
+  std::string EmbeddedConfiguration_;
+  std::chrono::milliseconds PollInterval_{500};
+  std::chrono::milliseconds PlatformTimeout_{2000};
+  /// Time after SIGTERM for which requests are still accepted.
+  std::chrono::milliseconds DrainGrace_{3000};
+  /// Path of the recorded trace; empty for none.
+  std::string Trace_;
+  LogLevel LogLevel_ = LogLevel::Info;
+  /// Empty where operators need no token.
+  std::string OperatorToken_;
+  /// Empty where peers need no secret.
+  std::string PeerSecret_;
+  /// What was changed to keep unprotected ports local.
+  std::vector<std::string> Notices_;
+};
+
+/// Settings, or all their faults.
+struct ReadSettings {
+  DaemonSettings Settings_;
+  std::vector<Error> Faults_;
+};
+
+/// Reads and checks all settings of a daemon.
+ReadSettings readDaemonSettings(const SettingSource &Source);
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/steering/internal/configurationstore.cpp
@@ -0,0 +1,170 @@
+#include "steering/configurationstore.h"
+#include "configuration/configurationerrors.h"
+#include "configuration/fleetconfiguration.h"
+#include "configuration/iconfigurationparser.h"
+#include "global/iclock.h"
+#include "platform/itableservice.h"
+#include "platform/platformerrors.h"
+#include "platform/tablenames.h"
+#include "steering/steeringcodec.h"
+
+namespace dragonflylock {
+namespace {
+
+/// Attempts against other changes, where the operator builds on any version.
+constexpr int MaxRaces = 5;
+/// Reads of the history row after the answer to a write was lost.
+constexpr int MaxReadBacks = 5;
+/// Bytes of a document.
+constexpr std::size_t LargestDocument = 1U << 20U;
+
+const RowKey CurrentRow{tables::Configuration, tables::CurrentConfiguration};
+
+Error conflict(const StoredConfiguration &Winner) {
+  return {ConfigurationErrc::VersionConflict,
+          "version " + std::to_string(Winner.Version_) + " by " +
+              Winner.Operator_ + " was accepted first",
+          "read the current configuration and apply the change to it"};
+}
+
+} // namespace
+
+ConfigurationStore::ConfigurationStore(ITableService &Table,
+                                       const IConfigurationParser &Parser,
+                                       const IClock &Clock)
+    : Table_(Table), Parser_(Parser), Clock_(Clock) {}
+
+Result<std::optional<ConfigurationStore::Current>>
+ConfigurationStore::readCurrent() {
+  auto Row = Table_.read(CurrentRow);
+  if (!Row)
+    return Row.error();
+  if (!Row.value())
+    return std::optional<Current>();
+  auto Stored = steeringcodec::decodeConfiguration(Row.value()->Value_);
+  if (!Stored)
+    return Stored.error();
+  return std::optional<Current>(
+      Current{Row.value()->Version_, std::move(Stored.value())});
+}
+
+Result<std::optional<StoredConfiguration>> ConfigurationStore::current() {
+  auto Found = readCurrent();
+  if (!Found)
+    return Found.error();
+  if (!Found.value())
+    return std::optional<StoredConfiguration>();
+  return std::optional<StoredConfiguration>(Found.value()->Stored_);
+}
+
+Result<ConfigurationVersion>
+ConfigurationStore::accept(const ConfigurationChange &Change) {
+  if (Change.Document_.size() > LargestDocument)
+    return Error(ConfigurationErrc::TooLarge,
+                 std::to_string(Change.Document_.size()) + " bytes",
+                 "keep the document under 1MiB");
+  ParsedConfiguration Parsed = Parser_.parse(Change.Document_);
+  if (!Parsed.Configuration_)
+    return Parsed.Faults_.front();
+  auto Earlier = acceptedVersion(Change.ChangeId_);
+  if (!Earlier)
+    return Error(PlatformErrc::AnswerLost, Earlier.error().detail(),
+                 "repeat the change with the same change id");
+  if (Earlier.value())
+    return *Earlier.value();
+  for (int Race = 0; Race < MaxRaces; ++Race) {
+    auto Accepted = tryAccept(Change);
+    bool MayRepeat =
+        !Accepted && !Change.Expected_ &&
+        Accepted.error().kind() == ConfigurationErrc::VersionConflict;
+    if (!MayRepeat)
+      return Accepted;
+  }
+  return Error(ConfigurationErrc::VersionConflict,
+               "other changes kept coming first", "repeat the change");
+}
+
+Result<ConfigurationVersion>
+ConfigurationStore::tryAccept(const ConfigurationChange &Change) {
+  auto Base = readCurrent();
+  if (!Base)
+    return Error(PlatformErrc::Unavailable, Base.error().detail(),
+                 "nothing was changed; repeat the change");
+  StoredConfiguration Known =
+      Base.value() ? Base.value()->Stored_ : StoredConfiguration();
+  if (Change.Expected_ && *Change.Expected_ != Known.Version_)
+    return conflict(Known);
+  auto Written = Table_.transact(writesFor(Change, Base.value()));
+  if (Written)
+    return Known.Version_ + 1;
+  if (Written.error().kind() == PlatformErrc::Unavailable)
+    return Written.error();
+  return settle(Change, Known.Version_ + 1, Written.error());
+}
+
+Result<std::optional<ConfigurationVersion>>
+ConfigurationStore::acceptedVersion(const std::string &ChangeId) {
+  auto Row = Table_.read({tables::ConfigurationChanges, ChangeId});
+  if (!Row)
+    return Row.error();
+  if (!Row.value())
+    return std::optional<ConfigurationVersion>();
+  auto Stored = steeringcodec::decodeConfiguration(Row.value()->Value_);
+  if (!Stored)
+    return Stored.error();
+  return std::optional<ConfigurationVersion>(Stored.value().Version_);
+}
+
+Result<ConfigurationVersion>
+ConfigurationStore::settle(const ConfigurationChange &Change,
+                           ConfigurationVersion Tried, const Error &Failure) {
+  for (int ReadBack = 0; ReadBack < MaxReadBacks; ++ReadBack) {
+    // The current row is read first: once another change has taken the
+    // version, a lost write can no longer arrive.
+    auto Found = readCurrent();
+    auto Accepted = acceptedVersion(Change.ChangeId_);
+    if (!Found || !Accepted)
+      continue;
+    if (Accepted.value())
+      return *Accepted.value();
+    if (Found.value() && Found.value()->Stored_.Version_ >= Tried)
+      return conflict(Found.value()->Stored_);
+  }
+  return Error(PlatformErrc::AnswerLost, Failure.detail(),
+               "repeat the change with the same change id");
+}
+
+std::vector<RowWrite>
+ConfigurationStore::writesFor(const ConfigurationChange &Change,
+                              const std::optional<Current> &Base) const {
+  StoredConfiguration Next;
+  Next.Version_ = Base ? Base->Stored_.Version_ + 1 : 1;
+  Next.Document_ = Change.Document_;
+  Next.ChangeId_ = Change.ChangeId_;
+  Next.Operator_ = Change.Operator_;
+  Next.Reason_ = Change.Reason_;
+  Next.AcceptedMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                         Clock_.wallNow().time_since_epoch())
+                         .count();
+  AuditRecord Audit{Next.AcceptedMs_, Change.Operator_, "configuration",
+                    "version " + std::to_string(Next.Version_) +
+                        (Change.Reason_.empty() ? "" : ": " + Change.Reason_),
+                    Change.ChangeId_};
+  std::string Value = steeringcodec::encode(Next);
+  StoredConfiguration Receipt = Next;
+  Receipt.Document_.clear();
+  auto Condition = Base ? RowCondition::at(Base->Row_) : RowCondition::absent();
+  return {
+      {CurrentRow, Condition, Value},
+      {{tables::ConfigurationHistory, steeringcodec::historyKey(Next.Version_)},
+       RowCondition::absent(),
+       Value},
+      {{tables::ConfigurationChanges, Change.ChangeId_},
+       RowCondition::absent(),
+       steeringcodec::encode(Receipt)},
+      {{tables::Audit, steeringcodec::auditKey(Audit)},
+       RowCondition::absent(),
+       steeringcodec::encode(Audit)}};
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/tools/standinplatform/main.cpp
@@ -0,0 +1,76 @@
+#include "common/toolmain.h"
+#include "fleet/instancerowcodec.h"
+#include "http/internal/restinioserver.h"
+#include "platform/tablenames.h"
+#include "standinplatform/platformhandler.h"
+
+#include <docopt.h>
+
+#include <cstdlib>
+#include <iostream>
+
+namespace {
+
+using namespace dragonflylock;
+
+constexpr std::size_t LargestBody = 64U << 20U;
+
+constexpr const char *Usage =
+    R"(dragonflylock-platform: a stand-in for the platform, in memory.
+
+Usage:
+  dragonflylock-platform [--listen=IP:PORT] [--instances=LIST]
+
+Options:
+  --listen=IP:PORT  Where to listen [default: 127.0.0.1:7000].
+  --instances=LIST  Instances, each ID=IP:PORT@ZONE/RACK/POOL, separated by
+                    commas [default: ].
+)";
+
+/// Adds the instance that \p Text describes, or ends the process.
+void addInstance(EmbeddedPlatform &Store, const std::string &Text) {
+  auto Parts = splitList(Text, '/');
+  auto Equals = Text.find('=');
+  auto At = Text.find('@');
+  constexpr std::size_t PartCount = 3;
+  if (Parts.size() != PartCount || Equals > At || At == std::string::npos) {
+    std::cerr << "'" << Text << "' is not ID=IP:PORT@ZONE/RACK/POOL\n";
+    std::exit(2);
+  }
+  ListedInstance Instance;
+  Instance.Id_ = Text.substr(0, Equals);
+  Instance.Address_ =
+      parseAddresses(Text.substr(Equals + 1, At - Equals - 1)).front();
+  Instance.Zone_ = Parts[0].substr(At + 1);
+  Instance.Rack_ = Parts[1];
+  Instance.Generation_ = 1;
+  Store.setInstance(Instance);
+  InstanceRow Row{Parts[2], 1, InstancePhase::Serving, {}};
+  Store.transact({{{tables::Instances, Instance.Id_},
+                   RowCondition::any(),
+                   instancerowcodec::encode(Row)}});
+}
+
+} // namespace
+
+int main(int Count, char **Words) {
+  auto Arguments = docopt::docopt(Usage, {Words + 1, Words + Count}, true);
+  blockStopSignals();
+  EmbeddedPlatform Store;
+  for (const std::string &Text :
+       splitList(Arguments["--instances"].asString(), ','))
+    addInstance(Store, Text);
+  PlatformHandler Handler(Store);
+  RestinioServer Server(
+      parseAddresses(Arguments["--listen"].asString()).front(), Handler,
+      LargestBody);
+  auto Started = Server.start();
+  if (!Started) {
+    std::cerr << Started.error().message() << "\n";
+    return 3;
+  }
+  std::cout << "listening on port " << Server.port() << std::endl;
+  waitForStopSignal();
+  Server.stop();
+  return 0;
+}
