--- a/src/claims/claimmachine.h
+++ b/src/claims/claimmachine.h
@@ -47,6 +47,11 @@
   std::uint64_t version() const { return Version_; }
   /// \returns the kept answer, where the verdict is Kept.
   const HttpAnswer &answer() const { return Answer_; }
+  /// \returns whether a row of this attempt may exist though its claim was
+  /// not granted.
+  bool mayHaveLeftRow() const {
+    return IsInsertUncertain_ && Verdict_ == ClaimVerdict::Unavailable;
+  }
 
 private:
   enum class State { Inserting, Reading, Done };
@@ -61,6 +66,7 @@
   State State_ = State::Inserting;
   std::optional<TimePoint> UnavailableSince_;
   TimePoint NotBefore_;
+  bool IsInsertUncertain_ = false;
   bool SeesForeignClaim_ = false;
   ClaimVerdict Verdict_ = ClaimVerdict::Unavailable;
   std::uint64_t Version_ = 0;
--- a/src/claims/internal/claimmachine.cpp
+++ b/src/claims/internal/claimmachine.cpp
@@ -42,6 +42,7 @@
     retryLater(Now);
     return;
   case InsertResult::AnswerLost:
+    IsInsertUncertain_ = true;
     State_ = State::Reading;
     retryLater(Now);
     return;
--- a/src/claims/internal/tableclaimservice.cpp
+++ b/src/claims/internal/tableclaimservice.cpp
@@ -61,8 +61,10 @@
   for (std::uint64_t Request : Reads)
     readRow(Request);
   std::vector<ClaimEnd> Ended = collectEnded();
-  if (Ended.empty())
+  if (Ended.empty()) {
     writeSettlements();
+    removeLeftovers();
+  }
   return Ended;
 }
 
@@ -70,6 +72,7 @@
   if (Requests.empty())
     return;
   std::vector<RowWrite> Writes;
+  Writes.reserve(Requests.size());
   for (std::uint64_t Request : Requests)
     Writes.push_back(insertOf(Machines_.at(Request).wanted()));
   auto Written = Table_.transact(Writes);
@@ -135,6 +138,8 @@
     Ended.push_back({Each->first, Machine.verdict(), Machine.answer()});
     if (Machine.verdict() == ClaimVerdict::Granted)
       Held_[Each->first] = {Machine.wanted(), Machine.version()};
+    if (Machine.mayHaveLeftRow())
+      Leftovers_.push_back({Machine.wanted(), Clock_.now() + SettlementLimit});
     Each = Machines_.erase(Each);
   }
   return Ended;
@@ -171,6 +176,26 @@
   return Written || Written.error().kind() == PlatformErrc::ConditionFailed;
 }
 
+void TableClaimService::removeLeftovers() {
+  std::erase_if(Leftovers_, [this](const Leftover &Entry) {
+    return removeLeftover(Entry.Claim_) || Clock_.now() >= Entry.GiveUpAt_;
+  });
+}
+
+bool TableClaimService::removeLeftover(const ClaimRequest &Wanted) {
+  RowKey Key{tables::Claims, Wanted.Key_};
+  auto Row = Table_.read(Key);
+  if (!Row)
+    return false;
+  if (!Row.value())
+    return true;
+  auto Record = claimcodec::decode(Row.value()->Value_);
+  if (!Record || Record.value().AttemptId_ != Wanted.AttemptId_)
+    return true;
+  RowWrite Removal{Key, RowCondition::at(Row.value()->Version_), std::nullopt};
+  return static_cast<bool>(Table_.transact({Removal}));
+}
+
 RowWrite TableClaimService::insertOf(const ClaimRequest &Wanted) const {
   ClaimRecord Record;
   Record.AttemptId_ = Wanted.AttemptId_;
@@ -198,7 +223,7 @@
 }
 
 bool TableClaimService::isIdle() const {
-  return Machines_.empty() && Pending_.empty();
+  return Machines_.empty() && Pending_.empty() && Leftovers_.empty();
 }
 
 } // namespace dragonflylock
--- a/src/claims/internal/tableclaimservice.h
+++ b/src/claims/internal/tableclaimservice.h
@@ -40,11 +40,19 @@
     TimePoint GiveUpAt_;
   };
 
+  /// A claim that was not granted, but whose row may exist.
+  struct Leftover {
+    ClaimRequest Claim_;
+    TimePoint GiveUpAt_;
+  };
+
   void insertDue(const std::vector<std::uint64_t> &Requests);
   void insertAlone(std::uint64_t Request);
   void readRow(std::uint64_t Request);
   void writeSettlements();
   bool writeAlone(const Pending &Entry);
+  void removeLeftovers();
+  bool removeLeftover(const ClaimRequest &Wanted);
   std::vector<ClaimEnd> collectEnded();
   RowWrite insertOf(const ClaimRequest &Wanted) const;
   RowWrite writeOf(const Pending &Entry) const;
@@ -54,6 +62,7 @@
   std::map<std::uint64_t, ClaimMachine> Machines_;
   std::map<std::uint64_t, Held> Held_;
   std::vector<Pending> Pending_;
+  std::vector<Leftover> Leftovers_;
 };
 
 } // namespace dragonflylock
--- a/src/cli/internal/tableformat.cpp
+++ b/src/cli/internal/tableformat.cpp
@@ -60,6 +60,7 @@
   Json Parsed = Json::parse(Body, nullptr, false);
   for (const Json &Row : Parsed.value(List, Json::array())) {
     std::vector<std::string> Cells;
+    Cells.reserve(Columns.size());
     for (const TableColumn &Column : Columns)
       Cells.push_back(cellOf(Row, Column.Key_));
     Rows.push_back(std::move(Cells));
--- a/src/configuration/internal/yamldocumentreader.cpp
+++ b/src/configuration/internal/yamldocumentreader.cpp
@@ -5,8 +5,7 @@
 
 namespace dragonflylock {
 
-YamlDocumentReader::YamlDocumentReader(YAML::Node Root)
-    : Root_(std::move(Root)) {}
+YamlDocumentReader::YamlDocumentReader(const YAML::Node &Root) : Root_(Root) {}
 
 ParsedConfiguration YamlDocumentReader::read() {
   if (isMap(Root_, "the document")) {
--- a/src/configuration/internal/yamldocumentreader.h
+++ b/src/configuration/internal/yamldocumentreader.h
@@ -19,7 +19,7 @@
 class YamlDocumentReader {
 public:
   /// \param Root the document's root node.
-  explicit YamlDocumentReader(YAML::Node Root);
+  explicit YamlDocumentReader(const YAML::Node &Root);
 
   /// \returns the configuration, or all faults.
   ParsedConfiguration read();
--- a/src/global/boundedring.h
+++ b/src/global/boundedring.h
@@ -27,29 +27,19 @@
   BoundedRing(std::size_t Capacity, IWaker &Consumer)
       : Queue_(Capacity), Consumer_(Consumer) {}
 
-  /// Puts \p Entry unless the ring is full, and leaves it untouched if so.
+  /// Puts \p Entry unless the ring is full.
   /// \returns whether it was put; a refusal is counted.
-  bool tryPut(T &&Entry) {
-    {
-      std::lock_guard Lock(Producers_);
-      if (Queue_.write_available() == 0) {
-        ++Refused_;
-        return false;
-      }
-      Queue_.push(std::make_unique<T>(std::move(Entry)).release());
-    }
-    Consumer_.wake();
-    return true;
+  bool tryPut(T Entry) {
+    auto Box = std::make_unique<T>(std::move(Entry));
+    return tryPutBox(Box);
   }
 
   /// Puts \p Entry, and waits while the ring is full unless \p IsStopping.
   void put(T Entry, const std::atomic<bool> &IsStopping) {
     constexpr std::chrono::milliseconds Pause{1};
-    while (!tryPut(std::move(Entry))) {
-      if (IsStopping)
-        return;
+    auto Box = std::make_unique<T>(std::move(Entry));
+    while (!tryPutBox(Box) && !IsStopping)
       std::this_thread::sleep_for(Pause);
-    }
   }
 
   /// Hands every waiting entry to \p Handle.
@@ -70,6 +60,19 @@
   std::uint64_t refused() const { return Refused_; }
 
 private:
+  bool tryPutBox(std::unique_ptr<T> &Box) {
+    {
+      std::lock_guard Lock(Producers_);
+      if (!Queue_.push(Box.get())) {
+        ++Refused_;
+        return false;
+      }
+      Box.release();
+    }
+    Consumer_.wake();
+    return true;
+  }
+
   boost::lockfree::spsc_queue<T *> Queue_;
   std::mutex Producers_;
   IWaker &Consumer_;
--- a/src/http/internal/restinioserver.cpp
+++ b/src/http/internal/restinioserver.cpp
@@ -14,7 +14,7 @@
 /// Longest time that a handler may take; deadlines of requests are shorter.
 constexpr std::chrono::hours HandlerTimeLimit{24};
 constexpr std::chrono::seconds IdleConnectionLimit{60};
-constexpr std::size_t LargestFieldValue = 64 * 1024;
+constexpr std::size_t LargestFieldValue = 64U << 10U;
 
 /// State that answers on any thread share with the server.
 struct Shared {
@@ -162,7 +162,7 @@
 Result<void> RestinioServer::start() {
   Running_ = std::make_unique<Running>();
   auto State = Running_->State_;
-  auto Handle = [this, State](restinio::request_handle_t Request) {
+  auto Handle = [this, State](const restinio::request_handle_t &Request) {
     auto Answerer = std::make_shared<Responder>(Request, State);
     Handler_.handle(convert(Request), Answerer);
     // RESTinio closes the connection of a handler that throws; it offers no
--- a/src/operators/internal/operatorport.cpp
+++ b/src/operators/internal/operatorport.cpp
@@ -91,7 +91,7 @@
 
 void OperatorPort::run() {
   while (!IsStopping_) {
-    Calls_.drain([this](Call Next) {
+    Calls_.drain([this](const Call &Next) {
       Next.Responder_->answer(Api_->answer(Next.Request_));
     });
     Signal_.waitFor(IdleInterval);
--- a/src/peers/internal/framestream.cpp
+++ b/src/peers/internal/framestream.cpp
@@ -71,7 +71,7 @@
                    });
 }
 
-void FrameStream::send(std::string Body) {
+void FrameStream::send(const std::string &Body) {
   if (IsClosed_)
     return;
   // The frame at the front may be half written already.
@@ -104,7 +104,7 @@
   IsClosed_ = true;
   std::error_code Ignored;
   Socket_.close(Ignored);
-  OnFrame_ = [](std::string) {};
+  OnFrame_ = [](const std::string &) {};
   auto OnClose = std::exchange(OnClose_, nullptr);
   if (OnClose)
     OnClose();
--- a/src/peers/internal/framestream.h
+++ b/src/peers/internal/framestream.h
@@ -16,7 +16,7 @@
 /// Used on one thread only.
 class FrameStream : public std::enable_shared_from_this<FrameStream> {
 public:
-  using FrameHandler = std::function<void(std::string)>;
+  using FrameHandler = std::function<void(const std::string &)>;
   using CloseHandler = std::function<void()>;
 
   explicit FrameStream(asio::ip::tcp::socket Socket);
@@ -25,7 +25,7 @@
   /// once when the connection ends.
   void start(FrameHandler OnFrame, CloseHandler OnClose);
   /// Queues a frame; the oldest is dropped where too many wait.
-  void send(std::string Body);
+  void send(const std::string &Body);
   /// Closes the connection.
   void close();
 
--- a/src/peers/internal/tcppeerlink.cpp
+++ b/src/peers/internal/tcppeerlink.cpp
@@ -85,7 +85,7 @@
       return;
     auto Self = shared_from_this();
     Stream_ = std::make_shared<FrameStream>(std::move(Socket));
-    Stream_->start([Self](std::string Frame) { Self->greet(Frame); },
+    Stream_->start([Self](const std::string &Frame) { Self->greet(Frame); },
                    [Self] {
                      Self->IsGreeted_ = false;
                      Self->connectLater();
@@ -203,15 +203,15 @@
     std::weak_ptr<FrameStream> Weak = Stream;
     Incoming_.insert(Stream);
     Stream->start(
-        [this, Weak, Nonce](std::string Frame) {
-          receive(Weak, *Nonce, std::move(Frame));
+        [this, Weak, Nonce](const std::string &Frame) {
+          receive(Weak, *Nonce, Frame);
         },
         [this, Weak] { Incoming_.erase(Weak.lock()); });
     Stream->send(peercodec::encode(Challenge));
   }
 
   void receive(const std::weak_ptr<FrameStream> &Weak, std::string &Nonce,
-               std::string Frame) {
+               const std::string &Frame) {
     auto Stream = Weak.lock();
     if (!Nonce.empty()) {
       auto Hello = peercodec::decodeHello(Frame);
--- a/src/platform/internal/embeddedplatform.cpp
+++ b/src/platform/internal/embeddedplatform.cpp
@@ -81,6 +81,7 @@
                    "read the row again and decide anew");
   }
   std::vector<RowVersion> Versions;
+  Versions.reserve(Writes.size());
   for (const RowWrite &Write : Writes)
     Versions.push_back(apply(Write));
   return Versions;
