--- a/src/http/internal/curltransfer.cpp
+++ b/src/http/internal/curltransfer.cpp
@@ -42,7 +42,10 @@
   auto *Transfer = static_cast<CurlTransfer *>(Self);
   std::string_view Line = withoutLineEnd({Data, Size * Count});
   HttpHeaders &Headers = Transfer->Answer_.Headers_;
+  if (Line.empty())
+    Transfer->IsHeadWhole_ = true;
   if (Line.starts_with("HTTP/")) {
+    Transfer->IsHeadWhole_ = false;
     Headers.clear();
     return Size * Count;
   }
@@ -97,6 +100,7 @@
   curl_easy_reset(Handle);
   Answer_ = {};
   IsTooLarge_ = false;
+  IsHeadWhole_ = false;
   WasOffered_ = false;
   LargestAnswer_ = LargestAnswer;
   Completeness_ = Completeness::Missing;
@@ -132,9 +136,10 @@
 CurlTransfer::Completeness CurlTransfer::judge() const {
   if (IsTooLarge_)
     return Completeness::TooLarge;
+  if (!IsHeadWhole_)
+    return Completeness::Missing;
   if (Code_ != CURLE_OK)
-    return Answer_.Status_ == 0 ? Completeness::Missing
-                                : Completeness::Truncated;
+    return Completeness::Truncated;
   return isFramed() ? Completeness::Whole : Completeness::Unframed;
 }
 
--- a/src/http/internal/curltransfer.h
+++ b/src/http/internal/curltransfer.h
@@ -80,6 +80,7 @@
   HttpAnswer Answer_;
   std::size_t LargestAnswer_ = 0;
   bool IsHead_ = false;
+  bool IsHeadWhole_ = false;
   bool IsTooLarge_ = false;
   bool WasOffered_ = false;
   CURLcode Code_ = CURLE_OK;
--- a/src/http/internal/restinioserver.cpp
+++ b/src/http/internal/restinioserver.cpp
@@ -1,4 +1,5 @@
 #include "http/internal/restinioserver.h"
+#include "global/units.h"
 #include "http/httperrors.h"
 #include "http/httptypes.h"
 #include "http/ihttphandler.h"
@@ -72,6 +73,20 @@
   return Status != httpstatus::NoContent && Status != httpstatus::NotModified;
 }
 
+/// Removes the Content-Length from \p Headers.
+/// \returns its value, 0 where there is none.
+std::size_t takeLength(HttpHeaders &Headers) {
+  std::size_t Length = 0;
+  std::erase_if(Headers, [&Length](const HttpHeader &Header) {
+    if (Header.Name_ != "Content-Length")
+      return false;
+    auto Number = parseNumber(Header.Value_);
+    Length = Number ? Number.value() : 0;
+    return true;
+  });
+  return Length;
+}
+
 class Responder : public IHttpResponder {
 public:
   Responder(restinio::request_handle_t Request, std::shared_ptr<Shared> State)
@@ -117,11 +132,13 @@
     bool IsHead = Request_->header().method() == restinio::http_method_head();
     // The length in the answer to HEAD is that of the body left out.
     bool StatesLength = IsShort || IsHead;
+    std::size_t Length =
+        StatesLength ? takeLength(Answer.Headers_) : Answer.Body_.size();
     for (HttpHeader &Header : Answer.Headers_)
       Builder.append_header(std::move(Header.Name_), std::move(Header.Value_));
     bool HasBody = mayHaveBody(Answer.Status_);
-    if (HasBody && !StatesLength)
-      Builder.set_content_length(Answer.Body_.size());
+    if (HasBody)
+      Builder.set_content_length(Length);
     if (HasBody && !IsHead)
       Builder.append_body(std::move(Answer.Body_));
     Builder.done([State = State_](const auto &) { --State->PendingAnswers_; });
--- a/src/peers/internal/peercodec.cpp
+++ b/src/peers/internal/peercodec.cpp
@@ -7,6 +7,11 @@
 namespace dragonflylock::peercodec {
 namespace {
 
+constexpr std::size_t PairFields = 2;
+constexpr std::size_t HeartbeatFields = 6;
+/// Place of the leaving marks in a heartbeat.
+constexpr std::size_t HeartbeatMarks = 5;
+
 enum class Kind : std::uint8_t { Heartbeat = 1, Notice = 2, Request = 3 };
 
 using LeavingTuple = msgpack::type::tuple<std::string, std::uint64_t>;
@@ -44,6 +49,17 @@
   }
 };
 
+/// The library's tuple converter reads past the end of an array that is too
+/// short, so that each length is checked first.
+const msgpack::object &withFields(const msgpack::object &Body,
+                                  std::size_t Count) {
+  bool HasFields =
+      Body.type == msgpack::type::ARRAY && Body.via.array.size == Count;
+  if (!HasFields)
+    throw msgpack::type_error();
+  return Body;
+}
+
 std::string packPair(const std::string &First, const std::string &Second) {
   msgpack::sbuffer Buffer;
   msgpack::pack(Buffer, PairTuple(First, Second));
@@ -54,7 +70,7 @@
   // The library reports malformed input by exceptions, which end here.
   try {
     auto Handle = msgpack::unpack(Body.data(), Body.size());
-    auto Read = Handle.get().as<PairTuple>();
+    auto Read = withFields(Handle.get(), PairFields).as<PairTuple>();
     return T{Read.get<0>(), Read.get<1>()};
   } catch (const std::exception &) {
     return std::nullopt;
@@ -62,6 +78,13 @@
 }
 
 Heartbeat heartbeatFrom(const msgpack::object &Body) {
+  const msgpack::object *Fields =
+      withFields(Body, HeartbeatFields).via.array.ptr;
+  const msgpack::object &Marks = Fields[HeartbeatMarks];
+  if (Marks.type != msgpack::type::ARRAY)
+    throw msgpack::type_error();
+  for (std::size_t Index = 0; Index < Marks.via.array.size; ++Index)
+    withFields(Marks.via.array.ptr[Index], PairFields);
   auto Read = Body.as<HeartbeatTuple>();
   Heartbeat Message{Read.get<0>(), Read.get<1>(), Read.get<2>(),
                     Read.get<3>(), Read.get<4>(), {}};
@@ -75,7 +98,7 @@
     return heartbeatFrom(Body);
   if (Which == Kind::Request)
     return ConfigurationRequest{Body.as<std::string>()};
-  auto Read = Body.as<NoticeTuple>();
+  auto Read = withFields(Body, PairFields).as<NoticeTuple>();
   return ConfigurationNotice{Read.get<0>(), Read.get<1>()};
 }
 
