Check traces; an entry that starts never reverts to a stale version

Cause: an entry instance that started while the platform served an old document put it in force, though its peers had a newer one in force; the trace showed it (System.ConfigurationTest.DoesNotRevertToAStaleDocument, failing first). Ruled out: the replica itself, which only moves up.

--- a/src/cli/internal/commandline.cpp
+++ b/src/cli/internal/commandline.cpp
@@ -3,6 +3,8 @@
 #include "cli/internal/operatorclient.h"
 #include "cli/internal/tableformat.h"
 #include "configuration/internal/yamlconfigurationparser.h"
+#include "trace/tracechecker.h"
+#include "trace/tracecodec.h"
 
 #include <docopt.h>
 #include <nlohmann/json.hpp>
@@ -21,8 +23,8 @@
 
 Usage:
   dragonflylock [options] config show
-  dragonflylock [options] config check <file>
-  dragonflylock [options] config apply <file> [--expect=VERSION] [--reason=TEXT]
+  dragonflylock [options] config check <file>...
+  dragonflylock [options] config apply <file>... [--expect=VERSION] [--reason=TEXT]
   dragonflylock [options] config status
   dragonflylock [options] config history
   dragonflylock [options] exception add --pool=POOL --setting=NAME --value=VALUE --reason=TEXT
@@ -31,6 +33,7 @@
   dragonflylock [options] pool list
   dragonflylock [options] instance list
   dragonflylock [options] audit
+  dragonflylock [options] trace check <file>...
   dragonflylock (-h | --help)
   dragonflylock --version
 
@@ -54,6 +57,9 @@
 changed, 6 result unknown, 7 not found, 8 unauthorized, 9 promise broken.
 )";
 
+/// A leaving instance receives nothing new after this time.
+constexpr std::chrono::milliseconds LeavingBound{3000};
+
 Result<std::string> readFile(const std::string &Path) {
   std::ifstream File(Path);
   if (!File)
@@ -77,6 +83,9 @@
     const docopt::value &Value = Values_.at(Name);
     return Value.isString() ? Value.asString() : std::string();
   }
+  std::vector<std::string> files() const {
+    return Values_.at("<file>").asStringList();
+  }
   bool wantsJson() const { return text("--output") == "json"; }
 };
 
@@ -131,6 +140,8 @@
       "http://" + Default("--server", "DRAGONFLYLOCK_SERVER", "127.0.0.1:8081"),
       Variables_("DRAGONFLYLOCK_OPERATOR_TOKEN").value_or(""),
       Default("--operator", "DRAGONFLYLOCK_OPERATOR", User.c_str()));
+  if (Given.has("trace"))
+    return checkTrace(Given);
   if (Given.has("config"))
     return configure(Given, Server);
   if (Given.has("exception") && !Given.has("list"))
@@ -205,14 +216,14 @@
 }
 
 CommandLine::Outcome CommandLine::checkFile(const Arguments &Given) {
-  Outcome Document = readFile(Given.text("<file>"));
+  Outcome Document = readFile(Given.files().front());
   if (!Document)
     return Document;
   ParsedConfiguration Parsed =
       YamlConfigurationParser().parse(Document.value());
   if (Parsed.Configuration_)
     return std::string(Given.wantsJson() ? "{\"faults\":0}\n" : "no faults\n");
-  std::string Detail = Given.text("<file>");
+  std::string Detail = Given.files().front();
   for (const Error &Fault : Parsed.Faults_)
     Detail += "\n  " + Fault.message();
   return Error(CliErrc::Refused, Detail, "correct the listed faults");
@@ -220,7 +231,7 @@
 
 CommandLine::Outcome CommandLine::applyFile(const Arguments &Given,
                                             OperatorClient &Server) {
-  Outcome Document = readFile(Given.text("<file>"));
+  Outcome Document = readFile(Given.files().front());
   if (!Document)
     return Document;
   HttpRequest Request{"PUT", "/v1/configuration", {}, Document.value()};
@@ -262,6 +273,34 @@
          "\n";
 }
 
+CommandLine::Outcome CommandLine::checkTrace(const Arguments &Given) {
+  std::vector<TraceEvent> Events;
+  for (const std::string &Path : Given.files()) {
+    std::ifstream File(Path);
+    if (!File)
+      return Error(CliErrc::Usage, "cannot read " + Path,
+                   "check the path and its permissions");
+    for (std::string Line; std::getline(File, Line);) {
+      auto Event = tracecodec::decode(Line);
+      if (!Event)
+        return Error(CliErrc::Refused, Path + ": " + Event.error().detail(),
+                     Event.error().remedy());
+      Events.push_back(std::move(Event.value()));
+    }
+  }
+  std::size_t Count = Events.size();
+  auto Violation = TraceChecker(LeavingBound).check(std::move(Events));
+  if (Violation)
+    return Error(
+        CliErrc::PromiseBroken,
+        Violation->Promise_ + ": " + Violation->Detail_ +
+            "\n  first event: " + tracecodec::encode(Violation->Event_),
+        "keep the trace and report it");
+  if (Given.wantsJson())
+    return "{\"events\":" + std::to_string(Count) + ",\"broken\":0}\n";
+  return std::to_string(Count) + " events, no promise broken\n";
+}
+
 CommandLine::Outcome CommandLine::list(const Arguments &Given,
                                        OperatorClient &Server,
                                        const Listing &Wanted) {
--- a/src/entry/internal/decisionloop.cpp
+++ b/src/entry/internal/decisionloop.cpp
@@ -48,7 +48,7 @@
       Offers_(OfferRing, Signal_), Claims_(ClaimRing, Signal_),
       Platform_(PlatformRing, Signal_), PeerMessages_(PeerRing, Signal_),
       Queries_(QueryRing, Signal_), Replica_(Parser),
-      Engine_(std::move(Selector)) {}
+      Gate_(Self_.Peers_, Clock.now()), Engine_(std::move(Selector)) {}
 
 DecisionLoop::~DecisionLoop() { stop(); }
 
@@ -116,6 +116,7 @@
   TimePoint Now = Clock_.now();
   if (Now >= NextTick_) {
     NextTick_ = Now + TickInterval;
+    putInForce();
     Runner_->run(Engine_.onTick(Now));
   }
   if (Now >= NextBeat_) {
@@ -196,24 +197,31 @@
 }
 
 void DecisionLoop::takeNews(const ConfigurationEvent &News) {
-  if (applyConfiguration(News.Version_, News.Document_, "platform"))
+  bool IsNews = News.Version_ > Replica_.version();
+  takeConfiguration(News.Version_, News.Document_, "platform");
+  if (IsNews)
     Peers_->broadcast(ConfigurationNotice{News.Version_, News.Document_});
 }
 
 void DecisionLoop::takeNews(const InstanceList &News) {
-  std::vector<LeavingMark> Fresh = Registry_.onList(News);
-  for (const LeavingMark &Mark : Fresh) {
-    TraceEvent Record;
-    Record.Kind_ = TraceKind::InstanceLeaving;
-    Record.Instance_ = Mark.Id_;
-    Record.Number_ = Mark.Generation_;
-    Trace_->record(std::move(Record));
-  }
-  if (!Fresh.empty())
+  InstanceNews Fresh = Registry_.onList(News);
+  for (const LeavingMark &Mark : Fresh.Live_)
+    traceMark(TraceKind::InstanceLive, Mark);
+  for (const LeavingMark &Mark : Fresh.Leaving_)
+    traceMark(TraceKind::InstanceLeaving, Mark);
+  if (!Fresh.Leaving_.empty())
     Peers_->broadcast(heartbeat());
   instancesChanged();
 }
 
+void DecisionLoop::traceMark(TraceKind Kind, const LeavingMark &Mark) {
+  TraceEvent Record;
+  Record.Kind_ = Kind;
+  Record.Instance_ = Mark.Id_;
+  Record.Number_ = Mark.Generation_;
+  Trace_->record(std::move(Record));
+}
+
 void DecisionLoop::takeNews(const TableChanges &News) {
   for (const TableRow &Row : News.Rows_)
     takeRow(Row);
@@ -236,6 +244,7 @@
 
 void DecisionLoop::takeMessage(const Heartbeat &Message) {
   Directory_.onHeartbeat(Message, Clock_.now());
+  Gate_.onPeer(Message.Name_, Message.Version_);
   for (const LeavingMark &Mark : Message.Leaving_)
     Registry_.onLeaving(Mark);
   instancesChanged();
@@ -244,7 +253,7 @@
 }
 
 void DecisionLoop::takeMessage(const ConfigurationNotice &Message) {
-  applyConfiguration(Message.Version_, Message.Document_, "peer");
+  takeConfiguration(Message.Version_, Message.Document_, "peer");
 }
 
 void DecisionLoop::takeMessage(const ConfigurationRequest &Message) {
@@ -253,20 +262,26 @@
                  ConfigurationNotice{Replica_.version(), Replica_.document()});
 }
 
-bool DecisionLoop::applyConfiguration(ConfigurationVersion Version,
-                                      const std::string &Document,
-                                      const char *Source) {
+void DecisionLoop::takeConfiguration(ConfigurationVersion Version,
+                                     const std::string &Document,
+                                     const char *Source) {
   auto Offered = Replica_.offer(Version, Document, Clock_.now());
   if (Offered == ConfigurationReplica::Offered::NotNewer)
-    return false;
-  bool IsApplied = Offered == ConfigurationReplica::Offered::Applied;
+    return;
+  bool IsFaulty = Offered == ConfigurationReplica::Offered::Faulty;
   Logger_.write(
-      IsApplied ? LogLevel::Info : LogLevel::Error,
-      LogEvent(IsApplied ? "configuration.applied" : "configuration.faulty")
+      IsFaulty ? LogLevel::Error : LogLevel::Info,
+      LogEvent(IsFaulty ? "configuration.faulty" : "configuration.received")
           .with("version", Version)
           .with("source", Source));
-  if (!IsApplied)
-    return false;
+  putInForce();
+}
+
+void DecisionLoop::putInForce() {
+  ConfigurationVersion Version = Replica_.version();
+  if (Version <= InForce_ || !Gate_.opensFor(Version, Clock_.now()))
+    return;
+  InForce_ = Version;
   VersionSinceMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
                         Clock_.wallNow().time_since_epoch())
                         .count();
@@ -274,11 +289,12 @@
   Record.Kind_ = TraceKind::ConfigurationApplied;
   Record.Number_ = Version;
   Trace_->record(std::move(Record));
+  Logger_.write(LogLevel::Info,
+                LogEvent("configuration.in-force").with("version", Version));
   Metrics_->configurationVersion(Version);
   Engine_.setConfiguration(Replica_.configuration());
   IsConfigured_ = true;
   Peers_->broadcast(heartbeat());
-  return true;
 }
 
 void DecisionLoop::instancesChanged() {
@@ -295,7 +311,7 @@
 }
 
 Heartbeat DecisionLoop::heartbeat() const {
-  Heartbeat Message{Self_.Name_,     Self_.Zone_, Replica_.version(),
+  Heartbeat Message{Self_.Name_,     Self_.Zone_, InForce_,
                     VersionSinceMs_, isReady(),   {}};
   for (const auto &[Id, Known] : Registry_.instances()) {
     bool IsCurrent = Known.LeavingGeneration_ && Known.Listed_ &&
@@ -311,7 +327,7 @@
   Snapshot.Name_ = Self_.Name_;
   Snapshot.Zone_ = Self_.Zone_;
   Snapshot.IsReady_ = isReady();
-  Snapshot.Version_ = Replica_.version();
+  Snapshot.Version_ = InForce_;
   Snapshot.VersionSinceMs_ = VersionSinceMs_;
   Snapshot.Document_ = Replica_.document();
   Snapshot.Configuration_ = Replica_.configuration();
--- a/src/entry/internal/decisionloop.h
+++ b/src/entry/internal/decisionloop.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_ENTRY_INTERNAL_DECISIONLOOP_H
 
 #include "configuration/configurationreplica.h"
+#include "configuration/startupgate.h"
 #include "entry/entrytypes.h"
 #include "entry/internal/actionrunner.h"
 #include "forward/forwardtypes.h"
@@ -13,6 +14,7 @@
 #include "peers/peerdirectory.h"
 #include "routing/instanceregistry.h"
 #include "routing/requestengine.h"
+#include "trace/traceevent.h"
 
 #include <atomic>
 #include <memory>
@@ -31,6 +33,8 @@
   struct Identity {
     std::string Name_;
     std::string Zone_;
+    /// The number of peers in the settings.
+    std::size_t Peers_ = 0;
   };
 
   DecisionLoop(Identity Self, const IConfigurationParser &Parser,
@@ -83,8 +87,10 @@
   void takeMessage(const ConfigurationNotice &Message);
   void takeMessage(const ConfigurationRequest &Message);
 
-  bool applyConfiguration(ConfigurationVersion Version,
-                          const std::string &Document, const char *Source);
+  void traceMark(TraceKind Kind, const LeavingMark &Mark);
+  void takeConfiguration(ConfigurationVersion Version,
+                         const std::string &Document, const char *Source);
+  void putInForce();
   void takeRow(const TableRow &Row);
   void instancesChanged();
   void beat();
@@ -105,6 +111,8 @@
   BoundedRing<SnapshotPromise> Queries_;
 
   ConfigurationReplica Replica_;
+  StartupGate Gate_;
+  ConfigurationVersion InForce_ = 0;
   std::int64_t VersionSinceMs_ = 0;
   InstanceRegistry Registry_;
   std::uint64_t SeenRevision_ = 0;
--- a/src/routing/instanceregistry.h
+++ b/src/routing/instanceregistry.h
@@ -16,8 +16,8 @@
 class InstanceRegistry {
 public:
   /// Takes over a list from the platform.
-  /// \returns the ids of instances that are newly leaving.
-  std::vector<LeavingMark> onList(const InstanceList &List);
+  /// \returns what the list shows for the first time.
+  InstanceNews onList(const InstanceList &List);
   /// Takes over a row; one of a lower epoch than the known one is ignored.
   void onRow(const std::string &Id, const InstanceRow &Row);
   /// Takes over that a row was deleted.
--- a/src/routing/instancetypes.h
+++ b/src/routing/instancetypes.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace dragonflylock {
 
@@ -38,6 +39,14 @@
   bool operator==(const LeavingMark &) const = default;
 };
 
+/// What a list of the platform shows for the first time.
+struct InstanceNews {
+  /// Instances that are newly leaving.
+  std::vector<LeavingMark> Leaving_;
+  /// Generations of instances that are newly live.
+  std::vector<LeavingMark> Live_;
+};
+
 /// All that an entry instance knows of one instance.
 struct KnownInstance {
   std::optional<ListedInstance> Listed_;
--- a/src/routing/internal/instanceregistry.cpp
+++ b/src/routing/internal/instanceregistry.cpp
@@ -33,8 +33,8 @@
   return Instances_[Id];
 }
 
-std::vector<LeavingMark> InstanceRegistry::onList(const InstanceList &List) {
-  std::vector<LeavingMark> News;
+InstanceNews InstanceRegistry::onList(const InstanceList &List) {
+  InstanceNews News;
   std::set<std::string> Present;
   for (const ListedInstance &Listed : List.Instances_) {
     Present.insert(Listed.Id_);
@@ -45,11 +45,11 @@
       continue;
     Instance.Listed_ = Listed;
     ++Revision_;
-    if (Listed.State_ != InstanceState::Leaving)
-      continue;
     LeavingMark Mark{Listed.Id_, Listed.Generation_};
-    if (onLeaving(Mark))
-      News.push_back(Mark);
+    if (Listed.State_ == InstanceState::Live)
+      News.Live_.push_back(Mark);
+    else if (onLeaving(Mark))
+      News.Leaving_.push_back(Mark);
   }
   for (auto &[Id, Instance] : Instances_) {
     if (!Instance.Listed_ || Present.contains(Id))
--- a/src/routing/internal/requestengine.cpp
+++ b/src/routing/internal/requestengine.cpp
@@ -260,7 +260,7 @@
 void RequestEngine::judgeOffered(TimePoint Now, Request &Entry,
                                  const OfferEnd &End, Actions &Out) {
   Entry.WasOffered_ = true;
-  if (isRetryable(End) && tryRetry(Now, Entry, End))
+  if (isRetryable(End) && tryRetry(Now, Entry))
     return;
   if (End.Fault_ == AnswerFault::None)
     relay(Entry, Out);
@@ -268,8 +268,7 @@
     failAfterOffer(Entry, kindOf(End.Fault_), Out);
 }
 
-bool RequestEngine::tryRetry(TimePoint Now, Request &Entry,
-                             const OfferEnd &End) {
+bool RequestEngine::tryRetry(TimePoint Now, Request &Entry) {
   if (!Entry.IsIdempotent_ || Now >= Entry.Deadline_)
     return false;
   if (Entry.Attempts_ >= Entry.Settings_.MaxAttempts_)
--- a/src/routing/requestengine.h
+++ b/src/routing/requestengine.h
@@ -93,7 +93,7 @@
   void judgeUnoffered(TimePoint Now, Request &Entry, Actions &Out);
   void judgeOffered(TimePoint Now, Request &Entry, const OfferEnd &End,
                     Actions &Out);
-  bool tryRetry(TimePoint Now, Request &Entry, const OfferEnd &End);
+  bool tryRetry(TimePoint Now, Request &Entry);
   void requeueFirst(Request &Entry);
   void relay(Request &Entry, Actions &Out);
   void fail(Request &Entry, RoutingErrc Kind, Actions &Out);
--- a/src/trace/internal/filetracesink.h
+++ b/src/trace/internal/filetracesink.h
@@ -21,6 +21,7 @@
   std::mutex Mutex_;
   std::ofstream File_;
   std::string Process_;
+  std::string Boot_;
 };
 
 } // namespace dragonflylock
--- a/src/trace/internal/tracecodec.cpp
+++ b/src/trace/internal/tracecodec.cpp
@@ -11,7 +11,7 @@
 
 using Json = nlohmann::json;
 
-constexpr std::array<std::pair<TraceKind, const char *>, 9> KindNames{{
+constexpr std::array<std::pair<TraceKind, const char *>, 10> KindNames{{
     {TraceKind::Received, "received"},
     {TraceKind::Claimed, "claimed"},
     {TraceKind::Offered, "offered"},
@@ -21,11 +21,13 @@
     {TraceKind::ConfigurationApplied, "configuration-applied"},
     {TraceKind::InstanceRow, "instance-row"},
     {TraceKind::InstanceLeaving, "instance-leaving"},
+    {TraceKind::InstanceLive, "instance-live"},
 }};
 
-constexpr std::array<std::pair<const char *, std::string TraceEvent::*>, 9>
+constexpr std::array<std::pair<const char *, std::string TraceEvent::*>, 10>
     TextFields{{
         {"process", &TraceEvent::Process_},
+        {"boot", &TraceEvent::Boot_},
         {"request", &TraceEvent::Request_},
         {"key", &TraceEvent::Key_},
         {"instance", &TraceEvent::Instance_},
--- a/src/trace/traceevent.h
+++ b/src/trace/traceevent.h
@@ -26,6 +26,8 @@
   InstanceRow,
   /// The platform's list showed an instance as leaving.
   InstanceLeaving,
+  /// The platform's list showed a new generation of an instance as live.
+  InstanceLive,
 };
 
 /// One event of a recorded trace. Fields that do not apply are empty or 0.
@@ -35,6 +37,8 @@
   std::int64_t AtUs_ = 0;
   /// The process that recorded the event.
   std::string Process_;
+  /// Different for each start of the process.
+  std::string Boot_;
   /// Id that dragonflylock gave the request.
   std::string Request_;
   /// Key of the claim.
--- a/tests/system/atmostonce_test.cpp
+++ b/tests/system/atmostonce_test.cpp
@@ -44,6 +44,8 @@
     return headerOf(Answer, "Dragonflylock-Outcome");
   }
 
+  void TearDown() override { Fleet_.checkTraces(); }
+
   TestFleet Fleet_;
 };
 
--- a/tests/system/configuration_test.cpp
+++ b/tests/system/configuration_test.cpp
@@ -33,6 +33,8 @@
         << Index << ", version " << Version;
   }
 
+  void TearDown() override { Fleet_.checkTraces(); }
+
   TestFleet Fleet_;
 };
 
--- a/tests/system/leaving_test.cpp
+++ b/tests/system/leaving_test.cpp
@@ -44,6 +44,8 @@
     return readsAtFirst(Index, Enough) == 0;
   }
 
+  void TearDown() override { Fleet_.checkTraces(); }
+
   TestFleet Fleet_;
 };
 
--- a/tests/system/testfleet.cpp
+++ b/tests/system/testfleet.cpp
@@ -11,6 +11,8 @@
 #include <filesystem>
 #include <thread>
 
+#include <unistd.h>
+
 namespace dragonflylock {
 namespace {
 
@@ -20,15 +22,29 @@
 constexpr milliseconds EventualLimit{30'000};
 constexpr std::size_t InstanceCount = 3;
 
-/// \returns ports that were free just now, all different.
+bool isFree(asio::io_context &Context, std::uint16_t Port) {
+  asio::ip::tcp::acceptor Acceptor(Context);
+  std::error_code Failure;
+  Acceptor.open(asio::ip::tcp::v4());
+  Acceptor.set_option(asio::socket_base::reuse_address(true));
+  Acceptor.bind({asio::ip::make_address("127.0.0.1"), Port}, Failure);
+  return !Failure;
+}
+
+/// \returns ports that were free just now, all different. They lie below the
+/// range from which outgoing connections take theirs, in a block that depends
+/// on the process, so that tests that run at a time do not collide.
 std::vector<SocketAddress> freeAddresses(std::size_t Count) {
+  constexpr std::uint16_t FirstPort = 10'000;
+  constexpr std::uint16_t Blocks = 340;
+  constexpr std::uint16_t BlockSize = 64;
   asio::io_context Context;
-  std::vector<asio::ip::tcp::acceptor> Held;
   std::vector<SocketAddress> Addresses;
-  for (std::size_t Index = 0; Index < Count; ++Index) {
-    Held.emplace_back(Context, asio::ip::tcp::endpoint(
-                                   asio::ip::make_address("127.0.0.1"), 0));
-    Addresses.push_back({"127.0.0.1", Held.back().local_endpoint().port()});
+  auto Block = static_cast<std::uint16_t>(getpid() % Blocks);
+  auto Port = static_cast<std::uint16_t>(FirstPort + Block * BlockSize);
+  for (; Addresses.size() < Count; ++Port) {
+    if (isFree(Context, Port))
+      Addresses.push_back({"127.0.0.1", Port});
   }
   return Addresses;
 }
@@ -127,6 +143,19 @@
   return Holds();
 }
 
+void TestFleet::checkTraces() {
+  for (EntryInstance &Each : Entries_)
+    Each.Process_.reset();
+  InstanceProcess_.reset();
+  std::vector<std::string> Words{"trace", "check"};
+  for (const std::string &Trace : Traces_) {
+    if (std::filesystem::exists(Trace))
+      Words.push_back(Trace);
+  }
+  ChildProcess Check("dragonflylock", Words, path("check.log"));
+  EXPECT_EQ(Check.wait(), 0) << "see " << path("check.log");
+}
+
 HttpAnswer TestFleet::exchange(const SocketAddress &Address,
                                const HttpRequest &Request) {
   CurlClient Client;
--- a/tests/system/testfleet.h
+++ b/tests/system/testfleet.h
@@ -64,6 +64,9 @@
   /// \returns the files in which all processes recorded their trace.
   std::vector<std::string> traces() const { return Traces_; }
 
+  /// Ends all processes and checks the promises from their traces.
+  void checkTraces();
+
   /// Waits until \p Holds, for at most a generous time.
   /// \returns whether it came to hold.
   static bool eventually(const std::function<bool()> &Holds);
