Say unknown where an earlier request with the same key may have run

Ruled out: a second offer, the endpoint read one. Change: a request whose claim is unresolved at its deadline is answered unknown, after a grace in which the claim machine decides.

--- a/src/routing/internal/requestengine.cpp
+++ b/src/routing/internal/requestengine.cpp
@@ -12,6 +12,9 @@
 /// How long an instance that refused a connection is passed over.
 constexpr std::chrono::milliseconds SuspicionTime{500};
 
+/// How long past its deadline a request waits to hear of its claim.
+constexpr std::chrono::milliseconds ClaimGrace{500};
+
 RoutingErrc kindOf(AnswerFault Fault) {
   switch (Fault) {
   case AnswerFault::None:
@@ -117,12 +120,13 @@
   Entry.IsIdempotent_ =
       Found->Idempotent_.value_or(isIdempotentMethod(Head.Method_));
   Pools_[Entry.Pool_].Retries_.onRequest(Entry.Settings_.RetryBudget_);
-  Waiting_.emplace(Entry.Deadline_, Head.Id_);
+  waitUntil(Entry, Entry.Deadline_);
   if (Entry.IsIdempotent_ || Head.ClaimKey_.empty()) {
     enqueue(Now, Entry, Out);
     return;
   }
   Entry.Stage_ = Stage::Claiming;
+  waitUntil(Entry, Entry.Deadline_ + ClaimGrace);
   ClaimRequest Claim{Head.ClaimKey_, Head.AttemptId_, Head.Fingerprint_};
   Out.push_back(ClaimAction{Head.Id_, std::move(Claim), Entry.Deadline_});
 }
@@ -141,6 +145,7 @@
   switch (Verdict) {
   case ClaimVerdict::Granted:
     Entry.HasClaim_ = true;
+    waitUntil(Entry, Entry.Deadline_);
     enqueue(Now, Entry, Out);
     break;
   case ClaimVerdict::Kept:
@@ -209,7 +214,7 @@
 
 void RequestEngine::offer(Request &Entry, InstanceLoad &Instance,
                           Actions &Out) {
-  Waiting_.erase({Entry.Deadline_, Entry.Head_.Id_});
+  stopWaiting(Entry);
   Entry.Stage_ = Stage::Offered;
   Entry.Instance_ = Instance.Id_;
   ++Entry.Attempts_;
@@ -282,18 +287,32 @@
 
 void RequestEngine::requeueFirst(Request &Entry) {
   Entry.Stage_ = Stage::Queued;
-  Waiting_.emplace(Entry.Deadline_, Entry.Head_.Id_);
+  waitUntil(Entry, Entry.Deadline_);
   Pools_[Entry.Pool_].Queue_.push_front(Entry.Head_.Id_);
 }
 
+void RequestEngine::waitUntil(Request &Entry, TimePoint End) {
+  stopWaiting(Entry);
+  Entry.WaitingUntil_ = End;
+  Waiting_.emplace(End, Entry.Head_.Id_);
+}
+
+void RequestEngine::stopWaiting(const Request &Entry) {
+  Waiting_.erase({Entry.WaitingUntil_, Entry.Head_.Id_});
+}
+
 RequestEngine::Actions RequestEngine::onTick(TimePoint Now) {
   Actions Out;
   while (!Waiting_.empty() && Waiting_.begin()->first <= Now) {
     RequestId Id = Waiting_.begin()->second;
     Request &Entry = Requests_.at(Id);
-    if (Entry.Stage_ == Stage::Claiming)
-      AbandonedClaims_.insert(Id);
-    fail(Entry, RoutingErrc::DeadlineBeforeOffer, Out);
+    if (Entry.Stage_ != Stage::Claiming) {
+      fail(Entry, RoutingErrc::DeadlineBeforeOffer, Out);
+      continue;
+    }
+    // Whether an earlier request with the same key ran is not known.
+    AbandonedClaims_.insert(Id);
+    failAfterOffer(Entry, RoutingErrc::EarlierAttemptUnknown, Out);
   }
   for (auto &[Name, Pool] : Pools_)
     dispatch(Now, Name, Out);
@@ -331,7 +350,7 @@
 
 void RequestEngine::forget(const Request &Entry) {
   RequestId Id = Entry.Head_.Id_;
-  Waiting_.erase({Entry.Deadline_, Id});
+  stopWaiting(Entry);
   Requests_.erase(Id);
 }
 
--- a/src/routing/requestengine.h
+++ b/src/routing/requestengine.h
@@ -67,6 +67,8 @@
     std::string Pool_;
     PoolSettings Settings_;
     TimePoint Deadline_;
+    /// Its place in Waiting_.
+    TimePoint WaitingUntil_;
     Stage Stage_ = Stage::Queued;
     bool IsIdempotent_ = false;
     bool HasClaim_ = false;
@@ -95,6 +97,8 @@
                     Actions &Out);
   bool tryRetry(TimePoint Now, Request &Entry);
   void requeueFirst(Request &Entry);
+  void waitUntil(Request &Entry, TimePoint End);
+  void stopWaiting(const Request &Entry);
   void relay(Request &Entry, Actions &Out);
   void fail(Request &Entry, RoutingErrc Kind, Actions &Out);
   void failAfterOffer(Request &Entry, RoutingErrc Kind, Actions &Out);
@@ -103,7 +107,7 @@
   std::unique_ptr<IInstanceSelector> Selector_;
   std::shared_ptr<const FleetConfiguration> Configuration_;
   std::unordered_map<RequestId, Request> Requests_;
-  /// Deadlines of requests that are not at an endpoint.
+  /// Requests that are not at an endpoint, by the time that they end at.
   std::set<std::pair<TimePoint, RequestId>> Waiting_;
   std::map<std::string, PoolState> Pools_;
   std::unordered_map<std::string, InstanceLoad> Loads_;
