Fleet: moves, availability budget and maintenance waves as transactions

Result::value() of a temporary returns by value now: three loops over value().rows of a temporary read freed memory (found by valgrind in the new tests and by a system test that counted 0 reads).

--- a/src/configuration/configurationtypes.h
+++ b/src/configuration/configurationtypes.h
@@ -31,6 +31,10 @@
   std::uint64_t QueueLimit_ = 1000;
   /// Share of the pool's instances that stay in service.
   double MinimumAvailable_ = 0.75;
+  /// Instances that may fail while others are out for maintenance.
+  std::uint64_t FailureReserve_ = 1;
+  /// Time within which an instance returns from its maintenance.
+  std::chrono::milliseconds ReturnLimit_{10 * 60'000};
   /// Time for which the answer to a keyed request is kept for its repeats.
   std::chrono::milliseconds AnswerRetention_{24 * 3'600'000};
 };
--- a/src/configuration/internal/poolsetting.cpp
+++ b/src/configuration/internal/poolsetting.cpp
@@ -113,6 +113,8 @@
       {"slots-per-instance", CountMember{&S::SlotsPerInstance_}, 1, 1024},
       {"queue-limit", CountMember{&S::QueueLimit_}, 0, 100'000},
       {"minimum-available", &S::MinimumAvailable_, 0, PercentPerUnit},
+      {"failure-reserve", CountMember{&S::FailureReserve_}, 0, 1000},
+      {"return-limit", &S::ReturnLimit_, Second, 24 * Hour},
       {"answer-retention", &S::AnswerRetention_, Second, 7 * 24 * Hour},
   };
   return Settings;
--- a/src/entry/internal/entry.cpp
+++ b/src/entry/internal/entry.cpp
@@ -131,7 +131,7 @@
   EmbeddedPlatform &Platform = *Parts_->Embedded_;
   for (const EmbeddedInstance &Instance : Settings.EmbeddedInstances_) {
     Platform.setInstance(Instance.Listed_);
-    InstanceRow Row{Instance.Pool_, 1, InstancePhase::Serving, {}};
+    InstanceRow Row{Instance.Pool_, 1, InstancePhase::Serving, {}, {}, 0, 0};
     Platform.transact({{{tables::Instances, Instance.Listed_.Id_},
                         RowCondition::any(),
                         instancerowcodec::encode(Row)}});
--- /dev/null
+++ b/src/fleet/fleeterrors.h
@@ -0,0 +1,30 @@
+#ifndef DRAGONFLYLOCK_FLEET_FLEETERRORS_H
+#define DRAGONFLYLOCK_FLEET_FLEETERRORS_H
+
+#include <system_error>
+
+namespace dragonflylock {
+
+/// Why a change of the fleet was refused.
+enum class FleetErrc {
+  UnknownInstance = 1,
+  UnknownPool,
+  /// The instance is moving or under maintenance.
+  NotServing,
+  /// The pool's promised availability does not allow it.
+  BudgetSpent,
+  /// A wave is running or halted.
+  WaveActive,
+  /// There is no wave in the state that the change needs.
+  NoSuchWave,
+};
+
+/// \returns the error code of \p Kind.
+std::error_code make_error_code(FleetErrc Kind);
+
+} // namespace dragonflylock
+
+template <>
+struct std::is_error_code_enum<dragonflylock::FleetErrc> : std::true_type {};
+
+#endif
--- a/src/fleet/internal/instancerowcodec.cpp
+++ b/src/fleet/internal/instancerowcodec.cpp
@@ -11,6 +11,12 @@
                        {"phase", nameOf(Row.Phase_)}};
   if (!Row.Target_.empty())
     Value["target"] = Row.Target_;
+  if (!Row.Wave_.empty())
+    Value["wave"] = Row.Wave_;
+  if (Row.OutGeneration_ != 0)
+    Value["out_generation"] = Row.OutGeneration_;
+  if (Row.ChangedMs_ != 0)
+    Value["changed_ms"] = Row.ChangedMs_;
   return Value.dump();
 }
 
@@ -22,6 +28,9 @@
     Row.Epoch_ = Parsed.at("epoch");
     Row.Phase_ = instancePhaseOf(Parsed.at("phase"));
     Row.Target_ = Parsed.value("target", "");
+    Row.Wave_ = Parsed.value("wave", "");
+    Row.OutGeneration_ = Parsed.value("out_generation", std::uint64_t{0});
+    Row.ChangedMs_ = Parsed.value("changed_ms", std::int64_t{0});
     return Row;
   } catch (const nlohmann::json::exception &Failure) {
     return Error(PlatformErrc::BadAnswer, Failure.what(),
--- /dev/null
+++ b/src/fleet/internal/quiescencetracker.cpp
@@ -0,0 +1,48 @@
+#include "fleet/quiescencetracker.h"
+#include "fleet/fleettypes.h"
+
+namespace dragonflylock {
+namespace {
+
+/// Allows for clocks that run at different rates.
+constexpr std::chrono::seconds ClockMargin{1};
+
+bool hasAcknowledged(const FleetView &View, const std::string &Instance,
+                     const std::string &Entry, std::uint64_t Epoch) {
+  auto ByEntry = View.Acknowledged_.find(Instance);
+  if (ByEntry == View.Acknowledged_.end())
+    return false;
+  auto Found = ByEntry->second.find(Entry);
+  return Found != ByEntry->second.end() && Found->second >= Epoch;
+}
+
+} // namespace
+
+bool QuiescenceTracker::isQuiet(const FleetView &View,
+                                const std::string &Instance,
+                                std::chrono::milliseconds Deadline,
+                                TimePoint Now) {
+  std::uint64_t Epoch = View.Instances_.at(Instance).Value_.Epoch_;
+  auto &[SeenEpoch, SeenAt] = FirstSeen_[Instance];
+  if (SeenEpoch != Epoch) {
+    SeenEpoch = Epoch;
+    SeenAt = Now;
+    // Entry instances that registered before the epoch was written are all in
+    // the next view; later ones see the epoch before they act.
+    return false;
+  }
+  auto Listed = View.Listed_.find(Instance);
+  if (Listed == View.Listed_.end())
+    return false;
+  bool HasLeaseEnded = Now - SeenAt >= ViewLease + Deadline + ClockMargin;
+  for (const auto &[Name, Entry] : View.Entries_) {
+    if (hasAcknowledged(View, Instance, Name, Epoch))
+      continue;
+    bool IsOwnZone = Entry.Zone_ == Listed->second.Zone_;
+    if (IsOwnZone || !HasLeaseEnded)
+      return false;
+  }
+  return true;
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/fleet/internal/waveplanner.cpp
@@ -0,0 +1,72 @@
+#include "fleet/waveplanner.h"
+#include "configuration/fleetconfiguration.h"
+
+#include <algorithm>
+
+namespace dragonflylock {
+
+WavePlanner::WavePlanner(const FleetConfiguration &Fleet) : Fleet_(Fleet) {}
+
+void WavePlanner::planInstance(const FleetView &View, std::int64_t NowMs,
+                               const std::string &Instance, bool IsMine,
+                               WavePlan &Next) const {
+  const InstanceRow &Row = View.Instances_.at(Instance).Value_;
+  bool IsDone = Row.Wave_ == View.Wave_.Value_.Id_ &&
+                Row.Phase_ == InstancePhase::Serving;
+  bool IsListed = View.Listed_.contains(Instance);
+  // An instance that is gone cannot be maintained and does not hold the wave.
+  if (!IsDone && IsListed)
+    Next.IsFinished_ = false;
+  if (!IsMine)
+    return;
+  if (Row.Phase_ == InstancePhase::Out)
+    planOut(View, NowMs, Instance, Next);
+  bool IsWanted = !IsDone && IsListed && Row.Phase_ == InstancePhase::Serving &&
+                  View.Wave_.Value_.State_ == WaveState::Running;
+  if (IsWanted)
+    planServing(View, NowMs, Instance, Next);
+}
+
+void WavePlanner::planOut(const FleetView &View, std::int64_t NowMs,
+                          const std::string &Instance, WavePlan &Next) const {
+  const InstanceRow &Row = View.Instances_.at(Instance).Value_;
+  auto Listed = View.Listed_.find(Instance);
+  bool HasReturned = Listed != View.Listed_.end() &&
+                     Listed->second.State_ == InstanceState::Live &&
+                     Listed->second.Generation_ > Row.OutGeneration_;
+  if (HasReturned) {
+    auto Back = FleetTransitions(View, NowMs).comeBack(Instance);
+    if (Back)
+      Next.Changes_.push_back(std::move(Back.value()));
+    return;
+  }
+  Next.Reboots_.push_back(Instance);
+  const PoolSettings *Settings = Fleet_.findPool(Row.Pool_);
+  auto Limit = Settings != nullptr ? Settings->ReturnLimit_
+                                   : Fleet_.defaults().ReturnLimit_;
+  std::chrono::milliseconds Absent(NowMs - Row.ChangedMs_);
+  bool IsRunning = View.Wave_.Value_.State_ == WaveState::Running;
+  if (IsRunning && Absent > Limit)
+    Next.Halt_ = "instance " + Instance + " of pool " + Row.Pool_ +
+                 " has not returned in time";
+}
+
+void WavePlanner::planServing(const FleetView &View, std::int64_t NowMs,
+                              const std::string &Instance,
+                              WavePlan &Next) const {
+  const std::string &Pool = View.Instances_.at(Instance).Value_.Pool_;
+  // One change a pool at a time: each writes the pool's row.
+  bool IsPoolBusy = std::any_of(
+      Next.Changes_.begin(), Next.Changes_.end(),
+      [&](const FleetChange &Each) { return Each.Row_.Pool_ == Pool; });
+  const PoolSettings *Settings = Fleet_.findPool(Pool);
+  if (IsPoolBusy || Settings == nullptr)
+    return;
+  auto Leaving =
+      FleetTransitions(View, NowMs)
+          .beginLeaving(Instance, *Settings, {}, View.Wave_.Value_.Id_);
+  if (Leaving)
+    Next.Changes_.push_back(std::move(Leaving.value()));
+}
+
+} // namespace dragonflylock
--- a/src/global/result.h
+++ b/src/global/result.h
@@ -18,9 +18,11 @@
   /// \returns whether there is a value.
   explicit operator bool() const { return std::holds_alternative<T>(Content_); }
   /// \returns the value; valid only where there is one.
-  T &value() { return std::get<T>(Content_); }
+  T &value() & { return std::get<T>(Content_); }
   /// \returns the value; valid only where there is one.
-  const T &value() const { return std::get<T>(Content_); }
+  const T &value() const & { return std::get<T>(Content_); }
+  /// \returns the value of a temporary, which then lives on in a loop's head.
+  T value() && { return std::get<T>(std::move(Content_)); }
   /// \returns the error; valid only where there is no value.
   const Error &error() const { return std::get<Error>(Content_); }
 
--- a/src/platform/tablenames.h
+++ b/src/platform/tablenames.h
@@ -17,9 +17,18 @@
 inline constexpr const char *Instances = "instances";
 /// A row for each idempotency key in use.
 inline constexpr const char *Claims = "claims";
-/// A row for each pool: the instances that are out of service.
+/// A row for each pool: its members and those out of service.
 inline constexpr const char *Pools = "pools";
 
+/// A row for each entry instance that acts on its zone's instances.
+inline constexpr const char *Entries = "entries";
+/// A row for each instance and entry instance: the highest epoch of the
+/// instance that the entry instance has acknowledged.
+inline constexpr const char *Acknowledgements = "acknowledgements";
+/// One row, "current": the maintenance wave.
+inline constexpr const char *Waves = "waves";
+inline constexpr const char *CurrentWave = "current";
+
 } // namespace dragonflylock::tables
 
 #endif
--- a/src/routing/instancetypes.h
+++ b/src/routing/instancetypes.h
@@ -27,6 +27,12 @@
   InstancePhase Phase_ = InstancePhase::Serving;
   /// The pool that the instance moves to, where it leaves for one.
   std::string Target_;
+  /// The last maintenance wave that the instance took part in.
+  std::string Wave_;
+  /// The instance's generation when it was taken out for maintenance.
+  std::uint64_t OutGeneration_ = 0;
+  /// Calendar time in milliseconds since 1970 of the last change.
+  std::int64_t ChangedMs_ = 0;
 
   bool operator==(const InstanceRow &) const = default;
 };
--- a/src/routing/tests/mocks/enginedriver.h
+++ b/src/routing/tests/mocks/enginedriver.h
@@ -28,7 +28,7 @@
     for (const char *Id : {"w1", "w2"}) {
       List_.Instances_.push_back(
           {Id, {"127.0.0.1", 1}, "a", "r", InstanceState::Live, 1});
-      Registry_.onRow(Id, {"rota", 1, InstancePhase::Serving, {}});
+      Registry_.onRow(Id, {"rota", 1, InstancePhase::Serving});
     }
     showList();
   }
--- a/src/routing/tests/requestengine_test.cpp
+++ b/src/routing/tests/requestengine_test.cpp
@@ -172,8 +172,8 @@
 TEST(InstanceRegistry, IgnoresRowsOfLowerEpochsAndOlderLists) {
   EngineDriver Driver;
   InstanceRegistry &Registry = Driver.registry();
-  Registry.onRow("w1", {"mending", 5, InstancePhase::Serving, {}});
-  Registry.onRow("w1", {"rota", 4, InstancePhase::Serving, {}});
+  Registry.onRow("w1", {"mending", 5, InstancePhase::Serving, {}, {}, 0, 0});
+  Registry.onRow("w1", {"rota", 4, InstancePhase::Serving, {}, {}, 0, 0});
   EXPECT_EQ(Registry.instances().at("w1").Row_->Pool_, "mending");
   InstanceList Old = Driver.list();
   Driver.restart("w1");
--- a/tools/standinplatform/main.cpp
+++ b/tools/standinplatform/main.cpp
@@ -45,7 +45,7 @@
   Instance.Rack_ = Parts[1];
   Instance.Generation_ = 1;
   Store.setInstance(Instance);
-  InstanceRow Row{Parts[2], 1, InstancePhase::Serving, {}};
+  InstanceRow Row{Parts[2], 1, InstancePhase::Serving, {}, {}, 0, 0};
   Store.transact({{{tables::Instances, Instance.Id_},
                    RowCondition::any(),
                    instancerowcodec::encode(Row)}});
