Entry instances act under leases and acknowledge what they left

Own-zone instances need no lease, so that a zone that is cut off goes on serving them, and no move commits without each of its entry instances' acknowledgement; those of other zones are used for 10 s after the rows were last read.

--- a/src/entry/entrytypes.h
+++ b/src/entry/entrytypes.h
@@ -31,9 +31,24 @@
   std::string Document_;
 };
 
+/// The rows of the instances, as far as they changed.
+struct InstanceRowsEvent {
+  TableChanges Changes_;
+  TimePoint ReadStartedAt_;
+  /// Whether this entry instance was registered before the reading began.
+  bool IsRegistered_ = false;
+};
+
 /// News from the platform.
 using PlatformEvent =
-    std::variant<ConfigurationEvent, InstanceList, TableChanges>;
+    std::variant<ConfigurationEvent, InstanceList, InstanceRowsEvent>;
+
+/// Says that this entry instance no longer acts on earlier epochs of an
+/// instance.
+struct Acknowledgement {
+  std::string Instance_;
+  std::uint64_t Epoch_ = 0;
+};
 
 /// Work for the thread that keeps claims.
 struct ClaimCommand {
--- a/src/entry/internal/decisionloop.cpp
+++ b/src/entry/internal/decisionloop.cpp
@@ -1,6 +1,7 @@
 #include "entry/internal/decisionloop.h"
 #include "configuration/fleetconfiguration.h"
 #include "entry/internal/failureanswer.h"
+#include "entry/internal/ifleetworker.h"
 #include "fleet/instancerowcodec.h"
 #include "global/digest.h"
 #include "global/ilogger.h"
@@ -48,12 +49,15 @@
       Offers_(OfferRing, Signal_), Claims_(ClaimRing, Signal_),
       Platform_(PlatformRing, Signal_), PeerMessages_(PeerRing, Signal_),
       Queries_(QueryRing, Signal_), Replica_(Parser),
-      Gate_(Self_.Peers_, Clock.now()), Engine_(std::move(Selector)) {}
+      Gate_(Self_.Peers_, Clock.now()),
+      Engine_(Self_.Zone_, std::move(Selector)) {}
 
 DecisionLoop::~DecisionLoop() { stop(); }
 
-void DecisionLoop::start(const ActionRunner::Ports &Ports, IPeerLink &Peers) {
+void DecisionLoop::start(const ActionRunner::Ports &Ports, IPeerLink &Peers,
+                         IFleetWorker &Fleet) {
   Peers_ = &Peers;
+  Fleet_ = &Fleet;
   Metrics_ = &Ports.Metrics_;
   Trace_ = &Ports.Trace_;
   Runner_ = std::make_unique<ActionRunner>(Engine_, Ports);
@@ -118,6 +122,7 @@
     NextTick_ = Now + TickInterval;
     putInForce();
     Runner_->run(Engine_.onTick(Now));
+    acknowledgeQuietInstances();
   }
   if (Now >= NextBeat_) {
     NextBeat_ = Now + BeatInterval;
@@ -222,12 +227,25 @@
   Trace_->record(std::move(Record));
 }
 
-void DecisionLoop::takeNews(const TableChanges &News) {
-  for (const TableRow &Row : News.Rows_)
+void DecisionLoop::takeNews(const InstanceRowsEvent &News) {
+  for (const TableRow &Row : News.Changes_.Rows_)
     takeRow(Row);
-  for (const std::string &Id : News.Deleted_)
+  for (const std::string &Id : News.Changes_.Deleted_)
     Registry_.onRowDeleted(Id);
   instancesChanged();
+  Runner_->run(
+      Engine_.onView(Clock_.now(), News.ReadStartedAt_, News.IsRegistered_));
+}
+
+void DecisionLoop::acknowledgeQuietInstances() {
+  for (const auto &[Id, Known] : Registry_.instances()) {
+    if (!Known.Row_ || Known.Row_->Phase_ != InstancePhase::Leaving)
+      continue;
+    std::uint64_t &Last = Acknowledged_[Id];
+    bool IsDue = Last < Known.Row_->Epoch_ && Engine_.outstandingAt(Id) == 0;
+    if (IsDue && Fleet_->acknowledge({Id, Known.Row_->Epoch_}))
+      Last = Known.Row_->Epoch_;
+  }
 }
 
 void DecisionLoop::takeRow(const TableRow &Row) {
--- a/src/entry/internal/decisionloop.h
+++ b/src/entry/internal/decisionloop.h
@@ -17,11 +17,13 @@
 #include "trace/traceevent.h"
 
 #include <atomic>
+#include <map>
 #include <memory>
 #include <thread>
 
 namespace dragonflylock {
 
+class IFleetWorker;
 class IPeerLink;
 
 /// The deciding thread of an entry instance: takes events from the other
@@ -43,7 +45,9 @@
   ~DecisionLoop() override;
 
   /// Starts the thread.
-  void start(const ActionRunner::Ports &Ports, IPeerLink &Peers);
+  /// \param Fleet receives acknowledgements; must outlive the loop.
+  void start(const ActionRunner::Ports &Ports, IPeerLink &Peers,
+             IFleetWorker &Fleet);
   /// Ends the thread.
   void stop();
 
@@ -82,7 +86,7 @@
 
   void takeNews(const ConfigurationEvent &News);
   void takeNews(const InstanceList &News);
-  void takeNews(const TableChanges &News);
+  void takeNews(const InstanceRowsEvent &News);
   void takeMessage(const Heartbeat &Message);
   void takeMessage(const ConfigurationNotice &Message);
   void takeMessage(const ConfigurationRequest &Message);
@@ -93,6 +97,7 @@
   void putInForce();
   void takeRow(const TableRow &Row);
   void instancesChanged();
+  void acknowledgeQuietInstances();
   void beat();
   Heartbeat heartbeat() const;
   EntrySnapshot makeSnapshot() const;
@@ -120,6 +125,9 @@
   RequestEngine Engine_;
   std::unique_ptr<ActionRunner> Runner_;
   IPeerLink *Peers_ = nullptr;
+  IFleetWorker *Fleet_ = nullptr;
+  /// The highest epoch acknowledged, by instance.
+  std::map<std::string, std::uint64_t> Acknowledged_;
   IEntryMetrics *Metrics_ = nullptr;
   ITraceSink *Trace_ = nullptr;
   RequestId NextRequest_ = 1;
--- a/src/entry/internal/entry.cpp
+++ b/src/entry/internal/entry.cpp
@@ -5,6 +5,7 @@
 #include "entry/internal/callerport.h"
 #include "entry/internal/claimworker.h"
 #include "entry/internal/decisionloop.h"
+#include "entry/internal/fleetworker.h"
 #include "entry/internal/platformwatcher.h"
 #include "fleet/instancerowcodec.h"
 #include "forward/internal/curlendpointclient.h"
@@ -34,6 +35,7 @@
 constexpr std::size_t LargestCallerBody = 64U << 20U;
 constexpr std::size_t LargestOperatorBody = 2U << 20U;
 constexpr std::size_t ChangeIdBytes = 8;
+constexpr std::size_t BootIdBytes = 6;
 constexpr std::chrono::milliseconds DrainPoll{20};
 /// How long a stopping process waits for callers to read their answers.
 constexpr std::chrono::seconds WriteLimit{30};
@@ -65,12 +67,14 @@
         Peers_({Settings_.Name_, Settings_.PeerListen_, Settings_.Peers_,
                 Settings_.PeerSecret_},
                Loop_),
+        Fleet_(Settings_.Name_, makePlatform(), Clock_, Loop_, Trace_, Logger_),
         Watcher_(
+            {Settings_.Name_, Settings_.Zone_, randomId(BootIdBytes)},
             makePlatform(), Settings_.PollInterval_,
             [this](PlatformEvent News) {
               return Loop_.onPlatform(std::move(News));
             },
-            Metrics_, Logger_),
+            Clock_, Metrics_, Logger_),
         CallerPort_(Loop_, Clock_, Metrics_),
         OperatorPort_(makePlatform(), Parser_, Clock_, Loop_, Metrics_,
                       Settings_.OperatorToken_),
@@ -100,6 +104,7 @@
   std::shared_ptr<IPlatform> ClaimPlatform_;
   ClaimWorker Claims_;
   TcpPeerLink Peers_;
+  FleetWorker Fleet_;
   PlatformWatcher Watcher_;
   CallerPort CallerPort_;
   OperatorPort OperatorPort_;
@@ -159,13 +164,14 @@
   Parts &P = *Parts_;
   P.Loop_.start(
       {P.Endpoints_, P.Claims_, P.Clock_, P.Metrics_, P.Logger_, P.Trace_},
-      P.Peers_);
+      P.Peers_, P.Fleet_);
   P.Endpoints_.start();
   P.Claims_.start();
   P.OperatorPort_.start();
   if (auto Listening = P.Peers_.start(); !Listening)
     return Listening;
   P.Watcher_.start();
+  P.Fleet_.start();
   if (auto Listening = P.OperatorServer_.start(); !Listening)
     return Listening;
   if (auto Listening = P.CallerServer_.start(); !Listening)
@@ -196,6 +202,7 @@
   P.CallerServer_.stop();
   P.Claims_.stop(SettleLimit);
   P.Watcher_.stop();
+  P.Fleet_.stop();
   P.OperatorPort_.stop();
   P.OperatorServer_.stop();
   P.Peers_.stop();
--- a/src/entry/internal/platformwatcher.cpp
+++ b/src/entry/internal/platformwatcher.cpp
@@ -1,4 +1,5 @@
 #include "entry/internal/platformwatcher.h"
+#include "fleet/fleetcodec.h"
 #include "global/ilogger.h"
 #include "global/logevent.h"
 #include "metrics/ientrymetrics.h"
@@ -8,12 +9,14 @@
 
 namespace dragonflylock {
 
-PlatformWatcher::PlatformWatcher(std::shared_ptr<IPlatform> Platform,
+PlatformWatcher::PlatformWatcher(Registration Self,
+                                 std::shared_ptr<IPlatform> Platform,
                                  std::chrono::milliseconds Interval,
-                                 Receiver OnNews, IEntryMetrics &Metrics,
-                                 ILogger &Logger)
-    : Platform_(std::move(Platform)), Interval_(Interval),
-      OnNews_(std::move(OnNews)), Metrics_(Metrics), Logger_(Logger) {}
+                                 Receiver OnNews, const IClock &Clock,
+                                 IEntryMetrics &Metrics, ILogger &Logger)
+    : Self_(std::move(Self)), Platform_(std::move(Platform)),
+      Interval_(Interval), OnNews_(std::move(OnNews)), Clock_(Clock),
+      Metrics_(Metrics), Logger_(Logger) {}
 
 PlatformWatcher::~PlatformWatcher() { stop(); }
 
@@ -36,12 +39,30 @@
 }
 
 void PlatformWatcher::pollOnce() {
-  bool IsUp = pollConfiguration() && pollRows() && pollList();
+  bool IsUp =
+      registerEntry() && pollConfiguration() && pollRows() && pollList();
   if (IsUp && !IsPlatformUp_)
     Logger_.write(LogLevel::Info, LogEvent("platform.up"));
   IsPlatformUp_ = IsUp;
 }
 
+bool PlatformWatcher::registerEntry() {
+  if (IsRegistered_)
+    return true;
+  std::string Value = fleetcodec::encode(EntryRow{Self_.Zone_, Self_.Boot_});
+  auto Written = Platform_->transact(
+      {{{tables::Entries, Self_.Name_}, RowCondition::any(), Value}});
+  if (!Written) {
+    noteFailure(Written.error());
+    return false;
+  }
+  // All rows are read anew after the registration, so that this instance
+  // knows every epoch that was written without its acknowledgement.
+  RowsRevision_ = 0;
+  IsRegistered_ = true;
+  return true;
+}
+
 bool PlatformWatcher::pollConfiguration() {
   auto Changes =
       Platform_->readChanges(tables::Configuration, ConfigurationRevision_);
@@ -65,15 +86,15 @@
 }
 
 bool PlatformWatcher::pollRows() {
+  TimePoint StartedAt = Clock_.now();
   auto Changes = Platform_->readChanges(tables::Instances, RowsRevision_);
   if (!Changes) {
     noteFailure(Changes.error());
     return false;
   }
   TableRevision Revision = Changes.value().Revision_;
-  bool IsNews =
-      !Changes.value().Rows_.empty() || !Changes.value().Deleted_.empty();
-  if (!IsNews || OnNews_(std::move(Changes.value())))
+  InstanceRowsEvent News{std::move(Changes.value()), StartedAt, IsRegistered_};
+  if (OnNews_(std::move(News)))
     RowsRevision_ = Revision;
   return true;
 }
--- a/src/fleet/internal/quiescencetracker.cpp
+++ b/src/fleet/internal/quiescencetracker.cpp
@@ -1,5 +1,6 @@
 #include "fleet/quiescencetracker.h"
 #include "fleet/fleettypes.h"
+#include "routing/instancetypes.h"
 
 namespace dragonflylock {
 namespace {
--- a/src/fleet/quiescencetracker.h
+++ b/src/fleet/quiescencetracker.h
@@ -13,10 +13,6 @@
 
 struct FleetView;
 
-/// How long an entry instance may use the instances of other zones after it
-/// last began to read their rows.
-inline constexpr std::chrono::seconds ViewLease{10};
-
 /// Decides when no entry instance can act on an instance's earlier epoch any
 /// more.
 ///
--- a/src/forward/internal/curlendpointclient.cpp
+++ b/src/forward/internal/curlendpointclient.cpp
@@ -71,9 +71,14 @@
 }
 
 void CurlEndpointClient::begin(Offer Wanted) {
+  // The clock is read right before the act, since a process that was paused
+  // finds its lease ended.
+  TimePoint Now = Clock_.now();
   auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Wanted.Action_.Deadline_ - Clock_.now());
-  if (Left <= std::chrono::milliseconds::zero()) {
+      Wanted.Action_.Deadline_ - Now);
+  bool IsTooLate = Left <= std::chrono::milliseconds::zero() ||
+                   Now >= Wanted.Action_.UsableUntil_;
+  if (IsTooLate) {
     reportUnsent(Wanted);
     return;
   }
--- a/src/routing/instancetypes.h
+++ b/src/routing/instancetypes.h
@@ -3,6 +3,7 @@
 
 #include "platform/platformtypes.h"
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -10,6 +11,10 @@
 
 namespace dragonflylock {
 
+/// How long an entry instance may use the instances of other zones after it
+/// last began to read their rows.
+inline constexpr std::chrono::seconds ViewLease{10};
+
 /// Whether an instance serves its pool.
 enum class InstancePhase {
   Serving,
--- a/src/routing/internal/requestengine.cpp
+++ b/src/routing/internal/requestengine.cpp
@@ -51,8 +51,9 @@
 
 } // namespace
 
-RequestEngine::RequestEngine(std::unique_ptr<IInstanceSelector> Selector)
-    : Selector_(std::move(Selector)) {}
+RequestEngine::RequestEngine(std::string Zone,
+                             std::unique_ptr<IInstanceSelector> Selector)
+    : Zone_(std::move(Zone)), Selector_(std::move(Selector)) {}
 
 RequestEngine::~RequestEngine() = default;
 
@@ -63,8 +64,10 @@
 
 RequestEngine::Actions
 RequestEngine::onInstances(TimePoint Now, const InstanceRegistry &Registry) {
-  for (auto &[Name, Pool] : Pools_)
+  for (auto &[Name, Pool] : Pools_) {
     Pool.Eligible_.clear();
+    Pool.EligibleInZone_.clear();
+  }
   for (const auto &[Id, Known] : Registry.instances()) {
     if (!InstanceRegistry::isEligible(Known))
       continue;
@@ -72,7 +75,11 @@
     Load.Id_ = Id;
     Load.Zone_ = Known.Listed_->Zone_;
     Load.Address_ = Known.Listed_->Address_;
-    Pools_[Known.Row_->Pool_].Eligible_.push_back(&Load);
+    Load.IsOwnZone_ = Load.Zone_ == Zone_;
+    PoolState &Pool = Pools_[Known.Row_->Pool_];
+    Pool.Eligible_.push_back(&Load);
+    if (Load.IsOwnZone_)
+      Pool.EligibleInZone_.push_back(&Load);
   }
   std::erase_if(Loads_, [&](const auto &Entry) {
     return Entry.second.Outstanding_ == 0 &&
@@ -81,6 +88,27 @@
   return onTick(Now);
 }
 
+RequestEngine::Actions RequestEngine::onView(TimePoint Now,
+                                             TimePoint ReadStartedAt,
+                                             bool IsRegistered) {
+  LeaseEnd_ = std::max(LeaseEnd_, ReadStartedAt + ViewLease);
+  IsRegistered_ = IsRegistered;
+  return onTick(Now);
+}
+
+const std::vector<InstanceLoad *> &RequestEngine::usable(const PoolState &Pool,
+                                                         TimePoint Now) const {
+  static const std::vector<InstanceLoad *> None;
+  if (Now < LeaseEnd_)
+    return Pool.Eligible_;
+  return IsRegistered_ ? Pool.EligibleInZone_ : None;
+}
+
+TimePoint RequestEngine::usableUntil(const InstanceLoad &Instance) const {
+  bool NeedsNoLease = Instance.IsOwnZone_ && IsRegistered_;
+  return NeedsNoLease ? TimePoint::max() : LeaseEnd_;
+}
+
 RequestEngine::Actions RequestEngine::onRequest(TimePoint Now,
                                                 const RequestHead &Head) {
   Actions Out;
@@ -198,11 +226,12 @@
     fail(Entry, RoutingErrc::DeadlineBeforeOffer, Out);
     return true;
   }
-  InstanceLoad *Chosen = Selector_->select(
-      Pool.Eligible_, Entry.Excluded_, Entry.Settings_.SlotsPerInstance_, Now);
+  InstanceLoad *Chosen =
+      Selector_->select(usable(Pool, Now), Entry.Excluded_,
+                        Entry.Settings_.SlotsPerInstance_, Now);
   if (Chosen == nullptr && !Entry.Excluded_.empty()) {
     // All that are left have failed it once; another try beats none.
-    Chosen = Selector_->select(Pool.Eligible_, {},
+    Chosen = Selector_->select(usable(Pool, Now), {},
                                Entry.Settings_.SlotsPerInstance_, Now);
   }
   if (Chosen == nullptr)
@@ -221,7 +250,8 @@
   ++Instance.Outstanding_;
   Out.push_back(OfferAction{Entry.Head_.Id_, Entry.Attempts_, Instance.Id_,
                             Instance.Address_, Entry.Deadline_,
-                            Entry.IsIdempotent_, Entry.Settings_.MaxAnswer_});
+                            usableUntil(Instance), Entry.IsIdempotent_,
+                            Entry.Settings_.MaxAnswer_});
 }
 
 RequestEngine::Actions RequestEngine::onOfferEnd(TimePoint Now,
--- a/src/routing/requestengine.h
+++ b/src/routing/requestengine.h
@@ -31,14 +31,21 @@
 public:
   using Actions = std::vector<RoutingAction>;
 
+  /// \param Zone the zone of this entry instance.
   /// \param Selector chooses among the instances of a pool.
-  explicit RequestEngine(std::unique_ptr<IInstanceSelector> Selector);
+  RequestEngine(std::string Zone, std::unique_ptr<IInstanceSelector> Selector);
   ~RequestEngine();
 
   /// Puts a configuration in force for requests that arrive from now on.
   void setConfiguration(std::shared_ptr<const FleetConfiguration> Value);
   /// Takes over which instances are eligible, and offers waiting requests.
   Actions onInstances(TimePoint Now, const InstanceRegistry &Registry);
+  /// Takes over that the rows of all instances were read.
+  /// \param ReadStartedAt when the reading began; the instances of other
+  /// zones may be used for ViewLease from then on.
+  /// \param IsRegistered whether this entry instance is registered for its
+  /// zone, so that it may use the zone's instances without a lease.
+  Actions onView(TimePoint Now, TimePoint ReadStartedAt, bool IsRegistered);
   /// Takes in a request.
   Actions onRequest(TimePoint Now, const RequestHead &Head);
   /// Reports how the claim of a request ended.
@@ -82,6 +89,8 @@
   struct PoolState {
     std::deque<RequestId> Queue_;
     std::vector<InstanceLoad *> Eligible_;
+    /// Those of them in the own zone.
+    std::vector<InstanceLoad *> EligibleInZone_;
     RetryBudget Retries_;
   };
 
@@ -90,6 +99,9 @@
   void enqueue(TimePoint Now, Request &Entry, Actions &Out);
   void dispatch(TimePoint Now, const std::string &Pool, Actions &Out);
   bool offerNext(TimePoint Now, PoolState &Pool, Actions &Out);
+  const std::vector<InstanceLoad *> &usable(const PoolState &Pool,
+                                            TimePoint Now) const;
+  TimePoint usableUntil(const InstanceLoad &Instance) const;
   void offer(Request &Entry, InstanceLoad &Instance, Actions &Out);
   void releaseSlot(const std::string &Instance);
   void judgeUnoffered(TimePoint Now, Request &Entry, Actions &Out);
@@ -104,7 +116,10 @@
   void failAfterOffer(Request &Entry, RoutingErrc Kind, Actions &Out);
   void forget(const Request &Entry);
 
+  std::string Zone_;
   std::unique_ptr<IInstanceSelector> Selector_;
+  TimePoint LeaseEnd_;
+  bool IsRegistered_ = false;
   std::shared_ptr<const FleetConfiguration> Configuration_;
   std::unordered_map<RequestId, Request> Requests_;
   /// Requests that are not at an endpoint, by the time that they end at.
--- a/src/routing/routingtypes.h
+++ b/src/routing/routingtypes.h
@@ -62,6 +62,8 @@
   std::string Instance_;
   SocketAddress Address_;
   TimePoint Deadline_;
+  /// The instance may not be used from this time on.
+  TimePoint UsableUntil_ = TimePoint::max();
   bool IsIdempotent_ = false;
   /// Bytes of the answer's body.
   std::uint64_t MaxAnswer_ = 0;
--- a/src/routing/tests/mocks/enginedriver.h
+++ b/src/routing/tests/mocks/enginedriver.h
@@ -15,7 +15,9 @@
 /// Drives an engine with two instances of two slots and records its actions.
 class EngineDriver {
 public:
-  EngineDriver() : Engine_(std::make_unique<LeastOutstandingSelector>("a")) {
+  /// \param Zone the zone of both instances; the engine is in zone a.
+  explicit EngineDriver(const std::string &Zone = "a")
+      : Engine_("a", std::make_unique<LeastOutstandingSelector>("a")) {
     PoolSettings Settings;
     Settings.SlotsPerInstance_ = 2;
     Settings.QueueLimit_ = 3;
@@ -27,12 +29,17 @@
         std::make_shared<const FleetConfiguration>(Builder.build()));
     for (const char *Id : {"w1", "w2"}) {
       List_.Instances_.push_back(
-          {Id, {"127.0.0.1", 1}, "a", "r", InstanceState::Live, 1});
+          {Id, {"127.0.0.1", 1}, Zone, "r", InstanceState::Live, 1});
       Registry_.onRow(Id, {"rota", 1, InstancePhase::Serving});
     }
     showList();
+    readView(true);
   }
 
+  /// Lets the engine know that the rows were read just now.
+  void readView(bool IsRegistered) {
+    take(Engine_.onView(Now_, Now_, IsRegistered));
+  }
   RequestEngine &engine() { return Engine_; }
   InstanceRegistry &registry() { return Registry_; }
   const InstanceList &list() const { return List_; }
--- a/src/routing/tests/requestengine_test.cpp
+++ b/src/routing/tests/requestengine_test.cpp
@@ -21,7 +21,7 @@
 }
 
 TEST(RequestEngine, RefusesWithoutConfigurationOrRoute) {
-  RequestEngine Engine(std::make_unique<LeastOutstandingSelector>("a"));
+  RequestEngine Engine("a", std::make_unique<LeastOutstandingSelector>("a"));
   RequestHead Head;
   Head.Id_ = 1;
   auto Actions = Engine.onRequest(TimePoint(), Head);
@@ -154,6 +154,28 @@
   EXPECT_EQ(Driver.offers().size(), 1U);
 }
 
+TEST(RequestEngine, UsesOtherZonesOnlyUnderALease) {
+  EngineDriver Driver("b");
+  Driver.request("GET");
+  ASSERT_EQ(Driver.offers().size(), 1U);
+  EXPECT_EQ(Driver.offers()[0].UsableUntil_, Driver.now() + ViewLease);
+  Driver.advance(ViewLease);
+  Driver.request("GET");
+  EXPECT_EQ(Driver.offers().size(), 1U);
+  Driver.readView(true);
+  EXPECT_EQ(Driver.offers().size(), 2U);
+}
+
+TEST(RequestEngine, UsesItsOwnZoneWithoutALeaseOnceRegistered) {
+  for (bool IsRegistered : {true, false}) {
+    EngineDriver Driver("a");
+    Driver.readView(IsRegistered);
+    Driver.advance(ViewLease);
+    Driver.request("GET");
+    EXPECT_EQ(Driver.offers().size(), IsRegistered ? 1U : 0U);
+  }
+}
+
 TEST(InstanceRegistry, LeavingHoldsUntilAHigherGeneration) {
   EngineDriver Driver;
   InstanceRegistry &Registry = Driver.registry();
