--- a/src/cli/commandline.h
+++ b/src/cli/commandline.h
@@ -42,6 +42,8 @@
   Outcome checkFile(const Arguments &Given);
   Outcome applyFile(const Arguments &Given, OperatorClient &Server);
   Outcome changeException(const Arguments &Given, OperatorClient &Server);
+  Outcome steer(const Arguments &Given, OperatorClient &Server);
+  Outcome showMaintenance(const Arguments &Given, OperatorClient &Server);
   Outcome checkTrace(const Arguments &Given);
   Outcome list(const Arguments &Given, OperatorClient &Server,
                const Listing &Wanted);
--- a/src/cli/internal/commandline.cpp
+++ b/src/cli/internal/commandline.cpp
@@ -32,6 +32,13 @@
   dragonflylock [options] exception list
   dragonflylock [options] pool list
   dragonflylock [options] instance list
+  dragonflylock [options] instance move <instance> --pool=POOL
+  dragonflylock [options] instance drain <instance>
+  dragonflylock [options] entry forget <entry>
+  dragonflylock [options] maintenance status
+  dragonflylock [options] maintenance start --reason=TEXT
+  dragonflylock [options] maintenance halt --reason=TEXT
+  dragonflylock [options] maintenance resume --reason=TEXT
   dragonflylock [options] audit
   dragonflylock [options] trace check <file>...
   dragonflylock (-h | --help)
@@ -162,6 +169,9 @@
                   {"INSTANCES", "instances"},
                   {"SERVING", "serving"},
                   {"SPARE", "spare"}}});
+  if (Given.has("maintenance") || Given.has("entry") || Given.has("move") ||
+      Given.has("drain"))
+    return steer(Given, Server);
   if (Given.has("instance"))
     return list(Given, Server,
                 {"/v1/instances",
@@ -273,6 +283,51 @@
          "\n";
 }
 
+CommandLine::Outcome CommandLine::steer(const Arguments &Given,
+                                        OperatorClient &Server) {
+  if (Given.has("maintenance") && Given.has("status"))
+    return showMaintenance(Given, Server);
+  HttpRequest Request{"POST", {}, {}, {}};
+  if (Given.has("move"))
+    Request.Target_ =
+        "/v1/instances/move?instance=" + Given.text("<instance>") +
+        "&pool=" + Given.text("--pool");
+  else if (Given.has("drain"))
+    Request.Target_ =
+        "/v1/instances/drain?instance=" + Given.text("<instance>");
+  else if (Given.has("entry"))
+    Request = {"DELETE", "/v1/entries?name=" + Given.text("<entry>"), {}, {}};
+  else if (Given.has("start"))
+    Request.Target_ = "/v1/maintenance/start";
+  else if (Given.has("halt"))
+    Request.Target_ = "/v1/maintenance/halt";
+  else
+    Request.Target_ = "/v1/maintenance/resume";
+  if (!Given.text("--reason").empty())
+    Request.Headers_.push_back({"Change-Reason", Given.text("--reason")});
+  Outcome Accepted = Server.change(std::move(Request));
+  if (!Accepted || Given.wantsJson())
+    return Accepted;
+  return std::string("accepted\n");
+}
+
+CommandLine::Outcome CommandLine::showMaintenance(const Arguments &Given,
+                                                  OperatorClient &Server) {
+  Outcome Shown = Server.read("GET", "/v1/maintenance", {});
+  if (!Shown || Given.wantsJson())
+    return Shown;
+  Json Parsed = Json::parse(Shown.value(), nullptr, false);
+  std::string Head = "no wave yet\n";
+  if (!Parsed.value("wave", "").empty())
+    Head = "wave " + Parsed.value("wave", "") + " is " +
+           Parsed.value("state", "") + ": " + Parsed.value("reason", "") + "\n";
+  return Head + formatTable(Shown.value(), "pools",
+                            {{"POOL", "pool"},
+                             {"MEMBERS", "members"},
+                             {"MAINTAINED", "maintained"},
+                             {"OUT", "out"}});
+}
+
 CommandLine::Outcome CommandLine::checkTrace(const Arguments &Given) {
   std::vector<TraceEvent> Events;
   for (const std::string &Path : Given.files()) {
--- a/src/entry/internal/decisionloop.cpp
+++ b/src/entry/internal/decisionloop.cpp
@@ -257,6 +257,13 @@
                       .with("error", Decoded.error().message()));
     return;
   }
+  TraceEvent Record;
+  Record.Kind_ = TraceKind::InstanceSeen;
+  Record.Instance_ = Row.Key_;
+  Record.Pool_ = Decoded.value().Pool_;
+  Record.Phase_ = nameOf(Decoded.value().Phase_);
+  Record.Number_ = Decoded.value().Epoch_;
+  Trace_->record(std::move(Record));
   Registry_.onRow(Row.Key_, Decoded.value());
 }
 
--- a/src/entry/internal/entry.cpp
+++ b/src/entry/internal/entry.cpp
@@ -76,7 +76,7 @@
             },
             Clock_, Metrics_, Logger_),
         CallerPort_(Loop_, Clock_, Metrics_),
-        OperatorPort_(makePlatform(), Parser_, Clock_, Loop_, Metrics_,
+        OperatorPort_(makePlatform(), Parser_, Clock_, Loop_, Metrics_, Trace_,
                       Settings_.OperatorToken_),
         CallerServer_(Settings_.Callers_, CallerPort_, LargestCallerBody),
         OperatorServer_(Settings_.Operators_, OperatorPort_,
--- a/src/fleet/fleetcontroller.h
+++ b/src/fleet/fleetcontroller.h
@@ -35,6 +35,14 @@
   Result<void> beginMove(const FleetConfiguration &Fleet,
                          const std::string &Instance, const std::string &Target,
                          const std::string &Operator);
+  /// Begins to maintain \p Instance alone.
+  Result<void> beginMaintenance(const FleetConfiguration &Fleet,
+                                const std::string &Instance,
+                                const std::string &Operator);
+  /// Removes the registration of an entry instance that is gone for good, so
+  /// that nobody waits for its acknowledgements.
+  Result<void> forgetEntry(const std::string &Entry,
+                           const std::string &Operator);
   /// Starts a wave over all instances.
   /// \returns the wave's id, or FleetErrc::WaveActive.
   Result<std::string> startWave(const std::string &Operator,
@@ -50,6 +58,10 @@
   const FleetView &view() const { return Reader_.view(); }
 
 private:
+  Result<void> beginLeaving(const FleetConfiguration &Fleet,
+                            const std::string &Instance,
+                            const std::string &Target,
+                            const std::string &Operator);
   Result<void> enrolAll();
   void finishMoves(const FleetConfiguration &Fleet);
   void advanceWave(const FleetConfiguration &Fleet);
--- a/src/fleet/internal/fleetcontroller.cpp
+++ b/src/fleet/internal/fleetcontroller.cpp
@@ -90,8 +90,7 @@
   finishMoves(Fleet);
   if (auto Read = refresh(); !Read)
     return Read;
-  if (!view().Wave_.Value_.Id_.empty())
-    advanceWave(Fleet);
+  advanceWave(Fleet);
   return {};
 }
 
@@ -141,6 +140,29 @@
   if (Fleet.findPool(Target) == nullptr)
     return Error(FleetErrc::UnknownPool, "no pool " + Target,
                  "see `dragonflylock pool list`");
+  return beginLeaving(Fleet, Instance, Target, Operator);
+}
+
+Result<void> FleetController::beginMaintenance(const FleetConfiguration &Fleet,
+                                               const std::string &Instance,
+                                               const std::string &Operator) {
+  return beginLeaving(Fleet, Instance, {}, Operator);
+}
+
+Result<void> FleetController::forgetEntry(const std::string &Entry,
+                                          const std::string &Operator) {
+  auto Written = Platform_.transact(
+      {{{tables::Entries, Entry}, RowCondition::any(), std::nullopt},
+       audit(Operator, "entry", Entry + " is forgotten")});
+  if (!Written)
+    return Written.error();
+  return {};
+}
+
+Result<void> FleetController::beginLeaving(const FleetConfiguration &Fleet,
+                                           const std::string &Instance,
+                                           const std::string &Target,
+                                           const std::string &Operator) {
   if (auto Read = refresh(); !Read)
     return Read;
   if (auto Enrolled = enrolAll(); !Enrolled)
--- a/src/operators/internal/operatorapi.cpp
+++ b/src/operators/internal/operatorapi.cpp
@@ -25,6 +25,14 @@
   return Found == nullptr ? Default : *Found;
 }
 
+std::string operatorOf(const HttpRequest &Request) {
+  return headerOr(Request, "Change-Operator", "unnamed");
+}
+
+std::string reasonOf(const HttpRequest &Request) {
+  return headerOr(Request, "Change-Reason", "");
+}
+
 std::optional<ConfigurationVersion>
 expectedVersion(const HttpRequest &Request) {
   std::string Tag = headerOr(Request, "If-Match", "");
@@ -51,13 +59,21 @@
     {"GET", "/v1/pools", &OperatorApi::listPools},
     {"GET", "/v1/instances", &OperatorApi::listInstances},
     {"GET", "/v1/audit", &OperatorApi::showAudit},
+    {"POST", "/v1/instances/move", &OperatorApi::moveInstance},
+    {"POST", "/v1/instances/drain", &OperatorApi::drainInstance},
+    {"DELETE", "/v1/entries", &OperatorApi::forgetEntry},
+    {"GET", "/v1/maintenance", &OperatorApi::showMaintenance},
+    {"POST", "/v1/maintenance/start", &OperatorApi::startMaintenance},
+    {"POST", "/v1/maintenance/halt", &OperatorApi::haltMaintenance},
+    {"POST", "/v1/maintenance/resume", &OperatorApi::resumeMaintenance},
 };
 
 OperatorApi::OperatorApi(IPlatform &Platform,
                          const IConfigurationParser &Parser,
-                         const IClock &Clock, IEntryView &View)
+                         const IClock &Clock, IEntryView &View,
+                         ITraceSink &Trace)
     : Platform_(Platform), Parser_(Parser), View_(View),
-      Store_(Platform, Parser, Clock) {}
+      Store_(Platform, Parser, Clock), Fleet_(Platform, Clock, Trace) {}
 
 HttpAnswer OperatorApi::answer(const HttpRequest &Request) {
   for (const Operation &Each : Operations) {
@@ -109,7 +125,7 @@
   if (!Parsed.Configuration_)
     return operatorjson::faults(Parsed.Faults_);
   return accept(Request, Request.Body_, expectedVersion(Request),
-                headerOr(Request, "Change-Reason", ""));
+                reasonOf(Request));
 }
 
 HttpAnswer OperatorApi::accept(const HttpRequest &Request, std::string Document,
@@ -119,7 +135,7 @@
   Change.Document_ = std::move(Document);
   Change.Expected_ = Expected;
   Change.ChangeId_ = headerOr(Request, "Change-Id", randomId(ChangeIdBytes));
-  Change.Operator_ = headerOr(Request, "Change-Operator", "unnamed");
+  Change.Operator_ = operatorOf(Request);
   Change.Reason_ = Reason;
   auto Accepted = Store_.accept(Change);
   if (!Accepted)
@@ -181,6 +197,58 @@
   return operatorjson::audit(Records);
 }
 
+HttpAnswer OperatorApi::moveInstance(const HttpRequest &Request) {
+  auto Snapshot = View_.snapshot(SnapshotLimit);
+  if (!Snapshot)
+    return operatorjson::problem(Snapshot.error());
+  if (!Snapshot.value().Configuration_)
+    return operatorjson::notConfigured();
+  return operatorjson::done(Fleet_.beginMove(
+      *Snapshot.value().Configuration_, Request.query("instance"),
+      Request.query("pool"), operatorOf(Request)));
+}
+
+HttpAnswer OperatorApi::drainInstance(const HttpRequest &Request) {
+  auto Snapshot = View_.snapshot(SnapshotLimit);
+  if (!Snapshot)
+    return operatorjson::problem(Snapshot.error());
+  if (!Snapshot.value().Configuration_)
+    return operatorjson::notConfigured();
+  return operatorjson::done(
+      Fleet_.beginMaintenance(*Snapshot.value().Configuration_,
+                              Request.query("instance"), operatorOf(Request)));
+}
+
+HttpAnswer OperatorApi::forgetEntry(const HttpRequest &Request) {
+  return operatorjson::done(
+      Fleet_.forgetEntry(Request.query("name"), operatorOf(Request)));
+}
+
+HttpAnswer OperatorApi::showMaintenance(const HttpRequest &) {
+  if (auto Read = Fleet_.refresh(); !Read)
+    return operatorjson::problem(Read.error());
+  return operatorjson::maintenance(Fleet_.view());
+}
+
+HttpAnswer OperatorApi::startMaintenance(const HttpRequest &Request) {
+  auto Started = Fleet_.startWave(operatorOf(Request), reasonOf(Request));
+  if (!Started)
+    return operatorjson::problem(Started.error());
+  return operatorjson::done({});
+}
+
+HttpAnswer OperatorApi::haltMaintenance(const HttpRequest &Request) {
+  return operatorjson::done(
+      Fleet_.setWaveState(WaveState::Running, WaveState::Halted,
+                          operatorOf(Request), reasonOf(Request)));
+}
+
+HttpAnswer OperatorApi::resumeMaintenance(const HttpRequest &Request) {
+  return operatorjson::done(
+      Fleet_.setWaveState(WaveState::Halted, WaveState::Running,
+                          operatorOf(Request), reasonOf(Request)));
+}
+
 HttpAnswer OperatorApi::showHistory(const HttpRequest &) {
   auto Rows = Platform_.readChanges(tables::ConfigurationHistory, 0);
   if (!Rows)
--- a/src/operators/internal/operatorapi.h
+++ b/src/operators/internal/operatorapi.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYLOCK_OPERATORS_INTERNAL_OPERATORAPI_H
 #define DRAGONFLYLOCK_OPERATORS_INTERNAL_OPERATORAPI_H
 
+#include "fleet/fleetcontroller.h"
 #include "http/httptypes.h"
 #include "steering/configurationstore.h"
 
@@ -14,6 +15,7 @@
 class IConfigurationParser;
 class IEntryView;
 class IPlatform;
+class ITraceSink;
 struct EntrySnapshot;
 
 /// The operators' API: answers one request at a time, and waits for the
@@ -22,7 +24,7 @@
 public:
   /// All must outlive the API.
   OperatorApi(IPlatform &Platform, const IConfigurationParser &Parser,
-              const IClock &Clock, IEntryView &View);
+              const IClock &Clock, IEntryView &View, ITraceSink &Trace);
 
   /// \returns the answer to \p Request.
   HttpAnswer answer(const HttpRequest &Request);
@@ -47,6 +49,13 @@
   HttpAnswer listPools(const HttpRequest &Request);
   HttpAnswer listInstances(const HttpRequest &Request);
   HttpAnswer showAudit(const HttpRequest &Request);
+  HttpAnswer moveInstance(const HttpRequest &Request);
+  HttpAnswer drainInstance(const HttpRequest &Request);
+  HttpAnswer forgetEntry(const HttpRequest &Request);
+  HttpAnswer showMaintenance(const HttpRequest &Request);
+  HttpAnswer startMaintenance(const HttpRequest &Request);
+  HttpAnswer haltMaintenance(const HttpRequest &Request);
+  HttpAnswer resumeMaintenance(const HttpRequest &Request);
 
   /// Edits the document that the table service holds.
   using Edit = std::function<Result<std::string>(const std::string &)>;
@@ -62,6 +71,7 @@
   const IConfigurationParser &Parser_;
   IEntryView &View_;
   ConfigurationStore Store_;
+  FleetController Fleet_;
 };
 
 } // namespace dragonflylock
--- a/src/operators/internal/operatorjson.cpp
+++ b/src/operators/internal/operatorjson.cpp
@@ -2,6 +2,8 @@
 #include "configuration/configurationerrors.h"
 #include "configuration/fleetconfiguration.h"
 #include "configuration/poolsetting.h"
+#include "fleet/fleetcodec.h"
+#include "fleet/fleeterrors.h"
 #include "operators/operatorserrors.h"
 #include "operators/operatorstypes.h"
 #include "platform/platformerrors.h"
@@ -20,10 +22,13 @@
 }
 
 int statusOf(const std::error_code &Kind) {
-  if (Kind == ConfigurationErrc::VersionConflict)
+  if (Kind == ConfigurationErrc::VersionConflict ||
+      Kind == FleetErrc::WaveActive || Kind == FleetErrc::BudgetSpent ||
+      Kind == FleetErrc::NotServing || Kind == PlatformErrc::ConditionFailed)
     return httpstatus::Conflict;
   if (Kind == ConfigurationErrc::UnknownException ||
-      Kind == PlatformErrc::NotFound)
+      Kind == PlatformErrc::NotFound || Kind == FleetErrc::UnknownInstance ||
+      Kind == FleetErrc::UnknownPool || Kind == FleetErrc::NoSuchWave)
     return httpstatus::NotFound;
   if (Kind == PlatformErrc::Unavailable || Kind == OperatorsErrc::Busy)
     return httpstatus::Unavailable;
@@ -184,6 +189,45 @@
   return answerWith(Json{{"history", Listed}});
 }
 
+HttpAnswer done(const Result<void> &Outcome) {
+  if (!Outcome)
+    return problem(Outcome.error());
+  return answerWith(Json{{"done", true}});
+}
+
+HttpAnswer notConfigured() {
+  return problem(httpstatus::Unavailable, "no-configuration",
+                 "no configuration is in force here",
+                 "apply one, or ask another entry instance");
+}
+
+HttpAnswer maintenance(const FleetView &View) {
+  const WaveRow &Wave = View.Wave_.Value_;
+  Json Pools = Json::array();
+  for (const auto &[Pool, Row] : View.Pools_) {
+    std::size_t Maintained = 0;
+    for (const std::string &Id : Row.Value_.Members_) {
+      auto Instance = View.Instances_.find(Id);
+      bool IsMaintained =
+          Instance != View.Instances_.end() &&
+          Instance->second.Value_.Wave_ == Wave.Id_ &&
+          Instance->second.Value_.Phase_ == InstancePhase::Serving;
+      Maintained += IsMaintained && !Wave.Id_.empty() ? 1 : 0;
+    }
+    Json Out(Row.Value_.Out_);
+    Pools.push_back({{"pool", Pool},
+                     {"members", Row.Value_.Members_.size()},
+                     {"maintained", Maintained},
+                     {"out", Out.empty() ? std::string() : Out.dump()}});
+  }
+  return answerWith(Json{{"wave", Wave.Id_},
+                         {"state", fleetcodec::nameOf(Wave.State_)},
+                         {"operator", Wave.Operator_},
+                         {"reason", Wave.Reason_},
+                         {"started_ms", Wave.StartedMs_},
+                         {"pools", Pools}});
+}
+
 ConfigurationException exceptionFrom(const std::string &Body) {
   Json Parsed = Json::parse(Body, nullptr, false);
   auto Text = [&](const char *Key) {
--- a/src/operators/internal/operatorjson.h
+++ b/src/operators/internal/operatorjson.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_OPERATORS_INTERNAL_OPERATORJSON_H
 
 #include "global/error.h"
+#include "global/result.h"
 #include "http/httptypes.h"
 #include "steering/steeringtypes.h"
 
@@ -11,6 +12,7 @@
 namespace dragonflylock {
 
 struct EntrySnapshot;
+struct FleetView;
 
 /// The JSON bodies of the operators' API.
 namespace operatorjson {
@@ -40,6 +42,13 @@
 /// \returns 200 with accepted configurations, without their documents.
 HttpAnswer history(const std::vector<StoredConfiguration> &Accepted);
 
+/// \returns 200, or the problem document of the failure.
+HttpAnswer done(const Result<void> &Outcome);
+/// \returns the problem document where no configuration is in force.
+HttpAnswer notConfigured();
+/// \returns 200 with the wave and how each pool's instances stand.
+HttpAnswer maintenance(const FleetView &View);
+
 /// \returns the exception that \p Body describes; missing parts are empty.
 ConfigurationException exceptionFrom(const std::string &Body);
 
--- a/src/operators/internal/operatorport.cpp
+++ b/src/operators/internal/operatorport.cpp
@@ -24,9 +24,11 @@
 OperatorPort::OperatorPort(std::shared_ptr<IPlatform> Platform,
                            const IConfigurationParser &Parser,
                            const IClock &Clock, IEntryView &View,
-                           IEntryMetrics &Metrics, std::string Token)
+                           IEntryMetrics &Metrics, ITraceSink &Trace,
+                           std::string Token)
     : Platform_(std::move(Platform)),
-      Api_(std::make_unique<OperatorApi>(*Platform_, Parser, Clock, View)),
+      Api_(std::make_unique<OperatorApi>(*Platform_, Parser, Clock, View,
+                                         Trace)),
       View_(View), Metrics_(Metrics), Token_(std::move(Token)),
       Calls_(CallRing, Signal_) {}
 
--- a/src/operators/operatorport.h
+++ b/src/operators/operatorport.h
@@ -18,6 +18,7 @@
 class IEntryMetrics;
 class IEntryView;
 class IPlatform;
+class ITraceSink;
 class OperatorApi;
 
 /// Serves operators: probes and metrics at once, all else on a thread of its
@@ -29,7 +30,8 @@
   /// The other parameters must outlive the port.
   OperatorPort(std::shared_ptr<IPlatform> Platform,
                const IConfigurationParser &Parser, const IClock &Clock,
-               IEntryView &View, IEntryMetrics &Metrics, std::string Token);
+               IEntryView &View, IEntryMetrics &Metrics, ITraceSink &Trace,
+               std::string Token);
   ~OperatorPort() override;
 
   /// Starts the thread.
--- a/src/trace/internal/fleetrules.cpp
+++ b/src/trace/internal/fleetrules.cpp
@@ -90,6 +90,9 @@
   const char *name() const override { return "one-pool"; }
 
   Finding observe(const TraceEvent &Event) override {
+    if (Event.Kind_ == TraceKind::InstanceSeen &&
+        Event.Number_ > Rows_[Event.Instance_].Epoch_)
+      Rows_[Event.Instance_] = {Event.Number_, Event.Pool_, Event.Phase_};
     if (Event.Kind_ == TraceKind::InstanceRow) {
       Row &Known = Rows_[Event.Instance_];
       if (Event.Number_ <= Known.Epoch_)
@@ -120,8 +123,12 @@
   const char *name() const override { return "availability"; }
 
   Finding observe(const TraceEvent &Event) override {
-    if (Event.Kind_ != TraceKind::InstanceRow)
+    bool IsRow = Event.Kind_ == TraceKind::InstanceRow ||
+                 Event.Kind_ == TraceKind::InstanceSeen;
+    std::uint64_t &Known = Epochs_[Event.Instance_];
+    if (!IsRow || Event.Number_ <= Known)
       return std::nullopt;
+    Known = Event.Number_;
     forget(Event.Instance_);
     if (Event.Phase_ == "serving") {
       Serving_[Event.Pool_].insert(Event.Instance_);
@@ -141,6 +148,7 @@
       Instances.erase(Instance);
   }
 
+  std::map<std::string, std::uint64_t> Epochs_;
   std::map<std::string, std::set<std::string>> Serving_;
 };
 
--- a/src/trace/internal/tracecodec.cpp
+++ b/src/trace/internal/tracecodec.cpp
@@ -11,7 +11,7 @@
 
 using Json = nlohmann::json;
 
-constexpr std::array<std::pair<TraceKind, const char *>, 10> KindNames{{
+constexpr std::array<std::pair<TraceKind, const char *>, 11> KindNames{{
     {TraceKind::Received, "received"},
     {TraceKind::Claimed, "claimed"},
     {TraceKind::Offered, "offered"},
@@ -20,6 +20,7 @@
     {TraceKind::ConfigurationAccepted, "configuration-accepted"},
     {TraceKind::ConfigurationApplied, "configuration-applied"},
     {TraceKind::InstanceRow, "instance-row"},
+    {TraceKind::InstanceSeen, "instance-seen"},
     {TraceKind::InstanceLeaving, "instance-leaving"},
     {TraceKind::InstanceLive, "instance-live"},
 }};
--- a/src/trace/traceevent.h
+++ b/src/trace/traceevent.h
@@ -22,8 +22,10 @@
   ConfigurationAccepted,
   /// A configuration came into force at an entry instance.
   ConfigurationApplied,
-  /// The row of an instance changed.
+  /// A controller changed the row of an instance.
   InstanceRow,
+  /// An entry instance read the row of an instance.
+  InstanceSeen,
   /// The platform's list showed an instance as leaving.
   InstanceLeaving,
   /// The platform's list showed a new generation of an instance as live.
--- a/tests/system/testfleet.cpp
+++ b/tests/system/testfleet.cpp
@@ -223,6 +223,10 @@
   EXPECT_EQ(exchange(Platform_, Request).Status_, httpstatus::Ok);
 }
 
+HttpAnswer TestFleet::operate(std::size_t Index, const HttpRequest &Request) {
+  return exchange(Entries_[Index].Operators_, Request);
+}
+
 HttpAnswer TestFleet::send(std::size_t Index, const HttpRequest &Request) {
   return exchange(Entries_[Index].Callers_, Request);
 }
--- a/tests/system/testfleet.h
+++ b/tests/system/testfleet.h
@@ -45,6 +45,8 @@
   void listInstance(std::size_t Index, const std::string &State,
                     std::uint64_t Generation);
 
+  /// Sends a request to the operators' port of entry \p Index.
+  HttpAnswer operate(std::size_t Index, const HttpRequest &Request);
   /// Sends a request to entry \p Index.
   /// \returns the answer; status 0 where none came.
   HttpAnswer send(std::size_t Index, const HttpRequest &Request);
