--- a/src/entry/internal/platformwatcher.cpp
+++ b/src/entry/internal/platformwatcher.cpp
@@ -105,7 +105,10 @@
     noteFailure(List.error());
     return false;
   }
-  OnNews_(std::move(List.value()));
+  std::string Tag = List.value().Tag_;
+  bool IsNews = Tag.empty() || Tag != ListTag_;
+  if (IsNews && OnNews_(std::move(List.value())))
+    ListTag_ = Tag;
   return true;
 }
 
--- a/src/entry/internal/platformwatcher.h
+++ b/src/entry/internal/platformwatcher.h
@@ -63,6 +63,8 @@
   Signal Signal_;
   TableRevision ConfigurationRevision_ = 0;
   TableRevision RowsRevision_ = 0;
+  /// Tag of the list that was handed on last.
+  std::string ListTag_;
   bool IsRegistered_ = false;
   bool IsPlatformUp_ = true;
   std::atomic<bool> IsStopping_ = false;
--- a/src/peers/internal/framestream.cpp
+++ b/src/peers/internal/framestream.cpp
@@ -4,8 +4,11 @@
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 
+#include <chrono>
 #include <utility>
 
+#include <netinet/tcp.h>
+
 namespace dragonflylock {
 namespace {
 
@@ -14,6 +17,12 @@
 constexpr unsigned BitsPerByte = 8;
 constexpr unsigned ByteMask = 0xFF;
 
+/// A connection whose bytes stay unacknowledged for this time is closed, so
+/// that a cut does not hold messages back after it has healed.
+constexpr std::chrono::milliseconds UnacknowledgedLimit{3000};
+using UserTimeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
 std::string withLength(const std::string &Body) {
   constexpr unsigned LengthBytes = 4;
   std::string Frame;
@@ -35,6 +44,7 @@
   OnClose_ = std::move(OnClose);
   std::error_code Ignored;
   Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  Socket_.set_option(UserTimeout(UnacknowledgedLimit.count()), Ignored);
   readLength();
 }
 
@@ -65,7 +75,10 @@
                        Self->close();
                        return;
                      }
-                     Self->OnFrame_(std::move(Self->Body_));
+                     // The handler may close the stream, which drops
+                     // the stream's own copy of it.
+                     FrameHandler Handler = Self->OnFrame_;
+                     Handler(std::exchange(Self->Body_, {}));
                      if (!Self->IsClosed_)
                        Self->readLength();
                    });
--- a/src/peers/internal/tcppeerlink.cpp
+++ b/src/peers/internal/tcppeerlink.cpp
@@ -17,7 +17,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds ReconnectInterval{300};
-/// A connection attempt that was swallowed is given up after this time.
+/// An attempt that was swallowed is given up after this time.
 constexpr std::chrono::milliseconds ConnectLimit{1000};
 constexpr std::size_t NonceBytes = 32;
 
@@ -49,14 +49,12 @@
     auto Self = shared_from_this();
     auto Socket = std::make_shared<asio::ip::tcp::socket>(Context_);
     Retry_.expires_after(ConnectLimit);
-    Retry_.async_wait([Socket](std::error_code Failure) {
-      std::error_code Ignored;
+    Retry_.async_wait([Self, Socket](std::error_code Failure) {
       if (!Failure)
-        Socket->close(Ignored);
+        Self->giveUp(*Socket);
     });
     Socket->async_connect(endpointOf(Peer_),
                           [Self, Socket](std::error_code Failure) {
-                            Self->Retry_.cancel();
                             if (Failure)
                               Self->connectLater();
                             else
@@ -80,6 +78,14 @@
   }
 
 private:
+  /// Ends an attempt that has not led to a greeting in time.
+  void giveUp(asio::ip::tcp::socket &Socket) {
+    std::error_code Ignored;
+    Socket.close(Ignored);
+    if (Stream_ && !IsGreeted_)
+      Stream_->close();
+  }
+
   void open(asio::ip::tcp::socket Socket) {
     if (IsStopped_)
       return;
@@ -98,6 +104,7 @@
       Stream_->close();
       return;
     }
+    Retry_.cancel();
     PeerName_ = Challenge->Name_;
     PeerHello Hello{Name_,
                     peercodec::proofOf(Secret_, Challenge->Nonce_, Name_)};
--- a/src/platform/internal/httpplatform.cpp
+++ b/src/platform/internal/httpplatform.cpp
@@ -72,6 +72,7 @@
                  "wait until the platform is up");
   bool IsKnown = Status == httpstatus::Ok || Status == httpstatus::Created ||
                  Status == httpstatus::NoContent ||
+                 Status == httpstatus::NotModified ||
                  Status == httpstatus::NotFound;
   if (!IsKnown)
     return Error(PlatformErrc::AnswerLost,
@@ -131,10 +132,22 @@
 }
 
 Result<InstanceList> HttpPlatform::list() {
-  auto Answer = call({"GET", "/instances", {}, {}});
+  HttpRequest Request{"GET", "/instances", {}, {}};
+  if (!List_.Tag_.empty())
+    Request.Headers_.push_back({"If-None-Match", List_.Tag_});
+  auto Answer = call(Request);
   if (!Answer)
     return Answer.error();
-  return platformcodec::decodeInstances(Answer.value().Body_);
+  if (Answer.value().Status_ == httpstatus::NotModified)
+    return List_;
+  auto List = platformcodec::decodeInstances(Answer.value().Body_);
+  if (!List)
+    return List;
+  const std::string *Tag = findHeader(Answer.value().Headers_, "ETag");
+  if (Tag != nullptr)
+    List.value().Tag_ = *Tag;
+  List_ = List.value();
+  return List;
 }
 
 Result<void> HttpPlatform::perform(InstanceAct Act, const std::string &Id) {
--- a/src/platform/internal/httpplatform.h
+++ b/src/platform/internal/httpplatform.h
@@ -39,6 +39,8 @@
   std::string BaseUrl_;
   std::unique_ptr<IHttpClient> Client_;
   std::chrono::milliseconds Longest_;
+  /// The last list, which is valid as long as its tag is.
+  InstanceList List_;
 };
 
 } // namespace dragonflylock
--- a/src/platform/platformtypes.h
+++ b/src/platform/platformtypes.h
@@ -84,6 +84,8 @@
   /// How old the list was when it was served.
   std::chrono::milliseconds Age_{0};
   std::vector<ListedInstance> Instances_;
+  /// Equal for equal lists; empty where the platform states none.
+  std::string Tag_;
 };
 
 /// Acts that the platform performs on an instance.
--- a/tests/system/childprocess.cpp
+++ b/tests/system/childprocess.cpp
@@ -27,6 +27,8 @@
   posix_spawn_file_actions_addopen(&Files, STDOUT_FILENO, LogPath.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, LogMode);
   posix_spawn_file_actions_adddup2(&Files, STDOUT_FILENO, STDERR_FILENO);
+  // Relays of the test must not stay open in its children.
+  posix_spawn_file_actions_addclosefrom_np(&Files, STDERR_FILENO + 1);
   posix_spawn(&Id_, Path.c_str(), &Files, nullptr, Pointers.data(), environ);
   posix_spawn_file_actions_destroy(&Files);
 }
--- a/tools/standinplatform/main.cpp
+++ b/tools/standinplatform/main.cpp
@@ -1,5 +1,6 @@
 #include "common/toolmain.h"
 #include "fleet/instancerowcodec.h"
+#include "global/units.h"
 #include "http/internal/restinioserver.h"
 #include "platform/tablenames.h"
 #include "standinplatform/platformhandler.h"
@@ -20,11 +21,14 @@
 
 Usage:
   dragonflylock-platform [--listen=IP:PORT] [--instances=LIST]
+                         [--generate=COUNTS]
 
 Options:
   --listen=IP:PORT  Where to listen [default: 127.0.0.1:7000].
   --instances=LIST  Instances, each ID=IP:PORT@ZONE/RACK/POOL, separated by
                     commas [default: ].
+  --generate=COUNTS INSTANCES/POOLS/ZONES: makes instances w0, w1, ... spread
+                    over pools p0, p1, ... and zones z0, z1, ... [default: ].
 )";
 
 /// Adds the instance that \p Text describes, or ends the process.
@@ -51,6 +55,26 @@
                    instancerowcodec::encode(Row)}});
 }
 
+/// Adds the instances that \p Text asks for, or ends the process.
+void generate(EmbeddedPlatform &Store, const std::string &Text) {
+  constexpr std::size_t PartCount = 3;
+  constexpr std::uint64_t RackSize = 4;
+  std::vector<std::uint64_t> Counts;
+  for (const std::string &Part : splitList(Text, '/')) {
+    auto Number = parseNumber(Part);
+    Counts.push_back(Number ? std::max<std::uint64_t>(1, Number.value()) : 1);
+  }
+  if (Counts.size() != PartCount) {
+    std::cerr << "'" << Text << "' is not INSTANCES/POOLS/ZONES\n";
+    std::exit(2);
+  }
+  for (std::uint64_t Index = 0; Index < Counts[0]; ++Index)
+    addInstance(Store, "w" + std::to_string(Index) + "=127.0.0.1:9@z" +
+                           std::to_string(Index % Counts[2]) + "/r" +
+                           std::to_string(Index / RackSize) + "/p" +
+                           std::to_string(Index % Counts[1]));
+}
+
 } // namespace
 
 int main(int Count, char **Words) {
@@ -60,6 +84,8 @@
   for (const std::string &Text :
        splitList(Arguments["--instances"].asString(), ','))
     addInstance(Store, Text);
+  if (!Arguments["--generate"].asString().empty())
+    generate(Store, Arguments["--generate"].asString());
   PlatformHandler Handler(Store);
   RestinioServer Server(
       parseAddresses(Arguments["--listen"].asString()).front(), Handler,
--- a/tools/standinplatform/platformhandler.cpp
+++ b/tools/standinplatform/platformhandler.cpp
@@ -1,4 +1,5 @@
 #include "standinplatform/platformhandler.h"
+#include "global/digest.h"
 #include "global/units.h"
 #include "http/ihttpresponder.h"
 #include "platform/platformcodec.h"
@@ -220,7 +221,7 @@
 HttpAnswer PlatformHandler::serveInstances(const HttpRequest &Request,
                                            const std::string &Path) {
   if (Request.Method_ == "GET")
-    return json(platformcodec::encodeInstances(laggingList()));
+    return serveList(Request);
   auto Slash = Path.rfind('/');
   auto Act = platformcodec::actOf(Path.substr(Slash + 1));
   if (!Act)
@@ -230,6 +231,16 @@
   return status(Done ? httpstatus::NoContent : httpstatus::NotFound);
 }
 
+HttpAnswer PlatformHandler::serveList(const HttpRequest &Request) {
+  HttpAnswer Answer = json(platformcodec::encodeInstances(laggingList()));
+  std::string Tag = "\"" + digestOf({Answer.Body_}) + "\"";
+  const std::string *Known = findHeader(Request.Headers_, "If-None-Match");
+  if (Known != nullptr && *Known == Tag)
+    return status(httpstatus::NotModified);
+  Answer.Headers_.push_back({"ETag", Tag});
+  return Answer;
+}
+
 InstanceList PlatformHandler::laggingList() {
   constexpr std::chrono::seconds Kept{30};
   std::lock_guard Lock(Mutex_);
--- a/tools/standinplatform/platformhandler.h
+++ b/tools/standinplatform/platformhandler.h
@@ -56,6 +56,7 @@
   HttpAnswer serveInstances(const HttpRequest &Request,
                             const std::string &Path);
   HttpAnswer staleConfiguration();
+  HttpAnswer serveList(const HttpRequest &Request);
   InstanceList laggingList();
   bool losesAnswer(const HttpRequest &Request);
 
