--- /dev/null
+++ b/examples/embed/main.cpp
@@ -0,0 +1,53 @@
+#include "claims/claimmachine.h"
+#include "fleet/availabilitybudget.h"
+
+#include <iostream>
+#include <optional>
+
+namespace {
+
+using namespace dragonflylock;
+using Step = ClaimMachine::Step;
+
+/// A table of one row whose first write takes effect while its answer is lost.
+class ForgetfulTable {
+public:
+  ClaimMachine::InsertResult insert(const ClaimRequest &Wanted) {
+    Row_ = ClaimRecord();
+    Row_->AttemptId_ = Wanted.AttemptId_;
+    Row_->Fingerprint_ = Wanted.Fingerprint_;
+    return ClaimMachine::InsertResult::AnswerLost;
+  }
+  const std::optional<ClaimRecord> &row() const { return Row_; }
+
+private:
+  std::optional<ClaimRecord> Row_;
+};
+
+bool obtainClaim() {
+  ForgetfulTable Table;
+  TimePoint Now;
+  ClaimMachine Machine({"swap-17", "attempt-1", "digest"},
+                       Now + std::chrono::seconds(5), std::chrono::seconds(1));
+  while (Machine.next(Now) != Step::Done) {
+    if (Machine.next(Now) == Step::Insert)
+      Machine.onInsert(Now, Table.insert(Machine.wanted()), 0);
+    else if (Machine.next(Now) == Step::Read)
+      Machine.onRead(Now, Table.row(), 1);
+    Now += std::chrono::milliseconds(10);
+  }
+  return Machine.verdict() == ClaimVerdict::Granted;
+}
+
+} // namespace
+
+int main() {
+  bool IsGranted = obtainClaim();
+  std::cout << "claim granted after a lost answer: " << IsGranted << "\n";
+  AvailabilityBudget Budget(/*MinimumAvailable=*/0.75, /*FailureReserve=*/1);
+  PoolCount Count{/*Members_=*/12, /*Out_=*/1, /*Failed_=*/0,
+                  /*LargestRack_=*/4};
+  bool MayTakeOut = Budget.mayTakeOut(Count);
+  std::cout << "a second of 12 may be taken out: " << MayTakeOut << "\n";
+  return IsGranted && MayTakeOut ? 0 : 1;
+}
--- a/src/routing/internal/requestengine.cpp
+++ b/src/routing/internal/requestengine.cpp
@@ -265,6 +265,7 @@
     return Out;
   std::string Pool = Entry.Pool_;
   releaseSlot(Entry.Instance_);
+  judgeInstance(Now, Entry, End);
   if (End.WasOffered_)
     judgeOffered(Now, Entry, End, Out);
   else
@@ -279,11 +280,28 @@
     --Found->second.Outstanding_;
 }
 
+void RequestEngine::judgeInstance(TimePoint Now, const Request &Entry,
+                                  const OfferEnd &End) {
+  auto Load = Loads_.find(Entry.Instance_);
+  if (Load == Loads_.end())
+    return;
+  PoolState &Pool = Pools_[Entry.Pool_];
+  double Spare = 1.0 - Entry.Settings_.MinimumAvailable_;
+  auto MostSetAside = static_cast<std::size_t>(
+      Spare * static_cast<double>(Pool.Eligible_.size()));
+  bool IsFailure = End.Fault_ != AnswerFault::None ||
+                   End.Status_ >= httpstatus::InternalError;
+  TimePoint Until =
+      Pool.Outliers_.onResult(Entry.Instance_, IsFailure, Now, MostSetAside);
+  Load->second.SuspectUntil_ = std::max(Load->second.SuspectUntil_, Until);
+}
+
 void RequestEngine::judgeUnoffered(TimePoint Now, Request &Entry,
                                    Actions &Out) {
   auto Load = Loads_.find(Entry.Instance_);
   if (Load != Loads_.end())
-    Load->second.SuspectUntil_ = Now + SuspicionTime;
+    Load->second.SuspectUntil_ =
+        std::max(Load->second.SuspectUntil_, Now + SuspicionTime);
   if (Entry.Attempts_ >= Entry.Settings_.MaxAttempts_) {
     fail(Entry, RoutingErrc::ConnectFailed, Out);
     return;
--- a/src/routing/requestengine.h
+++ b/src/routing/requestengine.h
@@ -3,6 +3,7 @@
 
 #include "configuration/configurationtypes.h"
 #include "routing/instanceload.h"
+#include "routing/outlierdetector.h"
 #include "routing/retrybudget.h"
 #include "routing/routingtypes.h"
 
@@ -92,6 +93,7 @@
     /// Those of them in the own zone.
     std::vector<InstanceLoad *> EligibleInZone_;
     RetryBudget Retries_;
+    OutlierDetector Outliers_;
   };
 
   std::optional<RoutingErrc> refusal(const RequestHead &Head) const;
@@ -104,6 +106,7 @@
   TimePoint usableUntil(const InstanceLoad &Instance) const;
   void offer(Request &Entry, InstanceLoad &Instance, Actions &Out);
   void releaseSlot(const std::string &Instance);
+  void judgeInstance(TimePoint Now, const Request &Entry, const OfferEnd &End);
   void judgeUnoffered(TimePoint Now, Request &Entry, Actions &Out);
   void judgeOffered(TimePoint Now, Request &Entry, const OfferEnd &End,
                     Actions &Out);
--- a/tools/loadgenerator/loadreport.cpp
+++ b/tools/loadgenerator/loadreport.cpp
@@ -52,6 +52,7 @@
 
 LoadReport::LoadReport(const std::vector<LoadRequest> &Requests,
                        const std::map<std::string, std::uint64_t> &Reads) {
+  HasReads_ = !Reads.empty();
   for (const LoadRequest &Request : Requests) {
     auto Found = Reads.find(Request.Id_);
     count(Request, Found == Reads.end() ? 0 : Found->second);
@@ -81,7 +82,7 @@
   bool IsAnswered = Request.Result_ == LoadResult::Answered;
   if (IsAnswered)
     (Request.IsLong_ ? Long_ : Short_).push_back(Request.WholeTime_);
-  if (IsAnswered && Reads == 0)
+  if (HasReads_ && IsAnswered && Reads == 0)
     ++Counts_["answered_but_not_read"];
   if (!Request.IsIdempotent_ && Reads > 1)
     ++Counts_["doubled"];
--- a/tools/loadgenerator/loadreport.h
+++ b/tools/loadgenerator/loadreport.h
@@ -33,6 +33,8 @@
 private:
   void count(const LoadRequest &Request, std::uint64_t Reads);
 
+  /// Whether any record of an endpoint was read.
+  bool HasReads_ = false;
   std::map<std::string, std::uint64_t> Counts_;
   std::vector<std::chrono::microseconds> Short_;
   std::vector<std::chrono::microseconds> Long_;
--- a/tools/standinplatform/platformhandler.cpp
+++ b/tools/standinplatform/platformhandler.cpp
@@ -127,6 +127,7 @@
   Faults_.LostWrites_ = Wanted.value("lose_writes", 0U);
   Faults_.IsConfigurationStale_ = Wanted.value("stale_configuration", false);
   Faults_.ListLag_ = std::chrono::milliseconds(Wanted.value("list_lag_ms", 0));
+  Faults_.RebootTime_ = std::chrono::milliseconds(Wanted.value("reboot_ms", 0));
   return json("{}");
 }
 
@@ -226,11 +227,25 @@
   auto Act = platformcodec::actOf(Path.substr(Slash + 1));
   if (!Act)
     return status(httpstatus::NotFound);
-  auto Done =
-      Store_.perform(Act.value(), decodeSegment(Path.substr(1, Slash - 1)));
+  std::string Id = decodeSegment(Path.substr(1, Slash - 1));
+  if (Act.value() == InstanceAct::Reboot)
+    return serveReboot(Id);
+  auto Done = Store_.perform(Act.value(), Id);
   return status(Done ? httpstatus::NoContent : httpstatus::NotFound);
 }
 
+HttpAnswer PlatformHandler::serveReboot(const std::string &Id) {
+  std::chrono::milliseconds Time;
+  {
+    std::lock_guard Lock(Mutex_);
+    Time = Faults_.RebootTime_;
+  }
+  // The instance is away until its reboot has ended.
+  auto Gone = Store_.perform(InstanceAct::Stop, Id);
+  Delayed_.run(Time, [this, Id] { Store_.perform(InstanceAct::Reboot, Id); });
+  return status(Gone ? httpstatus::NoContent : httpstatus::NotFound);
+}
+
 HttpAnswer PlatformHandler::serveList(const HttpRequest &Request) {
   HttpAnswer Answer = json(platformcodec::encodeInstances(laggingList()));
   std::string Tag = "\"" + digestOf({Answer.Body_}) + "\"";
--- a/tools/standinplatform/platformhandler.h
+++ b/tools/standinplatform/platformhandler.h
@@ -20,7 +20,8 @@
 ///
 ///   PUT /_standin/faults {"mode": "up" | "down" | "refuse",
 ///                         "delay_ms": N, "lose_writes": N,
-///                         "stale_configuration": true, "list_lag_ms": N}
+///                         "stale_configuration": true, "list_lag_ms": N,
+///                         "reboot_ms": N}
 class PlatformHandler : public IHttpHandler {
 public:
   /// \param Store holds rows, objects and instances; must outlive it.
@@ -37,6 +38,7 @@
     std::uint64_t LostWrites_ = 0;
     bool IsConfigurationStale_ = false;
     std::chrono::milliseconds ListLag_{0};
+    std::chrono::milliseconds RebootTime_{0};
   };
 
   struct Counts {
@@ -57,6 +59,7 @@
                             const std::string &Path);
   HttpAnswer staleConfiguration();
   HttpAnswer serveList(const HttpRequest &Request);
+  HttpAnswer serveReboot(const std::string &Id);
   InstanceList laggingList();
   bool losesAnswer(const HttpRequest &Request);
 
