Asynchronous jobs; settle claims while others keep coming

Jobs: Prefer: respond-async makes a row with a holder, an epoch and a lease that each entry instance watches by its own clock; another takes up what a lost holder left if it is idempotent, otherwise the job ends as unknown.

--- a/src/app/daemonmain.cpp
+++ b/src/app/daemonmain.cpp
@@ -39,6 +39,8 @@
                                  ID=IP:PORT@ZONE/POOL, separated by commas.
   --poll-interval=TIME           Interval of polling the platform [500ms].
   --platform-timeout=TIME        Limit of one platform call [2s].
+  --claim-interval=TIME          Least time between two transactions for keyed
+                                 requests [20ms].
   --drain-grace=TIME             Time after SIGTERM for which requests are
                                  still accepted [3s].
   --trace=FILE                   Record events as lines of JSON.
--- a/src/claims/internal/claimcodec.cpp
+++ b/src/claims/internal/claimcodec.cpp
@@ -1,12 +1,8 @@
 #include "claims/claimcodec.h"
+#include "http/messagecodec.h"
 #include "platform/platformerrors.h"
 
 #include <nlohmann/json.hpp>
-#include <openssl/evp.h>
-
-#include <algorithm>
-#include <cstdint>
-#include <vector>
 
 namespace dragonflylock::claimcodec {
 namespace {
@@ -33,46 +29,6 @@
   return ClaimPhase::Unknown;
 }
 
-std::string toBase64(const std::vector<std::uint8_t> &Bytes) {
-  constexpr std::size_t BytesPerGroup = 3;
-  constexpr std::size_t CharactersPerGroup = 4;
-  std::size_t Groups = (Bytes.size() + BytesPerGroup - 1) / BytesPerGroup;
-  std::string Text(Groups * CharactersPerGroup + 1, '\0');
-  int Length = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(Text.data()),
-                               Bytes.data(), static_cast<int>(Bytes.size()));
-  Text.resize(static_cast<std::size_t>(Length));
-  return Text;
-}
-
-std::vector<std::uint8_t> fromBase64(const std::string &Text) {
-  std::vector<std::uint8_t> Bytes(Text.size());
-  int Length = EVP_DecodeBlock(
-      Bytes.data(), reinterpret_cast<const unsigned char *>(Text.data()),
-      static_cast<int>(Text.size()));
-  // The decoder counts the padding as bytes.
-  auto Padding = std::count(Text.begin(), Text.end(), '=');
-  Bytes.resize(static_cast<std::size_t>(std::max<long>(0, Length - Padding)));
-  return Bytes;
-}
-
-std::string encodeAnswer(const HttpAnswer &Answer) {
-  Json Headers = Json::array();
-  for (const HttpHeader &Header : Answer.Headers_)
-    Headers.push_back({Header.Name_, Header.Value_});
-  return toBase64(
-      Json::to_msgpack(Json{Answer.Status_, Headers, Answer.Body_}));
-}
-
-HttpAnswer decodeAnswer(const std::string &Text) {
-  Json Parsed = Json::from_msgpack(fromBase64(Text));
-  HttpAnswer Answer;
-  Answer.Status_ = Parsed.at(0);
-  for (const Json &Header : Parsed.at(1))
-    Answer.Headers_.push_back({Header.at(0), Header.at(1)});
-  Answer.Body_ = Parsed.at(2);
-  return Answer;
-}
-
 } // namespace
 
 std::string encode(const ClaimRecord &Record) {
@@ -81,7 +37,7 @@
              {"fingerprint", Record.Fingerprint_},
              {"created_ms", Record.CreatedMs_}};
   if (Record.Phase_ == ClaimPhase::Answered)
-    Value["answer"] = encodeAnswer(Record.Answer_);
+    Value["answer"] = messagecodec::encode(Record.Answer_);
   return Value.dump();
 }
 
@@ -94,7 +50,7 @@
     Record.Fingerprint_ = Parsed.at("fingerprint");
     Record.CreatedMs_ = Parsed.at("created_ms");
     if (Record.Phase_ == ClaimPhase::Answered)
-      Record.Answer_ = decodeAnswer(Parsed.at("answer"));
+      Record.Answer_ = messagecodec::decodeAnswer(Parsed.at("answer"));
     return Record;
   } catch (const Json::exception &Failure) {
     return Error(PlatformErrc::BadAnswer, Failure.what(),
--- a/src/claims/internal/tableclaimservice.cpp
+++ b/src/claims/internal/tableclaimservice.cpp
@@ -57,17 +57,41 @@
     if (Step == ClaimMachine::Step::Read)
       Reads.push_back(Request);
   }
-  insertDue(Inserts);
+  if (!writeTogether(Inserts)) {
+    insertDue(Inserts);
+    writeSettlements();
+  }
   for (std::uint64_t Request : Reads)
     readRow(Request);
   std::vector<ClaimEnd> Ended = collectEnded();
-  if (Ended.empty()) {
-    writeSettlements();
+  if (Ended.empty())
     removeLeftovers();
-  }
   return Ended;
 }
 
+bool TableClaimService::writeTogether(
+    const std::vector<std::uint64_t> &Inserts) {
+  std::size_t Settled = std::min(Pending_.size(), LargestGroup);
+  if (Inserts.empty() || Settled == 0)
+    return false;
+  std::vector<RowWrite> Writes;
+  Writes.reserve(Inserts.size() + Settled);
+  for (std::uint64_t Request : Inserts)
+    Writes.push_back(insertOf(Machines_.at(Request).wanted()));
+  for (std::size_t Index = 0; Index < Settled; ++Index)
+    Writes.push_back(writeOf(Pending_[Index]));
+  auto Written = Table_.transact(Writes);
+  if (!Written)
+    return false;
+  for (std::size_t Index = 0; Index < Inserts.size(); ++Index)
+    Machines_.at(Inserts[Index])
+        .onInsert(Clock_.now(), ClaimMachine::InsertResult::Written,
+                  Written.value()[Index]);
+  Pending_.erase(Pending_.begin(),
+                 Pending_.begin() + static_cast<std::ptrdiff_t>(Settled));
+  return true;
+}
+
 void TableClaimService::insertDue(const std::vector<std::uint64_t> &Requests) {
   if (Requests.empty())
     return;
--- a/src/claims/internal/tableclaimservice.h
+++ b/src/claims/internal/tableclaimservice.h
@@ -46,6 +46,9 @@
     TimePoint GiveUpAt_;
   };
 
+  /// Writes inserts and settlements in one transaction.
+  /// \returns whether it succeeded; if not, all of them are still due.
+  bool writeTogether(const std::vector<std::uint64_t> &Inserts);
   void insertDue(const std::vector<std::uint64_t> &Requests);
   void insertAlone(std::uint64_t Request);
   void readRow(std::uint64_t Request);
--- a/src/claims/tests/tableclaimservice_test.cpp
+++ b/src/claims/tests/tableclaimservice_test.cpp
@@ -112,6 +112,39 @@
   EXPECT_EQ(rows(), 0U);
 }
 
+TEST_F(TableClaimServiceTest, SettlesWhileClaimsKeepComing) {
+  Here_.obtain(0, claim("a0", "k0"), deadline());
+  nextEnd(Here_);
+  Here_.settle({0, ClaimPhase::Unknown, {}});
+  int Before = Table_.transactions();
+  Here_.obtain(1, claim("a1", "k1"), deadline());
+  EXPECT_EQ(Here_.runRound().size(), 1U);
+  // The settlement went with the insert.
+  EXPECT_EQ(Table_.transactions(), Before + 1);
+  EXPECT_TRUE(Here_.isIdle());
+}
+
+TEST_F(TableClaimServiceTest, SettlesAndInsertsUnderEveryFault) {
+  using Fault = FaultyTable::Fault;
+  int Cases = 0;
+  for (Fault Kind : {Fault::Unavailable, Fault::LostBefore, Fault::LostAfter})
+    for (int First = 0; First < 6; ++First)
+      for (int Length = 1; Length < 4; ++Length) {
+        std::string Name = std::to_string(Cases++);
+        auto Id = static_cast<std::uint64_t>(2 * Cases);
+        Here_.obtain(Id, claim("s" + Name, "s" + Name), deadline());
+        EXPECT_EQ(nextEnd(Here_).Verdict_, ClaimVerdict::Granted);
+        Here_.settle({Id, ClaimPhase::Unknown, {}});
+        Here_.obtain(Id + 1, claim("i" + Name, "i" + Name), deadline());
+        Table_.fail(Kind, First, Length);
+        EXPECT_EQ(nextEnd(Here_).Verdict_, ClaimVerdict::Granted);
+        Table_.fail(Kind, 0, 0);
+        runUntilIdle(Here_);
+        There_.obtain(1, claim("r" + Name, "s" + Name), deadline());
+        EXPECT_EQ(nextEnd(There_).Verdict_, ClaimVerdict::Unknown);
+      }
+}
+
 TEST_F(TableClaimServiceTest, SettlesAfterAnOutage) {
   Here_.obtain(1, claim("a"), deadline());
   nextEnd(Here_);
--- a/src/entry/internal/callerport.h
+++ b/src/entry/internal/callerport.h
@@ -8,17 +8,21 @@
 class DecisionLoop;
 class IClock;
 class IEntryMetrics;
+class JobWorker;
 
-/// Passes callers' requests to the deciding thread.
+/// Passes callers' requests to the deciding thread, and orders of jobs to
+/// theirs.
 class CallerPort : public IHttpHandler {
 public:
   /// All must outlive the port.
-  CallerPort(DecisionLoop &Loop, const IClock &Clock, IEntryMetrics &Metrics);
+  CallerPort(DecisionLoop &Loop, JobWorker &Jobs, const IClock &Clock,
+             IEntryMetrics &Metrics);
   void handle(HttpRequest Request,
               std::shared_ptr<IHttpResponder> Responder) override;
 
 private:
   DecisionLoop &Loop_;
+  JobWorker &Jobs_;
   const IClock &Clock_;
   IEntryMetrics &Metrics_;
 };
--- a/src/entry/internal/claimworker.cpp
+++ b/src/entry/internal/claimworker.cpp
@@ -10,9 +10,9 @@
 } // namespace
 
 ClaimWorker::ClaimWorker(std::unique_ptr<IClaimService> Service,
-                         Receiver OnEnded)
+                         Receiver OnEnded, std::chrono::milliseconds Interval)
     : Service_(std::move(Service)), OnEnded_(std::move(OnEnded)),
-      Work_(WorkRing, Signal_) {}
+      Interval_(Interval), Work_(WorkRing, Signal_) {}
 
 ClaimWorker::~ClaimWorker() { stop(std::chrono::milliseconds::zero()); }
 
@@ -48,11 +48,14 @@
     bool IsBusy = !Service_->isIdle();
     if (IsBusy)
       IsIdle_ = false;
+    auto NextRound = std::chrono::steady_clock::now() + Interval_;
     std::vector<ClaimEnd> Ended = Service_->runRound();
     for (ClaimEnd &Each : Ended)
       OnEnded_(std::move(Each));
     if (Ended.empty())
       Signal_.waitFor(IsBusy ? BusyInterval : IdleInterval);
+    if (IsBusy)
+      std::this_thread::sleep_until(NextRound);
   }
 }
 
--- a/src/entry/internal/claimworker.h
+++ b/src/entry/internal/claimworker.h
@@ -20,7 +20,10 @@
   using Receiver = std::function<void(ClaimEnd)>;
 
   /// \param Service is used by the worker's thread alone.
-  ClaimWorker(std::unique_ptr<IClaimService> Service, Receiver OnEnded);
+  /// \param Interval least time between two rounds, in which claims gather
+  /// for one transaction.
+  ClaimWorker(std::unique_ptr<IClaimService> Service, Receiver OnEnded,
+              std::chrono::milliseconds Interval);
   ~ClaimWorker() override;
 
   /// Starts the thread.
@@ -34,6 +37,7 @@
 
   std::unique_ptr<IClaimService> Service_;
   Receiver OnEnded_;
+  std::chrono::milliseconds Interval_;
   Signal Signal_;
   BoundedRing<ClaimWork> Work_;
   std::atomic<bool> IsIdle_ = true;
--- a/src/entry/internal/entry.cpp
+++ b/src/entry/internal/entry.cpp
@@ -6,6 +6,7 @@
 #include "entry/internal/claimworker.h"
 #include "entry/internal/decisionloop.h"
 #include "entry/internal/fleetworker.h"
+#include "entry/internal/jobworker.h"
 #include "entry/internal/platformwatcher.h"
 #include "fleet/instancerowcodec.h"
 #include "forward/internal/curlendpointclient.h"
@@ -63,7 +64,8 @@
         Endpoints_(Clock_, Loop_, ForwardRing), ClaimPlatform_(makePlatform()),
         Claims_(
             std::make_unique<TableClaimService>(*ClaimPlatform_, Clock_),
-            [this](ClaimEnd Ended) { Loop_.onClaimEnded(std::move(Ended)); }),
+            [this](ClaimEnd Ended) { Loop_.onClaimEnded(std::move(Ended)); },
+            Settings_.ClaimInterval_),
         Peers_({Settings_.Name_, Settings_.PeerListen_, Settings_.Peers_,
                 Settings_.PeerSecret_},
                Loop_),
@@ -75,7 +77,11 @@
               return Loop_.onPlatform(std::move(News));
             },
             Clock_, Metrics_, Logger_),
-        CallerPort_(Loop_, Clock_, Metrics_),
+        Jobs_(Settings_.Name_, makePlatform(), Clock_, Loop_,
+              [this](CallerEvent Event) {
+                return Loop_.onCaller(std::move(Event));
+              }),
+        CallerPort_(Loop_, Jobs_, Clock_, Metrics_),
         OperatorPort_(makePlatform(), Parser_, Clock_, Loop_, Metrics_, Trace_,
                       Settings_.OperatorToken_),
         CallerServer_(Settings_.Callers_, CallerPort_, LargestCallerBody),
@@ -106,6 +112,7 @@
   TcpPeerLink Peers_;
   FleetWorker Fleet_;
   PlatformWatcher Watcher_;
+  JobWorker Jobs_;
   CallerPort CallerPort_;
   OperatorPort OperatorPort_;
   RestinioServer CallerServer_;
@@ -172,6 +179,7 @@
     return Listening;
   P.Watcher_.start();
   P.Fleet_.start();
+  P.Jobs_.start();
   if (auto Listening = P.OperatorServer_.start(); !Listening)
     return Listening;
   if (auto Listening = P.CallerServer_.start(); !Listening)
@@ -188,6 +196,7 @@
   Parts &P = *Parts_;
   P.Logger_.write(LogLevel::Info, LogEvent("entry.draining"));
   P.Loop_.beginDrain();
+  P.Jobs_.beginDrain();
   P.CallerServer_.closeConnectionsAfterAnswers();
   auto GraceEnd = P.Clock_.now() + P.Settings_.DrainGrace_;
   while (P.Clock_.now() < GraceEnd)
@@ -200,6 +209,7 @@
   while (P.CallerServer_.pendingAnswers() > 0 && P.Clock_.now() < WriteEnd)
     std::this_thread::sleep_for(DrainPoll);
   P.CallerServer_.stop();
+  P.Jobs_.stop(SettleLimit);
   P.Claims_.stop(SettleLimit);
   P.Watcher_.stop();
   P.Fleet_.stop();
--- a/src/fleet/fleetcontroller.h
+++ b/src/fleet/fleetcontroller.h
@@ -63,7 +63,8 @@
                             const std::string &Target,
                             const std::string &Operator);
   Result<void> enrolAll();
-  void finishMoves(const FleetConfiguration &Fleet);
+  /// \returns whether any row was changed.
+  bool finishMoves(const FleetConfiguration &Fleet);
   void advanceWave(const FleetConfiguration &Fleet);
   Result<void> commit(const FleetChange &Change, const std::string &Operator);
   Result<void> commitWave(const WaveRow &Next, const std::string &Operator);
--- a/src/fleet/internal/fleetcontroller.cpp
+++ b/src/fleet/internal/fleetcontroller.cpp
@@ -87,14 +87,16 @@
     return Read;
   if (auto Enrolled = enrolAll(); !Enrolled)
     return Enrolled;
-  finishMoves(Fleet);
-  if (auto Read = refresh(); !Read)
-    return Read;
+  if (finishMoves(Fleet)) {
+    if (auto Read = refresh(); !Read)
+      return Read;
+  }
   advanceWave(Fleet);
   return {};
 }
 
-void FleetController::finishMoves(const FleetConfiguration &Fleet) {
+bool FleetController::finishMoves(const FleetConfiguration &Fleet) {
+  bool IsChanged = false;
   TimePoint Now = Clock_.now();
   for (const auto &[Instance, Row] : view().Instances_) {
     if (Row.Value_.Phase_ != InstancePhase::Leaving)
@@ -105,9 +107,12 @@
     if (!Quiescence_.isQuiet(view(), Instance, Deadline, Now))
       continue;
     auto Change = FleetTransitions(view(), nowMs()).finishLeaving(Instance);
-    if (Change)
-      commit(Change.value(), ControllerName);
+    if (!Change)
+      continue;
+    commit(Change.value(), ControllerName);
+    IsChanged = true;
   }
+  return IsChanged;
 }
 
 void FleetController::advanceWave(const FleetConfiguration &Fleet) {
--- /dev/null
+++ b/src/jobs/internal/tablejobservice.cpp
@@ -0,0 +1,82 @@
+#include "jobs/internal/tablejobservice.h"
+#include "jobs/jobcodec.h"
+#include "jobs/jobmachine.h"
+#include "platform/itableservice.h"
+#include "platform/platformerrors.h"
+#include "platform/tablenames.h"
+
+namespace dragonflylock {
+namespace {
+
+/// Tries to settle an insert whose answer was lost.
+constexpr int MaxTries = 3;
+
+} // namespace
+
+TableJobService::TableJobService(ITableService &Table) : Table_(Table) {}
+
+Result<StoredJob> TableJobService::create(const std::string &Id,
+                                          const JobRecord &Wanted) {
+  Error Last(PlatformErrc::Unavailable, "not tried", "try again");
+  for (int Try = 0; Try < MaxTries; ++Try) {
+    auto Written = Table_.transact({{{tables::Jobs, Id},
+                                     RowCondition::absent(),
+                                     jobcodec::encode(Wanted)}});
+    if (Written)
+      return StoredJob{Wanted, Written.value().front()};
+    bool IsFirst = Try == 0;
+    if (IsFirst && Written.error().kind() == PlatformErrc::Unavailable)
+      return Written.error();
+    Last = Written.error();
+    auto Found = read(Id);
+    if (Found && Found.value())
+      return *Found.value();
+  }
+  return Error(PlatformErrc::AnswerLost, Last.detail(),
+               "repeat with the same Idempotency-Key");
+}
+
+Result<std::optional<StoredJob>> TableJobService::read(const std::string &Id) {
+  auto Row = Table_.read({tables::Jobs, Id});
+  if (!Row)
+    return Row.error();
+  if (!Row.value())
+    return std::optional<StoredJob>();
+  auto Record = jobcodec::decode(Row.value()->Value_);
+  if (!Record)
+    return Record.error();
+  return std::optional<StoredJob>(
+      StoredJob{std::move(Record.value()), Row.value()->Version_});
+}
+
+Result<RowVersion> TableJobService::write(const std::string &Id,
+                                          RowVersion Version,
+                                          const JobRecord &Next) {
+  auto Written = Table_.transact({{{tables::Jobs, Id},
+                                   RowCondition::at(Version),
+                                   jobcodec::encode(Next)}});
+  if (!Written)
+    return Written.error();
+  return Written.value().front();
+}
+
+Result<void> TableJobService::refresh() {
+  auto Changes = Table_.readChanges(tables::Jobs, Revision_);
+  if (!Changes)
+    return Changes.error();
+  if (Changes.value().IsWhole_)
+    Open_.clear();
+  for (const TableRow &Row : Changes.value().Rows_) {
+    auto Record = jobcodec::decode(Row.Value_);
+    if (Record && !JobMachine::hasEnded(Record.value()))
+      Open_[Row.Key_] = {std::move(Record.value()), Row.Version_};
+    else
+      Open_.erase(Row.Key_);
+  }
+  for (const std::string &Key : Changes.value().Deleted_)
+    Open_.erase(Key);
+  Revision_ = Changes.value().Revision_;
+  return {};
+}
+
+} // namespace dragonflylock
--- a/src/platform/tablenames.h
+++ b/src/platform/tablenames.h
@@ -17,6 +17,8 @@
 inline constexpr const char *Instances = "instances";
 /// A row for each idempotency key in use.
 inline constexpr const char *Claims = "claims";
+/// A row for each asynchronous job.
+inline constexpr const char *Jobs = "jobs";
 /// A row for each pool: its members and those out of service.
 inline constexpr const char *Pools = "pools";
 
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -35,6 +35,8 @@
   std::string EmbeddedConfiguration_;
   std::chrono::milliseconds PollInterval_{500};
   std::chrono::milliseconds PlatformTimeout_{2000};
+  /// Least time between two transactions for claims.
+  std::chrono::milliseconds ClaimInterval_{20};
   /// Time after SIGTERM for which requests are still accepted.
   std::chrono::milliseconds DrainGrace_{3000};
   /// Path of the recorded trace; empty for none.
--- a/src/settings/internal/daemonsettingsreader.cpp
+++ b/src/settings/internal/daemonsettingsreader.cpp
@@ -113,6 +113,8 @@
       duration("poll-interval", Settings.PollInterval_, ShortestPoll);
   Settings.PlatformTimeout_ =
       duration("platform-timeout", Settings.PlatformTimeout_, ShortestTimeout);
+  Settings.ClaimInterval_ =
+      duration("claim-interval", Settings.ClaimInterval_, milliseconds{0});
   Settings.DrainGrace_ =
       duration("drain-grace", Settings.DrainGrace_, milliseconds{0});
 }
