--- a/src/cli/commandline.h
+++ b/src/cli/commandline.h
@@ -5,15 +5,16 @@
 
 #include <functional>
 #include <iosfwd>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace dragonflylock {
 
+class CommandArguments;
 class IHttpClient;
 class OperatorClient;
+struct HttpRequest;
 
 /// The operators' command line.
 class CommandLine {
@@ -33,20 +34,23 @@
   int run(const std::vector<std::string> &Words);
 
 private:
-  struct Arguments;
-  struct Listing;
   using Outcome = Result<std::string>;
 
-  Outcome dispatch(const Arguments &Given);
-  Outcome configure(const Arguments &Given, OperatorClient &Server);
-  Outcome checkFile(const Arguments &Given);
-  Outcome applyFile(const Arguments &Given, OperatorClient &Server);
-  Outcome changeException(const Arguments &Given, OperatorClient &Server);
-  Outcome steer(const Arguments &Given, OperatorClient &Server);
-  Outcome showMaintenance(const Arguments &Given, OperatorClient &Server);
-  Outcome checkTrace(const Arguments &Given);
-  Outcome list(const Arguments &Given, OperatorClient &Server,
-               const Listing &Wanted);
+  std::string valueOr(const CommandArguments &Given, const char *Flag,
+                      const char *Variable, const std::string &Default) const;
+  Outcome dispatch(const CommandArguments &Given);
+  Outcome checkFiles(const CommandArguments &Given);
+  Outcome configure(const CommandArguments &Given, OperatorClient &Server);
+  Outcome applyFile(const CommandArguments &Given, OperatorClient &Server);
+  Outcome changeException(const CommandArguments &Given,
+                          OperatorClient &Server);
+  Outcome steer(const CommandArguments &Given, OperatorClient &Server);
+  Outcome change(const CommandArguments &Given, OperatorClient &Server,
+                 HttpRequest Request);
+  Outcome showMaintenance(const CommandArguments &Given,
+                          OperatorClient &Server);
+  Outcome list(const CommandArguments &Given, OperatorClient &Server,
+               const char *Command);
 
   IHttpClient &Client_;
   Environment Variables_;
--- a/src/fleet/internal/fleetcodec.cpp
+++ b/src/fleet/internal/fleetcodec.cpp
@@ -1,7 +1,5 @@
 #include "fleet/fleetcodec.h"
-#include "platform/platformerrors.h"
-
-#include <nlohmann/json.hpp>
+#include "platform/jsondecoding.h"
 
 namespace dragonflylock::fleetcodec {
 namespace {
@@ -10,16 +8,6 @@
 
 constexpr char KeySeparator = '|';
 
-template <typename T, typename Reader>
-Result<T> decode(const std::string &Value, Reader Read) {
-  try {
-    return Read(Json::parse(Value));
-  } catch (const Json::exception &Failure) {
-    return Error(PlatformErrc::BadAnswer, Failure.what(),
-                 "correct the damaged row");
-  }
-}
-
 WaveState waveStateOf(const std::string &Name) {
   if (Name == nameOf(WaveState::Running))
     return WaveState::Running;
@@ -47,7 +35,7 @@
 }
 
 Result<PoolRow> decodePool(const std::string &Value) {
-  return decode<PoolRow>(Value, [](const Json &Parsed) {
+  return decodeJson<PoolRow>(Value, [](const Json &Parsed) {
     return PoolRow{Parsed.at("members").get<std::set<std::string>>(),
                    Parsed.at("out").get<std::set<std::string>>()};
   });
@@ -58,7 +46,7 @@
 }
 
 Result<EntryRow> decodeEntry(const std::string &Value) {
-  return decode<EntryRow>(Value, [](const Json &Parsed) {
+  return decodeJson<EntryRow>(Value, [](const Json &Parsed) {
     return EntryRow{Parsed.at("zone"), Parsed.at("boot")};
   });
 }
@@ -73,7 +61,7 @@
 }
 
 Result<WaveRow> decodeWave(const std::string &Value) {
-  return decode<WaveRow>(Value, [](const Json &Parsed) {
+  return decodeJson<WaveRow>(Value, [](const Json &Parsed) {
     return WaveRow{Parsed.at("id"), waveStateOf(Parsed.at("state")),
                    Parsed.at("operator"), Parsed.at("reason"),
                    Parsed.at("started_ms")};
--- a/src/platform/internal/embeddedplatform.cpp
+++ b/src/platform/internal/embeddedplatform.cpp
@@ -117,6 +117,7 @@
   if (Found == Instances_.end())
     return Error(PlatformErrc::NotFound, "no instance " + Id,
                  "see `dragonflylock instance list`");
+  ++ListRevision_;
   if (Act == InstanceAct::Drain || Act == InstanceAct::Stop)
     Found->second.State_ = InstanceState::Leaving;
   if (Act == InstanceAct::Reboot) {
@@ -126,14 +127,21 @@
   return {};
 }
 
+std::uint64_t EmbeddedPlatform::listRevision() {
+  std::lock_guard Lock(Mutex_);
+  return ListRevision_;
+}
+
 void EmbeddedPlatform::setInstance(const ListedInstance &Instance) {
   std::lock_guard Lock(Mutex_);
   Instances_[Instance.Id_] = Instance;
+  ++ListRevision_;
 }
 
 void EmbeddedPlatform::removeInstance(const std::string &Id) {
   std::lock_guard Lock(Mutex_);
   Instances_.erase(Id);
+  ++ListRevision_;
 }
 
 } // namespace dragonflylock
--- a/src/platform/internal/embeddedplatform.h
+++ b/src/platform/internal/embeddedplatform.h
@@ -28,6 +28,8 @@
   void setInstance(const ListedInstance &Instance);
   /// Takes an instance off the list.
   void removeInstance(const std::string &Id);
+  /// \returns a number that changes whenever the list does.
+  std::uint64_t listRevision();
 
 private:
   struct Table {
@@ -45,6 +47,7 @@
   std::map<std::string, Table> Tables_;
   std::map<std::string, std::string> Objects_;
   std::map<std::string, ListedInstance> Instances_;
+  std::uint64_t ListRevision_ = 0;
 };
 
 } // namespace dragonflylock
--- a/src/platform/internal/platformcodec.cpp
+++ b/src/platform/internal/platformcodec.cpp
@@ -1,7 +1,5 @@
 #include "platform/platformcodec.h"
-#include "platform/platformerrors.h"
-
-#include <nlohmann/json.hpp>
+#include "platform/jsondecoding.h"
 
 #include <array>
 
@@ -14,16 +12,10 @@
     InstanceAct::Drain, InstanceAct::Reboot, InstanceAct::Checkpoint,
     InstanceAct::Throttle, InstanceAct::Stop};
 
-/// Runs \p Read on the parsed body; the library reports wrong types by
-/// exceptions, which end here.
 template <typename T, typename Reader>
 Result<T> decode(const std::string &Body, Reader Read) {
-  try {
-    return Read(Json::parse(Body));
-  } catch (const Json::exception &Failure) {
-    return Error(PlatformErrc::BadAnswer, Failure.what(),
-                 "check that the address is that of the platform");
-  }
+  return decodeJson<T>(Body, Read,
+                       "check that the address is that of the platform");
 }
 
 Json toJson(const RowWrite &Write) {
--- a/src/settings/internal/daemonsettingsreader.cpp
+++ b/src/settings/internal/daemonsettingsreader.cpp
@@ -1,10 +1,8 @@
 #include "settings/internal/daemonsettingsreader.h"
+#include "global/splitlist.h"
 #include "global/units.h"
 #include "settings/settingsource.h"
 
-#include <algorithm>
-#include <sstream>
-
 namespace dragonflylock {
 namespace {
 
@@ -12,16 +10,6 @@
 constexpr const char *SecretVariable = "DRAGONFLYLOCK_PEER_SECRET";
 constexpr std::size_t ShortestSecret = 16;
 
-std::vector<std::string> split(const std::string &Text, char Separator) {
-  std::vector<std::string> Parts;
-  std::istringstream Stream(Text);
-  for (std::string Part; std::getline(Stream, Part, Separator);) {
-    if (!Part.empty())
-      Parts.push_back(Part);
-  }
-  return Parts;
-}
-
 } // namespace
 
 DaemonSettingsReader::DaemonSettingsReader(const SettingSource &Source)
@@ -47,7 +35,7 @@
   Settings.Callers_ = address("callers", "127.0.0.1:8080");
   Settings.Operators_ = address("operators", "127.0.0.1:8081");
   Settings.PeerListen_ = address("peer-listen", "127.0.0.1:8082");
-  for (const std::string &Part : split(optional("peers"), ',')) {
+  for (const std::string &Part : splitList(optional("peers"), ',')) {
     auto Peer = SocketAddress::parse(Part);
     if (Peer)
       Settings.Peers_.push_back(Peer.value());
@@ -69,7 +57,7 @@
     Settings.PlatformUrl_ = Platform;
   }
   Settings.EmbeddedConfiguration_ = optional("embedded-configuration");
-  for (const std::string &Part : split(optional("embedded-instances"), ','))
+  for (const std::string &Part : splitList(optional("embedded-instances"), ','))
     instance(Part);
   bool HasEmbeddedParts = !Settings.EmbeddedConfiguration_.empty() ||
                           !Settings.EmbeddedInstances_.empty();
--- a/src/steering/internal/steeringcodec.cpp
+++ b/src/steering/internal/steeringcodec.cpp
@@ -1,7 +1,5 @@
 #include "steering/steeringcodec.h"
-#include "platform/platformerrors.h"
-
-#include <nlohmann/json.hpp>
+#include "platform/jsondecoding.h"
 
 namespace dragonflylock::steeringcodec {
 namespace {
@@ -16,16 +14,6 @@
   return std::string(Missing, '0') + Digits;
 }
 
-template <typename T, typename Reader>
-Result<T> decode(const std::string &Value, Reader Read) {
-  try {
-    return Read(Json::parse(Value));
-  } catch (const Json::exception &Failure) {
-    return Error(PlatformErrc::BadAnswer, Failure.what(),
-                 "correct the damaged row");
-  }
-}
-
 } // namespace
 
 std::string encode(const StoredConfiguration &Stored) {
@@ -37,7 +25,7 @@
 }
 
 Result<StoredConfiguration> decodeConfiguration(const std::string &Value) {
-  return decode<StoredConfiguration>(Value, [](const Json &Parsed) {
+  return decodeJson<StoredConfiguration>(Value, [](const Json &Parsed) {
     return StoredConfiguration{
         Parsed.at("version"),       Parsed.at("document"),
         Parsed.at("change_id"),     Parsed.at("operator"),
@@ -55,7 +43,7 @@
 }
 
 Result<AuditRecord> decodeAudit(const std::string &Value) {
-  return decode<AuditRecord>(Value, [](const Json &Parsed) {
+  return decodeJson<AuditRecord>(Value, [](const Json &Parsed) {
     return AuditRecord{Parsed.at("at_ms"), Parsed.at("operator"),
                        Parsed.at("subject"), Parsed.at("detail"),
                        Parsed.at("change_id")};
--- a/tools/common/toolmain.cpp
+++ b/tools/common/toolmain.cpp
@@ -1,9 +1,9 @@
 #include "common/toolmain.h"
+#include "global/splitlist.h"
 
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
-#include <sstream>
 
 namespace dragonflylock {
 namespace {
@@ -18,16 +18,6 @@
 
 } // namespace
 
-std::vector<std::string> splitList(const std::string &Text, char Separator) {
-  std::vector<std::string> Parts;
-  std::istringstream Stream(Text);
-  for (std::string Part; std::getline(Stream, Part, Separator);) {
-    if (!Part.empty())
-      Parts.push_back(Part);
-  }
-  return Parts;
-}
-
 std::vector<SocketAddress> parseAddresses(const std::string &Text) {
   std::vector<SocketAddress> Addresses;
   for (const std::string &Part : splitList(Text, ',')) {
--- a/tools/common/toolmain.h
+++ b/tools/common/toolmain.h
@@ -8,9 +8,6 @@
 
 namespace dragonflylock {
 
-/// \returns the parts of a list that \p Separator divides.
-std::vector<std::string> splitList(const std::string &Text, char Separator);
-
 /// \returns the addresses of a list; ends the process with a message where
 /// one is malformed.
 std::vector<SocketAddress> parseAddresses(const std::string &Text);
--- a/tools/loadgenerator/main.cpp
+++ b/tools/loadgenerator/main.cpp
@@ -1,4 +1,5 @@
 #include "common/toolmain.h"
+#include "global/splitlist.h"
 #include "global/units.h"
 #include "loadgenerator/loadreport.h"
 #include "loadgenerator/loadrun.h"
--- a/tools/standinendpoint/main.cpp
+++ b/tools/standinendpoint/main.cpp
@@ -1,4 +1,5 @@
 #include "common/toolmain.h"
+#include "global/splitlist.h"
 #include "global/units.h"
 #include "http/internal/restinioserver.h"
 #include "standinendpoint/endpointhandler.h"
--- a/tools/standinplatform/main.cpp
+++ b/tools/standinplatform/main.cpp
@@ -1,5 +1,6 @@
 #include "common/toolmain.h"
 #include "fleet/instancerowcodec.h"
+#include "global/splitlist.h"
 #include "global/units.h"
 #include "http/internal/restinioserver.h"
 #include "platform/tablenames.h"
--- a/tools/standinplatform/platformhandler.cpp
+++ b/tools/standinplatform/platformhandler.cpp
@@ -247,29 +247,33 @@
 }
 
 HttpAnswer PlatformHandler::serveList(const HttpRequest &Request) {
-  HttpAnswer Answer = json(platformcodec::encodeInstances(laggingList()));
-  std::string Tag = "\"" + digestOf({Answer.Body_}) + "\"";
+  std::lock_guard Lock(Mutex_);
+  const EncodedList &List = laggingList();
   const std::string *Known = findHeader(Request.Headers_, "If-None-Match");
-  if (Known != nullptr && *Known == Tag)
+  if (Known != nullptr && *Known == List.Tag_)
     return status(httpstatus::NotModified);
-  Answer.Headers_.push_back({"ETag", Tag});
+  HttpAnswer Answer = json(List.Body_);
+  Answer.Headers_.push_back({"ETag", List.Tag_});
   return Answer;
 }
 
-InstanceList PlatformHandler::laggingList() {
+const PlatformHandler::EncodedList &PlatformHandler::laggingList() {
   constexpr std::chrono::seconds Kept{30};
-  std::lock_guard Lock(Mutex_);
   auto Now = Clock::now();
-  PastLists_.emplace_back(Now, Store_.list().value());
-  while (PastLists_.size() > 1 && PastLists_.front().first < Now - Kept)
+  std::uint64_t Revision = Store_.listRevision();
+  if (PastLists_.empty() || PastLists_.back().Revision_ != Revision) {
+    std::string Body = platformcodec::encodeInstances(Store_.list().value());
+    std::string Tag = "\"" + digestOf({Body}) + "\"";
+    PastLists_.push_back({Now, Revision, std::move(Body), std::move(Tag)});
+  }
+  // The second oldest shows until when the oldest was served.
+  while (PastLists_.size() > 1 && PastLists_[1].Since_ < Now - Kept)
     PastLists_.pop_front();
-  InstanceList Served = PastLists_.front().second;
-  for (const auto &[At, List] : PastLists_) {
-    if (At <= Now - Faults_.ListLag_)
-      Served = List;
+  for (auto Each = PastLists_.rbegin(); Each != PastLists_.rend(); ++Each) {
+    if (Each->Since_ <= Now - Faults_.ListLag_)
+      return *Each;
   }
-  Served.Age_ = Faults_.ListLag_;
-  return Served;
+  return PastLists_.front();
 }
 
 } // namespace dragonflylock
--- a/tools/standinplatform/platformhandler.h
+++ b/tools/standinplatform/platformhandler.h
@@ -41,6 +41,16 @@
     std::chrono::milliseconds RebootTime_{0};
   };
 
+  using Clock = std::chrono::steady_clock;
+
+  /// A list as it is served, made once for each revision.
+  struct EncodedList {
+    Clock::time_point Since_;
+    std::uint64_t Revision_ = 0;
+    std::string Body_;
+    std::string Tag_;
+  };
+
   struct Counts {
     std::uint64_t Reads_ = 0;
     std::uint64_t Transactions_ = 0;
@@ -60,16 +70,15 @@
   HttpAnswer staleConfiguration();
   HttpAnswer serveList(const HttpRequest &Request);
   HttpAnswer serveReboot(const std::string &Id);
-  InstanceList laggingList();
+  const EncodedList &laggingList();
   bool losesAnswer(const HttpRequest &Request);
 
-  using Clock = std::chrono::steady_clock;
-
   EmbeddedPlatform &Store_;
   mutable std::mutex Mutex_;
   Faults Faults_;
   Counts Counts_;
-  std::deque<std::pair<Clock::time_point, InstanceList>> PastLists_;
+  /// The lists of the last time, oldest first.
+  std::deque<EncodedList> PastLists_;
   DelayedExecutor Delayed_;
 };
 
