--- a/src/claims/tests/tableclaimservice_test.cpp
+++ b/src/claims/tests/tableclaimservice_test.cpp
@@ -131,7 +131,7 @@
     for (int First = 0; First < 6; ++First)
       for (int Length = 1; Length < 4; ++Length) {
         std::string Name = std::to_string(Cases++);
-        auto Id = static_cast<std::uint64_t>(2 * Cases);
+        std::uint64_t Id = 2 * static_cast<std::uint64_t>(Cases);
         Here_.obtain(Id, claim("s" + Name, "s" + Name), deadline());
         EXPECT_EQ(nextEnd(Here_).Verdict_, ClaimVerdict::Granted);
         Here_.settle({Id, ClaimPhase::Unknown, {}});
--- a/src/global/boundedring.h
+++ b/src/global/boundedring.h
@@ -67,7 +67,8 @@
         ++Refused_;
         return false;
       }
-      Box.release();
+      // The queue owns the entry from now on.
+      static_cast<void>(Box.release());
     }
     Consumer_.wake();
     return true;
--- a/src/global/tests/boundedring_test.cpp
+++ b/src/global/tests/boundedring_test.cpp
@@ -33,6 +33,7 @@
   BoundedRing<int> Ring(64, Consumer);
   std::atomic<bool> IsStopping = false;
   std::vector<std::thread> Threads;
+  Threads.reserve(Producers);
   for (int Producer = 0; Producer < Producers; ++Producer)
     Threads.emplace_back([&] {
       for (int Entry = 1; Entry <= PerProducer; ++Entry)
--- a/src/jobs/tests/jobrunner_test.cpp
+++ b/src/jobs/tests/jobrunner_test.cpp
@@ -52,8 +52,9 @@
     return TableJobService(Platform_).read(Id).value()->Record_;
   }
   /// Lets \p Each run rounds for \p Time.
-  void run(std::vector<Holder *> Each, milliseconds Time) {
+  void run(const std::vector<Holder *> &Each, milliseconds Time) {
     std::vector<std::string> Members;
+    Members.reserve(Each.size());
     for (Holder *Entry : Each)
       Members.push_back(Entry->Name_);
     for (auto Left = Time; Left.count() > 0; Left -= milliseconds(500)) {
--- a/src/peers/tests/tcppeerlink_test.cpp
+++ b/src/peers/tests/tcppeerlink_test.cpp
@@ -4,6 +4,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+
 #include <gtest/gtest.h>
 
 #include <mutex>
--- a/tests/system/leaving_test.cpp
+++ b/tests/system/leaving_test.cpp
@@ -80,6 +80,7 @@
   std::vector<std::thread> Callers;
   std::atomic<int> Whole = 0;
   constexpr int Requests = 12;
+  Callers.reserve(Requests);
   for (int Number = 0; Number < Requests; ++Number)
     Callers.emplace_back([&, Number] {
       std::string Id = "s" + std::to_string(Number);
--- a/tests/system/testfleet.cpp
+++ b/tests/system/testfleet.cpp
@@ -4,9 +4,10 @@
 
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
-#include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <gtest/gtest.h>
+
 #include <chrono>
 #include <filesystem>
 #include <thread>
@@ -74,9 +75,10 @@
     Instances_.push_back(*Next++);
     std::string Id = "w" + std::to_string(Index);
     std::string Address = Instances_.back().text();
-    Played += Id + "=" + Address + ",";
-    Listed += Id + "=" + Address + "@" + zoneOf(Index) + "/r" +
-              std::to_string(Index) + "/rota,";
+    Played.append(Id).append("=").append(Address).append(",");
+    Listed.append(Id).append("=").append(Address).append("@");
+    Listed.append(zoneOf(Index)).append("/r");
+    Listed.append(std::to_string(Index)).append("/rota,");
   }
   Traces_.push_back(path("endpoint.trace"));
   InstanceProcess_ = std::make_unique<ChildProcess>(
