Remove claims and ended jobs after answer-retention

Weighed: keys by time (a repeat could not find its row), reading the whole table (its cost grows with the table).

--- a/src/entry/internal/fleetworker.cpp
+++ b/src/entry/internal/fleetworker.cpp
@@ -1,14 +1,19 @@
 #include "entry/internal/fleetworker.h"
+#include "claims/claimcodec.h"
 #include "configuration/fleetconfiguration.h"
 #include "fleet/fleetcodec.h"
 #include "fleet/rendezvous.h"
 #include "global/ilogger.h"
 #include "global/logevent.h"
+#include "jobs/jobcodec.h"
+#include "jobs/jobmachine.h"
 #include "operators/ientryview.h"
 #include "operators/operatorstypes.h"
 #include "platform/iplatform.h"
 #include "platform/tablenames.h"
 
+#include <algorithm>
+
 namespace dragonflylock {
 namespace {
 
@@ -16,6 +21,22 @@
 constexpr std::chrono::milliseconds Interval{500};
 constexpr std::chrono::milliseconds SnapshotLimit{2000};
 constexpr const char *Duty = "fleet";
+/// How often old rows are looked for, where there were few the last time.
+constexpr std::chrono::seconds SweepInterval{10};
+
+std::optional<std::int64_t> claimUsedMs(const TableRow &Row) {
+  auto Record = claimcodec::decode(Row.Value_);
+  if (!Record)
+    return std::nullopt;
+  return Record.value().CreatedMs_;
+}
+
+std::optional<std::int64_t> jobEndedMs(const TableRow &Row) {
+  auto Record = jobcodec::decode(Row.Value_);
+  if (!Record || !JobMachine::hasEnded(Record.value()))
+    return std::nullopt;
+  return Record.value().EndedMs_;
+}
 
 } // namespace
 
@@ -23,7 +44,9 @@
                          const IClock &Clock, IEntryView &View,
                          ITraceSink &Trace, ILogger &Logger)
     : Name_(std::move(Name)), Platform_(std::move(Platform)), View_(View),
-      Logger_(Logger), Controller_(*Platform_, Clock, Trace),
+      Logger_(Logger), Clock_(Clock), Controller_(*Platform_, Clock, Trace),
+      Claims_(*Platform_, Clock, tables::Claims, claimUsedMs),
+      Jobs_(*Platform_, Clock, tables::Jobs, jobEndedMs),
       Ring_(AcknowledgementRing, Signal_) {}
 
 FleetWorker::~FleetWorker() { stop(); }
@@ -81,6 +104,7 @@
   }
   if (chooseMember(Duty, Members) != Name_)
     return;
+  sweep(*Snapshot.value().Configuration_);
   auto Done = Controller_.runRound(*Snapshot.value().Configuration_);
   if (!Done)
     Logger_.write(
@@ -88,6 +112,22 @@
         LogEvent("fleet.round-failed").with("error", Done.error().message()));
 }
 
+void FleetWorker::sweep(const FleetConfiguration &Fleet) {
+  TimePoint Now = Clock_.now();
+  if (Now < NextSweep_)
+    return;
+  // A claim does not name its pool, so that the longest retention holds.
+  std::chrono::milliseconds Retention = Fleet.defaults().AnswerRetention_;
+  for (const auto &[Name, Settings] : Fleet.pools())
+    Retention = std::max(Retention, Settings.AnswerRetention_);
+  bool HasMore = false;
+  for (RetentionSweeper *Each : {&Claims_, &Jobs_}) {
+    auto Removed = Each->sweepOnce(Retention);
+    HasMore |= Removed && Removed.value() == RetentionSweeper::GroupSize;
+  }
+  NextSweep_ = HasMore ? Now : Now + SweepInterval;
+}
+
 void FleetWorker::removeRegistration() {
   Platform_->transact(
       {{{tables::Entries, Name_}, RowCondition::any(), std::nullopt}});
--- a/src/entry/internal/fleetworker.h
+++ b/src/entry/internal/fleetworker.h
@@ -3,6 +3,7 @@
 
 #include "entry/internal/ifleetworker.h"
 #include "fleet/fleetcontroller.h"
+#include "fleet/retentionsweeper.h"
 #include "global/boundedring.h"
 #include "global/signal.h"
 
@@ -19,7 +20,8 @@
 class IPlatform;
 
 /// The thread that steers the fleet: writes acknowledgements, and runs the
-/// controller where this entry instance is the one chosen for it.
+/// controller and removes old rows where this entry instance is the one
+/// chosen for it.
 class FleetWorker : public IFleetWorker {
 public:
   /// \param Name the name of this entry instance.
@@ -41,13 +43,18 @@
   void run();
   void writeAcknowledgements();
   void steer();
+  void sweep(const FleetConfiguration &Fleet);
   void removeRegistration();
 
   std::string Name_;
   std::shared_ptr<IPlatform> Platform_;
   IEntryView &View_;
   ILogger &Logger_;
+  const IClock &Clock_;
   FleetController Controller_;
+  RetentionSweeper Claims_;
+  RetentionSweeper Jobs_;
+  TimePoint NextSweep_;
   Signal Signal_;
   BoundedRing<Acknowledgement> Ring_;
   std::vector<Acknowledgement> Unwritten_;
--- a/src/entry/internal/jobworker.cpp
+++ b/src/entry/internal/jobworker.cpp
@@ -61,7 +61,7 @@
                      const IClock &Clock, IEntryView &View, Submitter Submit)
     : Name_(std::move(Name)), Platform_(std::move(Platform)), Clock_(Clock),
       View_(View), Submit_(std::move(Submit)), Orders_(OrderRing, Signal_),
-      EndedRuns_(EndRing, Signal_), Service_(*Platform_),
+      EndedRuns_(EndRing, Signal_), Service_(*Platform_, Clock),
       Runner_(Name_, Service_, Clock,
               [this](const std::string &Id, std::uint64_t Epoch,
                      HttpRequest Request) {
--- /dev/null
+++ b/src/fleet/internal/retentionsweeper.cpp
@@ -0,0 +1,36 @@
+#include "fleet/retentionsweeper.h"
+#include "global/iclock.h"
+#include "platform/itableservice.h"
+
+namespace dragonflylock {
+
+RetentionSweeper::RetentionSweeper(ITableService &Table, const IClock &Clock,
+                                   std::string Name, AgeReader LastUsedMs)
+    : Table_(Table), Clock_(Clock), Name_(std::move(Name)),
+      LastUsedMs_(LastUsedMs) {}
+
+Result<std::size_t>
+RetentionSweeper::sweepOnce(std::chrono::milliseconds Retention) {
+  auto Rows = Table_.readOldest(Name_, GroupSize);
+  if (!Rows)
+    return Rows.error();
+  auto Now = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Clock_.wallNow().time_since_epoch());
+  std::vector<RowWrite> Removals;
+  for (const TableRow &Row : Rows.value()) {
+    auto LastUsed = LastUsedMs_(Row);
+    bool IsOld = LastUsed && Now.count() - *LastUsed > Retention.count();
+    if (IsOld)
+      Removals.push_back(
+          {{Name_, Row.Key_}, RowCondition::at(Row.Version_), std::nullopt});
+  }
+  if (Removals.empty())
+    return std::size_t{0};
+  // A row that was written meanwhile keeps the whole group for the next time.
+  auto Written = Table_.transact(Removals);
+  if (!Written)
+    return Written.error();
+  return Removals.size();
+}
+
+} // namespace dragonflylock
--- a/src/jobs/internal/jobcodec.cpp
+++ b/src/jobs/internal/jobcodec.cpp
@@ -50,6 +50,7 @@
              {"epoch", Record.Epoch_},
              {"renewals", Record.Renewals_},
              {"attempts", Record.Attempts_},
+             {"ended_ms", Record.EndedMs_},
              {"failure", Record.Failure_},
              {"outcome", Record.Outcome_}};
   if (Record.State_ == JobState::Answered)
@@ -69,6 +70,7 @@
     Record.Epoch_ = Parsed.at("epoch");
     Record.Renewals_ = Parsed.at("renewals");
     Record.Attempts_ = Parsed.at("attempts");
+    Record.EndedMs_ = Parsed.value("ended_ms", std::int64_t{0});
     Record.Failure_ = Parsed.at("failure");
     Record.Outcome_ = Parsed.at("outcome");
     if (Record.State_ == JobState::Answered)
--- a/src/jobs/internal/tablejobservice.cpp
+++ b/src/jobs/internal/tablejobservice.cpp
@@ -1,4 +1,5 @@
 #include "jobs/internal/tablejobservice.h"
+#include "global/iclock.h"
 #include "jobs/jobcodec.h"
 #include "jobs/jobmachine.h"
 #include "platform/itableservice.h"
@@ -13,7 +14,8 @@
 
 } // namespace
 
-TableJobService::TableJobService(ITableService &Table) : Table_(Table) {}
+TableJobService::TableJobService(ITableService &Table, const IClock &Clock)
+    : Table_(Table), Clock_(Clock) {}
 
 Result<StoredJob> TableJobService::create(const std::string &Id,
                                           const JobRecord &Wanted) {
@@ -52,9 +54,14 @@
 Result<RowVersion> TableJobService::write(const std::string &Id,
                                           RowVersion Version,
                                           const JobRecord &Next) {
+  JobRecord Stamped = Next;
+  if (JobMachine::hasEnded(Next))
+    Stamped.EndedMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                           Clock_.wallNow().time_since_epoch())
+                           .count();
   auto Written = Table_.transact({{{tables::Jobs, Id},
                                    RowCondition::at(Version),
-                                   jobcodec::encode(Next)}});
+                                   jobcodec::encode(Stamped)}});
   if (!Written)
     return Written.error();
   return Written.value().front();
--- a/src/jobs/internal/tablejobservice.h
+++ b/src/jobs/internal/tablejobservice.h
@@ -5,13 +5,15 @@
 
 namespace dragonflylock {
 
+class IClock;
 class ITableService;
 
 /// Keeps jobs as rows of the table service.
 class TableJobService : public IJobService {
 public:
   /// \param Table must outlive the service.
-  explicit TableJobService(ITableService &Table);
+  /// \param Clock must outlive the service; states when jobs end.
+  TableJobService(ITableService &Table, const IClock &Clock);
 
   Result<StoredJob> create(const std::string &Id,
                            const JobRecord &Wanted) override;
@@ -25,6 +27,7 @@
 
 private:
   ITableService &Table_;
+  const IClock &Clock_;
   TableRevision Revision_ = 0;
   std::map<std::string, StoredJob> Open_;
 };
--- a/src/jobs/jobtypes.h
+++ b/src/jobs/jobtypes.h
@@ -38,6 +38,8 @@
   std::uint64_t Renewals_ = 0;
   /// How often it was offered to an endpoint in vain.
   std::uint64_t Attempts_ = 0;
+  /// Calendar time in milliseconds since 1970 at which the job ended.
+  std::int64_t EndedMs_ = 0;
   /// Kind of the failure, and "not-run" or "unknown".
   std::string Failure_;
   std::string Outcome_;
--- a/src/jobs/tests/jobrunner_test.cpp
+++ b/src/jobs/tests/jobrunner_test.cpp
@@ -19,7 +19,7 @@
 struct Holder {
   Holder(const std::string &Name, EmbeddedPlatform &Platform,
          const IClock &Clock)
-      : Name_(Name), Table_(Platform), Service_(Table_),
+      : Name_(Name), Table_(Platform), Service_(Table_, Clock),
         Runner_(Name, Service_, Clock,
                 [this](const std::string &Id, std::uint64_t Epoch,
                        const HttpRequest &) {
@@ -46,10 +46,10 @@
     JobRecord Record;
     Record.Request_ = {"POST", "/mending/x", {}, "{}"};
     Record.IsIdempotent_ = IsIdempotent;
-    EXPECT_TRUE(TableJobService(Platform_).create(Id, Record));
+    EXPECT_TRUE(TableJobService(Platform_, Clock_).create(Id, Record));
   }
   JobRecord row(const std::string &Id) {
-    return TableJobService(Platform_).read(Id).value()->Record_;
+    return TableJobService(Platform_, Clock_).read(Id).value()->Record_;
   }
   /// Lets \p Each run rounds for \p Time.
   void run(const std::vector<Holder *> &Each, milliseconds Time) {
@@ -140,7 +140,7 @@
   for (int Number = 0; Number < Jobs; ++Number)
     create("j" + std::to_string(Number), true);
   run({&A_}, seconds(1));
-  TableJobService Service(Platform_);
+  TableJobService Service(Platform_, Clock_);
   JobMachine Machine("canceller");
   for (int Number = 0; Number < Jobs; ++Number) {
     std::string Id = "j" + std::to_string(Number);
--- a/src/platform/internal/embeddedplatform.cpp
+++ b/src/platform/internal/embeddedplatform.cpp
@@ -36,6 +36,21 @@
   return Changes;
 }
 
+Result<std::vector<TableRow>>
+EmbeddedPlatform::readOldest(const std::string &Name, std::size_t Count) {
+  std::lock_guard Lock(Mutex_);
+  const Table &Source = Tables_[Name];
+  std::vector<TableRow> Rows;
+  for (const auto &[Revision, Key] : Source.Order_) {
+    if (Rows.size() >= Count)
+      break;
+    auto Row = Source.Rows_.find(Key);
+    if (Row != Source.Rows_.end())
+      Rows.push_back(Row->second);
+  }
+  return Rows;
+}
+
 bool EmbeddedPlatform::holds(const RowWrite &Write) {
   const auto &Rows = Tables_[Write.Row_.Table_].Rows_;
   auto Found = Rows.find(Write.Row_.Key_);
--- a/src/platform/internal/embeddedplatform.h
+++ b/src/platform/internal/embeddedplatform.h
@@ -16,6 +16,8 @@
   Result<std::optional<TableRow>> read(const RowKey &Row) override;
   Result<TableChanges> readChanges(const std::string &Table,
                                    TableRevision Since) override;
+  Result<std::vector<TableRow>> readOldest(const std::string &Table,
+                                           std::size_t Count) override;
   Result<std::vector<RowVersion>>
   transact(const std::vector<RowWrite> &Writes) override;
   Result<std::optional<std::string>> get(const std::string &Name) override;
--- a/src/platform/internal/httpplatform.cpp
+++ b/src/platform/internal/httpplatform.cpp
@@ -103,6 +103,21 @@
   return platformcodec::decodeChanges(Answer.value().Body_);
 }
 
+Result<std::vector<TableRow>> HttpPlatform::readOldest(const std::string &Table,
+                                                       std::size_t Count) {
+  auto Answer = call(
+      {"GET",
+       "/table/" + encodeSegment(Table) + "?oldest=" + std::to_string(Count),
+       {},
+       {}});
+  if (!Answer)
+    return Answer.error();
+  auto Changes = platformcodec::decodeChanges(Answer.value().Body_);
+  if (!Changes)
+    return Changes.error();
+  return std::move(Changes.value().Rows_);
+}
+
 Result<std::vector<RowVersion>>
 HttpPlatform::transact(const std::vector<RowWrite> &Writes) {
   HttpRequest Request{"POST", "/transaction", {}, {}};
--- a/src/platform/itableservice.h
+++ b/src/platform/itableservice.h
@@ -21,6 +21,10 @@
   /// \returns what has changed since, or a PlatformErrc.
   virtual Result<TableChanges> readChanges(const std::string &Table,
                                            TableRevision Since) = 0;
+  /// \returns at most \p Count rows, those that were written longest ago
+  /// first, or a PlatformErrc.
+  virtual Result<std::vector<TableRow>> readOldest(const std::string &Table,
+                                                   std::size_t Count) = 0;
   /// Performs all of \p Writes, or none where a condition does not hold.
   /// \returns the new version of each row, PlatformErrc::ConditionFailed,
   /// PlatformErrc::Unavailable (nothing was written) or
--- a/src/platform/tests/mocks/faultytable.h
+++ b/src/platform/tests/mocks/faultytable.h
@@ -48,6 +48,13 @@
     return Inner_.readChanges(Table, Since);
   }
 
+  Result<std::vector<TableRow>> readOldest(const std::string &Table,
+                                           std::size_t Count) override {
+    if (isFailing())
+      return failure();
+    return Inner_.readOldest(Table, Count);
+  }
+
   Result<std::vector<RowVersion>>
   transact(const std::vector<RowWrite> &Writes) override {
     ++Transactions_;
--- a/tools/standinplatform/platformhandler.cpp
+++ b/tools/standinplatform/platformhandler.cpp
@@ -169,6 +169,12 @@
     }
     if (IsStale && Table == tables::Configuration)
       return staleConfiguration();
+    auto Oldest = parseNumber(Request.query("oldest"));
+    if (Oldest) {
+      TableChanges Found;
+      Found.Rows_ = Store_.readOldest(Table, Oldest.value()).value();
+      return json(platformcodec::encodeChanges(Found));
+    }
     auto Since = parseNumber(Request.query("since"));
     auto Changes = Store_.readChanges(Table, Since ? Since.value() : 0);
     return json(platformcodec::encodeChanges(Changes.value()));
