--- a/src/trace/internal/requestrules.cpp
+++ b/src/trace/internal/requestrules.cpp
@@ -66,6 +66,8 @@
 
 class OwnAnswer : public ITraceRule {
 public:
+  explicit OwnAnswer(bool HasInstanceRecords)
+      : HasInstanceRecords_(HasInstanceRecords) {}
   const char *name() const override { return "own-answer"; }
 
   Finding observe(const TraceEvent &Event) override {
@@ -90,7 +92,8 @@
   Finding checkAnswer(const TraceEvent &Event) {
     if (!Event.Key_.empty())
       Digests_.emplace(Event.Key_, Event.Digest_);
-    if (Ran_.contains({Event.Request_, Event.Instance_}))
+    if (!HasInstanceRecords_ ||
+        Ran_.contains({Event.Request_, Event.Instance_}))
       return std::nullopt;
     return "request " + Event.Request_ + " has an answer of " +
            Event.Instance_ + ", which did not run it";
@@ -105,6 +108,7 @@
     return "the repeat " + Event.Request_ + " got another answer";
   }
 
+  bool HasInstanceRecords_;
   std::set<std::string> Received_;
   std::set<std::pair<std::string, std::string>> Ran_;
   std::set<std::string> Answered_;
@@ -121,8 +125,8 @@
   return std::make_unique<NotRunIsTrue>();
 }
 
-std::unique_ptr<ITraceRule> makeOwnAnswer() {
-  return std::make_unique<OwnAnswer>();
+std::unique_ptr<ITraceRule> makeOwnAnswer(bool HasInstanceRecords) {
+  return std::make_unique<OwnAnswer>(HasInstanceRecords);
 }
 
 } // namespace dragonflylock::tracerules
--- a/src/trace/internal/tracerules.h
+++ b/src/trace/internal/tracerules.h
@@ -14,7 +14,9 @@
 std::unique_ptr<ITraceRule> makeNotRunIsTrue();
 /// A caller gets one answer, from an instance that ran the request, and a
 /// repeat gets the same answer.
-std::unique_ptr<ITraceRule> makeOwnAnswer();
+/// \param HasInstanceRecords whether the trace holds the records of instances;
+/// without them it cannot tell which instance ran a request.
+std::unique_ptr<ITraceRule> makeOwnAnswer(bool HasInstanceRecords);
 /// The version in force at an entry instance never falls, and was accepted.
 std::unique_ptr<ITraceRule> makeConfigurationNeverReverts();
 /// A leaving instance is offered nothing after \p Bound.
--- a/src/trace/tests/tracechecker_test.cpp
+++ b/src/trace/tests/tracechecker_test.cpp
@@ -116,6 +116,16 @@
   EXPECT_EQ(Trace.verdict(), "own-answer");
 }
 
+TEST(TraceChecker, DecidesWhatItCanWithoutRecordsOfInstances) {
+  TraceBuilder Trace;
+  Trace.add(TraceKind::Received, "r1");
+  Trace.add(TraceKind::Offered, "r1");
+  Trace.add(TraceKind::Answered, "r1").Result_ = "answered";
+  EXPECT_EQ(Trace.verdict(), "none");
+  Trace.add(TraceKind::Answered, "r1").Result_ = "answered";
+  EXPECT_EQ(Trace.verdict(), "own-answer");
+}
+
 TEST(TraceChecker, RefusesTwoAnswersAndARepeatThatDiffers) {
   TraceBuilder Twice;
   Twice.served("r1");
--- a/src/trace/tracechecker.h
+++ b/src/trace/tracechecker.h
@@ -29,10 +29,13 @@
 
   /// Orders \p Events by time and checks them.
   /// \returns the first violation, if there is one.
-  std::optional<TraceViolation> check(std::vector<TraceEvent> Events);
+  std::optional<TraceViolation> check(std::vector<TraceEvent> Events) const;
 
 private:
-  std::vector<std::unique_ptr<ITraceRule>> Rules_;
+  std::vector<std::unique_ptr<ITraceRule>>
+  makeRules(const std::vector<TraceEvent> &Events) const;
+
+  std::chrono::milliseconds LeavingBound_;
 };
 
 } // namespace dragonflylock
--- a/tests/system/configuration_test.cpp
+++ b/tests/system/configuration_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <future>
 #include <thread>
 
 namespace dragonflylock {
@@ -96,6 +97,27 @@
   waitForVersion(2);
 }
 
+TEST_F(ConfigurationTest, EntryKilledDuringAcceptanceIsSettledByARepeat) {
+  HttpRequest Change{"PUT", "/v1/configuration", {}, document(2)};
+  Change.Headers_ = {{"Change-Id", "once"}, {"If-Match", "\"1\""}};
+  Fleet_.setPlatformFaults(R"({"delay_ms":300})");
+  auto First =
+      std::async(std::launch::async, [&] { return Fleet_.operate(0, Change); });
+  std::this_thread::sleep_for(milliseconds(800));
+  Fleet_.entry(0).signal(SIGKILL);
+  First.wait();
+  Fleet_.setPlatformFaults("{}");
+  EXPECT_EQ(Fleet_.operate(1, Change).Status_, httpstatus::Ok);
+  Fleet_.startEntry(0);
+  waitForVersion(2);
+}
+
+TEST_F(ConfigurationTest, AcceptsWhileThePlatformIsSlow) {
+  Fleet_.setPlatformFaults(R"({"delay_ms":400})");
+  Fleet_.configure(1, document(2));
+  waitForVersion(2);
+}
+
 TEST_F(ConfigurationTest, CutOffZoneCatchesUpWhenItReturns) {
   Fleet_.setPlatformLink(2, TcpRelay::Mode::Swallow);
   Fleet_.setPeerLinks(2, TcpRelay::Mode::Swallow);
--- a/tests/system/leaving_test.cpp
+++ b/tests/system/leaving_test.cpp
@@ -76,6 +76,25 @@
   EXPECT_TRUE(receivesNothing(1));
 }
 
+TEST_F(LeavingTest, AnEntryThatWakesOffersNothingToIt) {
+  ASSERT_GT(readsAtFirst(0, 30), 0U);
+  Fleet_.entry(0).signal(SIGSTOP);
+  Fleet_.listInstance(0, "leaving", 1);
+  EXPECT_TRUE(TestFleet::eventually([&] { return receivesNothing(1); }));
+  Fleet_.entry(0).signal(SIGCONT);
+  EXPECT_TRUE(TestFleet::eventually([&] { return receivesNothing(0); }));
+}
+
+TEST_F(LeavingTest, StoppedEntryFinishesWhileThePlatformIsDown) {
+  std::thread Caller(
+      [&] { EXPECT_EQ(Fleet_.post(0, "s", "", 1'500).Body_, "s\n"); });
+  EXPECT_TRUE(TestFleet::eventually([&] { return Fleet_.reads("s") == 1; }));
+  Fleet_.setPlatformFaults(R"({"mode":"down"})");
+  Fleet_.entry(0).signal(SIGTERM);
+  EXPECT_EQ(Fleet_.entry(0).wait(), 0);
+  Caller.join();
+}
+
 TEST_F(LeavingTest, StoppedEntryFinishesWhatItHas) {
   std::vector<std::thread> Callers;
   std::atomic<int> Whole = 0;
