--- a/src/fleet/tests/fleetcontroller_test.cpp
+++ b/src/fleet/tests/fleetcontroller_test.cpp
@@ -74,7 +74,8 @@
 
 TEST(FleetController, OfTwoControllersOneSpendsTheBudget) {
   ModelFleet Fleet(8);
-  Fleet.controller().refresh();
+  // The members are enrolled, so that the next transaction is the move's.
+  Fleet.runRound();
   FleetController Other(Fleet.platform(), Fleet.clock(), Fleet.trace());
   Fleet.beforeNextTransaction([&] {
     EXPECT_TRUE(Other.beginMove(Fleet.configuration(), "w1", "mending", "b"));
