--- a/tests/system/testfleet.cpp
+++ b/tests/system/testfleet.cpp
@@ -156,6 +156,9 @@
   }
   ChildProcess Check("dragonflylock", Words, path("check.log"));
   EXPECT_EQ(Check.wait(), 0) << "see " << path("check.log");
+  PlatformProcess_.reset();
+  if (!::testing::Test::HasFailure())
+    std::filesystem::remove_all(Directory_);
 }
 
 HttpAnswer TestFleet::exchange(const SocketAddress &Address,
--- a/tests/system/testfleet.h
+++ b/tests/system/testfleet.h
@@ -66,7 +66,8 @@
   /// \returns the files in which all processes recorded their trace.
   std::vector<std::string> traces() const { return Traces_; }
 
-  /// Ends all processes and checks the promises from their traces.
+  /// Ends all processes and checks the promises from their traces. Removes
+  /// logs and traces where the test has not failed.
   void checkTraces();
 
   /// Waits until \p Holds, for at most a generous time.
