Limit what a peer's frame can make the codec allocate

Cause: AddressSanitizer on PeerCodec.RefusesRandomAndCutBytes reported a request for 128 GiB: a corrupt array length is taken as it stands. Ruled out: reading past the frame, lengths are checked. Change: msgpack's own limits on elements, bytes and depth. The test passes with and without the change outside the sanitizer, since the failed allocation was caught; 190 tests pass. Seen in the same run and not looked into: alloc-dealloc-mismatch reports in two TcpPeerLink tests, within Asio's allocation.

--- a/src/peers/internal/peercodec.cpp
+++ b/src/peers/internal/peercodec.cpp
@@ -49,6 +49,19 @@
   }
 };
 
+/// Unpacks the next object. Without limits a corrupt length makes the library
+/// ask for as much memory as it states.
+msgpack::object_handle unpackNext(const std::string &Body,
+                                  std::size_t &Offset) {
+  constexpr std::size_t MostElements = 65536;
+  constexpr std::size_t MostBytes = 8U << 20U;
+  constexpr std::size_t MostDepth = 8;
+  msgpack::unpack_limit Limit(MostElements, MostElements, MostBytes, MostBytes,
+                              MostBytes, MostDepth);
+  return msgpack::unpack(Body.data(), Body.size(), Offset, nullptr, nullptr,
+                         Limit);
+}
+
 /// The library's tuple converter reads past the end of an array that is too
 /// short, so that each length is checked first.
 const msgpack::object &withFields(const msgpack::object &Body,
@@ -69,7 +82,8 @@
 template <typename T> std::optional<T> unpackPair(const std::string &Body) {
   // The library reports malformed input by exceptions, which end here.
   try {
-    auto Handle = msgpack::unpack(Body.data(), Body.size());
+    std::size_t Offset = 0;
+    auto Handle = unpackNext(Body, Offset);
     auto Read = withFields(Handle.get(), PairFields).as<PairTuple>();
     return T{Read.get<0>(), Read.get<1>()};
   } catch (const std::exception &) {
@@ -111,8 +125,8 @@
 std::optional<PeerMessage> decode(const std::string &Body) {
   try {
     std::size_t Offset = 0;
-    auto Head = msgpack::unpack(Body.data(), Body.size(), Offset);
-    auto Rest = msgpack::unpack(Body.data(), Body.size(), Offset);
+    auto Head = unpackNext(Body, Offset);
+    auto Rest = unpackNext(Body, Offset);
     auto Which = Head.get().as<std::uint8_t>();
     if (Which < 1 || Which > static_cast<std::uint8_t>(Kind::Request))
       return std::nullopt;
