--- a/src/claims/internal/tableclaimservice.cpp
+++ b/src/claims/internal/tableclaimservice.cpp
@@ -220,26 +220,28 @@
   return static_cast<bool>(Table_.transact({Removal}));
 }
 
-RowWrite TableClaimService::insertOf(const ClaimRequest &Wanted) const {
+ClaimRecord TableClaimService::recordOf(const ClaimRequest &Wanted) const {
   ClaimRecord Record;
   Record.AttemptId_ = Wanted.AttemptId_;
   Record.Fingerprint_ = Wanted.Fingerprint_;
-  Record.CreatedMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
-                          Clock_.wallNow().time_since_epoch())
-                          .count();
+  Record.CreatedMs_ = millisecondsSinceEpoch(Clock_.wallNow());
+  return Record;
+}
+
+RowWrite TableClaimService::insertOf(const ClaimRequest &Wanted) const {
   return {{tables::Claims, Wanted.Key_},
           RowCondition::absent(),
-          claimcodec::encode(Record)};
+          claimcodec::encode(recordOf(Wanted))};
 }
 
 RowWrite TableClaimService::writeOf(const Pending &Entry) const {
-  RowWrite Write = insertOf(Entry.Claim_.Claim_);
-  Write.Condition_ = RowCondition::at(Entry.Claim_.Version_);
-  if (!Entry.Settlement_.Phase_) {
-    Write.Value_.reset();
+  const ClaimRequest &Claim = Entry.Claim_.Claim_;
+  RowWrite Write{{tables::Claims, Claim.Key_},
+                 RowCondition::at(Entry.Claim_.Version_),
+                 std::nullopt};
+  if (!Entry.Settlement_.Phase_)
     return Write;
-  }
-  ClaimRecord Record = claimcodec::decode(*Write.Value_).value();
+  ClaimRecord Record = recordOf(Claim);
   Record.Phase_ = *Entry.Settlement_.Phase_;
   Record.Answer_ = Entry.Settlement_.Answer_;
   Write.Value_ = claimcodec::encode(Record);
--- a/src/claims/internal/tableclaimservice.h
+++ b/src/claims/internal/tableclaimservice.h
@@ -57,6 +57,7 @@
   void removeLeftovers();
   bool removeLeftover(const ClaimRequest &Wanted);
   std::vector<ClaimEnd> collectEnded();
+  ClaimRecord recordOf(const ClaimRequest &Wanted) const;
   RowWrite insertOf(const ClaimRequest &Wanted) const;
   RowWrite writeOf(const Pending &Entry) const;
 
--- a/src/entry/internal/decisionloop.cpp
+++ b/src/entry/internal/decisionloop.cpp
@@ -309,9 +309,7 @@
   if (Version <= InForce_ || !Gate_.opensFor(Version, Clock_.now()))
     return;
   InForce_ = Version;
-  VersionSinceMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
-                        Clock_.wallNow().time_since_epoch())
-                        .count();
+  VersionSinceMs_ = millisecondsSinceEpoch(Clock_.wallNow());
   TraceEvent Record;
   Record.Kind_ = TraceKind::ConfigurationApplied;
   Record.Number_ = Version;
--- a/src/fleet/internal/fleetcontroller.cpp
+++ b/src/fleet/internal/fleetcontroller.cpp
@@ -33,9 +33,7 @@
     : Platform_(Platform), Clock_(Clock), Trace_(Trace), Reader_(Platform) {}
 
 std::int64_t FleetController::nowMs() const {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             Clock_.wallNow().time_since_epoch())
-      .count();
+  return millisecondsSinceEpoch(Clock_.wallNow());
 }
 
 RowWrite FleetController::audit(const std::string &Operator,
@@ -116,8 +114,7 @@
 }
 
 void FleetController::advanceWave(const FleetConfiguration &Fleet) {
-  WavePlan Plan = WavePlanner(Fleet).plan(
-      view(), nowMs(), [](const std::string &) { return true; });
+  WavePlan Plan = WavePlanner(Fleet).plan(view(), nowMs());
   for (const std::string &Instance : Plan.Reboots_) {
     std::uint64_t Epoch = view().Instances_.at(Instance).Value_.Epoch_;
     if (Rebooted_.contains({Instance, Epoch}))
--- a/src/fleet/internal/retentionsweeper.cpp
+++ b/src/fleet/internal/retentionsweeper.cpp
@@ -14,12 +14,11 @@
   auto Rows = Table_.readOldest(Name_, GroupSize);
   if (!Rows)
     return Rows.error();
-  auto Now = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Clock_.wallNow().time_since_epoch());
+  std::int64_t NowMs = millisecondsSinceEpoch(Clock_.wallNow());
   std::vector<RowWrite> Removals;
   for (const TableRow &Row : Rows.value()) {
     auto LastUsed = LastUsedMs_(Row);
-    bool IsOld = LastUsed && Now.count() - *LastUsed > Retention.count();
+    bool IsOld = LastUsed && NowMs - *LastUsed > Retention.count();
     if (IsOld)
       Removals.push_back(
           {{Name_, Row.Key_}, RowCondition::at(Row.Version_), std::nullopt});
--- a/src/fleet/internal/waveplanner.cpp
+++ b/src/fleet/internal/waveplanner.cpp
@@ -7,8 +7,16 @@
 
 WavePlanner::WavePlanner(const FleetConfiguration &Fleet) : Fleet_(Fleet) {}
 
+WavePlan WavePlanner::plan(const FleetView &View, std::int64_t NowMs) const {
+  WavePlan Next;
+  Next.IsFinished_ = View.Wave_.Value_.State_ == WaveState::Running;
+  for (const auto &[Instance, Row] : View.Instances_)
+    planInstance(View, NowMs, Instance, Next);
+  return Next;
+}
+
 void WavePlanner::planInstance(const FleetView &View, std::int64_t NowMs,
-                               const std::string &Instance, bool IsMine,
+                               const std::string &Instance,
                                WavePlan &Next) const {
   const InstanceRow &Row = View.Instances_.at(Instance).Value_;
   bool IsDone = Row.Wave_ == View.Wave_.Value_.Id_ &&
@@ -17,8 +25,6 @@
   // An instance that is gone cannot be maintained and does not hold the wave.
   if (!IsDone && IsListed)
     Next.IsFinished_ = false;
-  if (!IsMine)
-    return;
   if (Row.Phase_ == InstancePhase::Out)
     planOut(View, NowMs, Instance, Next);
   bool IsWanted = !IsDone && IsListed && Row.Phase_ == InstancePhase::Serving &&
--- a/src/fleet/waveplanner.h
+++ b/src/fleet/waveplanner.h
@@ -31,21 +31,13 @@
   /// \param Fleet the configuration in force; must outlive the planner.
   explicit WavePlanner(const FleetConfiguration &Fleet);
 
-  /// \returns what to do next for the pools for which \p IsMine holds.
-  template <typename Predicate>
-  WavePlan plan(const FleetView &View, std::int64_t NowMs,
-                Predicate IsMine) const {
-    WavePlan Next;
-    Next.IsFinished_ = View.Wave_.Value_.State_ == WaveState::Running;
-    for (const auto &[Instance, Row] : View.Instances_)
-      planInstance(View, NowMs, Instance, IsMine(Row.Value_.Pool_), Next);
-    return Next;
-  }
+  /// \returns what to do next.
+  /// \param NowMs calendar time in milliseconds since 1970.
+  WavePlan plan(const FleetView &View, std::int64_t NowMs) const;
 
 private:
   void planInstance(const FleetView &View, std::int64_t NowMs,
-                    const std::string &Instance, bool IsMine,
-                    WavePlan &Next) const;
+                    const std::string &Instance, WavePlan &Next) const;
   void planOut(const FleetView &View, std::int64_t NowMs,
                const std::string &Instance, WavePlan &Next) const;
   void planServing(const FleetView &View, std::int64_t NowMs,
--- a/src/global/iclock.h
+++ b/src/global/iclock.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_GLOBAL_ICLOCK_H
 
 #include <chrono>
+#include <cstdint>
 
 namespace dragonflylock {
 
@@ -10,6 +11,13 @@
 /// A point in calendar time, comparable across processes only roughly.
 using WallTime = std::chrono::system_clock::time_point;
 
+/// \returns \p Time in milliseconds since 1970, as rows and records hold it.
+inline std::int64_t millisecondsSinceEpoch(WallTime Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             Time.time_since_epoch())
+      .count();
+}
+
 /// Source of the current time.
 class IClock {
 public:
--- a/src/jobs/internal/tablejobservice.cpp
+++ b/src/jobs/internal/tablejobservice.cpp
@@ -56,9 +56,7 @@
                                           const JobRecord &Next) {
   JobRecord Stamped = Next;
   if (JobMachine::hasEnded(Next))
-    Stamped.EndedMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
-                           Clock_.wallNow().time_since_epoch())
-                           .count();
+    Stamped.EndedMs_ = millisecondsSinceEpoch(Clock_.wallNow());
   auto Written = Table_.transact({{{tables::Jobs, Id},
                                    RowCondition::at(Version),
                                    jobcodec::encode(Stamped)}});
--- a/src/operators/internal/operatorapi.cpp
+++ b/src/operators/internal/operatorapi.cpp
@@ -197,26 +197,27 @@
   return operatorjson::audit(Records);
 }
 
-HttpAnswer OperatorApi::moveInstance(const HttpRequest &Request) {
+HttpAnswer OperatorApi::changeFleet(const FleetChangeCall &Change) {
   auto Snapshot = View_.snapshot(SnapshotLimit);
   if (!Snapshot)
     return operatorjson::problem(Snapshot.error());
   if (!Snapshot.value().Configuration_)
     return operatorjson::notConfigured();
-  return operatorjson::done(Fleet_.beginMove(
-      *Snapshot.value().Configuration_, Request.query("instance"),
-      Request.query("pool"), operatorOf(Request)));
+  return operatorjson::done(Change(*Snapshot.value().Configuration_));
+}
+
+HttpAnswer OperatorApi::moveInstance(const HttpRequest &Request) {
+  return changeFleet([&](const FleetConfiguration &Fleet) {
+    return Fleet_.beginMove(Fleet, Request.query("instance"),
+                            Request.query("pool"), operatorOf(Request));
+  });
 }
 
 HttpAnswer OperatorApi::drainInstance(const HttpRequest &Request) {
-  auto Snapshot = View_.snapshot(SnapshotLimit);
-  if (!Snapshot)
-    return operatorjson::problem(Snapshot.error());
-  if (!Snapshot.value().Configuration_)
-    return operatorjson::notConfigured();
-  return operatorjson::done(
-      Fleet_.beginMaintenance(*Snapshot.value().Configuration_,
-                              Request.query("instance"), operatorOf(Request)));
+  return changeFleet([&](const FleetConfiguration &Fleet) {
+    return Fleet_.beginMaintenance(Fleet, Request.query("instance"),
+                                   operatorOf(Request));
+  });
 }
 
 HttpAnswer OperatorApi::forgetEntry(const HttpRequest &Request) {
--- a/src/operators/internal/operatorapi.h
+++ b/src/operators/internal/operatorapi.h
@@ -11,6 +11,7 @@
 
 namespace dragonflylock {
 
+class FleetConfiguration;
 class IClock;
 class IConfigurationParser;
 class IEntryView;
@@ -64,6 +65,10 @@
   HttpAnswer accept(const HttpRequest &Request, std::string Document,
                     std::optional<ConfigurationVersion> Expected,
                     const std::string &Reason);
+  /// Performs a change that needs the configuration in force.
+  using FleetChangeCall =
+      std::function<Result<void>(const FleetConfiguration &)>;
+  HttpAnswer changeFleet(const FleetChangeCall &Change);
   /// \returns an answer that \p Format makes of a snapshot.
   HttpAnswer fromSnapshot(HttpAnswer (*Format)(const EntrySnapshot &));
 
--- a/src/routing/internal/requestengine.cpp
+++ b/src/routing/internal/requestengine.cpp
@@ -111,42 +111,45 @@
 
 RequestEngine::Actions RequestEngine::onRequest(TimePoint Now,
                                                 const RequestHead &Head) {
+  if (IsRefusing_)
+    return refuse(Head, RoutingErrc::ShuttingDown);
+  if (!Configuration_)
+    return refuse(Head, RoutingErrc::NoConfiguration);
+  const Route *Found = Configuration_->findRoute(Head.Path_);
+  if (Found == nullptr)
+    return refuse(Head, RoutingErrc::NoRoute);
+  const PoolSettings &Settings = *Configuration_->findPool(Found->Pool_);
+  if (auto Kind = refusal(Head, Settings))
+    return refuse(Head, *Kind);
   Actions Out;
-  if (auto Kind = refusal(Head)) {
-    Out.push_back(FailAction{Head.Id_, *Kind, Outcome::NotRun});
-    return Out;
-  }
-  admit(Now, Head, Out);
+  admit(Now, Head, *Found, Settings, Out);
   return Out;
 }
 
+RequestEngine::Actions RequestEngine::refuse(const RequestHead &Head,
+                                             RoutingErrc Kind) {
+  return {FailAction{Head.Id_, Kind, Outcome::NotRun}};
+}
+
 std::optional<RoutingErrc>
-RequestEngine::refusal(const RequestHead &Head) const {
-  if (IsRefusing_)
-    return RoutingErrc::ShuttingDown;
-  if (!Configuration_)
-    return RoutingErrc::NoConfiguration;
-  const Route *Found = Configuration_->findRoute(Head.Path_);
-  if (Found == nullptr)
-    return RoutingErrc::NoRoute;
-  const PoolSettings *Settings = Configuration_->findPool(Found->Pool_);
-  if (Head.HeadSize_ > Settings->MaxHead_)
+RequestEngine::refusal(const RequestHead &Head, const PoolSettings &Settings) {
+  if (Head.HeadSize_ > Settings.MaxHead_)
     return RoutingErrc::HeadTooLarge;
-  if (Head.BodySize_ > Settings->MaxBody_)
+  if (Head.BodySize_ > Settings.MaxBody_)
     return RoutingErrc::BodyTooLarge;
   return std::nullopt;
 }
 
 void RequestEngine::admit(TimePoint Now, const RequestHead &Head,
+                          const Route &Found, const PoolSettings &Settings,
                           Actions &Out) {
-  const Route *Found = Configuration_->findRoute(Head.Path_);
   Request &Entry = Requests_[Head.Id_];
   Entry.Head_ = Head;
-  Entry.Pool_ = Found->Pool_;
-  Entry.Settings_ = *Configuration_->findPool(Found->Pool_);
+  Entry.Pool_ = Found.Pool_;
+  Entry.Settings_ = Settings;
   Entry.Deadline_ = Now + Entry.Settings_.Deadline_;
   Entry.IsIdempotent_ =
-      Found->Idempotent_.value_or(isIdempotentMethod(Head.Method_));
+      Found.Idempotent_.value_or(isIdempotentMethod(Head.Method_));
   Pools_[Entry.Pool_].Retries_.onRequest(Entry.Settings_.RetryBudget_);
   waitUntil(Entry, Entry.Deadline_);
   if (Entry.IsIdempotent_ || Head.ClaimKey_.empty()) {
--- a/src/routing/requestengine.h
+++ b/src/routing/requestengine.h
@@ -96,8 +96,11 @@
     OutlierDetector Outliers_;
   };
 
-  std::optional<RoutingErrc> refusal(const RequestHead &Head) const;
-  void admit(TimePoint Now, const RequestHead &Head, Actions &Out);
+  static std::optional<RoutingErrc> refusal(const RequestHead &Head,
+                                            const PoolSettings &Settings);
+  void admit(TimePoint Now, const RequestHead &Head, const Route &Found,
+             const PoolSettings &Settings, Actions &Out);
+  static Actions refuse(const RequestHead &Head, RoutingErrc Kind);
   void enqueue(TimePoint Now, Request &Entry, Actions &Out);
   void dispatch(TimePoint Now, const std::string &Pool, Actions &Out);
   bool offerNext(TimePoint Now, PoolState &Pool, Actions &Out);
--- a/src/steering/internal/configurationstore.cpp
+++ b/src/steering/internal/configurationstore.cpp
@@ -143,9 +143,7 @@
   Next.ChangeId_ = Change.ChangeId_;
   Next.Operator_ = Change.Operator_;
   Next.Reason_ = Change.Reason_;
-  Next.AcceptedMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
-                         Clock_.wallNow().time_since_epoch())
-                         .count();
+  Next.AcceptedMs_ = millisecondsSinceEpoch(Clock_.wallNow());
   AuditRecord Audit{Next.AcceptedMs_, Change.Operator_, "configuration",
                     "version " + std::to_string(Next.Version_) +
                         (Change.Reason_.empty() ? "" : ": " + Change.Reason_),
