--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -10,6 +10,9 @@
 
 # Adds the test program of the module in this folder.
 function(dragonflylock_add_tests Name)
+  if(NOT DRAGONFLYLOCK_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(Tests "" "" "SOURCES;LINK" ${ARGN})
   add_executable(${Name}_tests ${Tests_SOURCES})
   target_link_libraries(${Name}_tests PRIVATE ${Tests_LINK} GTest::gmock
--- a/src/app/daemonmain.cpp
+++ b/src/app/daemonmain.cpp
@@ -1,3 +1,4 @@
+#include "app/schedulerdaemon.h"
 #include "entry/entry.h"
 #include "global/internal/boostlogger.h"
 #include "global/logevent.h"
@@ -7,8 +8,10 @@
 #include <docopt.h>
 
 #include <csignal>
+#include <fstream>
 #include <iostream>
 #include <map>
+#include <sstream>
 #include <string>
 
 namespace dragonflylock {
@@ -17,6 +20,8 @@
 constexpr int ExitOk = 0;
 constexpr int ExitSettings = 2;
 constexpr int ExitStart = 3;
+/// Interval of looking for a settings file that changed without a signal.
+constexpr timespec SettingsPoll{2, 0};
 
 constexpr const char *Usage =
     R"(dragonflylockd: an entry instance of dragonflylock.
@@ -27,6 +32,9 @@
   dragonflylockd --version
 
 Options:
+  --config=FILE                  Settings file of the users' platform. With it
+                                 the daemon schedules jobs of steps there, and
+                                 the file replaces all other options.
   --name=NAME                    Name of this entry instance.
   --zone=ZONE                    Availability zone of this entry instance.
   --callers=IP:PORT              Port for callers [127.0.0.1:8080].
@@ -85,27 +93,90 @@
   return ExitOk;
 }
 
+std::string readFile(const std::string &Path) {
+  std::ifstream File(Path);
+  std::ostringstream Content;
+  Content << File.rdbuf();
+  return Content.str();
+}
+
+/// Signals that only sigwait() gets, in every thread started from here on.
+sigset_t blockSignals() {
+  sigset_t Blocked;
+  sigemptyset(&Blocked);
+  sigaddset(&Blocked, SIGTERM);
+  sigaddset(&Blocked, SIGINT);
+  sigaddset(&Blocked, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &Blocked, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return Blocked;
+}
+
+int reportFaults(const std::vector<Error> &Faults) {
+  for (const Error &Fault : Faults)
+    std::cerr << "dragonflylockd: " << Fault.message() << "\n";
+  return Faults.empty() ? ExitOk : ExitSettings;
+}
+
+/// Puts the settings file into force again where its text has changed.
+void reloadSettings(const std::string &Path, std::string &Text,
+                    SchedulerDaemon &Daemon, ILogger &Logger) {
+  std::string Next = readFile(Path);
+  if (Next == Text || Next.empty())
+    return;
+  Text = Next;
+  ReadPlatformSettings Read = readPlatformSettings(Text);
+  for (const Error &Fault : Read.Faults_)
+    Logger.write(LogLevel::Error,
+                 LogEvent("settings.refused").with("error", Fault.message()));
+  if (Read.Faults_.empty())
+    Daemon.applySettings(Read.Settings_);
+}
+
+int runScheduler(const std::string &Path, bool IsCheckOnly) {
+  std::string Text = readFile(Path);
+  ReadPlatformSettings Read = readPlatformSettings(Text);
+  if (int Code = reportFaults(Read.Faults_); Code != ExitOk || IsCheckOnly)
+    return Code;
+  sigset_t Signals = blockSignals();
+  BoostLogger Logger(LogLevel::Info, Read.Settings_.Scheduling_.Node_);
+  auto Daemon = SchedulerDaemon::Builder()
+                    .settings(Read.Settings_)
+                    .logger(Logger)
+                    .build();
+  if (auto Started = Daemon->start(); !Started) {
+    Logger.write(
+        LogLevel::Error,
+        LogEvent("node.failed").with("error", Started.error().message()));
+    return ExitStart;
+  }
+  while (true) {
+    int Signal = sigtimedwait(&Signals, nullptr, &SettingsPoll);
+    if (Signal == SIGTERM || Signal == SIGINT)
+      break;
+    reloadSettings(Path, Text, *Daemon, Logger);
+  }
+  Daemon->drain();
+  return ExitOk;
+}
+
 int runDaemon(int Count, char **Words) {
   auto Arguments = docopt::docopt(Usage, {Words + 1, Words + Count}, true,
                                   "dragonflylockd 0.1.0");
   SettingSource Source(givenFlags(Arguments),
                        SettingSource::processEnvironment());
+  bool IsCheckOnly = Arguments.at("--check-settings").asBool();
+  if (auto File = Source.find("config"))
+    return runScheduler(*File, IsCheckOnly);
   ReadSettings Read = readDaemonSettings(Source);
-  for (const Error &Fault : Read.Faults_)
-    std::cerr << "dragonflylockd: " << Fault.message() << "\n";
-  if (!Read.Faults_.empty())
-    return ExitSettings;
-  if (Arguments.at("--check-settings").asBool()) {
+  if (int Code = reportFaults(Read.Faults_); Code != ExitOk)
+    return Code;
+  if (IsCheckOnly) {
     std::cout << "settings are in order\n";
     return ExitOk;
   }
-  // All threads inherit the mask, so that only sigwait() gets these signals.
-  sigset_t StopSignals;
-  sigemptyset(&StopSignals);
-  sigaddset(&StopSignals, SIGTERM);
-  sigaddset(&StopSignals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &StopSignals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
+  sigset_t StopSignals = blockSignals();
+  sigdelset(&StopSignals, SIGHUP);
   return runEntry(Read.Settings_, StopSignals);
 }
 
--- /dev/null
+++ b/src/app/schedulerdaemon.cpp
@@ -0,0 +1,156 @@
+#include "app/schedulerdaemon.h"
+#include "global/digest.h"
+#include "global/ilogger.h"
+#include "global/internal/bootclock.h"
+#include "global/logevent.h"
+#include "http/internal/curlasyncclient.h"
+#include "http/internal/restinioserver.h"
+#include "node/eventloop.h"
+#include "platform/callerport.h"
+#include "platform/fleetfeeds.h"
+#include "platform/machineclient.h"
+#include "platform/tablestore.h"
+#include "platform/workerclient.h"
+#include "scheduling/schedulernode.h"
+
+#include <atomic>
+#include <thread>
+
+namespace dragonflylock {
+namespace {
+
+constexpr std::size_t DecisionRing = 16384;
+constexpr std::size_t ExchangeRing = 8192;
+constexpr std::chrono::milliseconds TickInterval{40};
+/// Bytes of a caller's request body.
+constexpr std::size_t LargestBody = 1U << 20U;
+constexpr std::size_t ProcessIdBytes = 6;
+/// Time for the platform to learn that the node is not ready: it asks every
+/// second and acts on the second refusal.
+constexpr std::chrono::milliseconds TurnAwayTime{2300};
+constexpr std::chrono::milliseconds DrainPoll{20};
+/// Time before the platform ends the process that is left for its own end.
+constexpr std::chrono::milliseconds StopReserve{700};
+
+} // namespace
+
+struct SchedulerDaemon::Parts {
+  Parts(PlatformSettings Chosen, ILogger &Log)
+      : Settings_(std::move(Chosen)), Logger_(Log),
+        Loop_(DecisionRing, TickInterval),
+        Client_(
+            [this](EventLoop::Work Next) {
+              return Loop_.post(std::move(Next));
+            },
+            ExchangeRing),
+        Store_(Client_, Settings_.Store_), Workers_(Client_),
+        Machines_(Client_, Settings_.Machines_, Store_),
+        Node_(SchedulerNode::Builder()
+                  .settings(Settings_.Scheduling_)
+                  .process(randomId(ProcessIdBytes))
+                  .clock(Clock_)
+                  .store(Store_)
+                  .workers(Workers_)
+                  .machines(Machines_)
+                  .logger(Logger_)
+                  .build()),
+        Feeds_(Store_, Clock_, Logger_, *Node_),
+        Callers_(
+            *Node_,
+            [this](EventLoop::Work Next) {
+              return Loop_.post(std::move(Next));
+            },
+            Logger_),
+        Readiness_([this] { return IsReady_.load(); }),
+        CallerServer_(Settings_.Callers_, Callers_, LargestBody),
+        ReadinessServer_(Settings_.Readiness_, Readiness_, LargestBody) {}
+
+  void tick() {
+    Feeds_.tick();
+    Node_->tick();
+    bool IsReady = Node_->isReady();
+    if (IsReady_.exchange(IsReady) != IsReady)
+      Logger_.write(LogLevel::Info,
+                    LogEvent(IsReady ? "node.ready" : "node.unready"));
+  }
+
+  PlatformSettings Settings_;
+  ILogger &Logger_;
+  BootClock Clock_;
+  EventLoop Loop_;
+  CurlAsyncClient Client_;
+  TableStore Store_;
+  WorkerClient Workers_;
+  MachineClient Machines_;
+  std::unique_ptr<SchedulerNode> Node_;
+  FleetFeeds Feeds_;
+  JobCallerPort Callers_;
+  std::atomic<bool> IsReady_ = false;
+  ReadinessPort Readiness_;
+  RestinioServer CallerServer_;
+  RestinioServer ReadinessServer_;
+};
+
+SchedulerDaemon::Builder &
+SchedulerDaemon::Builder::settings(PlatformSettings Value) {
+  Settings_ = std::move(Value);
+  return *this;
+}
+
+SchedulerDaemon::Builder &SchedulerDaemon::Builder::logger(ILogger &Value) {
+  Logger_ = &Value;
+  return *this;
+}
+
+std::unique_ptr<SchedulerDaemon> SchedulerDaemon::Builder::build() {
+  return std::unique_ptr<SchedulerDaemon>(new SchedulerDaemon(
+      std::make_unique<Parts>(std::move(Settings_), *Logger_)));
+}
+
+SchedulerDaemon::SchedulerDaemon(std::unique_ptr<Parts> Built)
+    : Parts_(std::move(Built)) {}
+
+SchedulerDaemon::~SchedulerDaemon() {
+  Parts_->CallerServer_.stop();
+  Parts_->ReadinessServer_.stop();
+  Parts_->Client_.stop();
+  Parts_->Loop_.stop();
+}
+
+Result<void> SchedulerDaemon::start() {
+  Parts_->Loop_.start([this] { Parts_->tick(); });
+  Parts_->Client_.start();
+  if (auto Started = Parts_->ReadinessServer_.start(); !Started)
+    return Started;
+  if (auto Started = Parts_->CallerServer_.start(); !Started)
+    return Started;
+  Parts_->Logger_.write(
+      LogLevel::Info, LogEvent("node.started")
+                          .with("zone", Parts_->Settings_.Scheduling_.Zone_)
+                          .with("callers", Parts_->Settings_.Callers_.text()));
+  return {};
+}
+
+void SchedulerDaemon::applySettings(const PlatformSettings &Settings) {
+  Parts_->Loop_.post([this, Limits = Settings.Scheduling_] {
+    Parts_->Node_->onSettings(Limits);
+  });
+  Parts_->Logger_.write(LogLevel::Info, LogEvent("settings.reloaded"));
+}
+
+void SchedulerDaemon::drain() {
+  Parts_->Logger_.write(LogLevel::Info, LogEvent("node.draining"));
+  auto Begun = std::chrono::steady_clock::now();
+  Parts_->Loop_.post([this] { Parts_->Node_->release(); });
+  std::this_thread::sleep_for(TurnAwayTime);
+  Parts_->CallerServer_.closeConnectionsAfterAnswers();
+  auto GiveUpAt =
+      Begun + Parts_->Settings_.Scheduling_.StopGrace_ - StopReserve;
+  while ((Parts_->CallerServer_.pendingAnswers() > 0 ||
+          Parts_->CallerServer_.openConnections() > 0) &&
+         std::chrono::steady_clock::now() < GiveUpAt)
+    std::this_thread::sleep_for(DrainPoll);
+  Parts_->Logger_.write(LogLevel::Info, LogEvent("node.stopped"));
+}
+
+} // namespace dragonflylock
--- a/src/claims/internal/claimcodec.cpp
+++ b/src/claims/internal/claimcodec.cpp
@@ -1,6 +1,6 @@
 #include "claims/claimcodec.h"
 #include "http/messagecodec.h"
-#include "platform/platformerrors.h"
+#include "platformservices/platformerrors.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/claims/internal/tableclaimservice.cpp
+++ b/src/claims/internal/tableclaimservice.cpp
@@ -1,9 +1,9 @@
 #include "claims/internal/tableclaimservice.h"
 #include "claims/claimcodec.h"
 #include "global/iclock.h"
-#include "platform/itableservice.h"
-#include "platform/platformerrors.h"
-#include "platform/tablenames.h"
+#include "platformservices/itableservice.h"
+#include "platformservices/platformerrors.h"
+#include "platformservices/tablenames.h"
 
 #include <algorithm>
 
--- a/src/claims/tests/tableclaimservice_test.cpp
+++ b/src/claims/tests/tableclaimservice_test.cpp
@@ -1,10 +1,10 @@
 #include "claims/claimcodec.h"
 #include "claims/internal/tableclaimservice.h"
 #include "global/tests/mocks/manualclock.h"
-#include "platform/internal/embeddedplatform.h"
-#include "platform/platformerrors.h"
-#include "platform/tablenames.h"
-#include "platform/tests/mocks/faultytable.h"
+#include "platformservices/internal/embeddedplatform.h"
+#include "platformservices/platformerrors.h"
+#include "platformservices/tablenames.h"
+#include "platformservices/tests/mocks/faultytable.h"
 
 #include <gtest/gtest.h>
 
--- a/src/entry/entrytypes.h
+++ b/src/entry/entrytypes.h
@@ -6,7 +6,7 @@
 #include "global/iclock.h"
 #include "http/httptypes.h"
 #include "operators/operatorstypes.h"
-#include "platform/platformtypes.h"
+#include "platformservices/platformtypes.h"
 
 #include <cstdint>
 #include <future>
--- a/src/entry/internal/fleetworker.cpp
+++ b/src/entry/internal/fleetworker.cpp
@@ -9,8 +9,8 @@
 #include "jobs/jobmachine.h"
 #include "operators/ientryview.h"
 #include "operators/operatorstypes.h"
-#include "platform/iplatform.h"
-#include "platform/tablenames.h"
+#include "platformservices/iplatform.h"
+#include "platformservices/tablenames.h"
 
 #include <algorithm>
 
--- a/src/entry/internal/jobanswers.cpp
+++ b/src/entry/internal/jobanswers.cpp
@@ -2,7 +2,7 @@
 #include "entry/internal/failureanswer.h"
 #include "entry/internal/jobworker.h"
 #include "jobs/jobcodec.h"
-#include "platform/platformerrors.h"
+#include "platformservices/platformerrors.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/entry/internal/jobworker.cpp
+++ b/src/entry/internal/jobworker.cpp
@@ -5,7 +5,7 @@
 #include "http/ihttpresponder.h"
 #include "operators/ientryview.h"
 #include "operators/operatorstypes.h"
-#include "platform/iplatform.h"
+#include "platformservices/iplatform.h"
 
 namespace dragonflylock {
 namespace {
--- a/src/entry/internal/platformwatcher.cpp
+++ b/src/entry/internal/platformwatcher.cpp
@@ -3,8 +3,8 @@
 #include "global/ilogger.h"
 #include "global/logevent.h"
 #include "metrics/ientrymetrics.h"
-#include "platform/iplatform.h"
-#include "platform/tablenames.h"
+#include "platformservices/iplatform.h"
+#include "platformservices/tablenames.h"
 #include "steering/steeringcodec.h"
 
 namespace dragonflylock {
--- a/src/entry/internal/platformwatcher.h
+++ b/src/entry/internal/platformwatcher.h
@@ -3,7 +3,7 @@
 
 #include "entry/entrytypes.h"
 #include "global/signal.h"
-#include "platform/platformtypes.h"
+#include "platformservices/platformtypes.h"
 
 #include <atomic>
 #include <chrono>
--- a/src/fleet/fleettransitions.h
+++ b/src/fleet/fleettransitions.h
@@ -5,7 +5,7 @@
 #include "fleet/availabilitybudget.h"
 #include "fleet/fleettypes.h"
 #include "global/result.h"
-#include "platform/platformtypes.h"
+#include "platformservices/platformtypes.h"
 
 #include <optional>
 #include <string>
--- a/src/fleet/fleettypes.h
+++ b/src/fleet/fleettypes.h
@@ -1,7 +1,7 @@
 #ifndef DRAGONFLYLOCK_FLEET_FLEETTYPES_H
 #define DRAGONFLYLOCK_FLEET_FLEETTYPES_H
 
-#include "platform/platformtypes.h"
+#include "platformservices/platformtypes.h"
 #include "routing/instancetypes.h"
 
 #include <cstdint>
--- a/src/fleet/internal/fleetcodec.cpp
+++ b/src/fleet/internal/fleetcodec.cpp
@@ -1,5 +1,5 @@
 #include "fleet/fleetcodec.h"
-#include "platform/jsondecoding.h"
+#include "platformservices/jsondecoding.h"
 
 namespace dragonflylock::fleetcodec {
 namespace {
--- a/src/fleet/internal/fleetreader.cpp
+++ b/src/fleet/internal/fleetreader.cpp
@@ -1,8 +1,8 @@
 #include "fleet/fleetreader.h"
 #include "fleet/fleetcodec.h"
 #include "fleet/instancerowcodec.h"
-#include "platform/iplatform.h"
-#include "platform/tablenames.h"
+#include "platformservices/iplatform.h"
+#include "platformservices/tablenames.h"
 
 namespace dragonflylock {
 namespace {
--- a/src/fleet/internal/fleettransitions.cpp
+++ b/src/fleet/internal/fleettransitions.cpp
@@ -2,7 +2,7 @@
 #include "fleet/fleetcodec.h"
 #include "fleet/fleeterrors.h"
 #include "fleet/instancerowcodec.h"
-#include "platform/tablenames.h"
+#include "platformservices/tablenames.h"
 
 #include <algorithm>
 
--- a/src/fleet/internal/instancerowcodec.cpp
+++ b/src/fleet/internal/instancerowcodec.cpp
@@ -1,5 +1,5 @@
 #include "fleet/instancerowcodec.h"
-#include "platform/platformerrors.h"
+#include "platformservices/platformerrors.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/fleet/internal/retentionsweeper.cpp
+++ b/src/fleet/internal/retentionsweeper.cpp
@@ -1,6 +1,6 @@
 #include "fleet/retentionsweeper.h"
 #include "global/iclock.h"
-#include "platform/itableservice.h"
+#include "platformservices/itableservice.h"
 
 namespace dragonflylock {
 
--- a/src/fleet/tests/mocks/modelfleet.h
+++ b/src/fleet/tests/mocks/modelfleet.h
@@ -6,9 +6,9 @@
 #include "fleet/fleetcontroller.h"
 #include "fleet/instancerowcodec.h"
 #include "global/tests/mocks/manualclock.h"
-#include "platform/internal/embeddedplatform.h"
-#include "platform/platformerrors.h"
-#include "platform/tablenames.h"
+#include "platformservices/internal/embeddedplatform.h"
+#include "platformservices/platformerrors.h"
+#include "platformservices/tablenames.h"
 #include "trace/itracesink.h"
 #include "trace/traceevent.h"
 
--- a/src/fleet/tests/moveexploration_test.cpp
+++ b/src/fleet/tests/moveexploration_test.cpp
@@ -4,7 +4,7 @@
 #include "fleet/fleettypes.h"
 #include "fleet/instancerowcodec.h"
 #include "fleet/quiescencetracker.h"
-#include "platform/tablenames.h"
+#include "platformservices/tablenames.h"
 
 #include <gtest/gtest.h>
 
--- a/src/fleet/tests/retentionsweeper_test.cpp
+++ b/src/fleet/tests/retentionsweeper_test.cpp
@@ -1,7 +1,7 @@
 #include "fleet/retentionsweeper.h"
 #include "global/tests/mocks/manualclock.h"
-#include "platform/internal/embeddedplatform.h"
-#include "platform/tests/mocks/faultytable.h"
+#include "platformservices/internal/embeddedplatform.h"
+#include "platformservices/tests/mocks/faultytable.h"
 
 #include <gtest/gtest.h>
 
--- a/src/jobs/ijobservice.h
+++ b/src/jobs/ijobservice.h
@@ -3,7 +3,7 @@
 
 #include "global/result.h"
 #include "jobs/jobtypes.h"
-#include "platform/platformtypes.h"
+#include "platformservices/platformtypes.h"
 
 #include <map>
 #include <optional>
--- a/src/jobs/internal/jobrunner.cpp
+++ b/src/jobs/internal/jobrunner.cpp
@@ -1,6 +1,6 @@
 #include "jobs/jobrunner.h"
 #include "fleet/rendezvous.h"
-#include "platform/platformerrors.h"
+#include "platformservices/platformerrors.h"
 
 namespace dragonflylock {
 namespace {
--- a/src/jobs/internal/tablejobservice.cpp
+++ b/src/jobs/internal/tablejobservice.cpp
@@ -2,9 +2,9 @@
 #include "global/iclock.h"
 #include "jobs/jobcodec.h"
 #include "jobs/jobmachine.h"
-#include "platform/itableservice.h"
-#include "platform/platformerrors.h"
-#include "platform/tablenames.h"
+#include "platformservices/itableservice.h"
+#include "platformservices/platformerrors.h"
+#include "platformservices/tablenames.h"
 
 namespace dragonflylock {
 namespace {
--- a/src/jobs/tests/jobrunner_test.cpp
+++ b/src/jobs/tests/jobrunner_test.cpp
@@ -2,8 +2,8 @@
 #include "jobs/internal/tablejobservice.h"
 #include "jobs/jobcodec.h"
 #include "jobs/jobrunner.h"
-#include "platform/internal/embeddedplatform.h"
-#include "platform/tests/mocks/faultytable.h"
+#include "platformservices/internal/embeddedplatform.h"
+#include "platformservices/tests/mocks/faultytable.h"
 
 #include <gtest/gtest.h>
 
--- a/src/operators/internal/operatorapi.cpp
+++ b/src/operators/internal/operatorapi.cpp
@@ -7,8 +7,8 @@
 #include "operators/ientryview.h"
 #include "operators/internal/operatorjson.h"
 #include "operators/operatorstypes.h"
-#include "platform/iplatform.h"
-#include "platform/tablenames.h"
+#include "platformservices/iplatform.h"
+#include "platformservices/tablenames.h"
 #include "steering/steeringcodec.h"
 
 namespace dragonflylock {
--- a/src/operators/internal/operatorjson.cpp
+++ b/src/operators/internal/operatorjson.cpp
@@ -6,7 +6,7 @@
 #include "fleet/fleeterrors.h"
 #include "operators/operatorserrors.h"
 #include "operators/operatorstypes.h"
-#include "platform/platformerrors.h"
+#include "platformservices/platformerrors.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/operators/internal/operatorport.cpp
+++ b/src/operators/internal/operatorport.cpp
@@ -5,7 +5,7 @@
 #include "operators/internal/operatorapi.h"
 #include "operators/internal/operatorjson.h"
 #include "operators/operatorstypes.h"
-#include "platform/iplatform.h"
+#include "platformservices/iplatform.h"
 
 #include <openssl/crypto.h>
 
--- a/src/platform/iinstancecontrol.h
+++ b/src/platformservices/iinstancecontrol.h
@@ -1,8 +1,8 @@
-#ifndef DRAGONFLYLOCK_PLATFORM_IINSTANCECONTROL_H
-#define DRAGONFLYLOCK_PLATFORM_IINSTANCECONTROL_H
+#ifndef DRAGONFLYLOCK_PLATFORMSERVICES_IINSTANCECONTROL_H
+#define DRAGONFLYLOCK_PLATFORMSERVICES_IINSTANCECONTROL_H
 
 #include "global/result.h"
-#include "platform/platformtypes.h"
+#include "platformservices/platformtypes.h"
 
 #include <string>
 
--- a/src/platform/iinstancedirectory.h
+++ b/src/platformservices/iinstancedirectory.h
@@ -1,8 +1,8 @@
-#ifndef DRAGONFLYLOCK_PLATFORM_IINSTANCEDIRECTORY_H
-#define DRAGONFLYLOCK_PLATFORM_IINSTANCEDIRECTORY_H
+#ifndef DRAGONFLYLOCK_PLATFORMSERVICES_IINSTANCEDIRECTORY_H
+#define DRAGONFLYLOCK_PLATFORMSERVICES_IINSTANCEDIRECTORY_H
 
 #include "global/result.h"
-#include "platform/platformtypes.h"
+#include "platformservices/platformtypes.h"
 
 namespace dragonflylock {
 
--- a/src/platform/internal/embeddedplatform.cpp
+++ b/src/platformservices/internal/embeddedplatform.cpp
@@ -1,5 +1,5 @@
-#include "platform/internal/embeddedplatform.h"
-#include "platform/platformerrors.h"
+#include "platformservices/internal/embeddedplatform.h"
+#include "platformservices/platformerrors.h"
 
 namespace dragonflylock {
 
--- a/src/platform/internal/httpplatform.cpp
+++ b/src/platformservices/internal/httpplatform.cpp
@@ -1,10 +1,10 @@
-#include "platform/internal/httpplatform.h"
+#include "platformservices/internal/httpplatform.h"
 #include "global/units.h"
 #include "http/httperrors.h"
 #include "http/httptypes.h"
 #include "http/ihttpclient.h"
-#include "platform/platformcodec.h"
-#include "platform/platformerrors.h"
+#include "platformservices/platformcodec.h"
+#include "platformservices/platformerrors.h"
 
 #include <string_view>
 
--- a/src/platform/internal/platformcodec.cpp
+++ b/src/platformservices/internal/platformcodec.cpp
@@ -1,5 +1,5 @@
-#include "platform/platformcodec.h"
-#include "platform/jsondecoding.h"
+#include "platformservices/platformcodec.h"
+#include "platformservices/jsondecoding.h"
 
 #include <array>
 
--- a/src/platform/internal/platformerrors.cpp
+++ b/src/platformservices/internal/platformerrors.cpp
@@ -1,4 +1,4 @@
-#include "platform/platformerrors.h"
+#include "platformservices/platformerrors.h"
 #include "global/errorcategory.h"
 
 namespace dragonflylock {
--- a/src/platform/iplatform.h
+++ b/src/platformservices/iplatform.h
@@ -1,10 +1,10 @@
-#ifndef DRAGONFLYLOCK_PLATFORM_IPLATFORM_H
-#define DRAGONFLYLOCK_PLATFORM_IPLATFORM_H
+#ifndef DRAGONFLYLOCK_PLATFORMSERVICES_IPLATFORM_H
+#define DRAGONFLYLOCK_PLATFORMSERVICES_IPLATFORM_H
 
-#include "platform/iinstancecontrol.h"
-#include "platform/iinstancedirectory.h"
-#include "platform/iobjectstore.h"
-#include "platform/itableservice.h"
+#include "platformservices/iinstancecontrol.h"
+#include "platformservices/iinstancedirectory.h"
+#include "platformservices/iobjectstore.h"
+#include "platformservices/itableservice.h"
 
 namespace dragonflylock {
 
--- a/src/platform/itableservice.h
+++ b/src/platformservices/itableservice.h
@@ -1,8 +1,8 @@
-#ifndef DRAGONFLYLOCK_PLATFORM_ITABLESERVICE_H
-#define DRAGONFLYLOCK_PLATFORM_ITABLESERVICE_H
+#ifndef DRAGONFLYLOCK_PLATFORMSERVICES_ITABLESERVICE_H
+#define DRAGONFLYLOCK_PLATFORMSERVICES_ITABLESERVICE_H
 
 #include "global/result.h"
-#include "platform/platformtypes.h"
+#include "platformservices/platformtypes.h"
 
 #include <optional>
 #include <string>
--- a/src/platform/jsondecoding.h
+++ b/src/platformservices/jsondecoding.h
@@ -1,8 +1,8 @@
-#ifndef DRAGONFLYLOCK_PLATFORM_JSONDECODING_H
-#define DRAGONFLYLOCK_PLATFORM_JSONDECODING_H
+#ifndef DRAGONFLYLOCK_PLATFORMSERVICES_JSONDECODING_H
+#define DRAGONFLYLOCK_PLATFORMSERVICES_JSONDECODING_H
 
 #include "global/result.h"
-#include "platform/platformerrors.h"
+#include "platformservices/platformerrors.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/tablenames.h
+++ b/src/platformservices/tablenames.h
@@ -1,5 +1,5 @@
-#ifndef DRAGONFLYLOCK_PLATFORM_TABLENAMES_H
-#define DRAGONFLYLOCK_PLATFORM_TABLENAMES_H
+#ifndef DRAGONFLYLOCK_PLATFORMSERVICES_TABLENAMES_H
+#define DRAGONFLYLOCK_PLATFORMSERVICES_TABLENAMES_H
 
 /// Tables and rows that dragonflylock keeps in the table service.
 namespace dragonflylock::tables {
--- a/src/platform/tests/embeddedplatform_test.cpp
+++ b/src/platformservices/tests/embeddedplatform_test.cpp
@@ -1,6 +1,6 @@
-#include "platform/internal/embeddedplatform.h"
-#include "platform/platformcodec.h"
-#include "platform/platformerrors.h"
+#include "platformservices/internal/embeddedplatform.h"
+#include "platformservices/platformcodec.h"
+#include "platformservices/platformerrors.h"
 
 #include <gtest/gtest.h>
 
--- a/src/platform/tests/mocks/faultytable.h
+++ b/src/platformservices/tests/mocks/faultytable.h
@@ -1,8 +1,8 @@
-#ifndef DRAGONFLYLOCK_PLATFORM_TESTS_MOCKS_FAULTYTABLE_H
-#define DRAGONFLYLOCK_PLATFORM_TESTS_MOCKS_FAULTYTABLE_H
+#ifndef DRAGONFLYLOCK_PLATFORMSERVICES_TESTS_MOCKS_FAULTYTABLE_H
+#define DRAGONFLYLOCK_PLATFORMSERVICES_TESTS_MOCKS_FAULTYTABLE_H
 
-#include "platform/itableservice.h"
-#include "platform/platformerrors.h"
+#include "platformservices/itableservice.h"
+#include "platformservices/platformerrors.h"
 
 #include <functional>
 #include <utility>
--- a/src/routing/instanceregistry.h
+++ b/src/routing/instanceregistry.h
@@ -1,7 +1,7 @@
 #ifndef DRAGONFLYLOCK_ROUTING_INSTANCEREGISTRY_H
 #define DRAGONFLYLOCK_ROUTING_INSTANCEREGISTRY_H
 
-#include "platform/platformtypes.h"
+#include "platformservices/platformtypes.h"
 #include "routing/instancetypes.h"
 
 #include <cstdint>
--- a/src/routing/instancetypes.h
+++ b/src/routing/instancetypes.h
@@ -1,7 +1,7 @@
 #ifndef DRAGONFLYLOCK_ROUTING_INSTANCETYPES_H
 #define DRAGONFLYLOCK_ROUTING_INSTANCETYPES_H
 
-#include "platform/platformtypes.h"
+#include "platformservices/platformtypes.h"
 
 #include <chrono>
 #include <cstdint>
--- /dev/null
+++ b/src/scheduling/activejob.h
@@ -0,0 +1,119 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_ACTIVEJOB_H
+#define DRAGONFLYLOCK_SCHEDULING_ACTIVEJOB_H
+
+#include "scheduling/jobprogress.h"
+#include "scheduling/jobrowcodec.h"
+#include "scheduling/schedulingtypes.h"
+#include "scheduling/storetypes.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace dragonflylock {
+
+/// What the owner of a pool knows of a task's current run.
+enum class TaskPhase {
+  /// Not started, or to be started again.
+  Waiting,
+  /// A start was ordered and not answered yet.
+  Starting,
+  Running,
+  /// A stop was ordered.
+  Stopping,
+  /// May run on a worker that can't be asked.
+  Uncertain,
+  Done,
+};
+
+/// The current run of one task.
+struct TaskRun {
+  TaskPhase Phase_ = TaskPhase::Waiting;
+  /// The last run number used.
+  RunNumber Run_ = 0;
+  /// Lifetime of the worker; empty while waiting.
+  std::string Worker_;
+  /// Worker on which the last run failed; another one is preferred.
+  std::string FailedOn_;
+  /// Earliest time of the next start.
+  TimePoint NotBefore_;
+  /// Whether a run under an earlier owner may still exist on a worker that
+  /// has not been asked yet.
+  bool MayRunElsewhere_ = false;
+  /// Share of full speed that the worker reported last, 0 to 100.
+  std::uint32_t Percent_ = 0;
+  /// Since when the task has worked at full speed.
+  TimePoint AtWorkSince_;
+};
+
+/// A job that has not ended, as the owner of its pool holds it.
+class ActiveJob {
+public:
+  /// \param FirstRun the run number before the first one to use.
+  ActiveJob(std::string Id, SubmittedJob Stored, RunNumber FirstRun);
+
+  const std::string &id() const { return Id_; }
+  const SubmittedJob &stored() const { return Stored_; }
+  const StepSpec &step(const TaskName &Name) const {
+    return Stored_.Spec_.Steps_[Name.Step_];
+  }
+  JobProgress &progress() { return Progress_; }
+  const JobProgress &progress() const { return Progress_; }
+  TaskRun &run(const TaskName &Name);
+  const TaskRun &run(const TaskName &Name) const;
+
+  /// Calls \p Visit with the name and the run of every task.
+  template <typename Visitor> void forEachTask(Visitor &&Visit) {
+    for (std::uint32_t K = 0; K < Runs_.size(); ++K)
+      for (std::uint32_t S = 0; S < Runs_[K].size(); ++S)
+        for (std::uint32_t I = 0; I < Runs_[K][S].size(); ++I)
+          Visit(TaskName{Id_, K, S, I}, Runs_[K][S][I]);
+  }
+
+  /// \returns whether the step may start: what it follows has ended and its
+  /// occurrence is due at \p Wall.
+  bool isStepOpen(std::uint32_t Occurrence, std::uint32_t Step,
+                  std::chrono::milliseconds Wall) const;
+  /// \returns the tasks that may be started at \p Now.
+  std::vector<TaskName> startable(TimePoint Now,
+                                  std::chrono::milliseconds Wall);
+  /// \returns the number of runs that may exist on workers.
+  std::size_t runCount() const;
+  /// \returns whether any task has been started or has ended.
+  bool hasBegun() const;
+  /// \returns the declared work left, in core-milliseconds.
+  std::int64_t remainingWork() const;
+  /// \returns whether a step runs until the job is cancelled.
+  bool isLongRunning() const;
+
+  /// Takes in the state of the progress row, whose facts are added.
+  void adoptProgress(const JobProgress &Read, StoreVersion Version);
+
+  /// Notes that the progress must be stored.
+  void touch() { ++Changes_; }
+  bool isDirty() const { return Changes_ > StoredChanges_; }
+  std::uint64_t changes() const { return Changes_; }
+  std::uint64_t storedChanges() const { return StoredChanges_; }
+  void setStoredChanges(std::uint64_t Changes) { StoredChanges_ = Changes; }
+
+  StoreVersion progressVersion() const { return ProgressVersion_; }
+  void setProgressVersion(StoreVersion Version) { ProgressVersion_ = Version; }
+
+  bool isCancelled() const { return IsCancelled_; }
+  void cancel() { IsCancelled_ = true; }
+
+private:
+  std::string Id_;
+  SubmittedJob Stored_;
+  JobProgress Progress_;
+  StoreVersion ProgressVersion_ = 0;
+  std::uint64_t Changes_ = 0;
+  std::uint64_t StoredChanges_ = 0;
+  bool IsCancelled_ = false;
+  /// By occurrence, step and index.
+  std::vector<std::vector<std::vector<TaskRun>>> Runs_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/scheduling/controlrows.h
@@ -0,0 +1,71 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_CONTROLROWS_H
+#define DRAGONFLYLOCK_SCHEDULING_CONTROLROWS_H
+
+#include "scheduling/schedulingtypes.h"
+#include "scheduling/storetypes.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace dragonflylock {
+
+/// Who owns a pool.
+struct OwnerRow {
+  /// Node that owns the pool; empty where it was given up.
+  std::string Holder_;
+  /// Process of that node, so that a restarted one is told apart.
+  std::string Process_;
+  /// Version of the transaction that began the tenure; 0 in the row that
+  /// begins it, whose own version is the token.
+  FencingToken Token_ = 0;
+  /// Owners before this one.
+  std::uint64_t Predecessors_ = 0;
+  /// Counts the renewals, so that each changes the row.
+  std::uint64_t Renewals_ = 0;
+};
+
+/// Jobs that have not begun, by queue.
+struct PendingRow {
+  std::map<std::string, std::uint64_t> Pending_;
+};
+
+/// Progress of a maintenance wave.
+struct WaveProgress {
+  /// Machines that may be down now, with the node that ordered it.
+  std::map<std::string, std::string> Down_;
+  std::set<std::string> Done_;
+};
+
+/// Names and texts of the rows by which nodes coordinate. All are in one table
+/// that every node follows.
+namespace controlrows {
+
+inline constexpr const char *Table = "dragonflylock-control";
+inline constexpr const char *OwnerPrefix = "owner/";
+inline constexpr const char *RosterPrefix = "roster/";
+inline constexpr const char *PendingPrefix = "pending/";
+inline constexpr const char *WavePrefix = "wave/";
+
+StoreKey owner(const std::string &Pool);
+StoreKey roster(const std::string &Pool);
+StoreKey pending(const std::string &Pool);
+StoreKey wave(std::uint64_t Number);
+
+std::string encode(const OwnerRow &Row);
+std::string encode(const PendingRow &Row);
+std::string encode(const WaveProgress &Row);
+std::string encode(const std::vector<WorkerEntry> &Roster);
+/// Each is nothing where the text can't be read.
+std::optional<OwnerRow> decodeOwner(const std::string &Text);
+std::optional<PendingRow> decodePending(const std::string &Text);
+std::optional<WaveProgress> decodeWave(const std::string &Text);
+std::optional<std::vector<WorkerEntry>> decodeRoster(const std::string &Text);
+
+} // namespace controlrows
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/scheduling/internal/activejob.cpp
@@ -0,0 +1,106 @@
+#include "scheduling/activejob.h"
+
+#include <algorithm>
+
+namespace dragonflylock {
+
+ActiveJob::ActiveJob(std::string Id, SubmittedJob Stored, RunNumber FirstRun)
+    : Id_(std::move(Id)), Stored_(std::move(Stored)), Progress_(Stored_.Spec_) {
+  TaskRun Unstarted;
+  Unstarted.Run_ = FirstRun;
+  std::vector<std::vector<TaskRun>> Steps;
+  for (const StepSpec &Step : Stored_.Spec_.Steps_)
+    Steps.emplace_back(Step.TaskCount_, Unstarted);
+  Runs_.assign(Stored_.Spec_.occurrences(), Steps);
+}
+
+TaskRun &ActiveJob::run(const TaskName &Name) {
+  return Runs_[Name.Occurrence_][Name.Step_][Name.Index_];
+}
+
+const TaskRun &ActiveJob::run(const TaskName &Name) const {
+  return Runs_[Name.Occurrence_][Name.Step_][Name.Index_];
+}
+
+bool ActiveJob::isStepOpen(std::uint32_t Occurrence, std::uint32_t Step,
+                           std::chrono::milliseconds Wall) const {
+  const JobSpec &Spec = Stored_.Spec_;
+  if (Spec.Times_ > 0 && Wall < Spec.FirstDue_ + Occurrence * Spec.Interval_)
+    return false;
+  const std::vector<std::uint32_t> &After = Spec.Steps_[Step].After_;
+  return std::all_of(After.begin(), After.end(), [&](std::uint32_t Earlier) {
+    return Progress_.isStepDone(Occurrence, Earlier);
+  });
+}
+
+std::vector<TaskName> ActiveJob::startable(TimePoint Now,
+                                           std::chrono::milliseconds Wall) {
+  std::vector<TaskName> Found;
+  if (IsCancelled_ || isFinal(Progress_.state()))
+    return Found;
+  for (std::uint32_t K = 0; K < Runs_.size(); ++K) {
+    for (std::uint32_t S = 0; S < Runs_[K].size(); ++S) {
+      if (!isStepOpen(K, S, Wall))
+        continue;
+      for (std::uint32_t I = 0; I < Runs_[K][S].size(); ++I) {
+        const TaskRun &Run = Runs_[K][S][I];
+        if (Run.Phase_ == TaskPhase::Waiting && !Run.MayRunElsewhere_ &&
+            Run.NotBefore_ <= Now)
+          Found.push_back({Id_, K, S, I});
+      }
+    }
+  }
+  return Found;
+}
+
+std::size_t ActiveJob::runCount() const {
+  std::size_t Count = 0;
+  for (const auto &Steps : Runs_)
+    for (const auto &Tasks : Steps)
+      Count += static_cast<std::size_t>(
+          std::count_if(Tasks.begin(), Tasks.end(), [](const TaskRun &Run) {
+            return !Run.Worker_.empty();
+          }));
+  return Count;
+}
+
+bool ActiveJob::hasBegun() const {
+  for (const auto &Steps : Runs_)
+    for (const auto &Tasks : Steps)
+      for (const TaskRun &Run : Tasks)
+        if (Run.Phase_ == TaskPhase::Running || Run.Phase_ == TaskPhase::Done ||
+            !Run.FailedOn_.empty())
+          return true;
+  return false;
+}
+
+std::int64_t ActiveJob::remainingWork() const {
+  std::int64_t Work = 0;
+  for (const auto &Steps : Runs_)
+    for (std::size_t S = 0; S < Steps.size(); ++S) {
+      const StepSpec &Step = Stored_.Spec_.Steps_[S];
+      auto Left = std::count_if(
+          Steps[S].begin(), Steps[S].end(),
+          [](const TaskRun &Run) { return Run.Phase_ != TaskPhase::Done; });
+      Work += Left * Step.Estimate_.count() * Step.PerTask_.CpuMillis_ / 1000;
+    }
+  return Work;
+}
+
+bool ActiveJob::isLongRunning() const {
+  const auto &Steps = Stored_.Spec_.Steps_;
+  return std::any_of(Steps.begin(), Steps.end(),
+                     [](const StepSpec &Step) { return Step.IsLongRunning_; });
+}
+
+void ActiveJob::adoptProgress(const JobProgress &Read, StoreVersion Version) {
+  Progress_.merge(Read);
+  ProgressVersion_ = Version;
+  forEachTask([this](const TaskName &Name, TaskRun &Run) {
+    const TaskProgress &Known = Progress_.task(Name);
+    if (Known.IsDone_ && Run.Worker_.empty())
+      Run.Phase_ = TaskPhase::Done;
+  });
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/controlrows.cpp
@@ -0,0 +1,105 @@
+#include "scheduling/controlrows.h"
+
+#include <nlohmann/json.hpp>
+
+namespace dragonflylock::controlrows {
+namespace {
+
+using nlohmann::json;
+
+StoreKey row(const std::string &Key) { return {Table, "", Key}; }
+
+template <typename T, typename Reader>
+std::optional<T> read(const std::string &Text, Reader Read) {
+  try {
+    return Read(json::parse(Text));
+  } catch (const json::exception &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+StoreKey owner(const std::string &Pool) { return row(OwnerPrefix + Pool); }
+StoreKey roster(const std::string &Pool) { return row(RosterPrefix + Pool); }
+StoreKey pending(const std::string &Pool) { return row(PendingPrefix + Pool); }
+StoreKey wave(std::uint64_t Number) {
+  return row(WavePrefix + std::to_string(Number));
+}
+
+std::string encode(const OwnerRow &Row) {
+  return json{{"holder", Row.Holder_},
+              {"process", Row.Process_},
+              {"token", Row.Token_},
+              {"predecessors", Row.Predecessors_},
+              {"renewals", Row.Renewals_}}
+      .dump();
+}
+
+std::string encode(const PendingRow &Row) {
+  return json{{"pending", Row.Pending_}}.dump();
+}
+
+std::string encode(const WaveProgress &Row) {
+  return json{{"down", Row.Down_}, {"done", Row.Done_}}.dump();
+}
+
+std::string encode(const std::vector<WorkerEntry> &Roster) {
+  json Workers = json::array();
+  for (const WorkerEntry &Worker : Roster)
+    Workers.push_back({{"id", Worker.Id_},
+                       {"address", Worker.Address_.text()},
+                       {"born-ms", Worker.Born_.count()}});
+  return json{{"workers", Workers}}.dump();
+}
+
+std::optional<OwnerRow> decodeOwner(const std::string &Text) {
+  return read<OwnerRow>(Text, [](const json &Source) {
+    OwnerRow Row;
+    Row.Holder_ = Source.at("holder").get<std::string>();
+    Row.Process_ = Source.at("process").get<std::string>();
+    Row.Token_ = Source.at("token").get<FencingToken>();
+    Row.Predecessors_ = Source.at("predecessors").get<std::uint64_t>();
+    Row.Renewals_ = Source.at("renewals").get<std::uint64_t>();
+    return Row;
+  });
+}
+
+std::optional<PendingRow> decodePending(const std::string &Text) {
+  return read<PendingRow>(Text, [](const json &Source) {
+    PendingRow Row;
+    Row.Pending_ =
+        Source.at("pending").get<std::map<std::string, std::uint64_t>>();
+    return Row;
+  });
+}
+
+std::optional<WaveProgress> decodeWave(const std::string &Text) {
+  return read<WaveProgress>(Text, [](const json &Source) {
+    WaveProgress Row;
+    Row.Down_ = Source.at("down").get<std::map<std::string, std::string>>();
+    Row.Done_ = Source.at("done").get<std::set<std::string>>();
+    return Row;
+  });
+}
+
+std::optional<std::vector<WorkerEntry>> decodeRoster(const std::string &Text) {
+  return read<std::vector<WorkerEntry>>(Text, [](const json &Source) {
+    std::vector<WorkerEntry> Roster;
+    for (const json &Each : Source.at("workers")) {
+      WorkerEntry Worker;
+      Worker.Id_ = Each.at("id").get<std::string>();
+      auto Address =
+          SocketAddress::parse(Each.at("address").get<std::string>());
+      if (!Address)
+        continue;
+      Worker.Address_ = Address.value();
+      Worker.Born_ =
+          std::chrono::milliseconds(Each.at("born-ms").get<std::int64_t>());
+      Roster.push_back(Worker);
+    }
+    return Roster;
+  });
+}
+
+} // namespace dragonflylock::controlrows
--- /dev/null
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -0,0 +1,257 @@
+#include "scheduling/internal/dispatcher.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
+#include "scheduling/internal/poolstate.h"
+#include "scheduling/internal/runbook.h"
+#include "scheduling/iworkercontrol.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace dragonflylock {
+namespace {
+
+/// Lease that a start grants by itself; holds extend it. Short, so that a
+/// start without an answer is settled soon.
+constexpr std::chrono::milliseconds StartLease{2500};
+/// How long a worker without room, or an unhealthy one, gets no new tasks.
+constexpr std::chrono::milliseconds NoRoomPause{200};
+constexpr std::chrono::milliseconds UnhealthyPause{1000};
+/// Pause before a task whose start was refused is tried again.
+constexpr std::chrono::milliseconds RefusedPause{50};
+/// Pause between two orders to stop the same run.
+constexpr std::chrono::milliseconds StopRepeat{400};
+/// Work, in core-milliseconds, that weighs as much as a millisecond of
+/// waiting when jobs are put in order.
+constexpr std::int64_t WorkPerWait = 4;
+
+std::int64_t urgencyOf(const ActiveJob &Job) {
+  return Job.stored().AcceptedAt_.count() + Job.remainingWork() / WorkPerWait;
+}
+
+} // namespace
+
+std::vector<ActiveJob *> Dispatcher::jobsByUrgency() {
+  struct Entry {
+    ActiveJob *Job_;
+    bool IsShort_;
+    std::uint32_t Priority_;
+    std::int64_t Urgency_;
+  };
+  std::vector<Entry> Entries;
+  for (auto &[Id, Job] : Pool_.Jobs_) {
+    if (isFinal(Job->progress().state()) || Job->isCancelled())
+      continue;
+    Entries.push_back({Job.get(), !Job->isLongRunning(),
+                       Pool_.queueOf(*Job).Priority_, urgencyOf(*Job)});
+  }
+  std::sort(Entries.begin(), Entries.end(),
+            [](const Entry &Left, const Entry &Right) {
+              return std::tie(Left.IsShort_, Left.Priority_, Left.Urgency_) <
+                     std::tie(Right.IsShort_, Right.Priority_, Right.Urgency_);
+            });
+  std::vector<ActiveJob *> Jobs;
+  for (const Entry &Each : Entries)
+    Jobs.push_back(Each.Job_);
+  return Jobs;
+}
+
+void Dispatcher::dispatch() {
+  Pool_.NeedsDispatch_ = false;
+  for (ActiveJob *Job : jobsByUrgency()) {
+    if (!Pool_.mayAct())
+      return;
+    dispatchJob(*Job);
+  }
+}
+
+void Dispatcher::dispatchJob(ActiveJob &Job) {
+  std::uint32_t FullStep = UINT32_MAX;
+  for (const TaskName &Name :
+       Job.startable(Pool_.Clock_.now(), Pool_.wallTime())) {
+    if (Name.Step_ == FullStep)
+      continue;
+    WorkerSession *Session = choose(Job, Name);
+    if (Session == nullptr) {
+      FullStep = Name.Step_;
+      continue;
+    }
+    start(Job, Name, *Session);
+  }
+}
+
+bool Dispatcher::isUsable(const WorkerSession &Session) const {
+  return Session.IsFenced_ && Session.IsInRoster_ && Session.IsListed_ &&
+         !Session.IsReserved_ && Session.knowsClock() &&
+         Session.HoldFailures_ == 0 &&
+         Session.entry().State_ == WorkerState::Ready &&
+         Session.AvoidUntil_ <= Pool_.Clock_.now();
+}
+
+WorkerSession *Dispatcher::choose(const ActiveJob &Job, const TaskName &Name) {
+  std::vector<PlacementCandidate> Candidates;
+  std::vector<WorkerSession *> Sessions;
+  const std::string &FailedOn = Job.run(Name).FailedOn_;
+  for (auto &[Lifetime, Session] : Pool_.Sessions_) {
+    if (!isUsable(*Session) || Session->runs().contains(Name))
+      continue;
+    PlacementCandidate Candidate;
+    Candidate.Rack_ = Session->entry().Rack_;
+    Candidate.Labels_ = Session->entry().Labels_;
+    Candidate.Free_ = Session->freeRoom();
+    Candidate.SameStep_ = Session->countOf(Name);
+    Candidate.HasFailedTask_ = Lifetime == FailedOn;
+    for (const auto &[Other, Run] : Session->runs()) {
+      Candidate.Fillers_ += Run.IsFiller_ ? 1 : 0;
+      Candidate.Serving_ += Run.LatencyTarget_.count() > 0 ? 1 : 0;
+    }
+    Candidates.push_back(std::move(Candidate));
+    Sessions.push_back(Session.get());
+  }
+  auto Chosen = choosePlacement(Job.step(Name), Candidates);
+  return Chosen ? Sessions[*Chosen] : nullptr;
+}
+
+void Dispatcher::start(ActiveJob &Job, const TaskName &Name,
+                       WorkerSession &Session) {
+  const TimePoint Now = Pool_.Clock_.now();
+  if (!Pool_.mayAct())
+    return;
+  const StepSpec &Step = Job.step(Name);
+  TaskRun &Run = Job.run(Name);
+  Run.Run_ = std::max(Run.Run_, Pool_.FirstRun_) + 1;
+  Run.Phase_ = TaskPhase::Starting;
+  Run.Worker_ = Session.entry().lifetime();
+  Run.Percent_ = 0;
+  SessionRun Entry;
+  Entry.Run_ = Run.Run_;
+  Entry.Resources_ = Step.PerTask_;
+  Entry.IsFiller_ = Step.IsFiller_;
+  Entry.LatencyTarget_ = Step.LatencyTarget_;
+  Entry.OrderExpires_ = Now + StartLease + StartLease / 20;
+  Session.runs()[Name] = Entry;
+  Session.noteLease(Entry.OrderExpires_);
+
+  StartOrder Order;
+  Order.Task_ = Name;
+  Order.Run_ = Run.Run_;
+  Order.Payload_ = Job.stored().Spec_.Payload_;
+  Order.LeaseEnd_ = Session.clockAt(Now) + StartLease;
+  Order.Token_ = Pool_.Token_;
+  Order.Checkpoint_ = Job.progress().task(Name).Checkpoint_;
+  Pool_.Workers_.start(Session.target(), Order,
+                       [Weak = weak_from_this(), Lifetime = Run.Worker_, Name,
+                        Number = Run.Run_](const OrderAnswer &Answer) {
+                         if (auto Self = Weak.lock())
+                           Self->onStarted(Lifetime, Name, Number, Answer);
+                       });
+}
+
+void Dispatcher::onStarted(const std::string &Lifetime, const TaskName &Name,
+                           RunNumber Run, const OrderAnswer &Answer) {
+  WorkerSession *Session = Pool_.session(Lifetime);
+  if (Session == nullptr)
+    return;
+  const TimePoint Now = Pool_.Clock_.now();
+  if (Answer.Clock_.count() > 0) {
+    Session->noteClock(Answer.Clock_, Now);
+    Session->LastAnswer_ = Now;
+  }
+  auto Known = Session->runs().find(Name);
+  if (Known == Session->runs().end() || Known->second.Run_ != Run)
+    return;
+  ActiveJob *Job = Pool_.job(Name.Job_);
+  TaskRun *Task = Job != nullptr ? &Job->run(Name) : nullptr;
+  switch (Answer.Outcome_) {
+  case OrderOutcome::Accepted:
+    Known->second.ConfirmedAt_ = Now;
+    if (Task != nullptr && Task->Phase_ == TaskPhase::Starting)
+      Task->Phase_ = TaskPhase::Running;
+    Session->NextHold_ = std::min(Session->NextHold_, Now);
+    return;
+  case OrderOutcome::Unknown:
+    // Settled by a hold: the run is listed, or its lease has ended.
+    if (Task != nullptr && Task->Phase_ == TaskPhase::Starting)
+      Task->Phase_ = TaskPhase::Uncertain;
+    Session->NextHold_ = Now;
+    Session->AvoidUntil_ = std::max(Session->AvoidUntil_, Now + UnhealthyPause);
+    return;
+  default:
+    onStartRefused(*Session, Name, Answer.Outcome_);
+  }
+}
+
+void Dispatcher::onStartRefused(WorkerSession &Session, const TaskName &Name,
+                                OrderOutcome Outcome) {
+  const TimePoint Now = Pool_.Clock_.now();
+  Runs_.release(Session, Name);
+  if (ActiveJob *Job = Pool_.job(Name.Job_))
+    Job->run(Name).NotBefore_ = Now + RefusedPause;
+  std::chrono::milliseconds Pause = UnhealthyPause;
+  if (Outcome == OrderOutcome::Fenced)
+    Pool_.IsFencedOff_ = true;
+  if (Outcome == OrderOutcome::NoRoom || Outcome == OrderOutcome::TooLate ||
+      Outcome == OrderOutcome::OldRun)
+    Pause = NoRoomPause;
+  Session.AvoidUntil_ = std::max(Session.AvoidUntil_, Now + Pause);
+  Session.NextHold_ = Now;
+  if (Outcome == OrderOutcome::OtherLifetime) {
+    Session.IsListed_ = false;
+    Runs_.releaseAll(Session);
+  }
+  Pool_.Logger_.write(
+      LogLevel::Warning,
+      LogEvent("start.refused")
+          .with("task", Name.text())
+          .with("worker", Session.entry().Id_)
+          .with("outcome", static_cast<std::uint64_t>(Outcome)));
+}
+
+bool Dispatcher::isUnwanted(const WorkerSession &Session,
+                            const TaskName &Name) {
+  ActiveJob *Job = Pool_.job(Name.Job_);
+  if (Job == nullptr || Job->isCancelled() || isFinal(Job->progress().state()))
+    return true;
+  if (Job->progress().task(Name).IsDone_)
+    return true;
+  return Session.entry().State_ == WorkerState::Draining &&
+         Job->step(Name).IsLongRunning_;
+}
+
+void Dispatcher::abandon(WorkerSession &Session) { Runs_.releaseAll(Session); }
+
+void Dispatcher::stopUnwanted() {
+  if (!Pool_.mayAct())
+    return;
+  const TimePoint Now = Pool_.Clock_.now();
+  for (auto &[Lifetime, Session] : Pool_.Sessions_) {
+    if (!Session->IsFenced_)
+      continue;
+    for (auto &[Name, Run] : Session->runs()) {
+      if (Run.NextStop_ > Now || !isUnwanted(*Session, Name))
+        continue;
+      Run.NextStop_ = Now + StopRepeat;
+      stop(*Session, Name, Run.Run_);
+    }
+  }
+}
+
+void Dispatcher::stop(WorkerSession &Session, const TaskName &Name,
+                      RunNumber Run) {
+  if (!Pool_.mayAct())
+    return;
+  ActiveJob *Job = Pool_.job(Name.Job_);
+  if (Job != nullptr && Job->progress().contains(Name) &&
+      Job->run(Name).Worker_ == Session.entry().lifetime() &&
+      Job->run(Name).Phase_ == TaskPhase::Running)
+    Job->run(Name).Phase_ = TaskPhase::Stopping;
+  Session.NextHold_ = std::min(Session.NextHold_, Pool_.Clock_.now());
+  Pool_.Workers_.stop(Session.target(), Name, Run, Pool_.Token_,
+                      [Weak = weak_from_this()](const OrderAnswer &Answer) {
+                        auto Self = Weak.lock();
+                        if (Self && Answer.Outcome_ == OrderOutcome::Fenced)
+                          Self->Pool_.IsFencedOff_ = true;
+                      });
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/holdkeeper.h
@@ -0,0 +1,46 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_INTERNAL_HOLDKEEPER_H
+#define DRAGONFLYLOCK_SCHEDULING_INTERNAL_HOLDKEEPER_H
+
+#include "scheduling/schedulingtypes.h"
+#include "scheduling/workercalls.h"
+
+#include <memory>
+#include <string>
+
+namespace dragonflylock {
+
+class Dispatcher;
+class RunBook;
+class WorkerSession;
+struct PoolState;
+
+/// Renews the leases of the workers' runs and takes in what they list.
+class HoldKeeper : public std::enable_shared_from_this<HoldKeeper> {
+public:
+  HoldKeeper(PoolState &Pool, RunBook &Runs, Dispatcher &Starts)
+      : Pool_(Pool), Runs_(Runs), Starts_(Starts) {}
+
+  /// Sends the holds that are due, and gives up runs whose lease has lapsed.
+  void tick();
+
+private:
+  bool isDue(const WorkerSession &Session) const;
+  void send(WorkerSession &Session);
+  std::chrono::milliseconds waitOf(const WorkerSession &Session) const;
+  void onAnswer(const std::string &Lifetime, TimePoint Sent,
+                const HoldAnswer &Answer);
+  void onLists(WorkerSession &Session, TimePoint Sent,
+               const HoldAnswer &Answer);
+  void dropVanished(WorkerSession &Session, TimePoint Sent,
+                    const HoldAnswer &Answer);
+  void onFailure(WorkerSession &Session, OrderOutcome Outcome);
+  void releaseLapsed(WorkerSession &Session);
+
+  PoolState &Pool_;
+  RunBook &Runs_;
+  Dispatcher &Starts_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/scheduling/internal/jobregister.cpp
@@ -0,0 +1,104 @@
+#include "scheduling/internal/jobregister.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
+#include "scheduling/internal/poolstate.h"
+#include "scheduling/internal/runbook.h"
+#include "scheduling/istore.h"
+#include "scheduling/jobrows.h"
+
+namespace dragonflylock {
+namespace {
+
+/// Kept beyond the time for which an ended job can be looked up, since nodes
+/// learn of its end at different times.
+constexpr std::chrono::milliseconds RetentionMargin{10000};
+
+} // namespace
+
+void JobRegister::onRow(const StoreRow &Row) {
+  std::string Id = jobrows::jobOf(Row.Name_);
+  auto Kind = jobrows::kindOf(Row.Name_);
+  if (!Kind || Row.IsRemoved_ || EndedIds_.contains(Id))
+    return;
+  if (*Kind == JobRowKind::Submission) {
+    onSubmission(Id, Row);
+    return;
+  }
+  ActiveJob *Job = Pool_.job(Id);
+  if (Job == nullptr)
+    return;
+  if (*Kind == JobRowKind::Progress)
+    onProgress(*Job, Row);
+  else
+    onCancellation(*Job);
+}
+
+void JobRegister::onSubmission(const std::string &Id, const StoreRow &Row) {
+  if (Pool_.job(Id) != nullptr)
+    return;
+  auto Stored = jobrowcodec::decode(Row.Value_);
+  if (!Stored) {
+    Pool_.Logger_.write(LogLevel::Error,
+                        LogEvent("job.unreadable")
+                            .with("job", Id)
+                            .with("error", Stored.error().message()));
+    return;
+  }
+  if (Stored.value().Pool_ != Pool_.Pool_)
+    return;
+  Pool_.Jobs_.emplace(Id, std::make_unique<ActiveJob>(
+                              Id, std::move(Stored).value(), Pool_.FirstRun_));
+  Pool_.NeedsDispatch_ = true;
+}
+
+void JobRegister::onProgress(ActiveJob &Job, const StoreRow &Row) {
+  if (Row.Version_ <= Job.progressVersion())
+    return;
+  JobProgress Read(Job.stored().Spec_);
+  if (Read.decode(Row.Value_)) {
+    Job.adoptProgress(Read, Row.Version_);
+    return;
+  }
+  Pool_.Logger_.write(LogLevel::Error,
+                      LogEvent("progress.unreadable").with("job", Job.id()));
+  Job.setProgressVersion(Row.Version_);
+}
+
+void JobRegister::onCancellation(ActiveJob &Job) {
+  if (Job.isCancelled())
+    return;
+  Job.cancel();
+  Runs_.judge(Job);
+  Pool_.NeedsDispatch_ = true;
+}
+
+void JobRegister::retireEnded() {
+  std::erase_if(Pool_.Jobs_, [this](const auto &Each) {
+    const ActiveJob &Job = *Each.second;
+    if (!isFinal(Job.progress().state()) || Job.isDirty() || Job.runCount() > 0)
+      return false;
+    EndedIds_.insert(Job.id());
+    Ended_.push_back({Job.id(), Job.stored().Queue_,
+                      Pool_.Clock_.now() + Pool_.Settings_.StatusRetention_ +
+                          RetentionMargin});
+    return true;
+  });
+  removeOldRows();
+}
+
+void JobRegister::removeOldRows() {
+  if (Ended_.empty() || Ended_.front().RemoveAt_ > Pool_.Clock_.now() ||
+      !Pool_.mayAct())
+    return;
+  Ended Oldest = Ended_.front();
+  Ended_.pop_front();
+  EndedIds_.erase(Oldest.Job_);
+  StoreTransaction Wanted;
+  for (JobRowKind Kind :
+       {JobRowKind::Submission, JobRowKind::Progress, JobRowKind::Cancellation})
+    Wanted.Removals_.push_back(jobrows::name(Oldest.Queue_, Oldest.Job_, Kind));
+  // A row that stays is removed by a later owner, who loads it as ended.
+  Pool_.Store_.transact(std::move(Wanted), [](const StoreTransactionEnd &) {});
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/jobrowcodec.cpp
@@ -0,0 +1,130 @@
+#include "scheduling/jobrowcodec.h"
+#include "scheduling/schedulingerrors.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <utility>
+
+namespace dragonflylock::jobrowcodec {
+namespace {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+constexpr std::array<std::pair<JobPhase, const char *>, 5> StateNames{{
+    {JobPhase::Queued, "queued"},
+    {JobPhase::Running, "running"},
+    {JobPhase::Completed, "completed"},
+    {JobPhase::Failed, "failed"},
+    {JobPhase::Cancelled, "cancelled"},
+}};
+
+template <typename T>
+void putUnlessDefault(json &Into, const char *Name, const T &Value) {
+  if (Value != T())
+    Into[Name] = Value;
+}
+
+json encodeStep(const StepSpec &Step) {
+  json Text = {{"tasks", Step.TaskCount_}};
+  putUnlessDefault(Text, "cpu-millis", Step.PerTask_.CpuMillis_);
+  putUnlessDefault(Text, "memory-mb", Step.PerTask_.MemoryMb_);
+  putUnlessDefault(Text, "gpus", Step.PerTask_.Gpus_);
+  putUnlessDefault(Text, "estimate-ms", Step.Estimate_.count());
+  putUnlessDefault(Text, "after", Step.After_);
+  putUnlessDefault(Text, "checkpoints", Step.HasCheckpoints_);
+  putUnlessDefault(Text, "gang", Step.IsGang_);
+  putUnlessDefault(Text, "one-rack", Step.WantsOneRack_);
+  putUnlessDefault(Text, "label", Step.RequiredLabel_);
+  putUnlessDefault(Text, "data-rack", Step.DataRack_);
+  putUnlessDefault(Text, "most-per-worker", Step.MostPerWorker_);
+  putUnlessDefault(Text, "may-run-twice", Step.MayRunTwice_);
+  putUnlessDefault(Text, "long-running", Step.IsLongRunning_);
+  putUnlessDefault(Text, "image", Step.Image_);
+  putUnlessDefault(Text, "latency-target-ms", Step.LatencyTarget_.count());
+  putUnlessDefault(Text, "filler", Step.IsFiller_);
+  if (Step.DisruptionBudget_)
+    Text["disruption-budget"] = *Step.DisruptionBudget_;
+  return Text;
+}
+
+StepSpec decodeStep(const json &Text) {
+  StepSpec Step;
+  Step.TaskCount_ = Text.at("tasks").get<std::uint32_t>();
+  Step.PerTask_ = {Text.value("cpu-millis", std::int64_t{0}),
+                   Text.value("memory-mb", std::int64_t{0}),
+                   Text.value("gpus", std::int64_t{0})};
+  Step.Estimate_ = milliseconds(Text.value("estimate-ms", std::int64_t{0}));
+  Step.After_ = Text.value("after", std::vector<std::uint32_t>());
+  Step.HasCheckpoints_ = Text.value("checkpoints", false);
+  Step.IsGang_ = Text.value("gang", false);
+  Step.WantsOneRack_ = Text.value("one-rack", false);
+  Step.RequiredLabel_ = Text.value("label", "");
+  Step.DataRack_ = Text.value("data-rack", "");
+  Step.MostPerWorker_ = Text.value("most-per-worker", 0U);
+  Step.MayRunTwice_ = Text.value("may-run-twice", false);
+  Step.IsLongRunning_ = Text.value("long-running", false);
+  Step.Image_ = Text.value("image", "");
+  Step.LatencyTarget_ =
+      milliseconds(Text.value("latency-target-ms", std::int64_t{0}));
+  Step.IsFiller_ = Text.value("filler", false);
+  if (Text.contains("disruption-budget"))
+    Step.DisruptionBudget_ = Text["disruption-budget"].get<std::uint32_t>();
+  return Step;
+}
+
+} // namespace
+
+std::string encode(const SubmittedJob &Job) {
+  json Steps = json::array();
+  for (const StepSpec &Step : Job.Spec_.Steps_)
+    Steps.push_back(encodeStep(Step));
+  json Row = {{"queue", Job.Queue_},
+              {"pool", Job.Pool_},
+              {"accepted-ms", Job.AcceptedAt_.count()},
+              {"payload", Job.Spec_.Payload_},
+              {"steps", Steps}};
+  putUnlessDefault(Row, "times", Job.Spec_.Times_);
+  putUnlessDefault(Row, "first-due-ms", Job.Spec_.FirstDue_.count());
+  putUnlessDefault(Row, "interval-ms", Job.Spec_.Interval_.count());
+  return Row.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<SubmittedJob> decode(const std::string &Text) {
+  try {
+    json Row = json::parse(Text);
+    SubmittedJob Job;
+    Job.Queue_ = Row.at("queue").get<std::string>();
+    Job.Pool_ = Row.at("pool").get<std::string>();
+    Job.AcceptedAt_ = milliseconds(Row.value("accepted-ms", std::int64_t{0}));
+    Job.Spec_.Payload_ = Row.at("payload").get<std::string>();
+    for (const json &Step : Row.at("steps"))
+      Job.Spec_.Steps_.push_back(decodeStep(Step));
+    Job.Spec_.Times_ = Row.value("times", 0U);
+    Job.Spec_.FirstDue_ =
+        milliseconds(Row.value("first-due-ms", std::int64_t{0}));
+    Job.Spec_.Interval_ =
+        milliseconds(Row.value("interval-ms", std::int64_t{0}));
+    return Job;
+  } catch (const json::exception &Failure) {
+    return Error(SchedulingErrc::BadRow, Failure.what(),
+                 "remove or correct the damaged row");
+  }
+}
+
+const char *nameOf(JobPhase State) {
+  for (const auto &[Each, Name] : StateNames)
+    if (Each == State)
+      return Name;
+  return "queued";
+}
+
+std::optional<JobPhase> stateOf(const std::string &Name) {
+  for (const auto &[Each, Text] : StateNames)
+    if (Name == Text)
+      return Each;
+  return std::nullopt;
+}
+
+} // namespace dragonflylock::jobrowcodec
--- /dev/null
+++ b/src/scheduling/internal/jobrows.cpp
@@ -0,0 +1,47 @@
+#include "scheduling/jobrows.h"
+
+namespace dragonflylock::jobrows {
+namespace {
+
+constexpr char Separator = '/';
+// In this order a range that holds whole jobs gives the submission first.
+constexpr const char *SubmissionName = "job";
+constexpr const char *ProgressName = "progress";
+constexpr const char *CancellationName = "stop-request";
+
+} // namespace
+
+StoreKey name(const std::string &Queue, const std::string &Job,
+              JobRowKind Kind) {
+  const char *Suffix = SubmissionName;
+  if (Kind == JobRowKind::Progress)
+    Suffix = ProgressName;
+  if (Kind == JobRowKind::Cancellation)
+    Suffix = CancellationName;
+  return {Table, Queue, Job + Separator + Suffix};
+}
+
+std::string jobOf(const StoreKey &Row) {
+  auto End = Row.Key_.find(Separator);
+  return End == std::string::npos ? std::string() : Row.Key_.substr(0, End);
+}
+
+std::optional<JobRowKind> kindOf(const StoreKey &Row) {
+  auto End = Row.Key_.find(Separator);
+  if (End == std::string::npos)
+    return std::nullopt;
+  std::string Suffix = Row.Key_.substr(End + 1);
+  if (Suffix == SubmissionName)
+    return JobRowKind::Submission;
+  if (Suffix == ProgressName)
+    return JobRowKind::Progress;
+  if (Suffix == CancellationName)
+    return JobRowKind::Cancellation;
+  return std::nullopt;
+}
+
+std::string endOf(const std::string &Job) {
+  return Job + static_cast<char>(Separator + 1);
+}
+
+} // namespace dragonflylock::jobrows
--- /dev/null
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -0,0 +1,338 @@
+#include "scheduling/internal/maintenancekeeper.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
+#include "scheduling/imachinecontrol.h"
+#include "scheduling/internal/dispatcher.h"
+#include "scheduling/internal/poolstate.h"
+#include "scheduling/istore.h"
+
+#include <algorithm>
+
+namespace dragonflylock {
+namespace {
+
+/// Interval of reading the list of machines while a wave is under way.
+constexpr std::chrono::milliseconds ListInterval{500};
+/// Interval of reading a wave's row, which other owners change too.
+constexpr std::chrono::milliseconds RowInterval{300};
+/// Time for which a serving task must have worked at full speed to count as
+/// available.
+constexpr std::chrono::milliseconds SteadyTime{300};
+/// Longest wait for a machine's runs to end by themselves.
+constexpr std::chrono::milliseconds LongestPatience{3000};
+constexpr std::uint32_t FullSpeed = 100;
+
+bool isAtWork(const TaskRun &Run, TimePoint Now) {
+  return Run.Phase_ == TaskPhase::Running && Run.Percent_ >= FullSpeed &&
+         Run.AtWorkSince_ + SteadyTime <= Now;
+}
+
+} // namespace
+
+void MaintenanceKeeper::onWaves(const std::vector<MaintenanceWave> &Waves) {
+  for (const MaintenanceWave &Asked : Waves) {
+    auto [Place, IsNew] = Waves_.try_emplace(Asked.Number_);
+    Place->second.Asked_ = Asked;
+    if (!IsNew)
+      continue;
+    Place->second.FirstSeen_ = Pool_.Clock_.now();
+    Pool_.Logger_.write(
+        LogLevel::Info,
+        LogEvent("wave.seen")
+            .with("pool", Pool_.Pool_)
+            .with("wave", Asked.Number_)
+            .with("machines", std::uint64_t{Asked.Machines_.size()})
+            .with("limit", std::uint64_t{Asked.MostAtOnce_}));
+  }
+}
+
+void MaintenanceKeeper::tick() {
+  bool IsOpen = std::any_of(Waves_.begin(), Waves_.end(), [](const auto &Each) {
+    return !Each.second.IsCompleted_;
+  });
+  if (!IsOpen || !Pool_.mayAct())
+    return;
+  if (!IsListing_ && Pool_.Clock_.now() >= NextList_)
+    listMachines();
+  for (auto &[Number, Each] : Waves_)
+    if (!Each.IsCompleted_)
+      advance(Each);
+}
+
+void MaintenanceKeeper::listMachines() {
+  IsListing_ = true;
+  NextList_ = Pool_.Clock_.now() + ListInterval;
+  Machines_.list([Weak = weak_from_this()](const MachineList &Read) {
+    auto Self = Weak.lock();
+    if (!Self)
+      return;
+    Self->IsListing_ = false;
+    if (!Read.IsValid_)
+      return;
+    Self->Known_.clear();
+    for (const Machine &Each : Read.Machines_)
+      Self->Known_[Each.Name_] = Each;
+  });
+}
+
+void MaintenanceKeeper::advance(Wave &Each) {
+  if (Each.IsBusy_ || Known_.empty())
+    return;
+  if (!Each.IsLoaded_ || Pool_.Clock_.now() >= Each.NextLoad_) {
+    load(Each);
+    return;
+  }
+  if (!Each.IsReported_ || isComplete(Each)) {
+    report(Each);
+    return;
+  }
+  releaseReturned(Each);
+  if (Each.IsBusy_)
+    return;
+  if (Each.Next_.empty())
+    chooseNext(Each);
+  if (!Each.Next_.empty() && isReady(Each, Each.Next_) &&
+      Each.Row_.Down_.size() < Each.Asked_.MostAtOnce_)
+    claim(Each);
+}
+
+void MaintenanceKeeper::load(Wave &Each) {
+  Each.IsBusy_ = true;
+  StoreKey Row = controlrows::wave(Each.Asked_.Number_);
+  Pool_.Store_.readRange(
+      Row.Table_, Row.Part_, Row.Key_, Row.Key_ + '\1',
+      [Weak = weak_from_this(),
+       Number = Each.Asked_.Number_](const StoreRange &Read) {
+        if (auto Self = Weak.lock())
+          Self->onLoaded(Number, Read);
+      });
+}
+
+void MaintenanceKeeper::onLoaded(std::uint64_t Number, const StoreRange &Read) {
+  Wave &Each = Waves_[Number];
+  Each.IsBusy_ = false;
+  Each.NextLoad_ = Pool_.Clock_.now() + RowInterval;
+  if (Read.Outcome_ != StoreOutcome::Done)
+    return;
+  Each.IsLoaded_ = true;
+  if (Read.Rows_.empty())
+    return;
+  auto Row = controlrows::decodeWave(Read.Rows_.front().Value_);
+  Each.Version_ = Read.Rows_.front().Version_;
+  if (Row)
+    Each.Row_ = *Row;
+}
+
+WorkerSession *MaintenanceKeeper::sessionOf(const std::string &Name) {
+  auto Found = Known_.find(Name);
+  if (Found == Known_.end() || Found->second.Worker_.empty())
+    return nullptr;
+  for (auto &[Lifetime, Session] : Pool_.Sessions_)
+    if (Session->entry().Id_ == Found->second.Worker_ && Session->IsListed_)
+      return Session.get();
+  return nullptr;
+}
+
+void MaintenanceKeeper::reserve(const std::string &Name, bool IsReserved) {
+  if (WorkerSession *Session = sessionOf(Name))
+    Session->IsReserved_ = IsReserved;
+  Pool_.NeedsDispatch_ = true;
+}
+
+void MaintenanceKeeper::chooseNext(Wave &Each) {
+  std::string Best;
+  std::size_t FewestRuns = SIZE_MAX;
+  for (const std::string &Name : Each.Asked_.Machines_) {
+    auto Found = Known_.find(Name);
+    if (Found == Known_.end() || Found->second.Pool_ != Pool_.Pool_ ||
+        Found->second.State_ != MachineState::Up ||
+        Each.Row_.Done_.contains(Name) || Each.Row_.Down_.contains(Name))
+      continue;
+    WorkerSession *Session = sessionOf(Name);
+    std::size_t Runs = Session != nullptr ? Session->runs().size() : 0;
+    if (Session != nullptr && !keepsBudgets(*Session))
+      continue;
+    if (Runs < FewestRuns) {
+      FewestRuns = Runs;
+      Best = Name;
+    }
+  }
+  if (Best.empty())
+    return;
+  Each.Next_ = Best;
+  Each.ReservedAt_ = Pool_.Clock_.now();
+  reserve(Best, true);
+}
+
+bool MaintenanceKeeper::keepsBudgets(const WorkerSession &Session) {
+  const TimePoint Now = Pool_.Clock_.now();
+  for (const auto &[Name, Run] : Session.runs()) {
+    ActiveJob *Job = Pool_.job(Name.Job_);
+    if (Job == nullptr || !Job->step(Name).DisruptionBudget_)
+      continue;
+    std::uint32_t Away = 0;
+    Job->forEachTask([&, Task = Name](const TaskName &Other, TaskRun &State) {
+      bool IsPeer = Other.Occurrence_ == Task.Occurrence_ &&
+                    Other.Step_ == Task.Step_ && Other.Index_ != Task.Index_;
+      Away += IsPeer && !isAtWork(State, Now) ? 1 : 0;
+    });
+    if (Away >= *Job->step(Name).DisruptionBudget_)
+      return false;
+  }
+  return true;
+}
+
+std::chrono::milliseconds MaintenanceKeeper::patience(const Wave &Each) const {
+  std::size_t Left =
+      Each.Asked_.Machines_.size() -
+      std::min(Each.Asked_.Machines_.size(), Each.Row_.Done_.size());
+  auto Spent = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Pool_.Clock_.now() - Each.FirstSeen_);
+  auto Remaining =
+      std::max(std::chrono::milliseconds(0), Each.Asked_.Duration_ - Spent);
+  auto PerMachine = Remaining * Each.Asked_.MostAtOnce_ /
+                    static_cast<std::int64_t>(std::max<std::size_t>(1, Left));
+  return std::min(LongestPatience, PerMachine);
+}
+
+bool MaintenanceKeeper::isReady(const Wave &Each, const std::string &Name) {
+  WorkerSession *Session = sessionOf(Name);
+  if (Session == nullptr)
+    return true;
+  if (!keepsBudgets(*Session))
+    return false;
+  bool HasShortRuns = false;
+  for (const auto &[Task, Run] : Session->runs()) {
+    ActiveJob *Job = Pool_.job(Task.Job_);
+    HasShortRuns =
+        HasShortRuns || (Job != nullptr && !Job->step(Task).IsLongRunning_);
+  }
+  return !HasShortRuns ||
+         Pool_.Clock_.now() - Each.ReservedAt_ >= patience(Each);
+}
+
+void MaintenanceKeeper::claim(Wave &Each) {
+  WaveProgress Next = Each.Row_;
+  std::string Name = Each.Next_;
+  Next.Down_[Name] = Pool_.Settings_.Node_;
+  store(Each, Next, [this, Name](Wave &Claimed) {
+    Claimed.Next_.clear();
+    order(Claimed, Name);
+  });
+}
+
+void MaintenanceKeeper::order(Wave &Each, const std::string &Name) {
+  WorkerSession *Session = sessionOf(Name);
+  if (!Pool_.mayAct() || (Session != nullptr && !keepsBudgets(*Session)))
+    return;
+  Each.IsBusy_ = true;
+  Each.Ordered_[Name] = Known_[Name].Worker_;
+  MachineOrder Order{Name, Pool_.Settings_.Node_, Each.Version_};
+  Machines_.maintain(Order, Each.Asked_.Number_,
+                     [Weak = weak_from_this(), Number = Each.Asked_.Number_,
+                      Name](MachineOutcome Outcome) {
+                       if (auto Self = Weak.lock())
+                         Self->onOrdered(Number, Name, Outcome);
+                     });
+}
+
+void MaintenanceKeeper::onOrdered(std::uint64_t Number, const std::string &Name,
+                                  MachineOutcome Outcome) {
+  Wave &Each = Waves_[Number];
+  Each.IsBusy_ = false;
+  Pool_.Logger_.write(
+      LogLevel::Info,
+      LogEvent("machine.maintained")
+          .with("machine", Name)
+          .with("wave", Number)
+          .with("outcome", static_cast<std::uint64_t>(Outcome)));
+  if (Outcome != MachineOutcome::Accepted) {
+    Each.Ordered_.erase(Name);
+    return;
+  }
+  if (WorkerSession *Session = sessionOf(Name)) {
+    Session->IsListed_ = false;
+    Starts_.abandon(*Session);
+  }
+  Known_[Name].State_ = MachineState::Maintained;
+}
+
+void MaintenanceKeeper::releaseReturned(Wave &Each) {
+  WaveProgress Next = Each.Row_;
+  for (const auto &[Name, Holder] : Each.Row_.Down_) {
+    auto Found = Known_.find(Name);
+    if (Found == Known_.end()) {
+      Next.Down_.erase(Name);
+      continue;
+    }
+    if (Found->second.Pool_ != Pool_.Pool_)
+      continue;
+    auto Ordered = Each.Ordered_.find(Name);
+    if (Ordered == Each.Ordered_.end()) {
+      // Claimed by an earlier owner, or not carried out: repeating the order
+      // is harmless.
+      if (Found->second.State_ == MachineState::Up)
+        order(Each, Name);
+      return;
+    }
+    bool IsBack = Found->second.State_ == MachineState::Up &&
+                  Found->second.Worker_ != Ordered->second;
+    if (!IsBack)
+      continue;
+    Next.Down_.erase(Name);
+    Next.Done_.insert(Name);
+  }
+  if (Next.Down_.size() != Each.Row_.Down_.size())
+    store(Each, Next, [](Wave &) {});
+}
+
+void MaintenanceKeeper::store(Wave &Each, WaveProgress Next,
+                              std::function<void(Wave &)> Then) {
+  Each.IsBusy_ = true;
+  StoreKey Row = controlrows::wave(Each.Asked_.Number_);
+  StoreTransaction Wanted;
+  Wanted.Expected_ = {{Row, Each.Version_}};
+  Wanted.Puts_ = {{Row, controlrows::encode(Next)}};
+  Pool_.Store_.transact(std::move(Wanted), [Weak = weak_from_this(), Next, Then,
+                                            Number = Each.Asked_.Number_](
+                                               const StoreTransactionEnd &End) {
+    auto Self = Weak.lock();
+    if (!Self)
+      return;
+    Wave &Stored = Self->Waves_[Number];
+    Stored.IsBusy_ = false;
+    if (End.Outcome_ != StoreOutcome::Done) {
+      Stored.IsLoaded_ = false;
+      return;
+    }
+    Stored.Row_ = Next;
+    Stored.Version_ = End.Version_;
+    Then(Stored);
+  });
+}
+
+bool MaintenanceKeeper::isComplete(const Wave &Each) const {
+  return std::all_of(Each.Asked_.Machines_.begin(), Each.Asked_.Machines_.end(),
+                     [&](const std::string &Name) {
+                       return Each.Row_.Done_.contains(Name) ||
+                              !Known_.contains(Name);
+                     });
+}
+
+void MaintenanceKeeper::report(Wave &Each) {
+  bool IsComplete = isComplete(Each);
+  Each.IsBusy_ = true;
+  Machines_.reportWave(Each.Asked_.Number_, IsComplete,
+                       [Weak = weak_from_this(), IsComplete,
+                        Number = Each.Asked_.Number_](bool IsStored) {
+                         auto Self = Weak.lock();
+                         if (!Self)
+                           return;
+                         Wave &Reported = Self->Waves_[Number];
+                         Reported.IsBusy_ = false;
+                         Reported.IsReported_ = IsStored;
+                         Reported.IsCompleted_ = IsStored && IsComplete;
+                       });
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -0,0 +1,84 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_INTERNAL_MAINTENANCEKEEPER_H
+#define DRAGONFLYLOCK_SCHEDULING_INTERNAL_MAINTENANCEKEEPER_H
+
+#include "scheduling/controlrows.h"
+#include "scheduling/machinecalls.h"
+#include "scheduling/schedulingtypes.h"
+#include "scheduling/storetypes.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dragonflylock {
+
+class Dispatcher;
+class IMachineControl;
+class WorkerSession;
+struct PoolState;
+struct StoreRange;
+
+/// Brings the machines of one pool through maintenance waves. The owners of
+/// all pools share one row a wave, which holds the machines that are down, so
+/// that together they keep to the wave's limit.
+class MaintenanceKeeper
+    : public std::enable_shared_from_this<MaintenanceKeeper> {
+public:
+  MaintenanceKeeper(PoolState &Pool, Dispatcher &Starts,
+                    IMachineControl &Machines)
+      : Pool_(Pool), Starts_(Starts), Machines_(Machines) {}
+
+  void onWaves(const std::vector<MaintenanceWave> &Waves);
+  void tick();
+
+private:
+  struct Wave {
+    MaintenanceWave Asked_;
+    WaveProgress Row_;
+    StoreVersion Version_ = 0;
+    bool IsLoaded_ = false;
+    bool IsBusy_ = false;
+    bool IsCompleted_ = false;
+    bool IsReported_ = false;
+    TimePoint FirstSeen_;
+    TimePoint NextLoad_;
+    /// Machine that is being emptied for its maintenance; empty for none.
+    std::string Next_;
+    TimePoint ReservedAt_;
+    /// Machines ordered down by this owner, with the worker they had.
+    std::map<std::string, std::string> Ordered_;
+  };
+
+  void listMachines();
+  void advance(Wave &Each);
+  void load(Wave &Each);
+  void onLoaded(std::uint64_t Number, const StoreRange &Read);
+  void chooseNext(Wave &Each);
+  void claim(Wave &Each);
+  void order(Wave &Each, const std::string &Name);
+  void onOrdered(std::uint64_t Number, const std::string &Name,
+                 MachineOutcome Outcome);
+  void releaseReturned(Wave &Each);
+  void store(Wave &Each, WaveProgress Next, std::function<void(Wave &)> Then);
+  void report(Wave &Each);
+  bool isComplete(const Wave &Each) const;
+  bool isReady(const Wave &Each, const std::string &Name);
+  bool keepsBudgets(const WorkerSession &Session);
+  std::chrono::milliseconds patience(const Wave &Each) const;
+  WorkerSession *sessionOf(const std::string &Name);
+  void reserve(const std::string &Name, bool IsReserved);
+
+  PoolState &Pool_;
+  Dispatcher &Starts_;
+  IMachineControl &Machines_;
+  std::map<std::uint64_t, Wave> Waves_;
+  std::map<std::string, Machine> Known_;
+  bool IsListing_ = false;
+  TimePoint NextList_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/scheduling/internal/ownershipkeeper.cpp
@@ -0,0 +1,244 @@
+#include "scheduling/ownershipkeeper.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
+#include "scheduling/istore.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace dragonflylock {
+namespace {
+
+/// Renewals within one lease, so that two may be lost.
+constexpr int RenewalsPerLease = 3;
+constexpr std::chrono::milliseconds RetryPause{150};
+/// Spread of the nodes' first attempts, and the handicap of a node for each
+/// pool that it owns already, so that pools spread over the nodes.
+constexpr std::uint64_t AttemptSpread = 400;
+constexpr std::chrono::milliseconds OwnedHandicap{400};
+
+} // namespace
+
+OwnershipKeeper::OwnershipKeeper(const SchedulingSettings &Settings,
+                                 std::string Process, IStore &Store,
+                                 const IClock &Clock, ILogger &Logger,
+                                 Won OnWon, Renewed OnRenewed, Lost OnLost)
+    : Settings_(Settings), Process_(std::move(Process)), Store_(Store),
+      Clock_(Clock), Logger_(Logger), OnWon_(std::move(OnWon)),
+      OnRenewed_(std::move(OnRenewed)), OnLost_(std::move(OnLost)) {}
+
+void OwnershipKeeper::setPools(const std::vector<std::string> &Pools) {
+  Pools_ = Pools;
+  for (const std::string &Pool : Pools) {
+    auto [Place, IsNew] = Leases_.try_emplace(Pool);
+    if (IsNew)
+      Place->second.SeenAt_ = Clock_.now();
+  }
+}
+
+void OwnershipKeeper::adopt(PoolLease &Lease, const StoreRow &Row) {
+  if (Row.Version_ <= Lease.Version_)
+    return;
+  Lease.Version_ = Row.Version_;
+  Lease.SeenAt_ = Clock_.now();
+  Lease.NextAttempt_ = TimePoint();
+  auto Read = controlrows::decodeOwner(Row.Value_);
+  if (Read)
+    Lease.Row_ = *Read;
+  else
+    Logger_.write(LogLevel::Error,
+                  LogEvent("owner-row.unreadable").with("row", Row.Name_.Key_));
+}
+
+void OwnershipKeeper::onRow(const std::string &Pool, const StoreRow &Row) {
+  PoolLease &Lease = Leases_[Pool];
+  if (Lease.IsBusy_ && Lease.IsMine_)
+    return; // The answer to the renewal tells what became of it.
+  adopt(Lease, Row);
+  bool IsOthers = Lease.Row_.Process_ != Process_;
+  if (Lease.IsMine_ && IsOthers)
+    lose(Pool, Lease, "taken-over");
+}
+
+bool OwnershipKeeper::isFree(const PoolLease &Lease) const {
+  if (Lease.Version_ == 0)
+    return IsLoaded_;
+  // An earlier process of this node is gone for certain.
+  if (Lease.Row_.Holder_.empty() || Lease.Row_.Holder_ == Settings_.Node_)
+    return true;
+  return Clock_.now() >=
+         Lease.SeenAt_ + Settings_.OwnerLease_ + Settings_.LeaseMargin_;
+}
+
+std::chrono::milliseconds
+OwnershipKeeper::attemptDelay(const std::string &Pool) const {
+  std::uint64_t Hash = std::hash<std::string>()(Settings_.Node_ + "/" + Pool);
+  return std::chrono::milliseconds(Hash % AttemptSpread) +
+         OwnedHandicap * static_cast<std::int64_t>(owned());
+}
+
+void OwnershipKeeper::tick() {
+  const TimePoint Now = Clock_.now();
+  for (const std::string &Pool : Pools_) {
+    PoolLease &Lease = Leases_[Pool];
+    if (Lease.IsMine_ && Now >= Lease.LeaseEnd_)
+      lose(Pool, Lease, "lease-ended");
+    if (Lease.IsBusy_ || IsReleasing_)
+      continue;
+    if (Lease.IsMine_) {
+      if (Now >= Lease.NextRenewal_)
+        renew(Pool, Lease);
+      continue;
+    }
+    if (!isFree(Lease)) {
+      Lease.NextAttempt_ = TimePoint();
+      continue;
+    }
+    if (Lease.NextAttempt_ == TimePoint())
+      Lease.NextAttempt_ = Now + attemptDelay(Pool);
+    if (Now >= Lease.NextAttempt_)
+      tryToWin(Pool, Lease);
+  }
+}
+
+StoreTransaction OwnershipKeeper::writeOf(const std::string &Pool,
+                                          const PoolLease &Lease,
+                                          const OwnerRow &Row) const {
+  StoreTransaction Wanted;
+  Wanted.Expected_ = {{controlrows::owner(Pool), Lease.Version_}};
+  Wanted.Puts_ = {{controlrows::owner(Pool), controlrows::encode(Row)}};
+  return Wanted;
+}
+
+void OwnershipKeeper::tryToWin(const std::string &Pool, PoolLease &Lease) {
+  OwnerRow Sought;
+  Sought.Holder_ = Settings_.Node_;
+  Sought.Process_ = Process_;
+  bool HadOwner = Lease.Version_ > 0;
+  Sought.Predecessors_ = HadOwner ? Lease.Row_.Predecessors_ + 1 : 0;
+  Lease.IsBusy_ = true;
+  Store_.transact(writeOf(Pool, Lease, Sought),
+                  [Weak = weak_from_this(), Pool, Sought,
+                   Sent = Clock_.now()](const StoreTransactionEnd &End) {
+                    if (auto Self = Weak.lock())
+                      Self->onAttempt(Pool, Sent, Sought, End);
+                  });
+}
+
+void OwnershipKeeper::onAttempt(const std::string &Pool, TimePoint Sent,
+                                const OwnerRow &Sought,
+                                const StoreTransactionEnd &End) {
+  PoolLease &Lease = Leases_[Pool];
+  Lease.IsBusy_ = false;
+  Lease.NextAttempt_ = Clock_.now() + RetryPause;
+  if (End.Outcome_ == StoreOutcome::Done) {
+    Lease.Row_ = Sought;
+    Lease.Version_ = End.Version_;
+    begin(Pool, Lease, Sent, End.Version_);
+    return;
+  }
+  if (End.Outcome_ != StoreOutcome::ConditionFailed || End.Current_.empty())
+    return;
+  adopt(Lease, End.Current_.front());
+  // An earlier attempt of this process, whose answer was lost, has won.
+  bool HasWon = Lease.Row_.Process_ == Process_ && Lease.Row_.Renewals_ == 0;
+  if (HasWon)
+    begin(Pool, Lease, Sent, Lease.Version_);
+}
+
+void OwnershipKeeper::begin(const std::string &Pool, PoolLease &Lease,
+                            TimePoint Sent, StoreVersion Token) {
+  Lease.IsMine_ = true;
+  Lease.Token_ = Token;
+  Lease.SeenAt_ = Clock_.now();
+  Lease.LeaseEnd_ = Sent + Settings_.OwnerLease_;
+  Lease.NextRenewal_ = Sent + Settings_.OwnerLease_ / RenewalsPerLease;
+  Logger_.write(LogLevel::Info,
+                LogEvent("pool.won")
+                    .with("pool", Pool)
+                    .with("token", Token)
+                    .with("predecessors", Lease.Row_.Predecessors_));
+  OnWon_({Pool, Token, Lease.Row_.Predecessors_, Lease.LeaseEnd_});
+}
+
+void OwnershipKeeper::renew(const std::string &Pool, PoolLease &Lease) {
+  OwnerRow Next = Lease.Row_;
+  Next.Token_ = Lease.Token_;
+  ++Next.Renewals_;
+  Lease.IsBusy_ = true;
+  Store_.transact(writeOf(Pool, Lease, Next),
+                  [Weak = weak_from_this(), Pool, Next,
+                   Sent = Clock_.now()](const StoreTransactionEnd &End) {
+                    if (auto Self = Weak.lock())
+                      Self->onRenewal(Pool, Sent, Next, End);
+                  });
+}
+
+void OwnershipKeeper::onRenewal(const std::string &Pool, TimePoint Sent,
+                                const OwnerRow &Next,
+                                const StoreTransactionEnd &End) {
+  PoolLease &Lease = Leases_[Pool];
+  Lease.IsBusy_ = false;
+  if (!Lease.IsMine_)
+    return;
+  if (End.Outcome_ == StoreOutcome::Done) {
+    Lease.Row_ = Next;
+    Lease.Version_ = End.Version_;
+    Lease.SeenAt_ = Clock_.now();
+    Lease.LeaseEnd_ = Sent + Settings_.OwnerLease_;
+    Lease.NextRenewal_ = Sent + Settings_.OwnerLease_ / RenewalsPerLease;
+    OnRenewed_(Pool, Lease.LeaseEnd_);
+    return;
+  }
+  Lease.NextRenewal_ = Clock_.now() + RetryPause;
+  if (End.Outcome_ != StoreOutcome::ConditionFailed)
+    return;
+  // The row of an earlier renewal whose answer was lost counts as ours; its
+  // lease is not extended, since it is not known when it was written.
+  if (!End.Current_.empty())
+    adopt(Lease, End.Current_.front());
+  if (End.Current_.empty() || Lease.Row_.Process_ != Process_)
+    lose(Pool, Lease, "taken-over");
+  else
+    Lease.NextRenewal_ = Clock_.now();
+}
+
+void OwnershipKeeper::lose(const std::string &Pool, PoolLease &Lease,
+                           const char *Cause) {
+  Lease.IsMine_ = false;
+  Lease.NextAttempt_ = Clock_.now() + Settings_.OwnerLease_;
+  Logger_.write(LogLevel::Warning, LogEvent("pool.lost")
+                                       .with("pool", Pool)
+                                       .with("token", Lease.Token_)
+                                       .with("cause", Cause));
+  OnLost_(Pool);
+}
+
+void OwnershipKeeper::drop(const std::string &Pool) {
+  PoolLease &Lease = Leases_[Pool];
+  if (Lease.IsMine_)
+    lose(Pool, Lease, "fenced-off");
+}
+
+void OwnershipKeeper::releaseAll() {
+  IsReleasing_ = true;
+  for (auto &[Pool, Lease] : Leases_) {
+    if (!Lease.IsMine_)
+      continue;
+    lose(Pool, Lease, "released");
+    OwnerRow Next = Lease.Row_;
+    Next.Holder_.clear();
+    ++Next.Renewals_;
+    // A row that stays as it is is taken over when its lease has ended.
+    Store_.transact(writeOf(Pool, Lease, Next),
+                    [](const StoreTransactionEnd &) {});
+  }
+}
+
+std::size_t OwnershipKeeper::owned() const {
+  return static_cast<std::size_t>(
+      std::count_if(Leases_.begin(), Leases_.end(),
+                    [](const auto &Each) { return Each.second.IsMine_; }));
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/pacekeeper.cpp
@@ -0,0 +1,89 @@
+#include "scheduling/internal/pacekeeper.h"
+#include "scheduling/internal/poolstate.h"
+#include "scheduling/iworkercontrol.h"
+
+#include <algorithm>
+
+namespace dragonflylock {
+namespace {
+
+constexpr std::uint32_t FullShare = 100;
+/// Tail ratio above which filling tasks are slowed: the figure is rough, so
+/// that the target itself would be noticed too late.
+constexpr double SlowAbove = 0.8;
+/// Tail ratio below which they may speed up.
+constexpr double SpeedUpBelow = 0.6;
+constexpr std::uint32_t SpeedUpStep = 10;
+/// Shares below this one stop the filling tasks.
+constexpr std::uint32_t LeastShare = 5;
+/// Workers' figures cover half a second.
+constexpr std::chrono::milliseconds FigureWindow{500};
+
+} // namespace
+
+std::uint32_t nextFillerShare(std::uint32_t Current, double TailRatio) {
+  if (TailRatio > 1.0)
+    return Current / 4 < LeastShare ? 0 : Current / 4;
+  if (TailRatio > SlowAbove)
+    return Current / 2 < LeastShare ? 0 : Current / 2;
+  if (TailRatio < SpeedUpBelow)
+    return std::min(FullShare, Current + SpeedUpStep);
+  return Current;
+}
+
+void PaceKeeper::tick() {
+  if (!Pool_.mayAct())
+    return;
+  const TimePoint Now = Pool_.Clock_.now();
+  for (auto &[Lifetime, Session] : Pool_.Sessions_)
+    if (Session->IsFenced_ && Session->NextPace_ <= Now)
+      adjust(*Session);
+}
+
+void PaceKeeper::adjust(WorkerSession &Session) {
+  bool HasServing = false;
+  double Worst = 0;
+  for (const auto &[Name, Run] : Session.runs()) {
+    if (Run.LatencyTarget_.count() <= 0 || !Run.ConfirmedAt_)
+      continue;
+    HasServing = true;
+    Worst =
+        std::max(Worst, static_cast<double>(Run.Figure_) /
+                            static_cast<double>(Run.LatencyTarget_.count()));
+  }
+  Session.NextPace_ =
+      Pool_.Clock_.now() + FigureWindow + Pool_.Settings_.PaceDelay_;
+  for (auto &[Name, Run] : Session.runs()) {
+    if (!Run.IsFiller_ || !Run.ConfirmedAt_)
+      continue;
+    std::uint32_t Next =
+        HasServing ? nextFillerShare(Run.Percent_, Worst) : FullShare;
+    if (Next == Run.Percent_)
+      continue;
+    Run.Percent_ = Next;
+    order(Session, Name, Next);
+  }
+}
+
+void PaceKeeper::order(WorkerSession &Session, const TaskName &Name,
+                       std::uint32_t Share) {
+  RunNumber Run = Session.runs()[Name].Run_;
+  Pool_.Workers_.pace(
+      Session.target(), Name, Run, Share, Pool_.Token_,
+      [Weak = weak_from_this(), Lifetime = Session.entry().lifetime(), Name,
+       Run](const OrderAnswer &Answer) {
+        auto Self = Weak.lock();
+        if (!Self || Answer.Outcome_ == OrderOutcome::Accepted)
+          return;
+        WorkerSession *Session = Self->Pool_.session(Lifetime);
+        if (Session == nullptr)
+          return;
+        auto Found = Session->runs().find(Name);
+        // Taken as running at full speed, so that the next round repeats the
+        // order.
+        if (Found != Session->runs().end() && Found->second.Run_ == Run)
+          Found->second.Percent_ = FullShare;
+      });
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/placement.cpp
@@ -0,0 +1,61 @@
+#include "scheduling/placement.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace dragonflylock {
+namespace {
+
+Resources neededBy(const StepSpec &Step) {
+  Resources Needed = Step.PerTask_;
+  if (Step.IsFiller_)
+    Needed.CpuMillis_ = 0;
+  return Needed;
+}
+
+bool hasLabel(const StepSpec &Step, const std::vector<std::string> &Labels) {
+  return Step.RequiredLabel_.empty() ||
+         std::find(Labels.begin(), Labels.end(), Step.RequiredLabel_) !=
+             Labels.end();
+}
+
+bool isAllowed(const StepSpec &Step, const PlacementCandidate &Worker) {
+  if (!Worker.Free_.holds(neededBy(Step)) || !hasLabel(Step, Worker.Labels_))
+    return false;
+  return Step.MostPerWorker_ == 0 || Worker.SameStep_ < Step.MostPerWorker_;
+}
+
+/// Higher is better; compared from the first element on.
+auto rank(const StepSpec &Step, const PlacementCandidate &Worker) {
+  bool IsFar = !Step.DataRack_.empty() && Worker.Rack_ != Step.DataRack_;
+  std::uint32_t Disturbed = 0;
+  if (Step.IsFiller_)
+    Disturbed = Worker.Serving_;
+  else if (Step.LatencyTarget_.count() > 0)
+    Disturbed = Worker.Fillers_;
+  return std::make_tuple(!Worker.HasFailedTask_, !IsFar,
+                         -static_cast<std::int64_t>(Disturbed),
+                         Worker.Free_.CpuMillis_, Worker.Free_.MemoryMb_);
+}
+
+} // namespace
+
+std::optional<std::size_t>
+choosePlacement(const StepSpec &Step,
+                const std::vector<PlacementCandidate> &Candidates) {
+  std::optional<std::size_t> Best;
+  for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
+    if (!isAllowed(Step, Candidates[Index]))
+      continue;
+    if (!Best || rank(Step, Candidates[Index]) > rank(Step, Candidates[*Best]))
+      Best = Index;
+  }
+  return Best;
+}
+
+bool mayEverRun(const StepSpec &Step, const Resources &Capacity,
+                const std::vector<std::string> &Labels) {
+  return Capacity.holds(neededBy(Step)) && hasLabel(Step, Labels);
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/poolowner.cpp
@@ -0,0 +1,254 @@
+#include "scheduling/poolowner.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
+#include "scheduling/internal/dispatcher.h"
+#include "scheduling/internal/holdkeeper.h"
+#include "scheduling/internal/jobloader.h"
+#include "scheduling/internal/jobregister.h"
+#include "scheduling/internal/maintenancekeeper.h"
+#include "scheduling/internal/pacekeeper.h"
+#include "scheduling/internal/poolstate.h"
+#include "scheduling/internal/progresswriter.h"
+#include "scheduling/internal/rosterkeeper.h"
+#include "scheduling/internal/runbook.h"
+
+#include <algorithm>
+
+namespace dragonflylock {
+namespace {
+
+/// Run numbers that each owner of a pool has for itself, so that a later
+/// owner's are higher without a record of each start.
+constexpr RunNumber RunsPerOwner = 10000;
+/// Longest time between two looks for startable tasks, for tasks that become
+/// due or whose pause ends.
+constexpr std::chrono::milliseconds DispatchInterval{100};
+
+} // namespace
+
+struct PoolOwner::Parts {
+  Parts(const Builder &Source, const PoolTenure &Tenure)
+      : State_(Tenure.Pool_, *Source.Settings_, *Source.Clock_, *Source.Store_,
+               *Source.Workers_, *Source.Logger_),
+        Runs_(State_), Jobs_(State_, Runs_),
+        Starts_(std::make_shared<Dispatcher>(State_, Runs_)),
+        Holds_(std::make_shared<HoldKeeper>(State_, Runs_, *Starts_)),
+        Writer_(std::make_shared<ProgressWriter>(State_)),
+        Roster_(std::make_shared<RosterKeeper>(State_)),
+        Paces_(std::make_shared<PaceKeeper>(State_)),
+        Maintenance_(std::make_shared<MaintenanceKeeper>(State_, *Starts_,
+                                                         *Source.Machines_)),
+        HasPredecessor_(Tenure.Predecessors_ > 0) {
+    State_.Token_ = Tenure.Token_;
+    State_.FirstRun_ = Tenure.Predecessors_ * RunsPerOwner;
+    State_.LeaseEnd_ = Tenure.LeaseEnd_;
+    InheritedLapse_ = State_.surelyLapsed(State_.Clock_.now());
+  }
+
+  void onLoaded(StoreVersion Version);
+  void settleInherited();
+  void removeGoneWorkers();
+
+  PoolState State_;
+  RunBook Runs_;
+  JobRegister Jobs_;
+  std::shared_ptr<Dispatcher> Starts_;
+  std::shared_ptr<HoldKeeper> Holds_;
+  std::shared_ptr<ProgressWriter> Writer_;
+  std::shared_ptr<RosterKeeper> Roster_;
+  std::shared_ptr<PaceKeeper> Paces_;
+  std::shared_ptr<MaintenanceKeeper> Maintenance_;
+  std::shared_ptr<JobLoader> Loader_;
+  std::function<void(StoreVersion)> OnLoaded_;
+  bool IsLoaded_ = false;
+  /// Whether an earlier owner may have left runs behind.
+  bool HasPredecessor_;
+  bool IsInheritedSettled_ = false;
+  /// When the last run of an earlier owner has lapsed.
+  TimePoint InheritedLapse_;
+  TimePoint NextDispatch_;
+};
+
+PoolOwner::Builder &
+PoolOwner::Builder::settings(const SchedulingSettings &Value) {
+  Settings_ = &Value;
+  return *this;
+}
+
+PoolOwner::Builder &PoolOwner::Builder::clock(const IClock &Value) {
+  Clock_ = &Value;
+  return *this;
+}
+
+PoolOwner::Builder &PoolOwner::Builder::store(IStore &Value) {
+  Store_ = &Value;
+  return *this;
+}
+
+PoolOwner::Builder &PoolOwner::Builder::workers(IWorkerControl &Value) {
+  Workers_ = &Value;
+  return *this;
+}
+
+PoolOwner::Builder &PoolOwner::Builder::machines(IMachineControl &Value) {
+  Machines_ = &Value;
+  return *this;
+}
+
+PoolOwner::Builder &PoolOwner::Builder::logger(ILogger &Value) {
+  Logger_ = &Value;
+  return *this;
+}
+
+std::unique_ptr<PoolOwner>
+PoolOwner::Builder::build(const PoolTenure &Tenure) const {
+  return std::unique_ptr<PoolOwner>(
+      new PoolOwner(std::make_unique<Parts>(*this, Tenure)));
+}
+
+PoolOwner::PoolOwner(std::unique_ptr<Parts> Built) : Parts_(std::move(Built)) {}
+
+PoolOwner::~PoolOwner() = default;
+
+void PoolOwner::begin(std::function<void(StoreVersion)> OnLoaded) {
+  Parts_->OnLoaded_ = std::move(OnLoaded);
+  Parts_->Loader_ = std::make_shared<JobLoader>(
+      Parts_->State_.Store_, Parts_->State_.Clock_,
+      [this](const StoreRow &Row) { Parts_->Jobs_.onRow(Row); },
+      [this](StoreVersion Version) { Parts_->onLoaded(Version); });
+  tick();
+}
+
+void PoolOwner::Parts::onLoaded(StoreVersion Version) {
+  bool IsReload = IsLoaded_;
+  IsLoaded_ = true;
+  for (auto &[Id, Job] : State_.Jobs_) {
+    if (!HasPredecessor_ || IsReload)
+      continue;
+    Job->forEachTask([](const TaskName &, TaskRun &Run) {
+      Run.MayRunElsewhere_ = Run.Phase_ != TaskPhase::Done;
+    });
+  }
+  State_.NeedsDispatch_ = true;
+  State_.Logger_.write(LogLevel::Info,
+                       LogEvent("pool.loaded")
+                           .with("pool", State_.Pool_)
+                           .with("token", State_.Token_)
+                           .with("jobs", std::uint64_t{State_.Jobs_.size()}));
+  OnLoaded_(Version);
+}
+
+void PoolOwner::Parts::settleInherited() {
+  if (IsInheritedSettled_)
+    return;
+  bool AllAsked =
+      std::all_of(State_.Sessions_.begin(), State_.Sessions_.end(),
+                  [](const auto &Each) { return Each.second->IsFenced_; });
+  if (HasPredecessor_ && !AllAsked && State_.Clock_.now() < InheritedLapse_)
+    return;
+  IsInheritedSettled_ = true;
+  State_.NeedsDispatch_ = true;
+  for (auto &[Id, Job] : State_.Jobs_)
+    Job->forEachTask(
+        [](const TaskName &, TaskRun &Run) { Run.MayRunElsewhere_ = false; });
+}
+
+void PoolOwner::Parts::removeGoneWorkers() {
+  std::erase_if(State_.Sessions_, [this](const auto &Each) {
+    const WorkerSession &Session = *Each.second;
+    return !Session.IsListed_ && !Session.IsHolding_ &&
+           Session.runs().empty() && !Session.hasUnsettledEnds() &&
+           State_.Clock_.now() >= Session.lapsesAt();
+  });
+}
+
+void PoolOwner::extendLease(TimePoint End) { Parts_->State_.LeaseEnd_ = End; }
+
+void PoolOwner::onConfiguration(
+    std::shared_ptr<const SchedulingConfiguration> Configuration) {
+  Parts_->State_.Configuration_ = std::move(Configuration);
+  Parts_->State_.NeedsDispatch_ = true;
+}
+
+void PoolOwner::onWorkers(const std::vector<WorkerEntry> &Workers) {
+  auto &Sessions = Parts_->State_.Sessions_;
+  std::map<std::string, std::string> LifetimeOfId;
+  for (const WorkerEntry &Worker : Workers)
+    LifetimeOfId[Worker.Id_] = Worker.lifetime();
+  for (auto &[Lifetime, Session] : Sessions) {
+    auto Found = LifetimeOfId.find(Session->entry().Id_);
+    bool IsListed = Found != LifetimeOfId.end() && Found->second == Lifetime;
+    if (Session->IsListed_ && !IsListed)
+      Parts_->State_.NeedsDispatch_ = true;
+    Session->IsListed_ = IsListed;
+    // A later lifetime of the same worker has nothing of the earlier one.
+    if (Found != LifetimeOfId.end() && !IsListed)
+      Parts_->Runs_.releaseAll(*Session);
+  }
+  for (const WorkerEntry &Worker : Workers) {
+    auto [Place, IsNew] = Sessions.try_emplace(Worker.lifetime(), nullptr);
+    if (IsNew)
+      Place->second = std::make_unique<WorkerSession>(Worker);
+    else if (!(Place->second->entry() == Worker))
+      Place->second->setEntry(Worker);
+    else
+      continue;
+    Parts_->State_.NeedsDispatch_ = true;
+  }
+}
+
+void PoolOwner::onJobRow(const StoreRow &Row) { Parts_->Jobs_.onRow(Row); }
+
+void PoolOwner::onWaves(const std::vector<MaintenanceWave> &Waves) {
+  Parts_->Maintenance_->onWaves(Waves);
+}
+
+void PoolOwner::tick() {
+  PoolState &State = Parts_->State_;
+  if (State.IsFencedOff_ || !Parts_->Loader_)
+    return;
+  Parts_->Loader_->tick();
+  Parts_->Roster_->tick();
+  if (!Parts_->IsLoaded_ || !Parts_->Roster_->isLoaded())
+    return;
+  Parts_->Holds_->tick();
+  Parts_->settleInherited();
+  Parts_->Starts_->stopUnwanted();
+  const TimePoint Now = State.Clock_.now();
+  if (State.NeedsDispatch_ || Now >= Parts_->NextDispatch_) {
+    Parts_->NextDispatch_ = Now + DispatchInterval;
+    Parts_->Starts_->dispatch();
+  }
+  Parts_->Paces_->tick();
+  Parts_->Maintenance_->tick();
+  Parts_->Writer_->flush();
+  Parts_->Jobs_.retireEnded();
+  Parts_->removeGoneWorkers();
+}
+
+const std::string &PoolOwner::pool() const { return Parts_->State_.Pool_; }
+
+FencingToken PoolOwner::token() const { return Parts_->State_.Token_; }
+
+bool PoolOwner::isFencedOff() const { return Parts_->State_.IsFencedOff_; }
+
+std::map<std::string, std::uint64_t> PoolOwner::pendingJobs() const {
+  std::map<std::string, std::uint64_t> Pending;
+  if (!Parts_->IsLoaded_)
+    return Pending;
+  for (const auto &[Id, Job] : Parts_->State_.Jobs_) {
+    std::uint64_t &Count = Pending[Job->stored().Queue_];
+    if (!Job->hasBegun() && !isFinal(Job->progress().state()))
+      ++Count;
+  }
+  return Pending;
+}
+
+std::optional<JobPhase> PoolOwner::stateOf(const std::string &Job) const {
+  const ActiveJob *Found = Parts_->State_.job(Job);
+  if (Found == nullptr)
+    return std::nullopt;
+  return Found->progress().state();
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/poolstate.cpp
@@ -0,0 +1,51 @@
+#include "scheduling/internal/poolstate.h"
+
+namespace dragonflylock {
+namespace {
+
+/// Percent by which a worker's clock may be slow, with the time that an order
+/// may take to arrive.
+constexpr int ClockDriftPercent = 2;
+constexpr std::chrono::milliseconds LapseMargin{100};
+constexpr int Percent = 100;
+/// Attempts of a task whose queue is no longer configured.
+constexpr std::uint32_t DefaultAttempts = 4;
+
+} // namespace
+
+bool PoolState::mayAct() const {
+  return !IsFencedOff_ && Clock_.now() < LeaseEnd_ - Settings_.LeaseMargin_;
+}
+
+ActiveJob *PoolState::job(const std::string &Id) {
+  auto Found = Jobs_.find(Id);
+  return Found == Jobs_.end() ? nullptr : Found->second.get();
+}
+
+WorkerSession *PoolState::session(const std::string &Lifetime) {
+  auto Found = Sessions_.find(Lifetime);
+  return Found == Sessions_.end() ? nullptr : Found->second.get();
+}
+
+QueueSetting PoolState::queueOf(const ActiveJob &Job) const {
+  const QueueSetting *Found =
+      Configuration_ ? Configuration_->queue(Job.stored().Queue_) : nullptr;
+  if (Found != nullptr)
+    return *Found;
+  QueueSetting Removed;
+  Removed.Name_ = Job.stored().Queue_;
+  Removed.Pool_ = Job.stored().Pool_;
+  Removed.MostAttempts_ = DefaultAttempts;
+  return Removed;
+}
+
+TimePoint PoolState::surelyLapsed(TimePoint Now) const {
+  return Now + Settings_.LongestHold_ +
+         Settings_.LongestHold_ * ClockDriftPercent / Percent + LapseMargin;
+}
+
+std::chrono::milliseconds PoolState::wallTime() const {
+  return std::chrono::milliseconds(millisecondsSinceEpoch(Clock_.wallNow()));
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/poolstate.h
@@ -0,0 +1,75 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_INTERNAL_POOLSTATE_H
+#define DRAGONFLYLOCK_SCHEDULING_INTERNAL_POOLSTATE_H
+
+#include "scheduling/activejob.h"
+#include "scheduling/schedulingsettings.h"
+#include "scheduling/workersession.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dragonflylock {
+
+class IClock;
+class ILogger;
+class IStore;
+class IWorkerControl;
+
+/// An end that may be acknowledged once its job's progress is stored.
+struct UnstoredEnd {
+  std::string Worker_;
+  std::uint64_t Sequence_ = 0;
+  std::string Job_;
+  /// The job's change that holds the end's consequence.
+  std::uint64_t Change_ = 0;
+};
+
+/// What the parts of a pool's owner share. Used by the thread that decides.
+struct PoolState {
+  PoolState(std::string Pool, const SchedulingSettings &Settings,
+            const IClock &Clock, IStore &Store, IWorkerControl &Workers,
+            ILogger &Logger)
+      : Pool_(std::move(Pool)), Settings_(Settings), Clock_(Clock),
+        Store_(Store), Workers_(Workers), Logger_(Logger) {}
+
+  std::string Pool_;
+  const SchedulingSettings &Settings_;
+  const IClock &Clock_;
+  IStore &Store_;
+  IWorkerControl &Workers_;
+  ILogger &Logger_;
+
+  FencingToken Token_ = 0;
+  /// The run number before the first one of this owner.
+  RunNumber FirstRun_ = 0;
+  /// End of the owner's lease.
+  TimePoint LeaseEnd_;
+  /// Set when a worker has seen a higher token.
+  bool IsFencedOff_ = false;
+  /// By job id.
+  std::map<std::string, std::unique_ptr<ActiveJob>> Jobs_;
+  /// By lifetime.
+  std::map<std::string, std::unique_ptr<WorkerSession>> Sessions_;
+  std::shared_ptr<const SchedulingConfiguration> Configuration_;
+  std::vector<UnstoredEnd> UnstoredEnds_;
+  /// Whether something has changed that may let a task start.
+  bool NeedsDispatch_ = false;
+
+  /// \returns whether this process still owns the pool. To be asked right
+  /// before each act, since the process may have been paused.
+  bool mayAct() const;
+  ActiveJob *job(const std::string &Id);
+  WorkerSession *session(const std::string &Lifetime);
+  /// \returns the queue's setting, or defaults where it has been removed.
+  QueueSetting queueOf(const ActiveJob &Job) const;
+  /// \returns when a lease granted at \p Now has ended for certain.
+  TimePoint surelyLapsed(TimePoint Now) const;
+  std::chrono::milliseconds wallTime() const;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/scheduling/internal/progresswriter.cpp
@@ -0,0 +1,134 @@
+#include "scheduling/internal/progresswriter.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
+#include "scheduling/internal/poolstate.h"
+#include "scheduling/istore.h"
+#include "scheduling/jobrows.h"
+
+namespace dragonflylock {
+namespace {
+
+/// Rows of one transaction; the store takes 100 entries, and each row counts
+/// twice, as an expectation and as a new value.
+constexpr std::size_t LargestBatch = 50;
+/// Pause after a transaction that failed.
+constexpr std::chrono::milliseconds RetryPause{150};
+
+StoreKey progressRow(const ActiveJob &Job) {
+  return jobrows::name(Job.stored().Queue_, Job.id(), JobRowKind::Progress);
+}
+
+} // namespace
+
+void ProgressWriter::flush() {
+  if (!Pool_.mayAct())
+    return;
+  std::map<std::string, std::vector<ActiveJob *>> Dirty;
+  for (auto &[Id, Job] : Pool_.Jobs_) {
+    std::vector<ActiveJob *> &OfPart = Dirty[Job->stored().Queue_];
+    if (Job->isDirty() && OfPart.size() < LargestBatch)
+      OfPart.push_back(Job.get());
+  }
+  for (auto &[Part, Jobs] : Dirty) {
+    const PartState &State = Parts_[Part];
+    if (!Jobs.empty() && !State.IsBusy_ &&
+        State.NotBefore_ <= Pool_.Clock_.now())
+      send(Part, Jobs);
+  }
+}
+
+void ProgressWriter::send(const std::string &Part,
+                          const std::vector<ActiveJob *> &Jobs) {
+  StoreTransaction Wanted;
+  Batch Sent;
+  for (const ActiveJob *Job : Jobs) {
+    StoreKey Row = progressRow(*Job);
+    Wanted.Expected_.push_back({Row, Job->progressVersion()});
+    Wanted.Puts_.push_back({Row, Job->progress().encode()});
+    Sent.emplace_back(Job->id(), Job->changes());
+  }
+  Parts_[Part].IsBusy_ = true;
+  Pool_.Store_.transact(
+      std::move(Wanted),
+      [Weak = weak_from_this(), Part, Sent](const StoreTransactionEnd &End) {
+        if (auto Self = Weak.lock())
+          Self->onEnd(Part, Sent, End);
+      });
+}
+
+void ProgressWriter::onEnd(const std::string &Part, const Batch &Sent,
+                           const StoreTransactionEnd &End) {
+  PartState &State = Parts_[Part];
+  State.IsBusy_ = false;
+  switch (End.Outcome_) {
+  case StoreOutcome::Done:
+    onStored(Sent, End.Version_);
+    break;
+  case StoreOutcome::ConditionFailed:
+    onConflict(Sent, End);
+    break;
+  default:
+    // Where the outcome is unknown, the next attempt finds the row changed.
+    State.NotBefore_ = Pool_.Clock_.now() + RetryPause;
+    Pool_.Logger_.write(LogLevel::Warning,
+                        LogEvent("progress.unstored")
+                            .with("pool", Pool_.Pool_)
+                            .with("jobs", std::uint64_t{Sent.size()}));
+    return;
+  }
+  flush();
+}
+
+void ProgressWriter::onStored(const Batch &Sent, StoreVersion Version) {
+  for (const auto &[Id, Change] : Sent) {
+    ActiveJob *Job = Pool_.job(Id);
+    if (Job == nullptr)
+      continue;
+    Job->setProgressVersion(Version);
+    Job->setStoredChanges(Change);
+    settleEnds(*Job);
+    if (isFinal(Job->progress().state()) && !Job->isDirty())
+      Pool_.Logger_.write(
+          LogLevel::Info,
+          LogEvent("job.ended")
+              .with("job", Id)
+              .with("state", jobrowcodec::nameOf(Job->progress().state()))
+              .with("after",
+                    std::chrono::microseconds(Pool_.wallTime() -
+                                              Job->stored().AcceptedAt_)));
+  }
+}
+
+void ProgressWriter::onConflict(const Batch &Sent,
+                                const StoreTransactionEnd &End) {
+  std::map<std::string, const StoreRow *> Current;
+  for (const StoreRow &Row : End.Current_)
+    Current[jobrows::jobOf(Row.Name_)] = &Row;
+  for (const auto &[Id, Change] : Sent) {
+    ActiveJob *Job = Pool_.job(Id);
+    if (Job == nullptr)
+      continue;
+    auto Found = Current.find(Id);
+    if (Found == Current.end()) {
+      Job->setProgressVersion(0);
+      continue;
+    }
+    JobProgress Read(Job->stored().Spec_);
+    if (Read.decode(Found->second->Value_))
+      Job->adoptProgress(Read, Found->second->Version_);
+    else
+      Job->setProgressVersion(Found->second->Version_);
+  }
+}
+
+void ProgressWriter::settleEnds(const ActiveJob &Job) {
+  std::erase_if(Pool_.UnstoredEnds_, [&](const UnstoredEnd &End) {
+    if (End.Job_ != Job.id() || End.Change_ > Job.storedChanges())
+      return false;
+    if (WorkerSession *Session = Pool_.session(End.Worker_))
+      Session->settleEnd(End.Sequence_);
+    return true;
+  });
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/progresswriter.h
@@ -0,0 +1,49 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_INTERNAL_PROGRESSWRITER_H
+#define DRAGONFLYLOCK_SCHEDULING_INTERNAL_PROGRESSWRITER_H
+
+#include "scheduling/storetypes.h"
+
+#include "global/iclock.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dragonflylock {
+
+class ActiveJob;
+struct PoolState;
+
+/// Stores the progress of jobs, many in one transaction, one transaction of a
+/// part at a time. What failed is stored again; rows that another owner has
+/// changed are merged first.
+class ProgressWriter : public std::enable_shared_from_this<ProgressWriter> {
+public:
+  explicit ProgressWriter(PoolState &Pool) : Pool_(Pool) {}
+
+  /// Starts transactions for jobs whose progress has changed.
+  void flush();
+
+private:
+  /// Jobs of a transaction, with the change that it stores of each.
+  using Batch = std::vector<std::pair<std::string, std::uint64_t>>;
+  struct PartState {
+    bool IsBusy_ = false;
+    TimePoint NotBefore_;
+  };
+
+  void send(const std::string &Part, const std::vector<ActiveJob *> &Jobs);
+  void onEnd(const std::string &Part, const Batch &Sent,
+             const StoreTransactionEnd &End);
+  void onStored(const Batch &Sent, StoreVersion Version);
+  void onConflict(const Batch &Sent, const StoreTransactionEnd &End);
+  void settleEnds(const ActiveJob &Job);
+
+  PoolState &Pool_;
+  std::map<std::string, PartState> Parts_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/scheduling/internal/rosterkeeper.cpp
@@ -0,0 +1,116 @@
+#include "scheduling/internal/rosterkeeper.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
+#include "scheduling/controlrows.h"
+#include "scheduling/internal/poolstate.h"
+#include "scheduling/istore.h"
+
+namespace dragonflylock {
+namespace {
+
+constexpr std::chrono::milliseconds RetryPause{100};
+
+} // namespace
+
+void RosterKeeper::tick() {
+  if (IsBusy_ || Pool_.Clock_.now() < NotBefore_ || !Pool_.mayAct())
+    return;
+  if (!IsLoaded_)
+    load();
+  else if (needsWriting())
+    write();
+}
+
+void RosterKeeper::load() {
+  IsBusy_ = true;
+  StoreKey Row = controlrows::roster(Pool_.Pool_);
+  Pool_.Store_.readRange(Row.Table_, Row.Part_, Row.Key_, Row.Key_ + '\1',
+                         [Weak = weak_from_this()](const StoreRange &Read) {
+                           if (auto Self = Weak.lock())
+                             Self->onLoaded(Read);
+                         });
+}
+
+void RosterKeeper::onLoaded(const StoreRange &Read) {
+  IsBusy_ = false;
+  if (Read.Outcome_ != StoreOutcome::Done) {
+    NotBefore_ = Pool_.Clock_.now() + RetryPause;
+    return;
+  }
+  IsLoaded_ = true;
+  if (Read.Rows_.empty())
+    return;
+  Version_ = Read.Rows_.front().Version_;
+  auto Roster = controlrows::decodeRoster(Read.Rows_.front().Value_);
+  if (!Roster) {
+    Pool_.Logger_.write(
+        LogLevel::Error,
+        LogEvent("roster.unreadable").with("pool", Pool_.Pool_));
+    return;
+  }
+  for (WorkerEntry &Worker : *Roster) {
+    Worker.Pool_ = Pool_.Pool_;
+    std::string Lifetime = Worker.lifetime();
+    Stored_.insert(Lifetime);
+    auto [Place, IsNew] = Pool_.Sessions_.try_emplace(Lifetime, nullptr);
+    if (IsNew) {
+      Place->second = std::make_unique<WorkerSession>(Worker);
+      Place->second->IsListed_ = false;
+      // What it runs may hold a lease from just before the takeover.
+      Place->second->noteLease(Pool_.surelyLapsed(Pool_.Clock_.now()));
+    }
+    Place->second->IsInRoster_ = true;
+  }
+}
+
+bool RosterKeeper::needsWriting() const {
+  if (Pool_.Sessions_.size() != Stored_.size())
+    return true;
+  for (const auto &[Lifetime, Session] : Pool_.Sessions_)
+    if (!Stored_.contains(Lifetime))
+      return true;
+  return false;
+}
+
+void RosterKeeper::write() {
+  IsBusy_ = true;
+  std::vector<WorkerEntry> Roster;
+  std::set<std::string> Written;
+  for (const auto &[Lifetime, Session] : Pool_.Sessions_) {
+    Roster.push_back(Session->entry());
+    Written.insert(Lifetime);
+  }
+  StoreKey Row = controlrows::roster(Pool_.Pool_);
+  StoreTransaction Wanted;
+  Wanted.Expected_ = {{Row, Version_}};
+  Wanted.Puts_ = {{Row, controlrows::encode(Roster)}};
+  Pool_.Store_.transact(std::move(Wanted), [Weak = weak_from_this(), Written](
+                                               const StoreTransactionEnd &End) {
+    if (auto Self = Weak.lock())
+      Self->onWritten(Written, End);
+  });
+}
+
+void RosterKeeper::onWritten(const std::set<std::string> &Written,
+                             const StoreTransactionEnd &End) {
+  IsBusy_ = false;
+  switch (End.Outcome_) {
+  case StoreOutcome::Done:
+    Version_ = End.Version_;
+    Stored_ = Written;
+    for (auto &[Lifetime, Session] : Pool_.Sessions_)
+      if (Written.contains(Lifetime))
+        Session->IsInRoster_ = true;
+    break;
+  case StoreOutcome::ConditionFailed:
+    // An earlier write of ours, or a later owner, whose lease is checked
+    // before the next write.
+    Version_ = End.Current_.empty() ? 0 : End.Current_.front().Version_;
+    break;
+  default:
+    NotBefore_ = Pool_.Clock_.now() + RetryPause;
+  }
+  tick();
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/rosterkeeper.h
@@ -0,0 +1,47 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_INTERNAL_ROSTERKEEPER_H
+#define DRAGONFLYLOCK_SCHEDULING_INTERNAL_ROSTERKEEPER_H
+
+#include "scheduling/storetypes.h"
+
+#include "global/iclock.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace dragonflylock {
+
+struct PoolState;
+struct StoreRange;
+
+/// Keeps the stored list of the workers that may run tasks of the pool. A
+/// worker gets its first order only when it stands there, so that the next
+/// owner knows every worker that may run something.
+class RosterKeeper : public std::enable_shared_from_this<RosterKeeper> {
+public:
+  explicit RosterKeeper(PoolState &Pool) : Pool_(Pool) {}
+
+  /// Reads the row, and stores it again whenever the sessions have changed.
+  void tick();
+  bool isLoaded() const { return IsLoaded_; }
+
+private:
+  void load();
+  void onLoaded(const StoreRange &Read);
+  bool needsWriting() const;
+  void write();
+  void onWritten(const std::set<std::string> &Written,
+                 const StoreTransactionEnd &End);
+
+  PoolState &Pool_;
+  bool IsLoaded_ = false;
+  bool IsBusy_ = false;
+  TimePoint NotBefore_;
+  StoreVersion Version_ = 0;
+  /// Lifetimes in the stored row.
+  std::set<std::string> Stored_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/scheduling/internal/runbook.cpp
@@ -0,0 +1,205 @@
+#include "scheduling/internal/runbook.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
+#include "scheduling/internal/poolstate.h"
+
+#include <algorithm>
+
+namespace dragonflylock {
+namespace {
+
+/// Failures in a row, of tasks that have not failed elsewhere, after which a
+/// worker gets no new tasks for a while.
+constexpr std::uint32_t SuspiciousFailures = 3;
+constexpr std::chrono::milliseconds SetAsideTime{3000};
+constexpr std::uint32_t LongestSetAsideFactor = 4;
+
+const char *nameOf(EndKind Kind) {
+  switch (Kind) {
+  case EndKind::Done:
+    return "done";
+  case EndKind::Failed:
+    return "failed";
+  case EndKind::Stopped:
+    return "stopped";
+  case EndKind::LeaseLapsed:
+    return "lapsed";
+  case EndKind::GangBroken:
+    return "broken";
+  case EndKind::GangIncomplete:
+    return "incomplete";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+void RunBook::onEnd(WorkerSession &Session, const ListedEnd &End) {
+  if (!Session.takeEnd(End.Sequence_))
+    return;
+  Pool_.NeedsDispatch_ = true;
+  auto Known = Session.runs().find(End.Task_);
+  if (Known != Session.runs().end() && Known->second.Run_ <= End.Run_)
+    Session.runs().erase(Known);
+  ActiveJob *Job = Pool_.job(End.Task_.Job_);
+  if (Job == nullptr || !Job->progress().contains(End.Task_)) {
+    Session.settleEnd(End.Sequence_);
+    return;
+  }
+  if (End.Kind_ != EndKind::Done)
+    Pool_.Logger_.write(LogLevel::Info,
+                        LogEvent("run.ended")
+                            .with("task", End.Task_.text())
+                            .with("run", End.Run_)
+                            .with("how", nameOf(End.Kind_))
+                            .with("worker", Session.entry().Id_));
+  TaskRun &Run = Job->run(End.Task_);
+  bool IsCurrent =
+      Run.Worker_ == Session.entry().lifetime() && Run.Run_ <= End.Run_;
+  if (IsCurrent) {
+    Run.Worker_.clear();
+    if (Run.Phase_ != TaskPhase::Done)
+      Run.Phase_ = TaskPhase::Waiting;
+  }
+  std::uint64_t Before = Job->changes();
+  bool IsEndless = Job->step(End.Task_).IsLongRunning_;
+  if (!End.Checkpoint_.empty() && IsCurrent)
+    Job->progress().task(End.Task_).Checkpoint_ = End.Checkpoint_;
+  if (End.Kind_ == EndKind::Done && !IsEndless)
+    noteDone(*Job, End.Task_);
+  if (End.Kind_ == EndKind::Done)
+    Session.FailuresInRow_ = 0;
+  if (End.Kind_ == EndKind::Failed)
+    noteFailure(Session, *Job, End);
+  judge(*Job);
+  if (Job->changes() > Before)
+    Pool_.UnstoredEnds_.push_back(
+        {Session.entry().lifetime(), End.Sequence_, Job->id(), Job->changes()});
+  else
+    Session.settleEnd(End.Sequence_);
+}
+
+void RunBook::noteDone(ActiveJob &Job, const TaskName &Name) {
+  TaskProgress &Progress = Job.progress().task(Name);
+  if (Progress.IsDone_)
+    return;
+  Progress.IsDone_ = true;
+  if (Job.run(Name).Worker_.empty())
+    Job.run(Name).Phase_ = TaskPhase::Done;
+  if (Job.progress().state() == JobPhase::Queued)
+    Job.progress().setState(JobPhase::Running);
+  Job.touch();
+}
+
+void RunBook::noteFailure(WorkerSession &Session, ActiveJob &Job,
+                          const ListedEnd &End) {
+  countFailure(Session, Job, End);
+  Job.run(End.Task_).FailedOn_ = Session.entry().lifetime();
+  if (Job.step(End.Task_).IsLongRunning_)
+    return;
+  Job.progress().task(End.Task_).noteFailure(End.Run_);
+  Job.touch();
+}
+
+void RunBook::countFailure(WorkerSession &Session, const ActiveJob &Job,
+                           const ListedEnd &End) {
+  const TaskRun &Run = Job.run(End.Task_);
+  if (!Run.FailedOn_.empty() && Run.FailedOn_ != Session.entry().lifetime())
+    return;
+  ++Session.FailuresInRow_;
+  if (Session.FailuresInRow_ < SuspiciousFailures)
+    return;
+  std::uint32_t Factor = std::min(LongestSetAsideFactor,
+                                  Session.FailuresInRow_ / SuspiciousFailures);
+  Session.AvoidUntil_ = Pool_.Clock_.now() + SetAsideTime * Factor;
+  Pool_.Logger_.write(
+      LogLevel::Warning,
+      LogEvent("worker.set-aside")
+          .with("worker", Session.entry().Id_)
+          .with("failures", std::uint64_t{Session.FailuresInRow_}));
+}
+
+bool RunBook::onListed(WorkerSession &Session, const ListedRun &Listed) {
+  ActiveJob *Job = Pool_.job(Listed.Task_.Job_);
+  if (Job == nullptr || !Job->progress().contains(Listed.Task_))
+    return false;
+  if (Job->isCancelled() || isFinal(Job->progress().state()))
+    return false;
+  TaskRun &Run = Job->run(Listed.Task_);
+  if (Run.Phase_ == TaskPhase::Done ||
+      Job->progress().task(Listed.Task_).IsDone_)
+    return false;
+  const std::string &Lifetime = Session.entry().lifetime();
+  bool IsElsewhere = !Run.Worker_.empty() && Run.Worker_ != Lifetime;
+  if (IsElsewhere || Listed.Run_ < Run.Run_)
+    return IsElsewhere ? false : Run.Phase_ == TaskPhase::Starting;
+  Run.Worker_ = Lifetime;
+  Run.Run_ = Listed.Run_;
+  if (Run.Phase_ != TaskPhase::Stopping)
+    Run.Phase_ = TaskPhase::Running;
+  if (!Listed.Checkpoint_.empty())
+    Job->progress().task(Listed.Task_).Checkpoint_ = Listed.Checkpoint_;
+  constexpr std::uint32_t FullSpeed = 100;
+  if (Listed.Percent_ >= FullSpeed && Run.Percent_ < FullSpeed)
+    Run.AtWorkSince_ = Pool_.Clock_.now();
+  Run.Percent_ = Listed.Percent_;
+  const StepSpec &Step = Job->step(Listed.Task_);
+  SessionRun &Known = Session.runs()[Listed.Task_];
+  Known.Run_ = Listed.Run_;
+  Known.Resources_ = Step.PerTask_;
+  Known.IsFiller_ = Step.IsFiller_;
+  Known.LatencyTarget_ = Step.LatencyTarget_;
+  Known.Figure_ = Listed.Figure_;
+  if (!Known.ConfirmedAt_)
+    Known.ConfirmedAt_ = Pool_.Clock_.now();
+  return true;
+}
+
+void RunBook::release(WorkerSession &Session, const TaskName &Name) {
+  Session.runs().erase(Name);
+  ActiveJob *Job = Pool_.job(Name.Job_);
+  if (Job == nullptr || !Job->progress().contains(Name))
+    return;
+  TaskRun &Run = Job->run(Name);
+  if (Run.Worker_ != Session.entry().lifetime())
+    return;
+  Run.Worker_.clear();
+  Run.Phase_ =
+      Job->progress().task(Name).IsDone_ ? TaskPhase::Done : TaskPhase::Waiting;
+  Pool_.NeedsDispatch_ = true;
+}
+
+void RunBook::releaseAll(WorkerSession &Session) {
+  while (!Session.runs().empty()) {
+    TaskName Name = Session.runs().begin()->first;
+    release(Session, Name);
+  }
+}
+
+bool RunBook::hasFailed(ActiveJob &Job) const {
+  std::uint32_t Most = Pool_.queueOf(Job).MostAttempts_;
+  bool Failed = false;
+  Job.forEachTask([&](const TaskName &Name, TaskRun &) {
+    Failed = Failed || Job.progress().task(Name).FailedRuns_.size() >= Most;
+  });
+  return Failed;
+}
+
+void RunBook::judge(ActiveJob &Job) {
+  if (isFinal(Job.progress().state()))
+    return;
+  JobPhase Next = Job.progress().state();
+  if (Job.isCancelled())
+    Next = JobPhase::Cancelled;
+  else if (Job.progress().areAllDone())
+    Next = JobPhase::Completed;
+  else if (hasFailed(Job))
+    Next = JobPhase::Failed;
+  if (Next == Job.progress().state())
+    return;
+  Job.progress().setState(Next);
+  Job.touch();
+  Pool_.NeedsDispatch_ = true;
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -0,0 +1,316 @@
+#include "scheduling/schedulernode.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
+#include "scheduling/controlrows.h"
+#include "scheduling/internal/jobfeed.h"
+#include "scheduling/istore.h"
+#include "scheduling/ownershipkeeper.h"
+#include "scheduling/poolowner.h"
+#include "scheduling/tablefollower.h"
+
+#include <map>
+#include <set>
+
+namespace dragonflylock {
+namespace {
+
+/// Least time between two reports of a pool's pending jobs.
+constexpr std::chrono::milliseconds PendingInterval{400};
+/// A node that the store has not answered for this long sends callers to
+/// others.
+constexpr std::chrono::milliseconds SilentStore{2500};
+
+} // namespace
+
+struct SchedulerNode::Parts {
+  explicit Parts(const Builder &Source);
+
+  void onControlRows(const std::vector<StoreRow> &Rows, bool IsWhole);
+  void onWon(const PoolTenure &Tenure);
+  void onLost(const std::string &Pool);
+  void giveWorkers();
+  void reportPending();
+  void dropFencedOff();
+
+  SchedulingSettings Settings_;
+  const IClock &Clock_;
+  IStore &Store_;
+  ILogger &Logger_;
+  PoolOwner::Builder OwnerBuilder_;
+  std::shared_ptr<const SchedulingConfiguration> Configuration_;
+  std::map<std::string, WorkerEntry> Workers_;
+  bool HaveWorkersChanged_ = false;
+  std::map<std::uint64_t, MaintenanceWave> Waves_;
+  std::shared_ptr<JobDesk> Desk_;
+  std::shared_ptr<OwnershipKeeper> Ownership_;
+  std::shared_ptr<TableFollower> Control_;
+  std::shared_ptr<JobFeed> Jobs_;
+  std::map<std::string, std::unique_ptr<PoolOwner>> Owners_;
+  /// By pool, as its owner reported it last.
+  std::map<std::string, PendingRow> Pending_;
+  std::map<std::string, PendingRow> Reported_;
+  TimePoint NextPending_;
+  bool IsReleased_ = false;
+};
+
+SchedulerNode::Parts::Parts(const Builder &Source)
+    : Settings_(Source.Settings_), Clock_(*Source.Clock_),
+      Store_(*Source.Store_), Logger_(*Source.Logger_) {
+  OwnerBuilder_.settings(Settings_)
+      .clock(Clock_)
+      .store(Store_)
+      .workers(*Source.Workers_)
+      .machines(*Source.Machines_)
+      .logger(Logger_);
+  Desk_ = std::make_shared<JobDesk>(
+      Store_, Clock_, Logger_,
+      [this](const std::string &Job) -> std::optional<JobPhase> {
+        for (const auto &[Pool, Owner] : Owners_)
+          if (auto State = Owner->stateOf(Job))
+            return State;
+        return std::nullopt;
+      });
+  Ownership_ = std::make_shared<OwnershipKeeper>(
+      Settings_, Source.Process_, Store_, Clock_, Logger_,
+      [this](const PoolTenure &Tenure) { onWon(Tenure); },
+      [this](const std::string &Pool, TimePoint End) {
+        auto Found = Owners_.find(Pool);
+        if (Found != Owners_.end())
+          Found->second->extendLease(End);
+      },
+      [this](const std::string &Pool) { onLost(Pool); });
+  Control_ = std::make_shared<TableFollower>(
+      Store_, Clock_, controlrows::Table, "",
+      [this](const std::vector<StoreRow> &Rows, bool IsWhole) {
+        onControlRows(Rows, IsWhole);
+      });
+  Jobs_ = std::make_shared<JobFeed>(
+      Store_, Clock_,
+      [this](const StoreRow &Row) {
+        for (auto &[Pool, Owner] : Owners_)
+          Owner->onJobRow(Row);
+      },
+      [this] {
+        for (auto &[Pool, Owner] : Owners_)
+          Owner->begin([this](StoreVersion Version) { Jobs_->start(Version); });
+      });
+}
+
+void SchedulerNode::Parts::onControlRows(const std::vector<StoreRow> &Rows,
+                                         bool IsWhole) {
+  const std::string OwnerPrefix = controlrows::OwnerPrefix;
+  const std::string PendingPrefix = controlrows::PendingPrefix;
+  for (const StoreRow &Row : Rows) {
+    const std::string &Key = Row.Name_.Key_;
+    if (Row.IsRemoved_)
+      continue;
+    if (Key.starts_with(OwnerPrefix))
+      Ownership_->onRow(Key.substr(OwnerPrefix.size()), Row);
+    if (!Key.starts_with(PendingPrefix))
+      continue;
+    if (auto Read = controlrows::decodePending(Row.Value_))
+      Pending_[Key.substr(PendingPrefix.size())] = *Read;
+  }
+  if (IsWhole)
+    Ownership_->setLoaded();
+}
+
+void SchedulerNode::Parts::onWon(const PoolTenure &Tenure) {
+  auto Owner = OwnerBuilder_.build(Tenure);
+  Owner->onConfiguration(Configuration_);
+  std::vector<MaintenanceWave> Waves;
+  for (const auto &[Number, Wave] : Waves_)
+    Waves.push_back(Wave);
+  Owner->onWaves(Waves);
+  PoolOwner &Placed = *Owner;
+  Owners_[Tenure.Pool_] = std::move(Owner);
+  HaveWorkersChanged_ = true;
+  Placed.begin([this](StoreVersion Version) { Jobs_->start(Version); });
+}
+
+void SchedulerNode::Parts::onLost(const std::string &Pool) {
+  Owners_.erase(Pool);
+  Reported_.erase(Pool);
+  if (Owners_.empty())
+    Jobs_->stop();
+}
+
+void SchedulerNode::Parts::giveWorkers() {
+  HaveWorkersChanged_ = false;
+  std::map<std::string, std::vector<WorkerEntry>> ByPool;
+  for (const auto &[Id, Worker] : Workers_)
+    ByPool[Worker.Pool_].push_back(Worker);
+  for (auto &[Pool, Owner] : Owners_)
+    Owner->onWorkers(ByPool[Pool]);
+}
+
+void SchedulerNode::Parts::reportPending() {
+  if (Clock_.now() < NextPending_)
+    return;
+  NextPending_ = Clock_.now() + PendingInterval;
+  for (auto &[Pool, Owner] : Owners_) {
+    PendingRow Row{Owner->pendingJobs()};
+    if (Reported_.contains(Pool) && Reported_[Pool].Pending_ == Row.Pending_)
+      continue;
+    Reported_[Pool] = Row;
+    StoreTransaction Wanted;
+    Wanted.Puts_ = {{controlrows::pending(Pool), controlrows::encode(Row)}};
+    Store_.transact(std::move(Wanted),
+                    [this, Pool = Pool](const StoreTransactionEnd &End) {
+                      if (End.Outcome_ != StoreOutcome::Done)
+                        Reported_.erase(Pool);
+                    });
+  }
+}
+
+void SchedulerNode::Parts::dropFencedOff() {
+  std::vector<std::string> FencedOff;
+  for (const auto &[Pool, Owner] : Owners_)
+    if (Owner->isFencedOff())
+      FencedOff.push_back(Pool);
+  for (const std::string &Pool : FencedOff)
+    Ownership_->drop(Pool);
+}
+
+SchedulerNode::Builder &
+SchedulerNode::Builder::settings(SchedulingSettings Value) {
+  Settings_ = std::move(Value);
+  return *this;
+}
+
+SchedulerNode::Builder &SchedulerNode::Builder::process(std::string Value) {
+  Process_ = std::move(Value);
+  return *this;
+}
+
+SchedulerNode::Builder &SchedulerNode::Builder::clock(const IClock &Value) {
+  Clock_ = &Value;
+  return *this;
+}
+
+SchedulerNode::Builder &SchedulerNode::Builder::store(IStore &Value) {
+  Store_ = &Value;
+  return *this;
+}
+
+SchedulerNode::Builder &SchedulerNode::Builder::workers(IWorkerControl &Value) {
+  Workers_ = &Value;
+  return *this;
+}
+
+SchedulerNode::Builder &
+SchedulerNode::Builder::machines(IMachineControl &Value) {
+  Machines_ = &Value;
+  return *this;
+}
+
+SchedulerNode::Builder &SchedulerNode::Builder::logger(ILogger &Value) {
+  Logger_ = &Value;
+  return *this;
+}
+
+std::unique_ptr<SchedulerNode> SchedulerNode::Builder::build() const {
+  return std::unique_ptr<SchedulerNode>(
+      new SchedulerNode(std::make_unique<Parts>(*this)));
+}
+
+SchedulerNode::SchedulerNode(std::unique_ptr<Parts> Built)
+    : Parts_(std::move(Built)) {}
+
+SchedulerNode::~SchedulerNode() = default;
+
+void SchedulerNode::onConfiguration(SchedulingConfiguration Configuration) {
+  const auto &InForce = Parts_->Configuration_;
+  if (InForce && Configuration.Version_ <= InForce->Version_)
+    return;
+  Parts_->Logger_.write(
+      LogLevel::Info,
+      LogEvent("configuration.applied")
+          .with("version", Configuration.Version_)
+          .with("queues", std::uint64_t{Configuration.Queues_.size()}));
+  Parts_->Configuration_ =
+      std::make_shared<SchedulingConfiguration>(std::move(Configuration));
+  std::vector<std::string> Pools;
+  for (const SchedulingPool &Pool : Parts_->Configuration_->Pools_)
+    Pools.push_back(Pool.Name_);
+  Parts_->Ownership_->setPools(Pools);
+  for (auto &[Pool, Owner] : Parts_->Owners_)
+    Owner->onConfiguration(Parts_->Configuration_);
+}
+
+void SchedulerNode::onWorker(const WorkerEntry &Worker) {
+  WorkerEntry &Known = Parts_->Workers_[Worker.Id_];
+  if (Known == Worker)
+    return;
+  Known = Worker;
+  Parts_->HaveWorkersChanged_ = true;
+}
+
+void SchedulerNode::onWorkerGone(const std::string &Id) {
+  if (Parts_->Workers_.erase(Id) > 0)
+    Parts_->HaveWorkersChanged_ = true;
+}
+
+void SchedulerNode::onAllWorkers(const std::vector<WorkerEntry> &Workers) {
+  Parts_->Workers_.clear();
+  for (const WorkerEntry &Worker : Workers)
+    Parts_->Workers_[Worker.Id_] = Worker;
+  Parts_->HaveWorkersChanged_ = true;
+}
+
+void SchedulerNode::onWave(const MaintenanceWave &Wave) {
+  Parts_->Waves_[Wave.Number_] = Wave;
+  for (auto &[Pool, Owner] : Parts_->Owners_)
+    Owner->onWaves({Wave});
+}
+
+void SchedulerNode::onSettings(const SchedulingSettings &Settings) {
+  std::string Node = Parts_->Settings_.Node_;
+  Parts_->Settings_ = Settings;
+  Parts_->Settings_.Node_ = Node;
+}
+
+void SchedulerNode::tick() {
+  Parts_->Control_->tick();
+  Parts_->Desk_->tick();
+  if (!Parts_->IsReleased_)
+    Parts_->Ownership_->tick();
+  Parts_->Jobs_->tick();
+  if (Parts_->HaveWorkersChanged_)
+    Parts_->giveWorkers();
+  for (auto &[Pool, Owner] : Parts_->Owners_)
+    Owner->tick();
+  Parts_->dropFencedOff();
+  Parts_->reportPending();
+}
+
+void SchedulerNode::release() {
+  Parts_->IsReleased_ = true;
+  Parts_->Ownership_->releaseAll();
+}
+
+const SchedulingConfiguration *SchedulerNode::configuration() const {
+  return Parts_->Configuration_.get();
+}
+
+bool SchedulerNode::isReady() const {
+  return Parts_->Configuration_ && !Parts_->IsReleased_ &&
+         Parts_->Control_->isLoaded() &&
+         Parts_->Clock_.now() < Parts_->Control_->lastAnswer() + SilentStore;
+}
+
+bool SchedulerNode::needsWorkers() const { return !Parts_->Owners_.empty(); }
+
+JobDesk &SchedulerNode::desk() { return *Parts_->Desk_; }
+
+std::uint64_t SchedulerNode::pending(const std::string &Queue) const {
+  std::uint64_t Sum = 0;
+  for (const auto &[Pool, Row] : Parts_->Pending_) {
+    auto Found = Row.Pending_.find(Queue);
+    if (Found != Row.Pending_.end())
+      Sum += Found->second;
+  }
+  return Sum;
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/schedulingerrors.cpp
@@ -0,0 +1,24 @@
+#include "scheduling/schedulingerrors.h"
+#include "global/errorcategory.h"
+
+namespace dragonflylock {
+namespace {
+
+const char *nameOf(int Kind) {
+  switch (static_cast<SchedulingErrc>(Kind)) {
+  case SchedulingErrc::BadRow:
+    return "bad-row";
+  case SchedulingErrc::BadJob:
+    return "bad-job";
+  }
+  return "unknown";
+}
+
+} // namespace
+
+std::error_code make_error_code(SchedulingErrc Kind) {
+  static const ErrorCategory Category("scheduling", nameOf);
+  return {static_cast<int>(Kind), Category};
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/tablefollower.cpp
@@ -0,0 +1,91 @@
+#include "scheduling/tablefollower.h"
+#include "scheduling/istore.h"
+
+namespace dragonflylock {
+namespace {
+
+constexpr std::chrono::milliseconds RetryPause{150};
+/// Longest wait for a change. Shorter than what the store allows, so that a
+/// connection that has gone silent is noticed within seconds.
+constexpr std::chrono::milliseconds LongestWait{1500};
+
+} // namespace
+
+TableFollower::TableFollower(IStore &Store, const IClock &Clock,
+                             std::string Table, std::string Part, RowSink Sink)
+    : Store_(Store), Clock_(Clock), Table_(std::move(Table)),
+      Part_(std::move(Part)), Sink_(std::move(Sink)) {}
+
+void TableFollower::tick() {
+  if (IsBusy_ || Clock_.now() < NotBefore_)
+    return;
+  IsBusy_ = true;
+  if (NeedsRead_)
+    read();
+  else
+    await();
+}
+
+void TableFollower::read() {
+  std::string From;
+  if (!Pages_.empty())
+    From = Pages_.back().Name_.Key_ + '\1';
+  Store_.readRange(Table_, Part_, From, "",
+                   [Weak = weak_from_this()](const StoreRange &Read) {
+                     if (auto Self = Weak.lock())
+                       Self->onRead(Read);
+                   });
+}
+
+void TableFollower::onRead(const StoreRange &Read) {
+  IsBusy_ = false;
+  if (Read.Outcome_ != StoreOutcome::Done) {
+    NotBefore_ = Clock_.now() + RetryPause;
+    return;
+  }
+  LastAnswer_ = Clock_.now();
+  if (Pages_.empty())
+    FirstPage_ = Read.Version_;
+  Pages_.insert(Pages_.end(), Read.Rows_.begin(), Read.Rows_.end());
+  if (Read.HasMore_ && !Read.Rows_.empty()) {
+    tick();
+    return;
+  }
+  // Changes since the first page are repeated, which is harmless.
+  Version_ = FirstPage_;
+  NeedsRead_ = false;
+  IsLoaded_ = true;
+  std::vector<StoreRow> Rows = std::move(Pages_);
+  Pages_.clear();
+  Sink_(Rows, /*IsWhole=*/true);
+  tick();
+}
+
+void TableFollower::await() {
+  Store_.awaitChanges(Table_, Version_, LongestWait,
+                      [Weak = weak_from_this()](const StoreChanges &Changes) {
+                        if (auto Self = Weak.lock())
+                          Self->onChanges(Changes);
+                      });
+}
+
+void TableFollower::onChanges(const StoreChanges &Changes) {
+  IsBusy_ = false;
+  if (Changes.Outcome_ == StoreOutcome::HistoryLost)
+    NeedsRead_ = true;
+  if (Changes.Outcome_ != StoreOutcome::Done) {
+    NotBefore_ = Clock_.now() + (NeedsRead_ ? RetryPause * 0 : RetryPause);
+    return;
+  }
+  LastAnswer_ = Clock_.now();
+  Version_ = std::max(Version_, Changes.Version_);
+  std::vector<StoreRow> Rows;
+  for (const StoreRow &Row : Changes.Rows_)
+    if (Row.Name_.Part_ == Part_)
+      Rows.push_back(Row);
+  if (!Rows.empty())
+    Sink_(Rows, /*IsWhole=*/false);
+  tick();
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/ownershipkeeper.h
@@ -0,0 +1,95 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_OWNERSHIPKEEPER_H
+#define DRAGONFLYLOCK_SCHEDULING_OWNERSHIPKEEPER_H
+
+#include "scheduling/controlrows.h"
+#include "scheduling/poolowner.h"
+#include "scheduling/schedulingsettings.h"
+#include "scheduling/storetypes.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dragonflylock {
+
+class IClock;
+class ILogger;
+class IStore;
+
+/// Wins, renews and gives up the leases on pools. Any node may own any pool;
+/// the store's conditions decide between those that try.
+class OwnershipKeeper : public std::enable_shared_from_this<OwnershipKeeper> {
+public:
+  using Won = std::function<void(const PoolTenure &)>;
+  using Renewed = std::function<void(const std::string &Pool, TimePoint End)>;
+  using Lost = std::function<void(const std::string &Pool)>;
+
+  /// \param Process tells this process from earlier ones of the node.
+  OwnershipKeeper(const SchedulingSettings &Settings, std::string Process,
+                  IStore &Store, const IClock &Clock, ILogger &Logger,
+                  Won OnWon, Renewed OnRenewed, Lost OnLost);
+
+  /// Sets the pools that need an owner.
+  void setPools(const std::vector<std::string> &Pools);
+  /// Takes in the row of a pool's owner.
+  void onRow(const std::string &Pool, const StoreRow &Row);
+  /// Tells that the control table has been read, so that a pool without a row
+  /// has no owner.
+  void setLoaded() { IsLoaded_ = true; }
+  /// Wins and renews what is due, and drops leases that have ended.
+  void tick();
+  /// Drops a pool without telling the store, as after a later owner's order.
+  void drop(const std::string &Pool);
+  /// Gives all pools up, so that others can take them at once.
+  void releaseAll();
+  /// \returns the number of pools owned.
+  std::size_t owned() const;
+
+private:
+  struct PoolLease {
+    OwnerRow Row_;
+    StoreVersion Version_ = 0;
+    /// When the row's present version was first seen.
+    TimePoint SeenAt_;
+    bool IsMine_ = false;
+    bool IsBusy_ = false;
+    FencingToken Token_ = 0;
+    TimePoint LeaseEnd_;
+    TimePoint NextRenewal_;
+    TimePoint NextAttempt_;
+  };
+
+  bool isFree(const PoolLease &Lease) const;
+  std::chrono::milliseconds attemptDelay(const std::string &Pool) const;
+  void tryToWin(const std::string &Pool, PoolLease &Lease);
+  void onAttempt(const std::string &Pool, TimePoint Sent,
+                 const OwnerRow &Sought, const StoreTransactionEnd &End);
+  void begin(const std::string &Pool, PoolLease &Lease, TimePoint Sent,
+             StoreVersion Token);
+  void renew(const std::string &Pool, PoolLease &Lease);
+  void onRenewal(const std::string &Pool, TimePoint Sent, const OwnerRow &Next,
+                 const StoreTransactionEnd &End);
+  void lose(const std::string &Pool, PoolLease &Lease, const char *Cause);
+  StoreTransaction writeOf(const std::string &Pool, const PoolLease &Lease,
+                           const OwnerRow &Row) const;
+  void adopt(PoolLease &Lease, const StoreRow &Row);
+
+  const SchedulingSettings &Settings_;
+  std::string Process_;
+  IStore &Store_;
+  const IClock &Clock_;
+  ILogger &Logger_;
+  Won OnWon_;
+  Renewed OnRenewed_;
+  Lost OnLost_;
+  bool IsLoaded_ = false;
+  bool IsReleasing_ = false;
+  std::map<std::string, PoolLease> Leases_;
+  std::vector<std::string> Pools_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/scheduling/tablefollower.h
@@ -0,0 +1,59 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_TABLEFOLLOWER_H
+#define DRAGONFLYLOCK_SCHEDULING_TABLEFOLLOWER_H
+
+#include "global/iclock.h"
+#include "scheduling/storetypes.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dragonflylock {
+
+class IStore;
+
+/// Keeps up with one part of a table: reads it whole, then waits for changes;
+/// reads it whole again where the store's history is lost.
+class TableFollower : public std::enable_shared_from_this<TableFollower> {
+public:
+  /// Receives rows; \p IsWhole tells that rows not among them do not exist.
+  using RowSink =
+      std::function<void(const std::vector<StoreRow> &Rows, bool IsWhole)>;
+
+  /// \param Part the part to read; changes of other parts are passed over.
+  TableFollower(IStore &Store, const IClock &Clock, std::string Table,
+                std::string Part, RowSink Sink);
+
+  /// Starts, or goes on with, what is due.
+  void tick();
+  /// \returns when the store last answered.
+  TimePoint lastAnswer() const { return LastAnswer_; }
+  /// \returns whether the table was read whole.
+  bool isLoaded() const { return IsLoaded_; }
+
+private:
+  void read();
+  void onRead(const StoreRange &Read);
+  void await();
+  void onChanges(const StoreChanges &Changes);
+
+  IStore &Store_;
+  const IClock &Clock_;
+  std::string Table_;
+  std::string Part_;
+  RowSink Sink_;
+  bool IsBusy_ = false;
+  bool IsLoaded_ = false;
+  bool NeedsRead_ = true;
+  TimePoint NotBefore_;
+  TimePoint LastAnswer_;
+  StoreVersion Version_ = 0;
+  /// Rows of the pages read so far.
+  std::vector<StoreRow> Pages_;
+  StoreVersion FirstPage_ = 0;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/scheduling/workersession.h
@@ -0,0 +1,107 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_WORKERSESSION_H
+#define DRAGONFLYLOCK_SCHEDULING_WORKERSESSION_H
+
+#include "scheduling/schedulingtypes.h"
+#include "scheduling/workercalls.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dragonflylock {
+
+/// A run that a session accounts for.
+struct SessionRun {
+  RunNumber Run_ = 0;
+  Resources Resources_;
+  bool IsFiller_ = false;
+  /// Latency target of a serving task; 0 for none.
+  std::chrono::milliseconds LatencyTarget_{0};
+  /// When the worker confirmed the start; absent until then.
+  std::optional<TimePoint> ConfirmedAt_;
+  /// After this time an unanswered start can't take effect any more.
+  TimePoint OrderExpires_;
+  std::uint32_t Percent_ = 100;
+  std::int64_t Figure_ = 0;
+  /// Since when a serving task has missed its latency target.
+  std::optional<TimePoint> MissedSince_;
+  /// Earliest time of the next order to stop the run.
+  TimePoint NextStop_;
+};
+
+/// What the owner of a pool knows of one lifetime of a worker: its clock, the
+/// lease of what runs there, its runs and the ends it has listed.
+class WorkerSession {
+public:
+  explicit WorkerSession(WorkerEntry Entry) : Entry_(std::move(Entry)) {}
+
+  const WorkerEntry &entry() const { return Entry_; }
+  void setEntry(WorkerEntry Entry) { Entry_ = std::move(Entry); }
+  WorkerTarget target() const { return {Entry_.Id_, Entry_.Address_}; }
+
+  /// Takes in the worker's clock from an answer that came at \p Received.
+  void noteClock(WorkerClock Clock, TimePoint Received);
+  bool knowsClock() const { return Offset_.has_value(); }
+  /// \returns the worker's clock at \p Time, or a little earlier: the way of
+  /// the answer is not added, so that leases err towards being short.
+  WorkerClock clockAt(TimePoint Time) const;
+
+  /// Notes that an order grants a lease until \p End.
+  void noteLease(TimePoint End);
+  /// \returns when everything on the worker has lapsed for certain.
+  TimePoint lapsesAt() const { return LapsesAt_; }
+
+  std::map<TaskName, SessionRun> &runs() { return Runs_; }
+  const std::map<TaskName, SessionRun> &runs() const { return Runs_; }
+  /// \returns room that is not taken by runs, counting those that are being
+  /// started or stopped.
+  Resources freeRoom() const;
+  /// \returns the number of tasks of a job's step on the worker.
+  std::uint32_t countOf(const TaskName &Like) const;
+
+  /// Takes an end whose consequences must be stored before it is
+  /// acknowledged.
+  /// \returns false where the end was taken before.
+  bool takeEnd(std::uint64_t Sequence);
+  /// Notes that the consequences of an end are stored.
+  void settleEnd(std::uint64_t Sequence);
+  /// \returns the end up to which the worker may forget.
+  std::uint64_t acknowledgeable() const;
+  bool hasUnsettledEnds() const { return !Unsettled_.empty(); }
+  /// \returns the highest end the worker was told to forget.
+  std::uint64_t acknowledged() const { return Acknowledged_; }
+  void setAcknowledged(std::uint64_t Sequence) { Acknowledged_ = Sequence; }
+
+  /// Whether the worker has answered under this owner's token.
+  bool IsFenced_ = false;
+  /// Whether the worker stands in the stored roster.
+  bool IsInRoster_ = false;
+  /// Whether the registry still lists the worker.
+  bool IsListed_ = true;
+  /// Whether the worker is being emptied for its maintenance or a move.
+  bool IsReserved_ = false;
+  bool IsHolding_ = false;
+  TimePoint NextHold_;
+  TimePoint LastAnswer_;
+  TimePoint NextPace_;
+  /// No starts before this time.
+  TimePoint AvoidUntil_;
+  std::uint32_t FailuresInRow_ = 0;
+  std::uint32_t HoldFailures_ = 0;
+
+private:
+  WorkerEntry Entry_;
+  /// The worker's clock less this process's.
+  std::optional<std::chrono::milliseconds> Offset_;
+  TimePoint LapsesAt_;
+  std::map<TaskName, SessionRun> Runs_;
+  std::uint64_t HighestEnd_ = 0;
+  std::uint64_t Acknowledged_ = 0;
+  std::vector<std::uint64_t> Unsettled_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -4,7 +4,7 @@
 #include "global/error.h"
 #include "global/ilogger.h"
 #include "global/socketaddress.h"
-#include "platform/platformtypes.h"
+#include "platformservices/platformtypes.h"
 
 #include <chrono>
 #include <string>
--- a/src/steering/configurationstore.h
+++ b/src/steering/configurationstore.h
@@ -2,7 +2,7 @@
 #define DRAGONFLYLOCK_STEERING_CONFIGURATIONSTORE_H
 
 #include "global/result.h"
-#include "platform/platformtypes.h"
+#include "platformservices/platformtypes.h"
 #include "steering/steeringtypes.h"
 
 #include <optional>
--- a/src/steering/internal/configurationstore.cpp
+++ b/src/steering/internal/configurationstore.cpp
@@ -3,9 +3,9 @@
 #include "configuration/fleetconfiguration.h"
 #include "configuration/iconfigurationparser.h"
 #include "global/iclock.h"
-#include "platform/itableservice.h"
-#include "platform/platformerrors.h"
-#include "platform/tablenames.h"
+#include "platformservices/itableservice.h"
+#include "platformservices/platformerrors.h"
+#include "platformservices/tablenames.h"
 #include "steering/steeringcodec.h"
 
 namespace dragonflylock {
--- a/src/steering/internal/steeringcodec.cpp
+++ b/src/steering/internal/steeringcodec.cpp
@@ -1,5 +1,5 @@
 #include "steering/steeringcodec.h"
-#include "platform/jsondecoding.h"
+#include "platformservices/jsondecoding.h"
 
 namespace dragonflylock::steeringcodec {
 namespace {
--- a/src/steering/tests/configurationstore_test.cpp
+++ b/src/steering/tests/configurationstore_test.cpp
@@ -1,10 +1,10 @@
 #include "configuration/configurationerrors.h"
 #include "configuration/internal/yamlconfigurationparser.h"
 #include "global/internal/systemclock.h"
-#include "platform/internal/embeddedplatform.h"
-#include "platform/platformerrors.h"
-#include "platform/tablenames.h"
-#include "platform/tests/mocks/faultytable.h"
+#include "platformservices/internal/embeddedplatform.h"
+#include "platformservices/platformerrors.h"
+#include "platformservices/tablenames.h"
+#include "platformservices/tests/mocks/faultytable.h"
 #include "steering/configurationstore.h"
 
 #include <gtest/gtest.h>
--- a/tools/standinplatform/main.cpp
+++ b/tools/standinplatform/main.cpp
@@ -3,7 +3,7 @@
 #include "global/splitlist.h"
 #include "global/units.h"
 #include "http/internal/restinioserver.h"
-#include "platform/tablenames.h"
+#include "platformservices/tablenames.h"
 #include "standinplatform/platformhandler.h"
 
 #include <docopt.h>
--- a/tools/standinplatform/platformhandler.cpp
+++ b/tools/standinplatform/platformhandler.cpp
@@ -2,9 +2,9 @@
 #include "global/digest.h"
 #include "global/units.h"
 #include "http/ihttpresponder.h"
-#include "platform/platformcodec.h"
-#include "platform/platformerrors.h"
-#include "platform/tablenames.h"
+#include "platformservices/platformcodec.h"
+#include "platformservices/platformerrors.h"
+#include "platformservices/tablenames.h"
 #include "steering/steeringcodec.h"
 
 #include <nlohmann/json.hpp>
--- a/tools/standinplatform/platformhandler.h
+++ b/tools/standinplatform/platformhandler.h
@@ -4,7 +4,7 @@
 #include "common/delayedexecutor.h"
 #include "http/httptypes.h"
 #include "http/ihttphandler.h"
-#include "platform/internal/embeddedplatform.h"
+#include "platformservices/internal/embeddedplatform.h"
 
 #include <chrono>
 #include <cstdint>
