--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -33,6 +33,15 @@
   std::map<std::string, std::uint64_t> Pending_;
 };
 
+/// What the next owner of a pool needs to find all that may be left behind.
+struct RosterRow {
+  /// Workers that may run tasks of the pool.
+  std::vector<WorkerEntry> Workers_;
+  /// Queues that may hold jobs of the pool, also such as are routed elsewhere
+  /// by now.
+  std::set<std::string> Queues_;
+};
+
 /// Progress of a maintenance wave.
 struct WaveProgress {
   /// Machines that may be down now, with the node that ordered it.
@@ -58,12 +67,12 @@
 std::string encode(const OwnerRow &Row);
 std::string encode(const PendingRow &Row);
 std::string encode(const WaveProgress &Row);
-std::string encode(const std::vector<WorkerEntry> &Roster);
+std::string encode(const RosterRow &Row);
 /// Each is nothing where the text can't be read.
 std::optional<OwnerRow> decodeOwner(const std::string &Text);
 std::optional<PendingRow> decodePending(const std::string &Text);
 std::optional<WaveProgress> decodeWave(const std::string &Text);
-std::optional<std::vector<WorkerEntry>> decodeRoster(const std::string &Text);
+std::optional<RosterRow> decodeRoster(const std::string &Text);
 
 } // namespace controlrows
 } // namespace dragonflylock
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -44,13 +44,13 @@
   return json{{"down", Row.Down_}, {"done", Row.Done_}}.dump();
 }
 
-std::string encode(const std::vector<WorkerEntry> &Roster) {
+std::string encode(const RosterRow &Row) {
   json Workers = json::array();
-  for (const WorkerEntry &Worker : Roster)
+  for (const WorkerEntry &Worker : Row.Workers_)
     Workers.push_back({{"id", Worker.Id_},
                        {"address", Worker.Address_.text()},
                        {"born-ms", Worker.Born_.count()}});
-  return json{{"workers", Workers}}.dump();
+  return json{{"workers", Workers}, {"queues", Row.Queues_}}.dump();
 }
 
 std::optional<OwnerRow> decodeOwner(const std::string &Text) {
@@ -83,9 +83,10 @@
   });
 }
 
-std::optional<std::vector<WorkerEntry>> decodeRoster(const std::string &Text) {
-  return read<std::vector<WorkerEntry>>(Text, [](const json &Source) {
-    std::vector<WorkerEntry> Roster;
+std::optional<RosterRow> decodeRoster(const std::string &Text) {
+  return read<RosterRow>(Text, [](const json &Source) {
+    RosterRow Row;
+    Row.Queues_ = Source.at("queues").get<std::set<std::string>>();
     for (const json &Each : Source.at("workers")) {
       WorkerEntry Worker;
       Worker.Id_ = Each.at("id").get<std::string>();
@@ -96,9 +97,9 @@
       Worker.Address_ = Address.value();
       Worker.Born_ =
           std::chrono::milliseconds(Each.at("born-ms").get<std::int64_t>());
-      Roster.push_back(Worker);
+      Row.Workers_.push_back(Worker);
     }
-    return Roster;
+    return Row;
   });
 }
 
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -132,6 +132,11 @@
   Session.runs()[Name] = Entry;
   Session.noteLease(Entry.OrderExpires_);
 
+  Pool_.Logger_.write(LogLevel::Debug,
+                      LogEvent("run.ordered")
+                          .with("task", Name.text())
+                          .with("run", Run.Run_)
+                          .with("worker", Session.entry().Id_));
   StartOrder Order;
   Order.Task_ = Name;
   Order.Run_ = Run.Run_;
--- a/src/scheduling/internal/jobrows.cpp
+++ b/src/scheduling/internal/jobrows.cpp
@@ -3,6 +3,7 @@
 namespace dragonflylock::jobrows {
 namespace {
 
+constexpr const char *TablePrefix = "dragonflylock-jobs-";
 constexpr char Separator = '/';
 // In this order a range that holds whole jobs gives the submission first.
 constexpr const char *SubmissionName = "job";
@@ -11,6 +12,14 @@
 
 } // namespace
 
+std::string tableOf(const std::string &Queue) {
+  // FNV-1a, the same in every process and build.
+  std::uint32_t Hash = 2166136261U;
+  for (unsigned char Byte : Queue)
+    Hash = (Hash ^ Byte) * 16777619U;
+  return TablePrefix + std::to_string(Hash % TableCount);
+}
+
 StoreKey name(const std::string &Queue, const std::string &Job,
               JobRowKind Kind) {
   const char *Suffix = SubmissionName;
@@ -18,7 +27,7 @@
     Suffix = ProgressName;
   if (Kind == JobRowKind::Cancellation)
     Suffix = CancellationName;
-  return {Table, Queue, Job + Separator + Suffix};
+  return {tableOf(Queue), Queue, Job + Separator + Suffix};
 }
 
 std::string jobOf(const StoreKey &Row) {
--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -22,11 +22,6 @@
 constexpr std::chrono::milliseconds LongestPatience{3000};
 constexpr std::uint32_t FullSpeed = 100;
 
-bool isAtWork(const TaskRun &Run, TimePoint Now) {
-  return Run.Phase_ == TaskPhase::Running && Run.Percent_ >= FullSpeed &&
-         Run.AtWorkSince_ + SteadyTime <= Now;
-}
-
 } // namespace
 
 void MaintenanceKeeper::onWaves(const std::vector<MaintenanceWave> &Waves) {
@@ -62,13 +57,15 @@
 void MaintenanceKeeper::listMachines() {
   IsListing_ = true;
   NextList_ = Pool_.Clock_.now() + ListInterval;
-  Machines_.list([Weak = weak_from_this()](const MachineList &Read) {
+  Machines_.list([Weak = weak_from_this(),
+                  Asked = Pool_.Clock_.now()](const MachineList &Read) {
     auto Self = Weak.lock();
     if (!Self)
       return;
     Self->IsListing_ = false;
     if (!Read.IsValid_)
       return;
+    Self->ListedAt_ = Asked;
     Self->Known_.clear();
     for (const Machine &Each : Read.Machines_)
       Self->Known_[Each.Name_] = Each;
@@ -164,8 +161,16 @@
   reserve(Best, true);
 }
 
+bool MaintenanceKeeper::isAtWork(const TaskRun &Run) const {
+  auto Worker = Pool_.Sessions_.find(Run.Worker_);
+  bool IsSound = Worker != Pool_.Sessions_.end() && Worker->second->IsListed_ &&
+                 Worker->second->HoldFailures_ == 0;
+  return IsSound && Run.Phase_ == TaskPhase::Running &&
+         Run.Percent_ >= FullSpeed &&
+         Run.AtWorkSince_ + SteadyTime <= Pool_.Clock_.now();
+}
+
 bool MaintenanceKeeper::keepsBudgets(const WorkerSession &Session) {
-  const TimePoint Now = Pool_.Clock_.now();
   for (const auto &[Name, Run] : Session.runs()) {
     ActiveJob *Job = Pool_.job(Name.Job_);
     if (Job == nullptr || !Job->step(Name).DisruptionBudget_)
@@ -174,7 +179,7 @@
     Job->forEachTask([&, Task = Name](const TaskName &Other, TaskRun &State) {
       bool IsPeer = Other.Occurrence_ == Task.Occurrence_ &&
                     Other.Step_ == Task.Step_ && Other.Index_ != Task.Index_;
-      Away += IsPeer && !isAtWork(State, Now) ? 1 : 0;
+      Away += IsPeer && !isAtWork(State) ? 1 : 0;
     });
     if (Away >= *Job->step(Name).DisruptionBudget_)
       return false;
@@ -226,9 +231,10 @@
   if (!Pool_.mayAct() || (Session != nullptr && !keepsBudgets(*Session)))
     return;
   Each.IsBusy_ = true;
-  Each.Ordered_[Name] = Known_[Name].Worker_;
-  MachineOrder Order{Name, Pool_.Settings_.Node_, Each.Version_};
-  Machines_.maintain(Order, Each.Asked_.Number_,
+  Each.Ordered_[Name] = {
+      Session != nullptr ? Session->entry().lifetime() : std::string(), {}};
+  MachineOrder Command{Name, Pool_.Settings_.Node_, Each.Version_};
+  Machines_.maintain(Command, Each.Asked_.Number_,
                      [Weak = weak_from_this(), Number = Each.Asked_.Number_,
                       Name](MachineOutcome Outcome) {
                        if (auto Self = Weak.lock())
@@ -250,11 +256,13 @@
     Each.Ordered_.erase(Name);
     return;
   }
-  if (WorkerSession *Session = sessionOf(Name)) {
+  Order &Accepted = Each.Ordered_[Name];
+  Accepted.AcceptedAt_ = Pool_.Clock_.now();
+  // All that ran on the machine ended with the order.
+  if (WorkerSession *Session = Pool_.session(Accepted.Lifetime_)) {
     Session->IsListed_ = false;
     Starts_.abandon(*Session);
   }
-  Known_[Name].State_ = MachineState::Maintained;
 }
 
 void MaintenanceKeeper::releaseReturned(Wave &Each) {
@@ -275,8 +283,9 @@
         order(Each, Name);
       return;
     }
-    bool IsBack = Found->second.State_ == MachineState::Up &&
-                  Found->second.Worker_ != Ordered->second;
+    const auto &AcceptedAt = Ordered->second.AcceptedAt_;
+    bool IsBack = Found->second.State_ == MachineState::Up && AcceptedAt &&
+                  ListedAt_ > *AcceptedAt;
     if (!IsBack)
       continue;
     Next.Down_.erase(Name);
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,7 @@
 class WorkerSession;
 struct PoolState;
 struct StoreRange;
+struct TaskRun;
 
 /// Brings the machines of one pool through maintenance waves. The owners of
 /// all pools share one row a wave, which holds the machines that are down, so
@@ -34,6 +36,12 @@
   void tick();
 
 private:
+  struct Order {
+    /// Lifetime of the worker that the machine had; empty for none.
+    std::string Lifetime_;
+    /// When the platform accepted the order; absent until then.
+    std::optional<TimePoint> AcceptedAt_;
+  };
   struct Wave {
     MaintenanceWave Asked_;
     WaveProgress Row_;
@@ -47,8 +55,8 @@
     /// Machine that is being emptied for its maintenance; empty for none.
     std::string Next_;
     TimePoint ReservedAt_;
-    /// Machines ordered down by this owner, with the worker they had.
-    std::map<std::string, std::string> Ordered_;
+    /// Machines that this owner has ordered down.
+    std::map<std::string, Order> Ordered_;
   };
 
   void listMachines();
@@ -65,6 +73,7 @@
   void report(Wave &Each);
   bool isComplete(const Wave &Each) const;
   bool isReady(const Wave &Each, const std::string &Name);
+  bool isAtWork(const TaskRun &Run) const;
   bool keepsBudgets(const WorkerSession &Session);
   std::chrono::milliseconds patience(const Wave &Each) const;
   WorkerSession *sessionOf(const std::string &Name);
@@ -77,6 +86,8 @@
   std::map<std::string, Machine> Known_;
   bool IsListing_ = false;
   TimePoint NextList_;
+  /// When the list in Known_ was asked for.
+  TimePoint ListedAt_;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/ownershipkeeper.cpp
+++ b/src/scheduling/internal/ownershipkeeper.cpp
@@ -41,7 +41,7 @@
     return;
   Lease.Version_ = Row.Version_;
   Lease.SeenAt_ = Clock_.now();
-  Lease.NextAttempt_ = TimePoint();
+  Lease.FreeSince_ = TimePoint();
   auto Read = controlrows::decodeOwner(Row.Value_);
   if (Read)
     Lease.Row_ = *Read;
@@ -91,12 +91,13 @@
       continue;
     }
     if (!isFree(Lease)) {
-      Lease.NextAttempt_ = TimePoint();
+      Lease.FreeSince_ = TimePoint();
       continue;
     }
-    if (Lease.NextAttempt_ == TimePoint())
-      Lease.NextAttempt_ = Now + attemptDelay(Pool);
-    if (Now >= Lease.NextAttempt_)
+    if (Lease.FreeSince_ == TimePoint())
+      Lease.FreeSince_ = Now;
+    if (Now >=
+        std::max(Lease.NextAttempt_, Lease.FreeSince_ + attemptDelay(Pool)))
       tryToWin(Pool, Lease);
   }
 }
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -3,7 +3,7 @@
 #include "global/logevent.h"
 #include "scheduling/internal/dispatcher.h"
 #include "scheduling/internal/holdkeeper.h"
-#include "scheduling/internal/jobloader.h"
+#include "scheduling/internal/jobfollower.h"
 #include "scheduling/internal/jobregister.h"
 #include "scheduling/internal/maintenancekeeper.h"
 #include "scheduling/internal/pacekeeper.h"
@@ -13,6 +13,7 @@
 #include "scheduling/internal/runbook.h"
 
 #include <algorithm>
+#include <set>
 
 namespace dragonflylock {
 namespace {
@@ -23,6 +24,7 @@
 /// Longest time between two looks for startable tasks, for tasks that become
 /// due or whose pause ends.
 constexpr std::chrono::milliseconds DispatchInterval{100};
+constexpr std::chrono::milliseconds StatusInterval{1000};
 
 } // namespace
 
@@ -38,6 +40,9 @@
         Paces_(std::make_shared<PaceKeeper>(State_)),
         Maintenance_(std::make_shared<MaintenanceKeeper>(State_, *Starts_,
                                                          *Source.Machines_)),
+        Follower_(std::make_shared<JobFollower>(
+            State_.Store_, State_.Clock_,
+            [this](const StoreRow &Row) { Jobs_.onRow(Row); })),
         HasPredecessor_(Tenure.Predecessors_ > 0) {
     State_.Token_ = Tenure.Token_;
     State_.FirstRun_ = Tenure.Predecessors_ * RunsPerOwner;
@@ -45,7 +50,9 @@
     InheritedLapse_ = State_.surelyLapsed(State_.Clock_.now());
   }
 
-  void onLoaded(StoreVersion Version);
+  void onLoaded();
+  void logStatus();
+  void followQueues();
   void settleInherited();
   void removeGoneWorkers();
 
@@ -58,8 +65,7 @@
   std::shared_ptr<RosterKeeper> Roster_;
   std::shared_ptr<PaceKeeper> Paces_;
   std::shared_ptr<MaintenanceKeeper> Maintenance_;
-  std::shared_ptr<JobLoader> Loader_;
-  std::function<void(StoreVersion)> OnLoaded_;
+  std::shared_ptr<JobFollower> Follower_;
   bool IsLoaded_ = false;
   /// Whether an earlier owner may have left runs behind.
   bool HasPredecessor_;
@@ -67,6 +73,7 @@
   /// When the last run of an earlier owner has lapsed.
   TimePoint InheritedLapse_;
   TimePoint NextDispatch_;
+  TimePoint NextStatus_;
 };
 
 PoolOwner::Builder &
@@ -110,20 +117,10 @@
 
 PoolOwner::~PoolOwner() = default;
 
-void PoolOwner::begin(std::function<void(StoreVersion)> OnLoaded) {
-  Parts_->OnLoaded_ = std::move(OnLoaded);
-  Parts_->Loader_ = std::make_shared<JobLoader>(
-      Parts_->State_.Store_, Parts_->State_.Clock_,
-      [this](const StoreRow &Row) { Parts_->Jobs_.onRow(Row); },
-      [this](StoreVersion Version) { Parts_->onLoaded(Version); });
-  tick();
-}
-
-void PoolOwner::Parts::onLoaded(StoreVersion Version) {
-  bool IsReload = IsLoaded_;
+void PoolOwner::Parts::onLoaded() {
   IsLoaded_ = true;
   for (auto &[Id, Job] : State_.Jobs_) {
-    if (!HasPredecessor_ || IsReload)
+    if (!HasPredecessor_)
       continue;
     Job->forEachTask([](const TaskName &, TaskRun &Run) {
       Run.MayRunElsewhere_ = Run.Phase_ != TaskPhase::Done;
@@ -135,7 +132,47 @@
                            .with("pool", State_.Pool_)
                            .with("token", State_.Token_)
                            .with("jobs", std::uint64_t{State_.Jobs_.size()}));
-  OnLoaded_(Version);
+}
+
+void PoolOwner::Parts::followQueues() {
+  Follower_->follow(Roster_->queues());
+  Follower_->tick();
+  if (!IsLoaded_ && Follower_->isLoaded())
+    onLoaded();
+}
+
+void PoolOwner::Parts::logStatus() {
+  const TimePoint Now = State_.Clock_.now();
+  if (Now < NextStatus_)
+    return;
+  NextStatus_ = Now + StatusInterval;
+  Resources Free;
+  Resources Total;
+  std::uint64_t Runs = 0;
+  for (const auto &[Lifetime, Session] : State_.Sessions_) {
+    Runs += Session->runs().size();
+    if (!Session->IsListed_)
+      continue;
+    Free += Session->freeRoom();
+    Total += Session->entry().Capacity_;
+  }
+  std::uint64_t Waiting = 0;
+  for (auto &[Id, Job] : State_.Jobs_)
+    Waiting += Job->startable(Now, State_.wallTime()).size();
+  auto Number = [](std::int64_t Value) {
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, Value));
+  };
+  State_.Logger_.write(
+      LogLevel::Info,
+      LogEvent("pool.status")
+          .with("pool", State_.Pool_)
+          .with("jobs", std::uint64_t{State_.Jobs_.size()})
+          .with("runs", Runs)
+          .with("waiting-tasks", Waiting)
+          .with("workers", std::uint64_t{State_.Sessions_.size()})
+          .with("free-cpu-millis", Number(Free.CpuMillis_))
+          .with("cpu-millis", Number(Total.CpuMillis_))
+          .with("free-memory-mb", Number(Free.MemoryMb_)));
 }
 
 void PoolOwner::Parts::settleInherited() {
@@ -166,6 +203,11 @@
 
 void PoolOwner::onConfiguration(
     std::shared_ptr<const SchedulingConfiguration> Configuration) {
+  std::set<std::string> Queues;
+  for (const QueueSetting &Queue : Configuration->Queues_)
+    if (Queue.Pool_ == pool())
+      Queues.insert(Queue.Name_);
+  Parts_->Roster_->addQueues(Queues);
   Parts_->State_.Configuration_ = std::move(Configuration);
   Parts_->State_.NeedsDispatch_ = true;
 }
@@ -197,19 +239,19 @@
   }
 }
 
-void PoolOwner::onJobRow(const StoreRow &Row) { Parts_->Jobs_.onRow(Row); }
-
 void PoolOwner::onWaves(const std::vector<MaintenanceWave> &Waves) {
   Parts_->Maintenance_->onWaves(Waves);
 }
 
 void PoolOwner::tick() {
   PoolState &State = Parts_->State_;
-  if (State.IsFencedOff_ || !Parts_->Loader_)
+  if (State.IsFencedOff_)
     return;
-  Parts_->Loader_->tick();
   Parts_->Roster_->tick();
-  if (!Parts_->IsLoaded_ || !Parts_->Roster_->isLoaded())
+  if (!Parts_->Roster_->isLoaded())
+    return;
+  Parts_->followQueues();
+  if (!Parts_->IsLoaded_)
     return;
   Parts_->Holds_->tick();
   Parts_->settleInherited();
@@ -219,6 +261,7 @@
     Parts_->NextDispatch_ = Now + DispatchInterval;
     Parts_->Starts_->dispatch();
   }
+  Parts_->logStatus();
   Parts_->Paces_->tick();
   Parts_->Maintenance_->tick();
   Parts_->Writer_->flush();
--- a/src/scheduling/internal/rosterkeeper.cpp
+++ b/src/scheduling/internal/rosterkeeper.cpp
@@ -48,7 +48,9 @@
         LogEvent("roster.unreadable").with("pool", Pool_.Pool_));
     return;
   }
-  for (WorkerEntry &Worker : *Roster) {
+  StoredQueues_ = Roster->Queues_;
+  addQueues(Roster->Queues_);
+  for (WorkerEntry &Worker : Roster->Workers_) {
     Worker.Pool_ = Pool_.Pool_;
     std::string Lifetime = Worker.lifetime();
     Stored_.insert(Lifetime);
@@ -63,7 +65,13 @@
   }
 }
 
+void RosterKeeper::addQueues(const std::set<std::string> &Queues) {
+  Queues_.insert(Queues.begin(), Queues.end());
+}
+
 bool RosterKeeper::needsWriting() const {
+  if (Queues_ != StoredQueues_)
+    return true;
   if (Pool_.Sessions_.size() != Stored_.size())
     return true;
   for (const auto &[Lifetime, Session] : Pool_.Sessions_)
@@ -74,30 +82,34 @@
 
 void RosterKeeper::write() {
   IsBusy_ = true;
-  std::vector<WorkerEntry> Roster;
+  RosterRow Roster;
+  Roster.Queues_ = Queues_;
   std::set<std::string> Written;
   for (const auto &[Lifetime, Session] : Pool_.Sessions_) {
-    Roster.push_back(Session->entry());
+    Roster.Workers_.push_back(Session->entry());
     Written.insert(Lifetime);
   }
   StoreKey Row = controlrows::roster(Pool_.Pool_);
   StoreTransaction Wanted;
   Wanted.Expected_ = {{Row, Version_}};
   Wanted.Puts_ = {{Row, controlrows::encode(Roster)}};
-  Pool_.Store_.transact(std::move(Wanted), [Weak = weak_from_this(), Written](
-                                               const StoreTransactionEnd &End) {
-    if (auto Self = Weak.lock())
-      Self->onWritten(Written, End);
-  });
+  Pool_.Store_.transact(std::move(Wanted),
+                        [Weak = weak_from_this(), Written,
+                         Queues = Queues_](const StoreTransactionEnd &End) {
+                          if (auto Self = Weak.lock())
+                            Self->onWritten(Written, Queues, End);
+                        });
 }
 
 void RosterKeeper::onWritten(const std::set<std::string> &Written,
+                             const std::set<std::string> &Queues,
                              const StoreTransactionEnd &End) {
   IsBusy_ = false;
   switch (End.Outcome_) {
   case StoreOutcome::Done:
     Version_ = End.Version_;
     Stored_ = Written;
+    StoredQueues_ = Queues;
     for (auto &[Lifetime, Session] : Pool_.Sessions_)
       if (Written.contains(Lifetime))
         Session->IsInRoster_ = true;
--- a/src/scheduling/internal/rosterkeeper.h
+++ b/src/scheduling/internal/rosterkeeper.h
@@ -24,6 +24,10 @@
   /// Reads the row, and stores it again whenever the sessions have changed.
   void tick();
   bool isLoaded() const { return IsLoaded_; }
+  /// Adds queues whose jobs may belong to the pool.
+  void addQueues(const std::set<std::string> &Queues);
+  /// \returns all queues whose jobs may belong to the pool.
+  const std::set<std::string> &queues() const { return Queues_; }
 
 private:
   void load();
@@ -31,6 +35,7 @@
   bool needsWriting() const;
   void write();
   void onWritten(const std::set<std::string> &Written,
+                 const std::set<std::string> &Queues,
                  const StoreTransactionEnd &End);
 
   PoolState &Pool_;
@@ -40,6 +45,8 @@
   StoreVersion Version_ = 0;
   /// Lifetimes in the stored row.
   std::set<std::string> Stored_;
+  std::set<std::string> StoredQueues_;
+  std::set<std::string> Queues_;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -2,7 +2,6 @@
 #include "global/ilogger.h"
 #include "global/logevent.h"
 #include "scheduling/controlrows.h"
-#include "scheduling/internal/jobfeed.h"
 #include "scheduling/istore.h"
 #include "scheduling/ownershipkeeper.h"
 #include "scheduling/poolowner.h"
@@ -16,6 +15,8 @@
 
 /// Least time between two reports of a pool's pending jobs.
 constexpr std::chrono::milliseconds PendingInterval{400};
+/// Pause between two answers about the control rows, in which changes gather.
+constexpr std::chrono::milliseconds ControlPause{60};
 /// A node that the store has not answered for this long sends callers to
 /// others.
 constexpr std::chrono::milliseconds SilentStore{2500};
@@ -44,7 +45,6 @@
   std::shared_ptr<JobDesk> Desk_;
   std::shared_ptr<OwnershipKeeper> Ownership_;
   std::shared_ptr<TableFollower> Control_;
-  std::shared_ptr<JobFeed> Jobs_;
   std::map<std::string, std::unique_ptr<PoolOwner>> Owners_;
   /// By pool, as its owner reported it last.
   std::map<std::string, PendingRow> Pending_;
@@ -80,20 +80,10 @@
       },
       [this](const std::string &Pool) { onLost(Pool); });
   Control_ = std::make_shared<TableFollower>(
-      Store_, Clock_, controlrows::Table, "",
+      Store_, Clock_, controlrows::Table, "", ControlPause,
       [this](const std::vector<StoreRow> &Rows, bool IsWhole) {
         onControlRows(Rows, IsWhole);
       });
-  Jobs_ = std::make_shared<JobFeed>(
-      Store_, Clock_,
-      [this](const StoreRow &Row) {
-        for (auto &[Pool, Owner] : Owners_)
-          Owner->onJobRow(Row);
-      },
-      [this] {
-        for (auto &[Pool, Owner] : Owners_)
-          Owner->begin([this](StoreVersion Version) { Jobs_->start(Version); });
-      });
 }
 
 void SchedulerNode::Parts::onControlRows(const std::vector<StoreRow> &Rows,
@@ -122,17 +112,13 @@
   for (const auto &[Number, Wave] : Waves_)
     Waves.push_back(Wave);
   Owner->onWaves(Waves);
-  PoolOwner &Placed = *Owner;
   Owners_[Tenure.Pool_] = std::move(Owner);
   HaveWorkersChanged_ = true;
-  Placed.begin([this](StoreVersion Version) { Jobs_->start(Version); });
 }
 
 void SchedulerNode::Parts::onLost(const std::string &Pool) {
   Owners_.erase(Pool);
   Reported_.erase(Pool);
-  if (Owners_.empty())
-    Jobs_->stop();
 }
 
 void SchedulerNode::Parts::giveWorkers() {
@@ -275,7 +261,6 @@
   Parts_->Desk_->tick();
   if (!Parts_->IsReleased_)
     Parts_->Ownership_->tick();
-  Parts_->Jobs_->tick();
   if (Parts_->HaveWorkersChanged_)
     Parts_->giveWorkers();
   for (auto &[Pool, Owner] : Parts_->Owners_)
--- a/src/scheduling/internal/tablefollower.cpp
+++ b/src/scheduling/internal/tablefollower.cpp
@@ -12,9 +12,10 @@
 } // namespace
 
 TableFollower::TableFollower(IStore &Store, const IClock &Clock,
-                             std::string Table, std::string Part, RowSink Sink)
+                             std::string Table, std::string Part,
+                             std::chrono::milliseconds Pause, RowSink Sink)
     : Store_(Store), Clock_(Clock), Table_(std::move(Table)),
-      Part_(std::move(Part)), Sink_(std::move(Sink)) {}
+      Part_(std::move(Part)), Pause_(Pause), Sink_(std::move(Sink)) {}
 
 void TableFollower::tick() {
   if (IsBusy_ || Clock_.now() < NotBefore_)
@@ -85,7 +86,7 @@
       Rows.push_back(Row);
   if (!Rows.empty())
     Sink_(Rows, /*IsWhole=*/false);
-  tick();
+  NotBefore_ = Clock_.now() + Pause_;
 }
 
 } // namespace dragonflylock
--- a/src/scheduling/jobrows.h
+++ b/src/scheduling/jobrows.h
@@ -3,6 +3,7 @@
 
 #include "scheduling/storetypes.h"
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -16,8 +17,13 @@
 /// Names of the rows of jobs. All rows of a queue form one part.
 namespace jobrows {
 
-inline constexpr const char *Table = "dragonflylock-jobs";
+/// Tables that the jobs are spread over, so that the owner of a pool follows
+/// the changes of few other queues. The store allows 100 tables in all.
+inline constexpr std::uint32_t TableCount = 24;
 
+/// \returns the table that holds the jobs of \p Queue. It depends on nothing
+/// that operators change, so that a repeated submission finds the first one.
+std::string tableOf(const std::string &Queue);
 /// \returns the row's name.
 StoreKey name(const std::string &Queue, const std::string &Job,
               JobRowKind Kind);
--- a/src/scheduling/ownershipkeeper.h
+++ b/src/scheduling/ownershipkeeper.h
@@ -58,6 +58,8 @@
     FencingToken Token_ = 0;
     TimePoint LeaseEnd_;
     TimePoint NextRenewal_;
+    /// Since when the pool is known to be free; the clock's start otherwise.
+    TimePoint FreeSince_;
     TimePoint NextAttempt_;
   };
 
--- a/src/scheduling/poolowner.h
+++ b/src/scheduling/poolowner.h
@@ -6,7 +6,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -63,18 +62,12 @@
   PoolOwner(const PoolOwner &) = delete;
   PoolOwner &operator=(const PoolOwner &) = delete;
 
-  /// Starts to load the pool's jobs.
-  /// \param OnLoaded is called with the store's version as of which the rows
-  /// were read; later changes are to be given to onJobRow().
-  void begin(std::function<void(StoreVersion)> OnLoaded);
   /// Notes that the lease was renewed until \p End.
   void extendLease(TimePoint End);
   void
   onConfiguration(std::shared_ptr<const SchedulingConfiguration> Configuration);
   /// Takes in all workers that are registered for the pool.
   void onWorkers(const std::vector<WorkerEntry> &Workers);
-  /// Takes in a changed row of a job of any pool.
-  void onJobRow(const StoreRow &Row);
   /// Takes in the waves that operators have asked for.
   void onWaves(const std::vector<MaintenanceWave> &Waves);
   /// Does what is due.
--- a/src/scheduling/tablefollower.h
+++ b/src/scheduling/tablefollower.h
@@ -22,8 +22,10 @@
       std::function<void(const std::vector<StoreRow> &Rows, bool IsWhole)>;
 
   /// \param Part the part to read; changes of other parts are passed over.
+  /// \param Pause time between two answers, in which changes gather.
   TableFollower(IStore &Store, const IClock &Clock, std::string Table,
-                std::string Part, RowSink Sink);
+                std::string Part, std::chrono::milliseconds Pause,
+                RowSink Sink);
 
   /// Starts, or goes on with, what is due.
   void tick();
@@ -42,6 +44,7 @@
   const IClock &Clock_;
   std::string Table_;
   std::string Part_;
+  std::chrono::milliseconds Pause_;
   RowSink Sink_;
   bool IsBusy_ = false;
   bool IsLoaded_ = false;
