Jobs that can still meet their objective first; count a step's tasks on one worker together

Ruled out: stale machine list, unlisted session. And in the turns the queue was first come, first served, so that most jobs were late.

--- a/src/app/daemonmain.cpp
+++ b/src/app/daemonmain.cpp
@@ -139,7 +139,7 @@
   if (int Code = reportFaults(Read.Faults_); Code != ExitOk || IsCheckOnly)
     return Code;
   sigset_t Signals = blockSignals();
-  BoostLogger Logger(LogLevel::Debug, Read.Settings_.Scheduling_.Node_);
+  BoostLogger Logger(LogLevel::Info, Read.Settings_.Scheduling_.Node_);
   auto Daemon = SchedulerDaemon::Builder()
                     .settings(Read.Settings_)
                     .logger(Logger)
--- a/src/scheduling/activejob.h
+++ b/src/scheduling/activejob.h
@@ -70,6 +70,13 @@
           Visit(TaskName{Id_, K, S, I}, Runs_[K][S][I]);
   }
 
+  template <typename Visitor> void forEachTask(Visitor &&Visit) const {
+    for (std::uint32_t K = 0; K < Runs_.size(); ++K)
+      for (std::uint32_t S = 0; S < Runs_[K].size(); ++S)
+        for (std::uint32_t I = 0; I < Runs_[K][S].size(); ++I)
+          Visit(TaskName{Id_, K, S, I}, Runs_[K][S][I]);
+  }
+
   /// \returns whether the step may start: what it follows has ended and its
   /// occurrence is due at \p Wall.
   bool isStepOpen(std::uint32_t Occurrence, std::uint32_t Step,
@@ -81,6 +88,9 @@
   std::size_t runCount() const;
   /// \returns whether any task has been started or has ended.
   bool hasBegun() const;
+  /// \returns the declared run time of the longest chain of steps: of all
+  /// steps, or of those that have not ended.
+  std::chrono::milliseconds longestChain(bool OnlyLeft) const;
   /// \returns the declared work left, in core-milliseconds.
   std::int64_t remainingWork() const;
   /// \returns whether a step runs until the job is cancelled.
--- a/src/scheduling/internal/activejob.cpp
+++ b/src/scheduling/internal/activejob.cpp
@@ -87,6 +87,22 @@
   return Work;
 }
 
+std::chrono::milliseconds ActiveJob::longestChain(bool OnlyLeft) const {
+  const auto &Steps = Stored_.Spec_.Steps_;
+  std::chrono::milliseconds Longest{0};
+  for (std::uint32_t K = 0; K < Runs_.size(); ++K) {
+    std::vector<std::chrono::milliseconds> Until(Steps.size());
+    for (std::uint32_t S = 0; S < Steps.size(); ++S) {
+      for (std::uint32_t Earlier : Steps[S].After_)
+        Until[S] = std::max(Until[S], Until[Earlier]);
+      if (!OnlyLeft || !Progress_.isStepDone(K, S))
+        Until[S] += Steps[S].Estimate_;
+      Longest = std::max(Longest, Until[S]);
+    }
+  }
+  return Longest;
+}
+
 bool ActiveJob::isLongRunning() const {
   const auto &Steps = Stored_.Spec_.Steps_;
   return std::any_of(Steps.begin(), Steps.end(),
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -21,12 +21,14 @@
 constexpr std::chrono::milliseconds RefusedPause{50};
 /// Pause between two orders to stop the same run.
 constexpr std::chrono::milliseconds StopRepeat{400};
-/// Work, in core-milliseconds, that weighs as much as a millisecond of
-/// waiting when jobs are put in order.
-constexpr std::int64_t WorkPerWait = 4;
-
-std::int64_t urgencyOf(const ActiveJob &Job) {
-  return Job.stored().AcceptedAt_.count() + Job.remainingWork() / WorkPerWait;
+/// \returns whether the job would miss its objective even if it started now.
+bool isLate(const ActiveJob &Job, const QueueSetting &Queue,
+            std::chrono::milliseconds Wall) {
+  auto Objective = std::chrono::duration_cast<std::chrono::milliseconds>(
+                       Queue.Stretch_ * Job.longestChain(/*OnlyLeft=*/false)) +
+                   Queue.TargetLatency_;
+  return Wall + Job.longestChain(/*OnlyLeft=*/true) >
+         Job.stored().AcceptedAt_ + Objective;
 }
 
 } // namespace
@@ -36,19 +38,24 @@
     ActiveJob *Job_;
     bool IsShort_;
     std::uint32_t Priority_;
-    std::int64_t Urgency_;
+    bool IsLate_;
+    std::int64_t Work_;
   };
   std::vector<Entry> Entries;
   for (auto &[Id, Job] : Pool_.Jobs_) {
     if (isFinal(Job->progress().state()) || Job->isCancelled())
       continue;
-    Entries.push_back({Job.get(), !Job->isLongRunning(),
-                       Pool_.queueOf(*Job).Priority_, urgencyOf(*Job)});
+    QueueSetting Queue = Pool_.queueOf(*Job);
+    Entries.push_back({Job.get(), !Job->isLongRunning(), Queue.Priority_,
+                       isLate(*Job, Queue, Pool_.wallTime()),
+                       Job->remainingWork()});
   }
   std::sort(Entries.begin(), Entries.end(),
             [](const Entry &Left, const Entry &Right) {
-              return std::tie(Left.IsShort_, Left.Priority_, Left.Urgency_) <
-                     std::tie(Right.IsShort_, Right.Priority_, Right.Urgency_);
+              return std::tie(Left.IsShort_, Left.Priority_, Left.IsLate_,
+                              Left.Work_) <
+                     std::tie(Right.IsShort_, Right.Priority_, Right.IsLate_,
+                              Right.Work_);
             });
   std::vector<ActiveJob *> Jobs;
   for (const Entry &Each : Entries)
--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -147,8 +147,6 @@
       continue;
     WorkerSession *Session = sessionOf(Name);
     std::size_t Runs = Session != nullptr ? Session->runs().size() : 0;
-    if (Session != nullptr && !keepsBudgets(*Session))
-      continue;
     if (Runs < FewestRuns) {
       FewestRuns = Runs;
       Best = Name;
@@ -170,23 +168,49 @@
          Run.AtWorkSince_ + SteadyTime <= Pool_.Clock_.now();
 }
 
+std::uint32_t MaintenanceKeeper::awayElsewhere(const ActiveJob &Job,
+                                               const TaskName &Task,
+                                               const WorkerSession &Session) {
+  std::uint32_t Away = 0;
+  Job.forEachTask([&](const TaskName &Other, const TaskRun &State) {
+    bool IsPeer = Other.Occurrence_ == Task.Occurrence_ &&
+                  Other.Step_ == Task.Step_ &&
+                  State.Worker_ != Session.entry().lifetime();
+    Away += IsPeer && !isAtWork(State) ? 1 : 0;
+  });
+  return Away;
+}
+
 bool MaintenanceKeeper::keepsBudgets(const WorkerSession &Session) {
   for (const auto &[Name, Run] : Session.runs()) {
-    ActiveJob *Job = Pool_.job(Name.Job_);
+    const ActiveJob *Job = Pool_.job(Name.Job_);
     if (Job == nullptr || !Job->step(Name).DisruptionBudget_)
       continue;
-    std::uint32_t Away = 0;
-    Job->forEachTask([&, Task = Name](const TaskName &Other, TaskRun &State) {
-      bool IsPeer = Other.Occurrence_ == Task.Occurrence_ &&
-                    Other.Step_ == Task.Step_ && Other.Index_ != Task.Index_;
-      Away += IsPeer && !isAtWork(State) ? 1 : 0;
-    });
-    if (Away >= *Job->step(Name).DisruptionBudget_)
+    // The order ends all of the step's tasks on the worker at once.
+    std::uint32_t Ended = Session.countOf(Name);
+    if (Ended + awayElsewhere(*Job, Name, Session) >
+        *Job->step(Name).DisruptionBudget_)
       return false;
   }
   return true;
 }
 
+void MaintenanceKeeper::evacuate(WorkerSession &Session) {
+  std::set<std::pair<std::string, std::uint32_t>> Disrupted;
+  for (const auto &[Name, Run] : Session.runs()) {
+    const ActiveJob *Job = Pool_.job(Name.Job_);
+    if (Job == nullptr || !Job->step(Name).DisruptionBudget_)
+      continue;
+    bool IsAlone = Session.countOf(Name) <= 1;
+    bool IsFirst = Disrupted.emplace(Name.Job_, Name.Step_).second;
+    if (IsAlone || !IsFirst || !isAtWork(Job->run(Name)) ||
+        awayElsewhere(*Job, Name, Session) + 1 >
+            *Job->step(Name).DisruptionBudget_)
+      continue;
+    Starts_.stop(Session, Name, Run.Run_);
+  }
+}
+
 std::chrono::milliseconds MaintenanceKeeper::patience(const Wave &Each) const {
   std::size_t Left =
       Each.Asked_.Machines_.size() -
@@ -204,8 +228,10 @@
   WorkerSession *Session = sessionOf(Name);
   if (Session == nullptr)
     return true;
-  if (!keepsBudgets(*Session))
+  if (!keepsBudgets(*Session)) {
+    evacuate(*Session);
     return false;
+  }
   bool HasShortRuns = false;
   for (const auto &[Task, Run] : Session->runs()) {
     ActiveJob *Job = Pool_.job(Task.Job_);
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -15,6 +15,7 @@
 
 namespace dragonflylock {
 
+class ActiveJob;
 class Dispatcher;
 class IMachineControl;
 class WorkerSession;
@@ -55,6 +56,7 @@
     /// Machine that is being emptied for its maintenance; empty for none.
     std::string Next_;
     TimePoint ReservedAt_;
+    TimePoint NextEvacuation_;
     /// Machines that this owner has ordered down.
     std::map<std::string, Order> Ordered_;
   };
@@ -74,7 +76,10 @@
   bool isComplete(const Wave &Each) const;
   bool isReady(const Wave &Each, const std::string &Name);
   bool isAtWork(const TaskRun &Run) const;
+  std::uint32_t awayElsewhere(const ActiveJob &Job, const TaskName &Task,
+                              const WorkerSession &Session);
   bool keepsBudgets(const WorkerSession &Session);
+  void evacuate(WorkerSession &Session);
   std::chrono::milliseconds patience(const Wave &Each) const;
   WorkerSession *sessionOf(const std::string &Name);
   void reserve(const std::string &Name, bool IsReserved);
--- a/src/scheduling/internal/placement.cpp
+++ b/src/scheduling/internal/placement.cpp
@@ -33,7 +33,10 @@
     Disturbed = Worker.Serving_;
   else if (Step.LatencyTarget_.count() > 0)
     Disturbed = Worker.Fillers_;
-  return std::make_tuple(!Worker.HasFailedTask_, !IsFar,
+  // Tasks that a disruption must not take together are spread.
+  bool IsSpread = Step.DisruptionBudget_.has_value();
+  std::int64_t Together = IsSpread ? Worker.SameStep_ : 0;
+  return std::make_tuple(!Worker.HasFailedTask_, !IsFar, -Together,
                          -static_cast<std::int64_t>(Disturbed),
                          Worker.Free_.CpuMillis_, Worker.Free_.MemoryMb_);
 }
