--- a/src/scheduling/activejob.h
+++ b/src/scheduling/activejob.h
@@ -49,8 +49,7 @@
 /// A job that has not ended, as the owner of its pool holds it.
 class ActiveJob {
 public:
-  /// \param FirstRun the run number before the first one to use.
-  ActiveJob(std::string Id, SubmittedJob Stored, RunNumber FirstRun);
+  ActiveJob(std::string Id, SubmittedJob Stored);
 
   const std::string &id() const { return Id_; }
   const SubmittedJob &stored() const { return Stored_; }
--- a/src/scheduling/internal/activejob.cpp
+++ b/src/scheduling/internal/activejob.cpp
@@ -4,13 +4,11 @@
 
 namespace dragonflylock {
 
-ActiveJob::ActiveJob(std::string Id, SubmittedJob Stored, RunNumber FirstRun)
+ActiveJob::ActiveJob(std::string Id, SubmittedJob Stored)
     : Id_(std::move(Id)), Stored_(std::move(Stored)), Progress_(Stored_.Spec_) {
-  TaskRun Unstarted;
-  Unstarted.Run_ = FirstRun;
   std::vector<std::vector<TaskRun>> Steps;
   for (const StepSpec &Step : Stored_.Spec_.Steps_)
-    Steps.emplace_back(Step.TaskCount_, Unstarted);
+    Steps.emplace_back(Step.TaskCount_);
   Runs_.assign(Stored_.Spec_.occurrences(), Steps);
 }
 
--- a/src/scheduling/internal/jobregister.cpp
+++ b/src/scheduling/internal/jobregister.cpp
@@ -46,8 +46,8 @@
   }
   if (Stored.value().Pool_ != Pool_.Pool_)
     return;
-  Pool_.Jobs_.emplace(Id, std::make_unique<ActiveJob>(
-                              Id, std::move(Stored).value(), Pool_.FirstRun_));
+  Pool_.Jobs_.emplace(
+      Id, std::make_unique<ActiveJob>(Id, std::move(Stored).value()));
   Pool_.NeedsDispatch_ = true;
 }
 
