A repeated maintenance order may do nothing; each order has a token of its own

Cause: the platform answers 200 also for an upkeep that is done already. Ruled out: refused starts, lapsed leases.

--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -90,7 +90,7 @@
     chooseNext(Each);
   if (!Each.Next_.empty() && isReady(Each, Each.Next_) &&
       Each.Row_.Down_.size() < Each.Asked_.MostAtOnce_)
-    claim(Each);
+    claim(Each, Each.Next_, /*IsRepeat=*/false);
 }
 
 void MaintenanceKeeper::load(Wave &Each) {
@@ -228,10 +228,8 @@
   WorkerSession *Session = sessionOf(Name);
   if (Session == nullptr)
     return true;
-  if (!keepsBudgets(*Session)) {
-    evacuate(*Session);
+  if (!readyForOrder(Name))
     return false;
-  }
   bool HasShortRuns = false;
   for (const auto &[Task, Run] : Session->runs()) {
     ActiveJob *Job = Pool_.job(Task.Job_);
@@ -242,23 +240,28 @@
          Pool_.Clock_.now() - Each.ReservedAt_ >= patience(Each);
 }
 
-void MaintenanceKeeper::claim(Wave &Each) {
+void MaintenanceKeeper::claim(Wave &Each, const std::string &Name,
+                              bool IsRepeat) {
+  // The row's new version is the token of the order, which no other has.
   WaveProgress Next = Each.Row_;
-  std::string Name = Each.Next_;
   Next.Down_[Name] = Pool_.Settings_.Node_;
-  store(Each, Next, [this, Name](Wave &Claimed) {
-    Claimed.Next_.clear();
-    order(Claimed, Name);
+  store(Each, Next, [this, Name, IsRepeat](Wave &Claimed) {
+    if (Claimed.Next_ == Name)
+      Claimed.Next_.clear();
+    order(Claimed, Name, IsRepeat);
   });
 }
 
-void MaintenanceKeeper::order(Wave &Each, const std::string &Name) {
+void MaintenanceKeeper::order(Wave &Each, const std::string &Name,
+                              bool IsRepeat) {
   WorkerSession *Session = sessionOf(Name);
   if (!Pool_.mayAct() || (Session != nullptr && !keepsBudgets(*Session)))
-    return;
+    return; // Claimed again later.
   Each.IsBusy_ = true;
-  Each.Ordered_[Name] = {
-      Session != nullptr ? Session->entry().lifetime() : std::string(), {}};
+  Each.Ordered_[Name] = {Session != nullptr ? Session->entry().lifetime()
+                                            : std::string(),
+                         IsRepeat,
+                         {}};
   MachineOrder Command{Name, Pool_.Settings_.Node_, Each.Version_};
   Machines_.maintain(Command, Each.Asked_.Number_,
                      [Weak = weak_from_this(), Number = Each.Asked_.Number_,
@@ -284,6 +287,8 @@
   }
   Order &Accepted = Each.Ordered_[Name];
   Accepted.AcceptedAt_ = Pool_.Clock_.now();
+  if (Accepted.IsRepeat_)
+    return;
   // All that ran on the machine ended with the order.
   if (WorkerSession *Session = Pool_.session(Accepted.Lifetime_)) {
     Session->IsListed_ = false;
@@ -291,6 +296,17 @@
   }
 }
 
+bool MaintenanceKeeper::readyForOrder(const std::string &Name) {
+  WorkerSession *Session = sessionOf(Name);
+  if (Session == nullptr)
+    return true;
+  Session->IsReserved_ = true;
+  if (keepsBudgets(*Session))
+    return true;
+  evacuate(*Session);
+  return false;
+}
+
 void MaintenanceKeeper::releaseReturned(Wave &Each) {
   WaveProgress Next = Each.Row_;
   for (const auto &[Name, Holder] : Each.Row_.Down_) {
@@ -303,10 +319,10 @@
       continue;
     auto Ordered = Each.Ordered_.find(Name);
     if (Ordered == Each.Ordered_.end()) {
-      // Claimed by an earlier owner, or not carried out: repeating the order
-      // is harmless.
-      if (Found->second.State_ == MachineState::Up)
-        order(Each, Name);
+      // Claimed by an earlier owner, or not known to be carried out.
+      if (Found->second.State_ != MachineState::Up || !readyForOrder(Name))
+        continue;
+      claim(Each, Name, /*IsRepeat=*/true);
       return;
     }
     const auto &AcceptedAt = Ordered->second.AcceptedAt_;
@@ -316,6 +332,7 @@
       continue;
     Next.Down_.erase(Name);
     Next.Done_.insert(Name);
+    reserve(Name, false);
   }
   if (Next.Down_.size() != Each.Row_.Down_.size())
     store(Each, Next, [](Wave &) {});
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -40,6 +40,9 @@
   struct Order {
     /// Lifetime of the worker that the machine had; empty for none.
     std::string Lifetime_;
+    /// Whether an earlier order may have been carried out already; the
+    /// platform then accepts this one without doing anything.
+    bool IsRepeat_ = false;
     /// When the platform accepted the order; absent until then.
     std::optional<TimePoint> AcceptedAt_;
   };
@@ -66,8 +69,8 @@
   void load(Wave &Each);
   void onLoaded(std::uint64_t Number, const StoreRange &Read);
   void chooseNext(Wave &Each);
-  void claim(Wave &Each);
-  void order(Wave &Each, const std::string &Name);
+  void claim(Wave &Each, const std::string &Name, bool IsRepeat);
+  void order(Wave &Each, const std::string &Name, bool IsRepeat);
   void onOrdered(std::uint64_t Number, const std::string &Name,
                  MachineOutcome Outcome);
   void releaseReturned(Wave &Each);
@@ -80,6 +83,10 @@
                               const WorkerSession &Session);
   bool keepsBudgets(const WorkerSession &Session);
   void evacuate(WorkerSession &Session);
+  /// Reserves the machine's worker.
+  /// \returns whether the budgets allow to take it down now; where they do
+  /// not, a task is moved away.
+  bool readyForOrder(const std::string &Name);
   std::chrono::milliseconds patience(const Wave &Each) const;
   WorkerSession *sessionOf(const std::string &Name);
   void reserve(const std::string &Name, bool IsReserved);
