--- a/src/scheduling/internal/holdkeeper.cpp
+++ b/src/scheduling/internal/holdkeeper.cpp
@@ -60,7 +60,9 @@
   Order.Token_ = Pool_.Token_;
   Order.AcknowledgedEnd_ = Session.acknowledgeable();
   Order.Wait_ = waitOf(Session);
-  if (Session.knowsClock()) {
+  // A worker that does not answer gets no longer lease, so that its runs lapse
+  // within one lease and can be started elsewhere.
+  if (Session.knowsClock() && Session.HoldFailures_ == 0) {
     Order.LeaseEnd_ = Session.clockAt(Now) + Pool_.Settings_.LongestHold_;
     Session.noteLease(Pool_.surelyLapsed(Now));
   }
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -47,7 +47,8 @@
     State_.Token_ = Tenure.Token_;
     State_.FirstRun_ = Tenure.Predecessors_ * RunsPerOwner;
     State_.LeaseEnd_ = Tenure.LeaseEnd_;
-    InheritedLapse_ = State_.surelyLapsed(State_.Clock_.now());
+    if (HasPredecessor_)
+      State_.InheritedLapse_ = State_.surelyLapsed(State_.Clock_.now());
   }
 
   void onLoaded();
@@ -70,8 +71,6 @@
   /// Whether an earlier owner may have left runs behind.
   bool HasPredecessor_;
   bool IsInheritedSettled_ = false;
-  /// When the last run of an earlier owner has lapsed.
-  TimePoint InheritedLapse_;
   TimePoint NextDispatch_;
   TimePoint NextStatus_;
 };
@@ -181,7 +180,8 @@
   bool AllAsked =
       std::all_of(State_.Sessions_.begin(), State_.Sessions_.end(),
                   [](const auto &Each) { return Each.second->IsFenced_; });
-  if (HasPredecessor_ && !AllAsked && State_.Clock_.now() < InheritedLapse_)
+  if (HasPredecessor_ && !AllAsked &&
+      State_.Clock_.now() < State_.InheritedLapse_)
     return;
   IsInheritedSettled_ = true;
   State_.NeedsDispatch_ = true;
@@ -214,27 +214,26 @@
 
 void PoolOwner::onWorkers(const std::vector<WorkerEntry> &Workers) {
   auto &Sessions = Parts_->State_.Sessions_;
-  std::map<std::string, std::string> LifetimeOfId;
+  std::map<std::string, std::chrono::milliseconds> BornOfId;
   for (const WorkerEntry &Worker : Workers)
-    LifetimeOfId[Worker.Id_] = Worker.lifetime();
+    BornOfId[Worker.Id_] = Worker.Born_;
   for (auto &[Lifetime, Session] : Sessions) {
-    auto Found = LifetimeOfId.find(Session->entry().Id_);
-    bool IsListed = Found != LifetimeOfId.end() && Found->second == Lifetime;
+    auto Found = BornOfId.find(Session->entry().Id_);
+    auto Born = Session->entry().Born_;
+    bool IsListed = Found != BornOfId.end() && Found->second == Born;
     if (Session->IsListed_ && !IsListed)
       Parts_->State_.NeedsDispatch_ = true;
     Session->IsListed_ = IsListed;
     // A later lifetime of the same worker has nothing of the earlier one.
-    if (Found != LifetimeOfId.end() && !IsListed)
+    if (Found != BornOfId.end() && Found->second > Born)
       Parts_->Runs_.releaseAll(*Session);
   }
   for (const WorkerEntry &Worker : Workers) {
-    auto [Place, IsNew] = Sessions.try_emplace(Worker.lifetime(), nullptr);
-    if (IsNew)
-      Place->second = std::make_unique<WorkerSession>(Worker);
-    else if (!(Place->second->entry() == Worker))
-      Place->second->setEntry(Worker);
-    else
+    WorkerSession &Session = Parts_->State_.meet(Worker);
+    if (Session.entry() == Worker && Session.IsListed_)
       continue;
+    Session.setEntry(Worker);
+    Session.IsListed_ = true;
     Parts_->State_.NeedsDispatch_ = true;
   }
 }
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -17,6 +17,18 @@
   return !IsFencedOff_ && Clock_.now() < LeaseEnd_ - Settings_.LeaseMargin_;
 }
 
+WorkerSession &PoolState::meet(const WorkerEntry &Entry) {
+  auto [Place, IsNew] = Sessions_.try_emplace(Entry.lifetime(), nullptr);
+  if (IsNew) {
+    Place->second = std::make_unique<WorkerSession>(Entry);
+    // Until the worker has been asked it may run what an earlier owner
+    // started there.
+    Place->second->noteLease(InheritedLapse_);
+    NeedsDispatch_ = true;
+  }
+  return *Place->second;
+}
+
 ActiveJob *PoolState::job(const std::string &Id) {
   auto Found = Jobs_.find(Id);
   return Found == Jobs_.end() ? nullptr : Found->second.get();
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -45,6 +45,8 @@
   FencingToken Token_ = 0;
   /// The run number before the first one of this owner.
   RunNumber FirstRun_ = 0;
+  /// When runs that an earlier owner started have lapsed for certain.
+  TimePoint InheritedLapse_;
   /// End of the owner's lease.
   TimePoint LeaseEnd_;
   /// Set when a worker has seen a higher token.
@@ -61,6 +63,9 @@
   /// \returns whether this process still owns the pool. To be asked right
   /// before each act, since the process may have been paused.
   bool mayAct() const;
+  /// \returns the session of the worker's lifetime, which is made where there
+  /// is none.
+  WorkerSession &meet(const WorkerEntry &Entry);
   ActiveJob *job(const std::string &Id);
   WorkerSession *session(const std::string &Lifetime);
   /// \returns the queue's setting, or defaults where it has been removed.
--- a/src/scheduling/internal/rosterkeeper.cpp
+++ b/src/scheduling/internal/rosterkeeper.cpp
@@ -52,16 +52,12 @@
   addQueues(Roster->Queues_);
   for (WorkerEntry &Worker : Roster->Workers_) {
     Worker.Pool_ = Pool_.Pool_;
-    std::string Lifetime = Worker.lifetime();
-    Stored_.insert(Lifetime);
-    auto [Place, IsNew] = Pool_.Sessions_.try_emplace(Lifetime, nullptr);
-    if (IsNew) {
-      Place->second = std::make_unique<WorkerSession>(Worker);
-      Place->second->IsListed_ = false;
-      // What it runs may hold a lease from just before the takeover.
-      Place->second->noteLease(Pool_.surelyLapsed(Pool_.Clock_.now()));
-    }
-    Place->second->IsInRoster_ = true;
+    Stored_.insert(Worker.lifetime());
+    bool IsKnown = Pool_.session(Worker.lifetime()) != nullptr;
+    WorkerSession &Session = Pool_.meet(Worker);
+    Session.IsInRoster_ = true;
+    if (!IsKnown)
+      Session.IsListed_ = false;
   }
 }
 
