Emulator: the real decisions of several nodes in virtual time; what it found

(2) The end of a second copy made a done task startable again. (3) A start that was not answered when its worker was born again could run there unseen; it is now stopped there first. (4) After ends the next hold waited 300 ms although they were stored within 10.

--- /dev/null
+++ b/src/emulator/emulator.h
@@ -0,0 +1,61 @@
+#ifndef DRAGONFLYLOCK_EMULATOR_EMULATOR_H
+#define DRAGONFLYLOCK_EMULATOR_EMULATOR_H
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dragonflylock {
+
+/// What an emulated day is made of.
+struct EmulatorPlan {
+  std::uint64_t Seed_ = 1;
+  std::uint32_t Nodes_ = 5;
+  std::uint32_t Pools_ = 2;
+  std::uint32_t WorkersPerPool_ = 6;
+  /// Jobs that callers submit in each second of all pools.
+  double JobsPerSecond_ = 6;
+  /// Time in which jobs are submitted and faults begin.
+  std::chrono::milliseconds Traffic_{30000};
+  /// Time after the traffic in which accepted jobs must end.
+  std::chrono::milliseconds Finish_{40000};
+  /// Faults that begin during the traffic.
+  std::uint32_t Faults_ = 6;
+  /// Whether a maintenance wave is announced.
+  bool HasWave_ = true;
+  /// Share of the tasks that fail.
+  double FailShare_ = 0.02;
+};
+
+/// What came of an emulated day.
+struct EmulatorReport {
+  std::vector<std::string> Broken_;
+  /// The faults that were played, with the time of each.
+  std::vector<std::string> Faults_;
+  std::size_t Jobs_ = 0;
+  std::size_t Accepted_ = 0;
+  std::size_t Completed_ = 0;
+};
+
+/// Plays a day with the real decisions of several nodes against model
+/// workers, a model store and model callers, in virtual time and from one
+/// seed.
+class Emulator {
+public:
+  explicit Emulator(EmulatorPlan Plan);
+  ~Emulator();
+  Emulator(const Emulator &) = delete;
+  Emulator &operator=(const Emulator &) = delete;
+
+  EmulatorReport run();
+
+private:
+  struct Parts;
+  std::unique_ptr<Parts> Parts_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/emulator/internal/emulatednode.cpp
@@ -0,0 +1,185 @@
+#include "emulator/internal/emulatednode.h"
+#include "emulator/simulation.h"
+#include "global/logevent.h"
+
+#include <cstdio>
+
+namespace dragonflylock {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds TickInterval{40};
+constexpr milliseconds CallTime{10};
+/// Time from a graceful stop to the end of the process.
+constexpr milliseconds LeaveTime{2500};
+
+} // namespace
+
+EmulatedNode::EmulatedNode(std::string Name, EmulatedWorld &Shared)
+    : Name_(std::move(Name)), Shared_(Shared) {}
+
+void EmulatedNode::start() {
+  if (Node_)
+    return;
+  ++Life_;
+  IsLeaving_ = false;
+  SchedulingSettings Settings;
+  Settings.Node_ = Name_;
+  Node_ = SchedulerNode::Builder()
+              .settings(Settings)
+              .process(Name_ + "/" + std::to_string(Life_))
+              .clock(Shared_.World_)
+              .store(*this)
+              .workers(*this)
+              .machines(*this)
+              .logger(*this)
+              .build();
+  Node_->onConfiguration(Shared_.Configuration_);
+  tick(Life_);
+}
+
+void EmulatedNode::kill() {
+  ++Life_;
+  Node_.reset();
+}
+
+void EmulatedNode::freeze(milliseconds Length) {
+  FrozenUntil_ = Shared_.World_.now() + Length;
+}
+
+void EmulatedNode::stopGracefully() {
+  if (!Node_)
+    return;
+  IsLeaving_ = true;
+  Node_->release();
+  Shared_.World_.after(LeaveTime, [this, Life = Life_] {
+    if (Life == Life_)
+      kill();
+  });
+}
+
+SchedulerNode *EmulatedNode::serving() {
+  bool IsServing =
+      Node_ && Shared_.World_.now() >= FrozenUntil_ && Node_->isReady();
+  return IsServing ? Node_.get() : nullptr;
+}
+
+ModelStore::Deliver EmulatedNode::delivery() {
+  return [this, Life = Life_](const Work &Next) { deliver(Life, Next); };
+}
+
+void EmulatedNode::deliver(std::uint64_t Life, const Work &Next) {
+  if (Life != Life_ || !Node_)
+    return;
+  if (Shared_.World_.now() < FrozenUntil_) {
+    Shared_.World_.after(FrozenUntil_ - Shared_.World_.now() >
+                                 std::chrono::nanoseconds(0)
+                             ? std::chrono::ceil<std::chrono::microseconds>(
+                                   FrozenUntil_ - Shared_.World_.now())
+                             : std::chrono::microseconds(0),
+                         [this, Life, Next] { deliver(Life, Next); });
+    return;
+  }
+  Next();
+  if (Node_)
+    Node_->tick();
+}
+
+void EmulatedNode::tellFleet() {
+  if (Shared_.Wave_)
+    Node_->onWave(*Shared_.Wave_);
+  if (Node_->needsWorkers())
+    Node_->onAllWorkers(Shared_.Workers_.registered());
+}
+
+void EmulatedNode::tick(std::uint64_t Life) {
+  if (Life != Life_)
+    return;
+  deliver(Life, [this] { tellFleet(); });
+  Shared_.World_.after(TickInterval, [this, Life] { tick(Life); });
+}
+
+void EmulatedNode::transact(StoreTransaction Wanted, TransactionDone Done) {
+  Shared_.Store_.transact(Name_, delivery(), std::move(Wanted),
+                          std::move(Done));
+}
+
+void EmulatedNode::readRange(const std::string &Table, const std::string &Part,
+                             const std::string &From, const std::string &To,
+                             RangeDone Done) {
+  Shared_.Store_.readRange(Name_, delivery(), {Table, Part, From}, To,
+                           std::move(Done));
+}
+
+void EmulatedNode::awaitChanges(const std::string &Table, StoreVersion After,
+                                milliseconds Longest, ChangesDone Done) {
+  Shared_.Store_.awaitChanges(Name_, delivery(), Table, After, Longest,
+                              std::move(Done));
+}
+
+void EmulatedNode::start(const WorkerTarget &Target, const StartOrder &Order,
+                         IWorkerControl::OrderDone Done) {
+  Shared_.Workers_.start(Name_, delivery(), Target, Order, std::move(Done));
+}
+
+void EmulatedNode::stop(const WorkerTarget &Target, const TaskName &Task,
+                        RunNumber Run, FencingToken Token,
+                        IWorkerControl::OrderDone Done) {
+  Shared_.Workers_.stop(Name_, delivery(), Target, Task, Run, Token,
+                        std::move(Done));
+}
+
+void EmulatedNode::hold(const WorkerTarget &Target, const HoldOrder &Order,
+                        HoldDone Done) {
+  Shared_.Workers_.hold(Name_, delivery(), Target, Order, std::move(Done));
+}
+
+void EmulatedNode::pace(const WorkerTarget &, const TaskName &, RunNumber,
+                        std::uint32_t, FencingToken,
+                        IWorkerControl::OrderDone Done) {
+  Shared_.World_.after(CallTime, [Answer = delivery(), Done] {
+    Answer([Done] { Done({OrderOutcome::Accepted, WorkerClock(0)}); });
+  });
+}
+
+void EmulatedNode::list(ListDone Done) {
+  Shared_.World_.after(CallTime, [this, Answer = delivery(), Done] {
+    MachineList Read = Shared_.Workers_.machines();
+    Answer([Done, Read] { Done(Read); });
+  });
+}
+
+void EmulatedNode::maintain(const MachineOrder &Order, std::uint64_t Wave,
+                            IMachineControl::OrderDone Done) {
+  Shared_.World_.after(CallTime, [=, this, Answer = delivery()] {
+    MachineOutcome Outcome = Shared_.Workers_.maintain(Order, Wave);
+    Shared_.World_.after(CallTime, [=] { Answer([=] { Done(Outcome); }); });
+  });
+}
+
+void EmulatedNode::move(const MachineOrder &, const std::string &,
+                        IMachineControl::OrderDone Done) {
+  Shared_.World_.after(CallTime, [Answer = delivery(), Done] {
+    Answer([Done] { Done(MachineOutcome::NotDone); });
+  });
+}
+
+void EmulatedNode::reportWave(std::uint64_t Wave, bool IsCompleted,
+                              ReportDone Done) {
+  StoreTransaction Wanted;
+  Wanted.Puts_ = {{{"status", "", "wave/" + std::to_string(Wave)},
+                   IsCompleted ? "completed" : "running"}};
+  transact(std::move(Wanted), [Done](const StoreTransactionEnd &End) {
+    Done(End.Outcome_ == StoreOutcome::Done);
+  });
+}
+
+void EmulatedNode::write(LogLevel, const LogEvent &Event) {
+  if (Shared_.IsLogging_)
+    std::printf("%8lld %s %s\n",
+                static_cast<long long>(Shared_.World_.elapsed().count()),
+                Name_.c_str(), Event.line().c_str());
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/emulator/internal/emulatednode.h
@@ -0,0 +1,95 @@
+#ifndef DRAGONFLYLOCK_EMULATOR_INTERNAL_EMULATEDNODE_H
+#define DRAGONFLYLOCK_EMULATOR_INTERNAL_EMULATEDNODE_H
+
+#include "emulator/modelstore.h"
+#include "emulator/modelworkers.h"
+#include "global/ilogger.h"
+#include "scheduling/imachinecontrol.h"
+#include "scheduling/istore.h"
+#include "scheduling/iworkercontrol.h"
+#include "scheduling/schedulernode.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace dragonflylock {
+
+class Simulation;
+
+/// Where the nodes of an emulation meet.
+struct EmulatedWorld {
+  Simulation &World_;
+  ModelStore &Store_;
+  ModelWorkers &Workers_;
+  SchedulingConfiguration Configuration_;
+  std::optional<MaintenanceWave> Wave_;
+  /// Whether to print what nodes log.
+  bool IsLogging_ = false;
+};
+
+/// A node whose ports lead to the models. It can be killed, started again and
+/// frozen.
+class EmulatedNode : public IStore,
+                     public IWorkerControl,
+                     public IMachineControl,
+                     public ILogger {
+public:
+  EmulatedNode(std::string Name, EmulatedWorld &Shared);
+
+  void start();
+  void kill();
+  /// Lets nothing run for \p Length.
+  void freeze(std::chrono::milliseconds Length);
+  /// Gives the pools up and ends the process a little later.
+  void stopGracefully();
+  bool isUp() const { return Node_ != nullptr; }
+  const std::string &name() const { return Name_; }
+  /// \returns the node, or null where it is down, frozen or not ready.
+  SchedulerNode *serving();
+
+  void transact(StoreTransaction Wanted, TransactionDone Done) override;
+  void readRange(const std::string &Table, const std::string &Part,
+                 const std::string &From, const std::string &To,
+                 RangeDone Done) override;
+  void awaitChanges(const std::string &Table, StoreVersion After,
+                    std::chrono::milliseconds Longest,
+                    ChangesDone Done) override;
+  void start(const WorkerTarget &Target, const StartOrder &Order,
+             IWorkerControl::OrderDone Done) override;
+  void stop(const WorkerTarget &Target, const TaskName &Task, RunNumber Run,
+            FencingToken Token, IWorkerControl::OrderDone Done) override;
+  void hold(const WorkerTarget &Target, const HoldOrder &Order,
+            HoldDone Done) override;
+  void pace(const WorkerTarget &Target, const TaskName &Task, RunNumber Run,
+            std::uint32_t Percent, FencingToken Token,
+            IWorkerControl::OrderDone Done) override;
+  void list(ListDone Done) override;
+  void maintain(const MachineOrder &Order, std::uint64_t Wave,
+                IMachineControl::OrderDone Done) override;
+  void move(const MachineOrder &Order, const std::string &Pool,
+            IMachineControl::OrderDone Done) override;
+  void reportWave(std::uint64_t Wave, bool IsCompleted,
+                  ReportDone Done) override;
+  void write(LogLevel Level, const LogEvent &Event) override;
+
+private:
+  using Work = std::function<void()>;
+
+  /// \returns a way to run work at this life of the node.
+  ModelStore::Deliver delivery();
+  void deliver(std::uint64_t Life, const Work &Next);
+  void tick(std::uint64_t Life);
+  void tellFleet();
+
+  std::string Name_;
+  EmulatedWorld &Shared_;
+  std::unique_ptr<SchedulerNode> Node_;
+  std::uint64_t Life_ = 0;
+  TimePoint FrozenUntil_;
+  bool IsLeaving_ = false;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/emulator/internal/simulation.cpp
@@ -0,0 +1,45 @@
+#include "emulator/simulation.h"
+
+namespace dragonflylock {
+
+WallTime Simulation::wallNow() const {
+  return WallTime(
+      std::chrono::duration_cast<WallTime::duration>(Now_.time_since_epoch()));
+}
+
+void Simulation::after(std::chrono::microseconds Delay, Event Next) {
+  Events_.emplace(std::make_pair(Now_ + Delay, ++Sequence_), std::move(Next));
+}
+
+void Simulation::runUntil(Duration Length) {
+  const TimePoint End = TimePoint(Start_) + Length;
+  while (!Events_.empty() && Events_.begin()->first.first <= End) {
+    auto Next = Events_.extract(Events_.begin());
+    Now_ = Next.key().first;
+    Next.mapped()();
+  }
+  Now_ = End;
+}
+
+Simulation::Duration Simulation::elapsed() const {
+  return std::chrono::duration_cast<Duration>(Now_ - TimePoint(Start_));
+}
+
+std::int64_t Simulation::between(std::int64_t Low, std::int64_t High) {
+  // Not std::uniform_int_distribution, whose numbers differ by library.
+  auto Span = static_cast<std::uint64_t>(High - Low + 1);
+  return Low + static_cast<std::int64_t>(Random_() % Span);
+}
+
+bool Simulation::happens(double Share) {
+  constexpr std::int64_t Million = 1000000;
+  return static_cast<double>(between(0, Million - 1)) <
+         Share * static_cast<double>(Million);
+}
+
+void Simulation::breaks(const std::string &Rule, const std::string &Detail) {
+  Broken_.push_back(std::to_string(elapsed().count()) + "ms " + Rule + ": " +
+                    Detail);
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/emulator/modelworkers.h
@@ -0,0 +1,99 @@
+#ifndef DRAGONFLYLOCK_EMULATOR_MODELWORKERS_H
+#define DRAGONFLYLOCK_EMULATOR_MODELWORKERS_H
+
+#include "emulator/ruleledger.h"
+#include "scheduling/iworkercontrol.h"
+#include "scheduling/machinecalls.h"
+#include "scheduling/schedulingtypes.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace dragonflylock {
+
+class Simulation;
+
+/// A run on a model worker.
+struct ModelRun {
+  RunNumber Run_ = 0;
+  Resources Resources_;
+  TimePoint Started_;
+  std::uint64_t Serial_ = 0;
+};
+
+/// One worker in virtual time.
+struct ModelWorker {
+  WorkerEntry Entry_;
+  bool IsUp_ = true;
+  /// Nodes that it can't be reached from.
+  std::set<std::string> CutFrom_;
+  /// The worker's steady clock runs at this share of the true speed.
+  double ClockSpeed_ = 1.0;
+  /// Share of the runs that fail.
+  double FailShare_ = 0;
+  FencingToken Token_ = 0;
+  WorkerClock LeaseEnd_{0};
+  std::map<TaskName, ModelRun> Running_;
+  /// The highest run of each task that was stopped or ended here.
+  std::map<TaskName, RunNumber> EndedRuns_;
+  std::vector<ListedEnd> Ends_;
+  std::uint64_t LastEnd_ = 0;
+  std::uint64_t Lives_ = 1;
+};
+
+/// The workers and machines of the emulated fleet: they run tasks under
+/// leases, check tokens and room, and report each start to the rules.
+class ModelWorkers {
+public:
+  using Deliver = std::function<void(std::function<void()>)>;
+
+  ModelWorkers(Simulation &World, RuleLedger &Rules)
+      : World_(World), Rules_(Rules) {}
+
+  /// Adds a worker of \p Pool on a machine of its own.
+  void add(const std::string &Pool, Resources Capacity);
+  std::map<std::string, ModelWorker> &all() { return Workers_; }
+  /// \returns the entries that workers have registered.
+  std::vector<WorkerEntry> registered() const;
+  /// Ends a worker's life; another begins after \p Pause.
+  void restart(const std::string &Id, std::chrono::milliseconds Pause);
+  /// Share of the orders that are not answered and carried out late.
+  double LateShare_ = 0;
+
+  void start(const std::string &Node, const Deliver &Answer,
+             const WorkerTarget &Target, const StartOrder &Order,
+             IWorkerControl::OrderDone Done);
+  void stop(const std::string &Node, const Deliver &Answer,
+            const WorkerTarget &Target, const TaskName &Task, RunNumber Run,
+            FencingToken Token, IWorkerControl::OrderDone Done);
+  void hold(const std::string &Node, const Deliver &Answer,
+            const WorkerTarget &Target, const HoldOrder &Order,
+            IWorkerControl::HoldDone Done);
+  MachineList machines() const;
+  MachineOutcome maintain(const MachineOrder &Order, std::uint64_t Wave);
+
+private:
+  ModelWorker *reached(const std::string &Node, const WorkerTarget &Target);
+  OrderAnswer applyStart(ModelWorker &Worker, const StartOrder &Order);
+  WorkerClock clockOf(const ModelWorker &Worker) const;
+  Resources usedOf(const ModelWorker &Worker) const;
+  void finish(const std::string &Id, std::uint64_t Life, const TaskName &Task,
+              std::uint64_t Serial);
+  void end(ModelWorker &Worker, const TaskName &Task, EndKind Kind);
+  void checkLease(const std::string &Id);
+  void answerHold(const std::string &Id, std::uint64_t Life,
+                  const Deliver &Answer, const IWorkerControl::HoldDone &Done,
+                  TimePoint Until, std::uint64_t SeenEnd);
+
+  Simulation &World_;
+  RuleLedger &Rules_;
+  std::map<std::string, ModelWorker> Workers_;
+  std::uint64_t NextSerial_ = 0;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/emulator/ruleledger.h
@@ -0,0 +1,96 @@
+#ifndef DRAGONFLYLOCK_EMULATOR_RULELEDGER_H
+#define DRAGONFLYLOCK_EMULATOR_RULELEDGER_H
+
+#include "scheduling/machinecalls.h"
+#include "scheduling/schedulingtypes.h"
+#include "scheduling/workercalls.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace dragonflylock {
+
+class Simulation;
+
+/// What callers and workers have seen of one job.
+struct JobRecord {
+  JobSpec Spec_;
+  std::string Pool_;
+  bool IsAccepted_ = false;
+  /// Whether some attempt to hand it in got an answer other than a refusal.
+  bool MayBeAccepted_ = false;
+  bool IsShownCompleted_ = false;
+  bool IsShownFailed_ = false;
+  TimePoint CancelledAt_;
+  /// Tasks whose run ended as done.
+  std::set<TaskName> Done_;
+  /// When the end of a done task was acknowledged.
+  std::map<TaskName, TimePoint> Noted_;
+  std::map<TaskName, std::set<RunNumber>> Failures_;
+  std::map<TaskName, std::set<RunNumber>> NotedFailures_;
+  /// When each task started last.
+  std::map<TaskName, TimePoint> StartedAt_;
+  /// Serving tasks that an order took away; they count as away until they
+  /// work again.
+  std::set<TaskName> TakenAway_;
+  /// Workers on which each task runs now.
+  std::map<TaskName, std::multiset<std::string>> Running_;
+};
+
+/// What the platform has seen of a machine and a maintenance wave.
+struct MachineRecord {
+  std::string Holder_;
+  FencingToken Token_ = 0;
+  /// Waves for which the machine was maintained.
+  std::set<std::uint64_t> Maintained_;
+  TimePoint DownUntil_;
+};
+
+/// Checks what must always hold, from what callers and workers see.
+class RuleLedger {
+public:
+  explicit RuleLedger(Simulation &World) : World_(World) {}
+
+  JobRecord &job(const std::string &Id) { return Jobs_[Id]; }
+  const std::map<std::string, JobRecord> &jobs() const { return Jobs_; }
+  /// Failed runs of a task after which it must not start again.
+  std::uint32_t MostAttempts_ = 4;
+
+  void onStart(const WorkerEntry &Worker, const TaskName &Task,
+               const std::string &Payload);
+  void onEnd(const std::string &Worker, const TaskName &Task, RunNumber Run,
+             EndKind Kind);
+  /// The worker was told to forget the end of a run.
+  void onEndNoted(const TaskName &Task, RunNumber Run, EndKind Kind);
+  void onAccepted(const std::string &Id);
+  void onShown(const std::string &Id, JobPhase State);
+  /// Carries out a maintenance order by \p Act, unless it has been.
+  /// \param Act returns whether the machine was up and has gone down.
+  MachineOutcome
+  onMaintenance(const MachineOrder &Order, std::uint64_t Wave,
+                const std::function<bool(const std::string &)> &Act);
+  /// Checks that an order that ends \p Ended at once keeps the budgets.
+  void checkBudgets(const std::set<TaskName> &Ended);
+  /// Machines that may be down for a wave at the same time.
+  std::uint32_t MostDown_ = 1;
+  /// Checks that every accepted job has ended.
+  void checkEnd();
+  /// \returns the number of jobs that were shown as completed.
+  std::size_t completed() const;
+
+private:
+  bool mayHaveFailed(const JobRecord &Job) const;
+  void checkOrder(const JobRecord &Job, const TaskName &Task);
+  void checkTwice(const JobRecord &Job, const TaskName &Task);
+
+  Simulation &World_;
+  std::map<std::string, JobRecord> Jobs_;
+  std::map<std::string, MachineRecord> Machines_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/emulator/tests/emulator_test.cpp
@@ -0,0 +1,52 @@
+#include "emulator/emulator.h"
+
+#include <gtest/gtest.h>
+
+namespace dragonflylock {
+namespace {
+
+std::string joined(const std::vector<std::string> &Lines) {
+  std::string Text;
+  for (const std::string &Line : Lines)
+    Text += Line + "\n";
+  return Text;
+}
+
+EmulatorReport play(const EmulatorPlan &Plan) {
+  EmulatorReport Report = Emulator(Plan).run();
+  EXPECT_TRUE(Report.Broken_.empty()) << "seed " << Plan.Seed_ << "\nbroken:\n"
+                                      << joined(Report.Broken_) << "faults:\n"
+                                      << joined(Report.Faults_);
+  return Report;
+}
+
+TEST(EmulatorTest, CalmDayCompletesAllJobs) {
+  EmulatorPlan Plan;
+  Plan.Faults_ = 0;
+  Plan.FailShare_ = 0;
+  EmulatorReport Report = play(Plan);
+  EXPECT_EQ(Report.Accepted_, Report.Jobs_);
+  EXPECT_GT(Report.Completed_, Report.Jobs_ / 2);
+}
+
+TEST(EmulatorTest, SameSeedGivesTheSameDay) {
+  EmulatorPlan Plan;
+  Plan.Seed_ = 7;
+  EmulatorReport First = Emulator(Plan).run();
+  EmulatorReport Second = Emulator(Plan).run();
+  EXPECT_EQ(First.Completed_, Second.Completed_);
+  EXPECT_EQ(First.Faults_, Second.Faults_);
+}
+
+class MixedFaults : public testing::TestWithParam<int> {};
+
+TEST_P(MixedFaults, BreakNoRule) {
+  EmulatorPlan Plan;
+  Plan.Seed_ = static_cast<std::uint64_t>(GetParam());
+  play(Plan);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, MixedFaults, testing::Range(1, 41));
+
+} // namespace
+} // namespace dragonflylock
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -165,10 +165,8 @@
   if (Session == nullptr)
     return;
   const TimePoint Now = Pool_.Clock_.now();
-  if (Answer.Clock_.count() > 0) {
+  if (Answer.Clock_.count() > 0)
     Session->noteClock(Answer.Clock_, Now);
-    Session->LastAnswer_ = Now;
-  }
   auto Known = Session->runs().find(Name);
   if (Known == Session->runs().end() || Known->second.Run_ != Run)
     return;
@@ -209,7 +207,7 @@
   Session.NextHold_ = Now;
   if (Outcome == OrderOutcome::OtherLifetime) {
     Session.IsListed_ = false;
-    Runs_.releaseAll(Session);
+    Runs_.releaseDead(Session);
   }
   Pool_.Logger_.write(
       LogLevel::Warning,
@@ -240,7 +238,8 @@
     if (!Session->IsFenced_)
       continue;
     for (auto &[Name, Run] : Session->runs()) {
-      if (Run.NextStop_ > Now || !isUnwanted(*Session, Name))
+      if (Run.NextStop_ > Now ||
+          (!Run.MustStop_ && !isUnwanted(*Session, Name)))
         continue;
       Run.NextStop_ = Now + StopRepeat;
       stop(*Session, Name, Run.Run_);
@@ -258,12 +257,28 @@
       Job->run(Name).Phase_ == TaskPhase::Running)
     Job->run(Name).Phase_ = TaskPhase::Stopping;
   Session.NextHold_ = std::min(Session.NextHold_, Pool_.Clock_.now());
-  Pool_.Workers_.stop(Session.target(), Name, Run, Pool_.Token_,
-                      [Weak = weak_from_this()](const OrderAnswer &Answer) {
-                        auto Self = Weak.lock();
-                        if (Self && Answer.Outcome_ == OrderOutcome::Fenced)
-                          Self->Pool_.IsFencedOff_ = true;
-                      });
+  Pool_.Workers_.stop(
+      Session.target(), Name, Run, Pool_.Token_,
+      [Weak = weak_from_this(), Name, Run,
+       Lifetime = Session.entry().lifetime()](const OrderAnswer &Answer) {
+        if (auto Self = Weak.lock())
+          Self->onStopped(Lifetime, Name, Run, Answer);
+      });
+}
+
+void Dispatcher::onStopped(const std::string &Lifetime, const TaskName &Name,
+                           RunNumber Run, const OrderAnswer &Answer) {
+  if (Answer.Outcome_ == OrderOutcome::Fenced)
+    Pool_.IsFencedOff_ = true;
+  WorkerSession *Session = Pool_.session(Lifetime);
+  if (Session == nullptr || Answer.Outcome_ != OrderOutcome::Accepted)
+    return;
+  auto Known = Session->runs().find(Name);
+  // From now on the worker rejects the run, so that lists without it settle
+  // that it does not exist.
+  if (Known != Session->runs().end() && Known->second.Run_ == Run &&
+      !Known->second.ConfirmedAt_)
+    Known->second.ConfirmedAt_ = Pool_.Clock_.now();
 }
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/dispatcher.h
+++ b/src/scheduling/internal/dispatcher.h
@@ -39,6 +39,8 @@
   void start(ActiveJob &Job, const TaskName &Name, WorkerSession &Session);
   void onStarted(const std::string &Lifetime, const TaskName &Name,
                  RunNumber Run, const OrderAnswer &Answer);
+  void onStopped(const std::string &Lifetime, const TaskName &Name,
+                 RunNumber Run, const OrderAnswer &Answer);
   void onStartRefused(WorkerSession &Session, const TaskName &Name,
                       OrderOutcome Outcome);
   bool isUnwanted(const WorkerSession &Session, const TaskName &Name);
--- a/src/scheduling/internal/holdkeeper.cpp
+++ b/src/scheduling/internal/holdkeeper.cpp
@@ -21,6 +21,8 @@
 /// Pauses after a hold without an answer.
 constexpr std::chrono::milliseconds FailurePause{150};
 constexpr std::uint32_t MostFailurePauses = 4;
+/// Age of a worker's lists up to which the same lifetime is taken to be there.
+constexpr std::chrono::milliseconds FreshLists{500};
 /// Ends that a worker lists at most in one answer.
 constexpr std::size_t EndsPerAnswer = 500;
 
@@ -58,7 +60,7 @@
   const TimePoint Now = Pool_.Clock_.now();
   HoldOrder Order;
   Order.Token_ = Pool_.Token_;
-  Order.AcknowledgedEnd_ = Session.acknowledgeable();
+  Order.AcknowledgedEnd_ = acknowledgementOf(Session);
   Order.Wait_ = waitOf(Session);
   // A worker that does not answer gets no longer lease, so that its runs lapse
   // within one lease and can be started elsewhere.
@@ -67,17 +69,26 @@
     Session.noteLease(Pool_.surelyLapsed(Now));
   }
   Session.IsHolding_ = true;
-  Session.setAcknowledged(Order.AcknowledgedEnd_);
   Pool_.Workers_.hold(
       Session.target(), Order,
-      [Weak = weak_from_this(), Now,
+      [Weak = weak_from_this(), Now, Acknowledged = Order.AcknowledgedEnd_,
        Lifetime = Session.entry().lifetime()](const HoldAnswer &Answer) {
         if (auto Self = Weak.lock())
-          Self->onAnswer(Lifetime, Now, Answer);
+          Self->onAnswer(Lifetime, Now, Acknowledged, Answer);
       });
 }
 
+std::uint64_t
+HoldKeeper::acknowledgementOf(const WorkerSession &Session) const {
+  std::uint64_t Settled = Session.acknowledgeable();
+  // A later lifetime of the same id numbers its ends anew and would forget
+  // ends that nobody has seen. It takes longer than this to come up.
+  bool IsSameLifetime = Pool_.Clock_.now() < Session.LastLists_ + FreshLists;
+  return Settled > Session.acknowledged() && IsSameLifetime ? Settled : 0;
+}
+
 void HoldKeeper::onAnswer(const std::string &Lifetime, TimePoint Sent,
+                          std::uint64_t Acknowledged,
                           const HoldAnswer &Answer) {
   WorkerSession *Session = Pool_.session(Lifetime);
   if (Session == nullptr)
@@ -88,9 +99,10 @@
       Answer.Born_.count() > 0 && Born.count() > 0 && Answer.Born_ != Born;
   if (IsOther)
     onFailure(*Session, OrderOutcome::OtherLifetime);
-  else if (Answer.Outcome_ == OrderOutcome::Accepted)
+  else if (Answer.Outcome_ == OrderOutcome::Accepted) {
+    Session->setAcknowledged(std::max(Session->acknowledged(), Acknowledged));
     onLists(*Session, Sent, Answer);
-  else
+  } else
     onFailure(*Session, Answer.Outcome_);
 }
 
@@ -98,7 +110,7 @@
                          const HoldAnswer &Answer) {
   const TimePoint Now = Pool_.Clock_.now();
   Session.noteClock(Answer.Clock_, Now);
-  Session.LastAnswer_ = Now;
+  Session.LastLists_ = Now;
   if (!Session.IsFenced_ || Session.HoldFailures_ > 0)
     Pool_.NeedsDispatch_ = true;
   // What an earlier owner started may hold a lease of full length.
@@ -158,7 +170,7 @@
   if (Outcome != OrderOutcome::OtherLifetime)
     return;
   Session.IsListed_ = false;
-  Runs_.releaseAll(Session);
+  Runs_.releaseDead(Session);
 }
 
 void HoldKeeper::releaseLapsed(WorkerSession &Session) {
--- a/src/scheduling/internal/holdkeeper.h
+++ b/src/scheduling/internal/holdkeeper.h
@@ -27,8 +27,10 @@
   bool isDue(const WorkerSession &Session) const;
   void send(WorkerSession &Session);
   std::chrono::milliseconds waitOf(const WorkerSession &Session) const;
+  /// \returns the end that the next hold acknowledges; 0 for none.
+  std::uint64_t acknowledgementOf(const WorkerSession &Session) const;
   void onAnswer(const std::string &Lifetime, TimePoint Sent,
-                const HoldAnswer &Answer);
+                std::uint64_t Acknowledged, const HoldAnswer &Answer);
   void onLists(WorkerSession &Session, TimePoint Sent,
                const HoldAnswer &Answer);
   void dropVanished(WorkerSession &Session, TimePoint Sent,
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -56,6 +56,8 @@
   void followQueues();
   void settleInherited();
   void removeGoneWorkers();
+  /// Ends the sessions of earlier lifetimes of the same worker.
+  void endEarlierLives(WorkerSession &Latest);
 
   PoolState State_;
   RunBook Runs_;
@@ -199,6 +201,16 @@
   });
 }
 
+void PoolOwner::Parts::endEarlierLives(WorkerSession &Latest) {
+  const WorkerEntry &Entry = Latest.entry();
+  for (auto &[Lifetime, Session] : State_.Sessions_) {
+    bool IsEarlier = Session->entry().Id_ == Entry.Id_ &&
+                     Session->entry().Born_ < Entry.Born_;
+    if (IsEarlier && !Session->runs().empty())
+      Runs_.handOver(*Session, Latest);
+  }
+}
+
 void PoolOwner::extendLease(TimePoint End) { Parts_->State_.LeaseEnd_ = End; }
 
 void PoolOwner::onConfiguration(
@@ -224,12 +236,10 @@
     if (Session->IsListed_ && !IsListed)
       Parts_->State_.NeedsDispatch_ = true;
     Session->IsListed_ = IsListed;
-    // A later lifetime of the same worker has nothing of the earlier one.
-    if (Found != BornOfId.end() && Found->second > Born)
-      Parts_->Runs_.releaseAll(*Session);
   }
   for (const WorkerEntry &Worker : Workers) {
     WorkerSession &Session = Parts_->State_.meet(Worker);
+    Parts_->endEarlierLives(Session);
     if (Session.entry() == Worker && Session.IsListed_)
       continue;
     Session.setEntry(Worker);
--- a/src/scheduling/internal/progresswriter.cpp
+++ b/src/scheduling/internal/progresswriter.cpp
@@ -125,8 +125,11 @@
   std::erase_if(Pool_.UnstoredEnds_, [&](const UnstoredEnd &End) {
     if (End.Job_ != Job.id() || End.Change_ > Job.storedChanges())
       return false;
-    if (WorkerSession *Session = Pool_.session(End.Worker_))
+    if (WorkerSession *Session = Pool_.session(End.Worker_)) {
       Session->settleEnd(End.Sequence_);
+      if (!Session->hasUnsettledEnds())
+        Session->NextHold_ = Pool_.Clock_.now();
+    }
     return true;
   });
 }
--- a/src/scheduling/internal/runbook.cpp
+++ b/src/scheduling/internal/runbook.cpp
@@ -46,20 +46,21 @@
     Session.settleEnd(End.Sequence_);
     return;
   }
-  if (End.Kind_ != EndKind::Done)
-    Pool_.Logger_.write(LogLevel::Info,
-                        LogEvent("run.ended")
-                            .with("task", End.Task_.text())
-                            .with("run", End.Run_)
-                            .with("how", nameOf(End.Kind_))
-                            .with("worker", Session.entry().Id_));
+  Pool_.Logger_.write(End.Kind_ == EndKind::Done ? LogLevel::Debug
+                                                 : LogLevel::Info,
+                      LogEvent("run.ended")
+                          .with("task", End.Task_.text())
+                          .with("run", End.Run_)
+                          .with("how", nameOf(End.Kind_))
+                          .with("worker", Session.entry().Id_)
+                          .with("sequence", End.Sequence_));
   TaskRun &Run = Job->run(End.Task_);
   bool IsCurrent =
       Run.Worker_ == Session.entry().lifetime() && Run.Run_ <= End.Run_;
   if (IsCurrent) {
     Run.Worker_.clear();
-    if (Run.Phase_ != TaskPhase::Done)
-      Run.Phase_ = TaskPhase::Waiting;
+    Run.Phase_ = Job->progress().task(End.Task_).IsDone_ ? TaskPhase::Done
+                                                         : TaskPhase::Waiting;
   }
   std::uint64_t Before = Job->changes();
   bool IsEndless = Job->step(End.Task_).IsLongRunning_;
@@ -156,6 +157,10 @@
 }
 
 void RunBook::release(WorkerSession &Session, const TaskName &Name) {
+  Pool_.Logger_.write(LogLevel::Debug,
+                      LogEvent("run.released")
+                          .with("task", Name.text())
+                          .with("worker", Session.entry().Id_));
   Session.runs().erase(Name);
   ActiveJob *Job = Pool_.job(Name.Job_);
   if (Job == nullptr || !Job->progress().contains(Name))
@@ -176,6 +181,34 @@
   }
 }
 
+void RunBook::releaseDead(WorkerSession &Session) {
+  std::vector<TaskName> Dead;
+  for (const auto &[Name, Run] : Session.runs())
+    if (Run.ConfirmedAt_ && *Run.ConfirmedAt_ <= Session.LastLists_)
+      Dead.push_back(Name);
+  for (const TaskName &Name : Dead)
+    release(Session, Name);
+}
+
+void RunBook::handOver(WorkerSession &Session, WorkerSession &Successor) {
+  releaseDead(Session);
+  while (!Session.runs().empty()) {
+    auto First = Session.runs().begin();
+    TaskName Name = First->first;
+    SessionRun Doubtful = First->second;
+    Session.runs().erase(First);
+    ActiveJob *Job = Pool_.job(Name.Job_);
+    bool IsKnown = Job != nullptr && Job->progress().contains(Name);
+    if (!IsKnown || Job->run(Name).Worker_ != Session.entry().lifetime())
+      continue;
+    Doubtful.ConfirmedAt_.reset();
+    Doubtful.MustStop_ = true;
+    Successor.runs()[Name] = Doubtful;
+    Job->run(Name).Worker_ = Successor.entry().lifetime();
+    Job->run(Name).Phase_ = TaskPhase::Stopping;
+  }
+}
+
 bool RunBook::hasFailed(ActiveJob &Job) const {
   std::uint32_t Most = Pool_.queueOf(Job).MostAttempts_;
   bool Failed = false;
--- a/src/scheduling/internal/runbook.h
+++ b/src/scheduling/internal/runbook.h
@@ -25,8 +25,16 @@
   bool onListed(WorkerSession &Session, const ListedRun &Listed);
   /// Forgets a run that can't exist any more; its task may start again.
   void release(WorkerSession &Session, const TaskName &Name);
-  /// Forgets all runs of a lifetime that has ended.
+  /// Forgets all runs of a lifetime whose leases have lapsed, or that an order
+  /// has ended.
   void releaseAll(WorkerSession &Session);
+  /// Forgets the runs that ended with their worker's lifetime. A start that
+  /// this lifetime has not listed since may have reached a later one, which
+  /// answers to the same id; it stays until that one has been asked.
+  void releaseDead(WorkerSession &Session);
+  /// Forgets the runs that ended with \p Session, and has those that may have
+  /// reached \p Successor, a later lifetime of the same id, stopped there.
+  void handOver(WorkerSession &Session, WorkerSession &Successor);
   /// Decides whether the job has ended, and notes its state.
   void judge(ActiveJob &Job);
 
--- a/src/scheduling/istore.h
+++ b/src/scheduling/istore.h
@@ -15,7 +15,6 @@
 public:
   using TransactionDone = std::function<void(const StoreTransactionEnd &)>;
   using RangeDone = std::function<void(const StoreRange &)>;
-  using PartsDone = std::function<void(const StoreParts &)>;
   using ChangesDone = std::function<void(const StoreChanges &)>;
 
   virtual ~IStore() = default;
@@ -26,9 +25,6 @@
   virtual void readRange(const std::string &Table, const std::string &Part,
                          const std::string &From, const std::string &To,
                          RangeDone Done) = 0;
-  /// Lists the parts of a table that follow \p After.
-  virtual void listParts(const std::string &Table, const std::string &After,
-                         PartsDone Done) = 0;
   /// Waits, for \p Longest at most, for changes of a table after a version.
   virtual void awaitChanges(const std::string &Table, StoreVersion After,
                             std::chrono::milliseconds Longest,
--- a/src/scheduling/storetypes.h
+++ b/src/scheduling/storetypes.h
@@ -84,13 +84,6 @@
   std::chrono::milliseconds StoreClock_{0};
 };
 
-/// Parts of a table.
-struct StoreParts {
-  StoreOutcome Outcome_ = StoreOutcome::Unknown;
-  std::vector<std::string> Parts_;
-  bool HasMore_ = false;
-};
-
 /// Changes of a table since a version.
 struct StoreChanges {
   StoreOutcome Outcome_ = StoreOutcome::Unknown;
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -27,6 +27,9 @@
   std::int64_t Figure_ = 0;
   /// Since when a serving task has missed its latency target.
   std::optional<TimePoint> MissedSince_;
+  /// Whether the run may exist although it should not, so that the worker is
+  /// told to stop it before the task starts anew.
+  bool MustStop_ = false;
   /// Earliest time of the next order to stop the run.
   TimePoint NextStop_;
 };
@@ -70,7 +73,7 @@
   /// \returns the end up to which the worker may forget.
   std::uint64_t acknowledgeable() const;
   bool hasUnsettledEnds() const { return !Unsettled_.empty(); }
-  /// \returns the highest end the worker was told to forget.
+  /// \returns the highest end the worker is known to have forgotten.
   std::uint64_t acknowledged() const { return Acknowledged_; }
   void setAcknowledged(std::uint64_t Sequence) { Acknowledged_ = Sequence; }
 
@@ -84,7 +87,8 @@
   bool IsReserved_ = false;
   bool IsHolding_ = false;
   TimePoint NextHold_;
-  TimePoint LastAnswer_;
+  /// When the hold was sent whose lists came last, from this lifetime.
+  TimePoint LastLists_;
   TimePoint NextPace_;
   /// No starts before this time.
   TimePoint AvoidUntil_;
--- /dev/null
+++ b/tools/emulator/main.cpp
@@ -0,0 +1,64 @@
+#include "emulator/emulator.h"
+#include "global/units.h"
+
+#include <docopt.h>
+
+#include <iostream>
+
+namespace dragonflylock {
+namespace {
+
+constexpr const char *Usage =
+    R"(dragonflylock-emulator: plays days of the scheduler in virtual time.
+
+Usage:
+  dragonflylock-emulator [options]
+
+Options:
+  --first=SEED   The first seed [default: 1].
+  --count=N      Seeds to play, one after the other [default: 20].
+  --nodes=N      Nodes [default: 5].
+  --faults=N     Faults of each day [default: 6].
+  --jobs=N       Jobs a second [default: 6].
+  -h --help      Show this text.
+
+Set EMULATOR_LOG to print what the nodes log.
+)";
+
+std::uint64_t numberOf(const docopt::value &Value) {
+  auto Number = parseNumber(Value.asString());
+  return Number ? Number.value() : 0;
+}
+
+int run(int Count, char **Words) {
+  auto Arguments = docopt::docopt(Usage, {Words + 1, Words + Count}, true);
+  std::uint64_t First = numberOf(Arguments.at("--first"));
+  std::uint64_t Seeds = numberOf(Arguments.at("--count"));
+  std::uint64_t Broken = 0;
+  for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed) {
+    EmulatorPlan Plan;
+    Plan.Seed_ = Seed;
+    Plan.Nodes_ = static_cast<std::uint32_t>(numberOf(Arguments.at("--nodes")));
+    Plan.Faults_ =
+        static_cast<std::uint32_t>(numberOf(Arguments.at("--faults")));
+    Plan.JobsPerSecond_ = static_cast<double>(numberOf(Arguments.at("--jobs")));
+    EmulatorReport Report = Emulator(Plan).run();
+    if (Report.Broken_.empty())
+      continue;
+    ++Broken;
+    std::cout << "seed=" << Seed << " jobs=" << Report.Jobs_
+              << " accepted=" << Report.Accepted_
+              << " completed=" << Report.Completed_ << "\n";
+    for (const std::string &Fault : Report.Faults_)
+      std::cout << "  fault: " << Fault << "\n";
+    for (const std::string &Rule : Report.Broken_)
+      std::cout << "  broken: " << Rule << "\n";
+  }
+  std::cout << Seeds << " seeds, " << Broken << " with a broken rule\n";
+  return Broken == 0 ? 0 : 1;
+}
+
+} // namespace
+} // namespace dragonflylock
+
+int main(int Count, char **Words) { return dragonflylock::run(Count, Words); }
