--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -202,6 +202,8 @@
           Rules_.job(Id).CancelledAt_ = World_.now();
         else
           poll(Id, Queue);
+        if (Answer.Outcome_ == DeskOutcome::Unknown)
+          Rules_.job(Id).MayBeCancelled_ = true;
       });
 }
 
--- a/src/emulator/internal/modelworkers.cpp
+++ b/src/emulator/internal/modelworkers.cpp
@@ -57,8 +57,10 @@
   Worker.Token_ = 0;
   Worker.LeaseEnd_ = {};
   ++Worker.Lives_;
-  World_.after(Pause, [this, Id] {
+  World_.after(Pause, [this, Id, Life = Worker.Lives_] {
     ModelWorker &Next = Workers_[Id];
+    if (Next.Lives_ != Life)
+      return;
     Next.IsUp_ = true;
     Next.Entry_.Born_ = World_.elapsed() + milliseconds(2);
   });
--- a/src/emulator/internal/ruleledger.cpp
+++ b/src/emulator/internal/ruleledger.cpp
@@ -164,7 +164,8 @@
     bool IsEndless =
         std::any_of(Job.Spec_.Steps_.begin(), Job.Spec_.Steps_.end(),
                     [](const StepSpec &Step) { return Step.IsLongRunning_; });
-    bool IsOwed = Job.IsAccepted_ && Job.CancelledAt_ == TimePoint();
+    bool IsOwed = Job.IsAccepted_ && !Job.MayBeCancelled_ &&
+                  Job.CancelledAt_ == TimePoint();
     if (IsOwed && IsEndless) {
       std::size_t Running = 0;
       for (const auto &[Task, Workers] : Job.Running_)
--- a/src/emulator/ruleledger.h
+++ b/src/emulator/ruleledger.h
@@ -25,6 +25,8 @@
   bool IsShownCompleted_ = false;
   bool IsShownFailed_ = false;
   TimePoint CancelledAt_;
+  /// Whether a cancellation got no answer.
+  bool MayBeCancelled_ = false;
   /// Tasks whose run ended as done.
   std::set<TaskName> Done_;
   /// When the end of a done task was acknowledged.
