Tried: machines move between the pools and the spare pool

Cause: in their turns the queues ask for more than their pools hold, while the spare pool's machines are off and other pools idle; machines in pools are the largest price.

--- a/src/emulator/emulator.h
+++ b/src/emulator/emulator.h
@@ -15,6 +15,7 @@
   std::uint32_t Nodes_ = 5;
   std::uint32_t Pools_ = 2;
   std::uint32_t WorkersPerPool_ = 6;
+  std::uint32_t SpareMachines_ = 4;
   /// Jobs that callers submit in each second of all pools.
   double JobsPerSecond_ = 6;
   /// Time in which jobs are submitted and faults begin.
--- a/src/emulator/internal/emulatednode.cpp
+++ b/src/emulator/internal/emulatednode.cpp
@@ -158,10 +158,11 @@
   });
 }
 
-void EmulatedNode::move(const MachineOrder &, const std::string &,
+void EmulatedNode::move(const MachineOrder &Order, const std::string &Pool,
                         IMachineControl::OrderDone Done) {
-  Shared_.World_.after(CallTime, [Answer = delivery(), Done] {
-    Answer([Done] { Done(MachineOutcome::NotDone); });
+  Shared_.World_.after(CallTime, [=, this, Answer = delivery()] {
+    MachineOutcome Outcome = Shared_.Workers_.move(Order, Pool);
+    Shared_.World_.after(CallTime, [=] { Answer([=] { Done(Outcome); }); });
   });
 }
 
--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -66,6 +66,9 @@
     for (std::uint32_t Worker = 0; Worker < Plan_.WorkersPerPool_; ++Worker)
       Workers_.add(Pool, Capacity);
   }
+  Shared_.Configuration_.Pools_.push_back({"spare", true, true});
+  for (std::uint32_t Worker = 0; Worker < Plan_.SpareMachines_; ++Worker)
+    Workers_.add("spare", Capacity);
   for (auto &[Id, Worker] : Workers_.all())
     Worker.FailShare_ = Plan_.FailShare_;
   for (std::uint32_t Number = 0; Number < Plan_.Nodes_; ++Number) {
@@ -195,15 +198,17 @@
     poll(Id, Queue);
     return;
   }
+  // Until an answer comes, the cancellation may or may not be stored.
+  Rules_.job(Id).MayBeCancelled_ = true;
   Node->serving()->desk().cancel(
       Queue, Id, CallerLimit, [=, this](const DeskAnswer &Answer) {
+        bool IsUnknown = Answer.Outcome_ == DeskOutcome::Unknown;
+        Rules_.job(Id).MayBeCancelled_ = IsUnknown;
         if (Answer.Outcome_ == DeskOutcome::Accepted &&
             Answer.State_ == JobPhase::Cancelled)
           Rules_.job(Id).CancelledAt_ = World_.now();
         else
           poll(Id, Queue);
-        if (Answer.Outcome_ == DeskOutcome::Unknown)
-          Rules_.job(Id).MayBeCancelled_ = true;
       });
 }
 
--- a/src/emulator/internal/modelworkers.cpp
+++ b/src/emulator/internal/modelworkers.cpp
@@ -15,6 +15,7 @@
 /// How often a waiting hold looks for an end.
 constexpr milliseconds HoldStep{20};
 constexpr milliseconds MaintenanceTime{2000};
+constexpr milliseconds MoveTime{1500};
 /// Time from the start of a lasting task until it works at full speed.
 constexpr milliseconds LastingStartup{900};
 constexpr std::uint32_t FullSpeed = 100;
@@ -296,4 +297,25 @@
   });
 }
 
+MachineOutcome ModelWorkers::move(const MachineOrder &Order,
+                                  const std::string &Pool) {
+  Rules_.checkHolder(Order);
+  for (auto &[Id, Worker] : Workers_) {
+    if (Worker.Entry_.Machine_ != Order.Machine_)
+      continue;
+    if (Worker.Entry_.Pool_ == Pool)
+      return MachineOutcome::Accepted;
+    if (!Worker.IsUp_)
+      return MachineOutcome::Busy;
+    std::set<TaskName> Ended;
+    for (const auto &[Task, Run] : Worker.Running_)
+      Ended.insert(Task);
+    Rules_.checkBudgets(Ended);
+    restart(Id, MoveTime);
+    Worker.Entry_.Pool_ = Pool;
+    return MachineOutcome::Accepted;
+  }
+  return MachineOutcome::Refused;
+}
+
 } // namespace dragonflylock
--- a/src/emulator/internal/ruleledger.cpp
+++ b/src/emulator/internal/ruleledger.cpp
@@ -13,6 +13,8 @@
 /// Time from the start of a lasting task until it works at full speed.
 constexpr std::chrono::milliseconds LastingStartup{900};
 constexpr std::chrono::milliseconds MaintenanceTime{2000};
+/// Least time between orders of two nodes for one machine.
+constexpr std::chrono::milliseconds OwnerLease{3000};
 
 } // namespace
 
@@ -111,16 +113,24 @@
     World_.breaks("MIXED", Id + " is shown as completed too early");
 }
 
-MachineOutcome
-RuleLedger::onMaintenance(const MachineOrder &Order, std::uint64_t Wave,
-                          const std::function<bool(const std::string &)> &Act) {
+void RuleLedger::checkHolder(const MachineOrder &Order) {
   MachineRecord &Record = Machines_[Order.Machine_];
+  bool IsOther = !Record.Holder_.empty() && Record.Holder_ != Order.Holder_;
+  bool TakesTurns = IsOther && World_.now() < Record.OrderedAt_ + OwnerLease;
   if (Order.Token_ < Record.Token_ ||
-      (Order.Token_ == Record.Token_ && Order.Holder_ != Record.Holder_))
+      (Order.Token_ == Record.Token_ && IsOther) || TakesTurns)
     World_.breaks("ONE", Order.Machine_ + " is ordered by " + Order.Holder_ +
                              " out of turn");
   Record.Holder_ = Order.Holder_;
   Record.Token_ = std::max(Record.Token_, Order.Token_);
+  Record.OrderedAt_ = World_.now();
+}
+
+MachineOutcome
+RuleLedger::onMaintenance(const MachineOrder &Order, std::uint64_t Wave,
+                          const std::function<bool(const std::string &)> &Act) {
+  checkHolder(Order);
+  MachineRecord &Record = Machines_[Order.Machine_];
   if (Record.Maintained_.contains(Wave))
     return MachineOutcome::Accepted;
   auto Down = std::count_if(Machines_.begin(), Machines_.end(),
--- a/src/emulator/internal/simulation.cpp
+++ b/src/emulator/internal/simulation.cpp
@@ -12,7 +12,7 @@
 }
 
 void Simulation::runUntil(Duration Length) {
-  const TimePoint End = TimePoint(Start_) + Length;
+  const TimePoint End = startTime() + Length;
   while (!Events_.empty() && Events_.begin()->first.first <= End) {
     auto Next = Events_.extract(Events_.begin());
     Now_ = Next.key().first;
@@ -22,7 +22,7 @@
 }
 
 Simulation::Duration Simulation::elapsed() const {
-  return std::chrono::duration_cast<Duration>(Now_ - TimePoint(Start_));
+  return std::chrono::duration_cast<Duration>(Now_ - startTime());
 }
 
 std::int64_t Simulation::between(std::int64_t Low, std::int64_t High) {
--- a/src/emulator/modelworkers.h
+++ b/src/emulator/modelworkers.h
@@ -74,6 +74,7 @@
             IWorkerControl::HoldDone Done);
   MachineList machines() const;
   MachineOutcome maintain(const MachineOrder &Order, std::uint64_t Wave);
+  MachineOutcome move(const MachineOrder &Order, const std::string &Pool);
 
 private:
   ModelWorker *reached(const std::string &Node, const WorkerTarget &Target);
--- a/src/emulator/ruleledger.h
+++ b/src/emulator/ruleledger.h
@@ -46,6 +46,7 @@
 struct MachineRecord {
   std::string Holder_;
   FencingToken Token_ = 0;
+  TimePoint OrderedAt_;
   /// Waves for which the machine was maintained.
   std::set<std::uint64_t> Maintained_;
   TimePoint DownUntil_;
@@ -69,6 +70,8 @@
   void onEndNoted(const TaskName &Task, RunNumber Run, EndKind Kind);
   void onAccepted(const std::string &Id);
   void onShown(const std::string &Id, JobPhase State);
+  /// Checks that orders for a machine come from one node at a time.
+  void checkHolder(const MachineOrder &Order);
   /// Carries out a maintenance order by \p Act, unless it has been.
   /// \param Act returns whether the machine was up and has gone down.
   MachineOutcome
--- a/src/emulator/simulation.h
+++ b/src/emulator/simulation.h
@@ -44,9 +44,9 @@
   const std::vector<std::string> &broken() const { return Broken_; }
 
 private:
-  static constexpr std::chrono::hours Start_{1};
+  static TimePoint startTime() { return TimePoint(std::chrono::hours(1)); }
 
-  TimePoint Now_{Start_};
+  TimePoint Now_ = startTime();
   std::uint64_t Sequence_ = 0;
   std::map<std::pair<TimePoint, std::uint64_t>, Event> Events_;
   std::mt19937_64 Random_;
--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -58,11 +58,14 @@
 inline constexpr const char *RosterPrefix = "roster/";
 inline constexpr const char *PendingPrefix = "pending/";
 inline constexpr const char *WavePrefix = "wave/";
+/// A row for each machine: the node that ordered it last.
+inline constexpr const char *MachinePrefix = "machine/";
 
 StoreKey owner(const std::string &Pool);
 StoreKey roster(const std::string &Pool);
 StoreKey pending(const std::string &Pool);
 StoreKey wave(std::uint64_t Number);
+StoreKey machine(const std::string &Machine);
 
 std::string encode(const OwnerRow &Row);
 std::string encode(const PendingRow &Row);
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -27,6 +27,10 @@
   return row(WavePrefix + std::to_string(Number));
 }
 
+StoreKey machine(const std::string &Machine) {
+  return row(MachinePrefix + Machine);
+}
+
 std::string encode(const OwnerRow &Row) {
   return json{{"holder", Row.Holder_},
               {"process", Row.Process_},
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -198,8 +198,6 @@
   if (ActiveJob *Job = Pool_.job(Name.Job_))
     Job->run(Name).NotBefore_ = Now + RefusedPause;
   std::chrono::milliseconds Pause = UnhealthyPause;
-  if (Outcome == OrderOutcome::Fenced)
-    Pool_.IsFencedOff_ = true;
   if (Outcome == OrderOutcome::NoRoom || Outcome == OrderOutcome::TooLate ||
       Outcome == OrderOutcome::OldRun)
     Pause = NoRoomPause;
@@ -268,8 +266,6 @@
 
 void Dispatcher::onStopped(const std::string &Lifetime, const TaskName &Name,
                            RunNumber Run, const OrderAnswer &Answer) {
-  if (Answer.Outcome_ == OrderOutcome::Fenced)
-    Pool_.IsFencedOff_ = true;
   WorkerSession *Session = Pool_.session(Lifetime);
   if (Session == nullptr || Answer.Outcome_ != OrderOutcome::Accepted)
     return;
--- a/src/scheduling/internal/holdkeeper.cpp
+++ b/src/scheduling/internal/holdkeeper.cpp
@@ -165,8 +165,8 @@
             .with("worker", Session.entry().Id_)
             .with("outcome", static_cast<std::uint64_t>(Outcome))
             .with("runs", std::uint64_t{Session.runs().size()}));
-  if (Outcome == OrderOutcome::Fenced)
-    Pool_.IsFencedOff_ = true;
+  // A refusal for a higher token says nothing of the pool's lease: the worker
+  // may be a later lifetime of the id, in another pool.
   if (Outcome != OrderOutcome::OtherLifetime)
     return;
   Session.IsListed_ = false;
--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -5,6 +5,7 @@
 #include "scheduling/internal/dispatcher.h"
 #include "scheduling/internal/poolstate.h"
 #include "scheduling/istore.h"
+#include "scheduling/machineledger.h"
 
 #include <algorithm>
 
@@ -54,6 +55,15 @@
       advance(Each);
 }
 
+bool MaintenanceKeeper::isDue(const std::string &Name) const {
+  return std::any_of(Waves_.begin(), Waves_.end(), [&](const auto &Each) {
+    const Wave &Open = Each.second;
+    const auto &Asked = Open.Asked_.Machines_;
+    return !Open.IsCompleted_ && !Open.Row_.Done_.contains(Name) &&
+           std::find(Asked.begin(), Asked.end(), Name) != Asked.end();
+  });
+}
+
 void MaintenanceKeeper::listMachines() {
   IsListing_ = true;
   NextList_ = Pool_.Clock_.now() + ListInterval;
@@ -89,6 +99,7 @@
   if (Each.Next_.empty())
     chooseNext(Each);
   if (!Each.Next_.empty() && isReady(Each, Each.Next_) &&
+      Ledger_.mayOrder(Each.Next_, Pool_.Settings_.OwnerLease_) &&
       Each.Row_.Down_.size() < Each.Asked_.MostAtOnce_)
     claim(Each, Each.Next_, /*IsRepeat=*/false);
 }
@@ -168,15 +179,15 @@
          Run.AtWorkSince_ + SteadyTime <= Pool_.Clock_.now();
 }
 
-std::uint32_t MaintenanceKeeper::awayElsewhere(const ActiveJob &Job,
-                                               const TaskName &Task,
-                                               const WorkerSession &Session) {
+std::uint32_t MaintenanceKeeper::countAway(
+    const ActiveJob &Job, const TaskName &Task,
+    const std::function<bool(const TaskName &, const TaskRun &)> &IsCounted)
+    const {
   std::uint32_t Away = 0;
-  Job.forEachTask([&](const TaskName &Other, const TaskRun &State) {
-    bool IsPeer = Other.Occurrence_ == Task.Occurrence_ &&
-                  Other.Step_ == Task.Step_ &&
-                  State.Worker_ != Session.entry().lifetime();
-    Away += IsPeer && !isAtWork(State) ? 1 : 0;
+  Job.forEachTask([&](const TaskName &Other, const TaskRun &Run) {
+    bool IsPeer =
+        Other.Occurrence_ == Task.Occurrence_ && Other.Step_ == Task.Step_;
+    Away += IsPeer && IsCounted(Other, Run) && !isAtWork(Run) ? 1 : 0;
   });
   return Away;
 }
@@ -188,8 +199,11 @@
       continue;
     // The order ends all of the step's tasks on the worker at once.
     std::uint32_t Ended = Session.countOf(Name);
-    if (Ended + awayElsewhere(*Job, Name, Session) >
-        *Job->step(Name).DisruptionBudget_)
+    std::uint32_t Away =
+        countAway(*Job, Name, [&](const TaskName &, const TaskRun &Other) {
+          return Other.Worker_ != Session.entry().lifetime();
+        });
+    if (Ended + Away > *Job->step(Name).DisruptionBudget_)
       return false;
   }
   return true;
@@ -203,9 +217,12 @@
       continue;
     bool IsAlone = Session.countOf(Name) <= 1;
     bool IsFirst = Disrupted.emplace(Name.Job_, Name.Step_).second;
+    std::uint32_t Away = countAway(
+        *Job, Name, [Task = Name](const TaskName &Other, const TaskRun &) {
+          return Other != Task;
+        });
     if (IsAlone || !IsFirst || !isAtWork(Job->run(Name)) ||
-        awayElsewhere(*Job, Name, Session) + 1 >
-            *Job->step(Name).DisruptionBudget_)
+        Away + 1 > *Job->step(Name).DisruptionBudget_)
       continue;
     Starts_.stop(Session, Name, Run.Run_);
   }
@@ -245,7 +262,7 @@
   // The row's new version is the token of the order, which no other has.
   WaveProgress Next = Each.Row_;
   Next.Down_[Name] = Pool_.Settings_.Node_;
-  store(Each, Next, [this, Name, IsRepeat](Wave &Claimed) {
+  store(Each, Next, Name, [this, Name, IsRepeat](Wave &Claimed) {
     if (Claimed.Next_ == Name)
       Claimed.Next_.clear();
     order(Claimed, Name, IsRepeat);
@@ -320,7 +337,8 @@
     auto Ordered = Each.Ordered_.find(Name);
     if (Ordered == Each.Ordered_.end()) {
       // Claimed by an earlier owner, or not known to be carried out.
-      if (Found->second.State_ != MachineState::Up || !readyForOrder(Name))
+      if (Found->second.State_ != MachineState::Up || !readyForOrder(Name) ||
+          !Ledger_.mayOrder(Name, Pool_.Settings_.OwnerLease_))
         continue;
       claim(Each, Name, /*IsRepeat=*/true);
       return;
@@ -335,32 +353,36 @@
     reserve(Name, false);
   }
   if (Next.Down_.size() != Each.Row_.Down_.size())
-    store(Each, Next, [](Wave &) {});
+    store(Each, Next, "", [](Wave &) {});
 }
 
 void MaintenanceKeeper::store(Wave &Each, WaveProgress Next,
+                              const std::string &Announced,
                               std::function<void(Wave &)> Then) {
   Each.IsBusy_ = true;
   StoreKey Row = controlrows::wave(Each.Asked_.Number_);
   StoreTransaction Wanted;
   Wanted.Expected_ = {{Row, Each.Version_}};
   Wanted.Puts_ = {{Row, controlrows::encode(Next)}};
-  Pool_.Store_.transact(std::move(Wanted), [Weak = weak_from_this(), Next, Then,
-                                            Number = Each.Asked_.Number_](
-                                               const StoreTransactionEnd &End) {
-    auto Self = Weak.lock();
-    if (!Self)
-      return;
-    Wave &Stored = Self->Waves_[Number];
-    Stored.IsBusy_ = false;
-    if (End.Outcome_ != StoreOutcome::Done) {
-      Stored.IsLoaded_ = false;
-      return;
-    }
-    Stored.Row_ = Next;
-    Stored.Version_ = End.Version_;
-    Then(Stored);
-  });
+  if (!Announced.empty())
+    Ledger_.announce(Announced, Wanted);
+  Pool_.Store_.transact(
+      std::move(Wanted),
+      [Weak = weak_from_this(), Next, Then, Announced,
+       Number = Each.Asked_.Number_](const StoreTransactionEnd &End) {
+        auto Self = Weak.lock();
+        if (!Self)
+          return;
+        Wave &Stored = Self->Waves_[Number];
+        Stored.IsBusy_ = false;
+        if (End.Outcome_ != StoreOutcome::Done) {
+          Stored.IsLoaded_ = false;
+          return;
+        }
+        Stored.Row_ = Next;
+        Stored.Version_ = End.Version_;
+        Then(Stored);
+      });
 }
 
 bool MaintenanceKeeper::isComplete(const Wave &Each) const {
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -18,6 +18,7 @@
 class ActiveJob;
 class Dispatcher;
 class IMachineControl;
+class MachineLedger;
 class WorkerSession;
 struct PoolState;
 struct StoreRange;
@@ -30,11 +31,13 @@
     : public std::enable_shared_from_this<MaintenanceKeeper> {
 public:
   MaintenanceKeeper(PoolState &Pool, Dispatcher &Starts,
-                    IMachineControl &Machines)
-      : Pool_(Pool), Starts_(Starts), Machines_(Machines) {}
+                    IMachineControl &Machines, MachineLedger &Ledger)
+      : Pool_(Pool), Starts_(Starts), Machines_(Machines), Ledger_(Ledger) {}
 
   void onWaves(const std::vector<MaintenanceWave> &Waves);
   void tick();
+  /// \returns whether a wave still has to maintain the machine.
+  bool isDue(const std::string &Name) const;
 
 private:
   struct Order {
@@ -74,13 +77,19 @@
   void onOrdered(std::uint64_t Number, const std::string &Name,
                  MachineOutcome Outcome);
   void releaseReturned(Wave &Each);
-  void store(Wave &Each, WaveProgress Next, std::function<void(Wave &)> Then);
+  /// \param Announced machine that an order is announced for; empty for none.
+  void store(Wave &Each, WaveProgress Next, const std::string &Announced,
+             std::function<void(Wave &)> Then);
   void report(Wave &Each);
   bool isComplete(const Wave &Each) const;
   bool isReady(const Wave &Each, const std::string &Name);
   bool isAtWork(const TaskRun &Run) const;
-  std::uint32_t awayElsewhere(const ActiveJob &Job, const TaskName &Task,
-                              const WorkerSession &Session);
+  /// \returns the tasks of the step, among those that \p IsCounted picks, that
+  /// are not at work.
+  std::uint32_t
+  countAway(const ActiveJob &Job, const TaskName &Task,
+            const std::function<bool(const TaskName &, const TaskRun &)>
+                &IsCounted) const;
   bool keepsBudgets(const WorkerSession &Session);
   void evacuate(WorkerSession &Session);
   /// Reserves the machine's worker.
@@ -94,6 +103,7 @@
   PoolState &Pool_;
   Dispatcher &Starts_;
   IMachineControl &Machines_;
+  MachineLedger &Ledger_;
   std::map<std::uint64_t, Wave> Waves_;
   std::map<std::string, Machine> Known_;
   bool IsListing_ = false;
--- a/src/scheduling/internal/ownershipkeeper.cpp
+++ b/src/scheduling/internal/ownershipkeeper.cpp
@@ -215,12 +215,6 @@
   OnLost_(Pool);
 }
 
-void OwnershipKeeper::drop(const std::string &Pool) {
-  PoolLease &Lease = Leases_[Pool];
-  if (Lease.IsMine_)
-    lose(Pool, Lease, "fenced-off");
-}
-
 void OwnershipKeeper::releaseAll() {
   IsReleasing_ = true;
   for (auto &[Pool, Lease] : Leases_) {
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -6,6 +6,7 @@
 #include "scheduling/internal/jobfollower.h"
 #include "scheduling/internal/jobregister.h"
 #include "scheduling/internal/maintenancekeeper.h"
+#include "scheduling/internal/movekeeper.h"
 #include "scheduling/internal/pacekeeper.h"
 #include "scheduling/internal/poolstate.h"
 #include "scheduling/internal/progresswriter.h"
@@ -38,12 +39,16 @@
         Writer_(std::make_shared<ProgressWriter>(State_)),
         Roster_(std::make_shared<RosterKeeper>(State_)),
         Paces_(std::make_shared<PaceKeeper>(State_)),
-        Maintenance_(std::make_shared<MaintenanceKeeper>(State_, *Starts_,
-                                                         *Source.Machines_)),
+        Maintenance_(std::make_shared<MaintenanceKeeper>(
+            State_, *Starts_, *Source.Machines_, *Source.Ledger_)),
+        Moves_(std::make_shared<MoveKeeper>(State_, *Starts_, *Source.Machines_,
+                                            *Source.Ledger_)),
         Follower_(std::make_shared<JobFollower>(
             State_.Store_, State_.Clock_,
             [this](const StoreRow &Row) { Jobs_.onRow(Row); })),
         HasPredecessor_(Tenure.Predecessors_ > 0) {
+    Moves_->setWaveCheck(
+        [this](const std::string &Name) { return Maintenance_->isDue(Name); });
     State_.Token_ = Tenure.Token_;
     State_.FirstRun_ = Tenure.Predecessors_ * RunsPerOwner;
     State_.LeaseEnd_ = Tenure.LeaseEnd_;
@@ -68,6 +73,7 @@
   std::shared_ptr<RosterKeeper> Roster_;
   std::shared_ptr<PaceKeeper> Paces_;
   std::shared_ptr<MaintenanceKeeper> Maintenance_;
+  std::shared_ptr<MoveKeeper> Moves_;
   std::shared_ptr<JobFollower> Follower_;
   bool IsLoaded_ = false;
   /// Whether an earlier owner may have left runs behind.
@@ -103,6 +109,11 @@
   return *this;
 }
 
+PoolOwner::Builder &PoolOwner::Builder::ledger(MachineLedger &Value) {
+  Ledger_ = &Value;
+  return *this;
+}
+
 PoolOwner::Builder &PoolOwner::Builder::logger(ILogger &Value) {
   Logger_ = &Value;
   return *this;
@@ -254,8 +265,6 @@
 
 void PoolOwner::tick() {
   PoolState &State = Parts_->State_;
-  if (State.IsFencedOff_)
-    return;
   Parts_->Roster_->tick();
   if (!Parts_->Roster_->isLoaded())
     return;
@@ -273,6 +282,7 @@
   Parts_->logStatus();
   Parts_->Paces_->tick();
   Parts_->Maintenance_->tick();
+  Parts_->Moves_->tick();
   Parts_->Writer_->flush();
   Parts_->Jobs_.retireEnded();
   Parts_->removeGoneWorkers();
@@ -282,12 +292,11 @@
 
 FencingToken PoolOwner::token() const { return Parts_->State_.Token_; }
 
-bool PoolOwner::isFencedOff() const { return Parts_->State_.IsFencedOff_; }
-
-std::map<std::string, std::uint64_t> PoolOwner::pendingJobs() const {
-  std::map<std::string, std::uint64_t> Pending;
+std::optional<std::map<std::string, std::uint64_t>>
+PoolOwner::pendingJobs() const {
   if (!Parts_->IsLoaded_)
-    return Pending;
+    return std::nullopt;
+  std::map<std::string, std::uint64_t> Pending;
   for (const auto &[Id, Job] : Parts_->State_.Jobs_) {
     std::uint64_t &Count = Pending[Job->stored().Queue_];
     if (!Job->hasBegun() && !isFinal(Job->progress().state()))
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -14,7 +14,7 @@
 } // namespace
 
 bool PoolState::mayAct() const {
-  return !IsFencedOff_ && Clock_.now() < LeaseEnd_ - Settings_.LeaseMargin_;
+  return Clock_.now() < LeaseEnd_ - Settings_.LeaseMargin_;
 }
 
 WorkerSession &PoolState::meet(const WorkerEntry &Entry) {
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -49,8 +49,6 @@
   TimePoint InheritedLapse_;
   /// End of the owner's lease.
   TimePoint LeaseEnd_;
-  /// Set when a worker has seen a higher token.
-  bool IsFencedOff_ = false;
   /// By job id.
   std::map<std::string, std::unique_ptr<ActiveJob>> Jobs_;
   /// By lifetime.
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -3,6 +3,7 @@
 #include "global/logevent.h"
 #include "scheduling/controlrows.h"
 #include "scheduling/istore.h"
+#include "scheduling/machineledger.h"
 #include "scheduling/ownershipkeeper.h"
 #include "scheduling/poolowner.h"
 #include "scheduling/tablefollower.h"
@@ -31,12 +32,12 @@
   void onLost(const std::string &Pool);
   void giveWorkers();
   void reportPending();
-  void dropFencedOff();
 
   SchedulingSettings Settings_;
   const IClock &Clock_;
   IStore &Store_;
   ILogger &Logger_;
+  MachineLedger Ledger_;
   PoolOwner::Builder OwnerBuilder_;
   std::shared_ptr<const SchedulingConfiguration> Configuration_;
   std::map<std::string, WorkerEntry> Workers_;
@@ -55,12 +56,14 @@
 
 SchedulerNode::Parts::Parts(const Builder &Source)
     : Settings_(Source.Settings_), Clock_(*Source.Clock_),
-      Store_(*Source.Store_), Logger_(*Source.Logger_) {
+      Store_(*Source.Store_), Logger_(*Source.Logger_),
+      Ledger_(Settings_.Node_, Clock_) {
   OwnerBuilder_.settings(Settings_)
       .clock(Clock_)
       .store(Store_)
       .workers(*Source.Workers_)
       .machines(*Source.Machines_)
+      .ledger(Ledger_)
       .logger(Logger_);
   Desk_ = std::make_shared<JobDesk>(
       Store_, Clock_, Logger_,
@@ -89,6 +92,7 @@
 void SchedulerNode::Parts::onControlRows(const std::vector<StoreRow> &Rows,
                                          bool IsWhole) {
   const std::string OwnerPrefix = controlrows::OwnerPrefix;
+  const std::string MachinePrefix = controlrows::MachinePrefix;
   const std::string PendingPrefix = controlrows::PendingPrefix;
   for (const StoreRow &Row : Rows) {
     const std::string &Key = Row.Name_.Key_;
@@ -96,6 +100,8 @@
       continue;
     if (Key.starts_with(OwnerPrefix))
       Ownership_->onRow(Key.substr(OwnerPrefix.size()), Row);
+    if (Key.starts_with(MachinePrefix))
+      Ledger_.onRow(Key.substr(MachinePrefix.size()), Row);
     if (!Key.starts_with(PendingPrefix))
       continue;
     if (auto Read = controlrows::decodePending(Row.Value_))
@@ -135,7 +141,10 @@
     return;
   NextPending_ = Clock_.now() + PendingInterval;
   for (auto &[Pool, Owner] : Owners_) {
-    PendingRow Row{Owner->pendingJobs()};
+    auto Pending = Owner->pendingJobs();
+    if (!Pending)
+      continue;
+    PendingRow Row{*Pending};
     if (Reported_.contains(Pool) && Reported_[Pool].Pending_ == Row.Pending_)
       continue;
     Reported_[Pool] = Row;
@@ -149,15 +158,6 @@
   }
 }
 
-void SchedulerNode::Parts::dropFencedOff() {
-  std::vector<std::string> FencedOff;
-  for (const auto &[Pool, Owner] : Owners_)
-    if (Owner->isFencedOff())
-      FencedOff.push_back(Pool);
-  for (const std::string &Pool : FencedOff)
-    Ownership_->drop(Pool);
-}
-
 SchedulerNode::Builder &
 SchedulerNode::Builder::settings(SchedulingSettings Value) {
   Settings_ = std::move(Value);
@@ -265,7 +265,6 @@
     Parts_->giveWorkers();
   for (auto &[Pool, Owner] : Parts_->Owners_)
     Owner->tick();
-  Parts_->dropFencedOff();
   Parts_->reportPending();
 }
 
--- /dev/null
+++ b/src/scheduling/machineledger.h
@@ -0,0 +1,50 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_MACHINELEDGER_H
+#define DRAGONFLYLOCK_SCHEDULING_MACHINELEDGER_H
+
+#include "global/iclock.h"
+#include "scheduling/storetypes.h"
+
+#include <chrono>
+#include <map>
+#include <string>
+
+namespace dragonflylock {
+
+/// Knows which node ordered each machine last, from the control rows. A
+/// machine takes orders of one node at a time: another one waits until the
+/// last order is older than a lease, and each order has the version of the
+/// row that announced it as its token, so that tokens rise.
+class MachineLedger {
+public:
+  /// \param Node this node's name.
+  /// \param Clock must outlive the ledger.
+  MachineLedger(std::string Node, const IClock &Clock)
+      : Node_(std::move(Node)), Clock_(Clock) {}
+
+  /// Takes in the row of a machine.
+  void onRow(const std::string &Machine, const StoreRow &Row);
+  /// \returns whether this node may order the machine.
+  /// \param Lease time between orders of two nodes.
+  bool mayOrder(const std::string &Machine,
+                std::chrono::milliseconds Lease) const;
+  /// Adds what announces an order to a transaction on the control rows. It
+  /// applies only if no other node has announced one since.
+  void announce(const std::string &Machine, StoreTransaction &Into) const;
+  /// Notes that an announcement was stored.
+  void onAnnounced(const std::string &Machine, StoreVersion Version);
+
+private:
+  struct LastOrder {
+    std::string Node_;
+    StoreVersion Version_ = 0;
+    TimePoint SeenAt_;
+  };
+
+  std::string Node_;
+  const IClock &Clock_;
+  std::map<std::string, LastOrder> Orders_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- a/src/scheduling/ownershipkeeper.h
+++ b/src/scheduling/ownershipkeeper.h
@@ -40,8 +40,6 @@
   void setLoaded() { IsLoaded_ = true; }
   /// Wins and renews what is due, and drops leases that have ended.
   void tick();
-  /// Drops a pool without telling the store, as after a later owner's order.
-  void drop(const std::string &Pool);
   /// Gives all pools up, so that others can take them at once.
   void releaseAll();
   /// \returns the number of pools owned.
--- a/src/scheduling/poolowner.h
+++ b/src/scheduling/poolowner.h
@@ -19,6 +19,7 @@
 class IMachineControl;
 class IStore;
 class IWorkerControl;
+class MachineLedger;
 struct SchedulingSettings;
 
 /// How a node came to own a pool.
@@ -44,6 +45,7 @@
     Builder &store(IStore &Value);
     Builder &workers(IWorkerControl &Value);
     Builder &machines(IMachineControl &Value);
+    Builder &ledger(MachineLedger &Value);
     Builder &logger(ILogger &Value);
     /// \returns an owner that has not begun to act.
     std::unique_ptr<PoolOwner> build(const PoolTenure &Tenure) const;
@@ -55,6 +57,7 @@
     IStore *Store_ = nullptr;
     IWorkerControl *Workers_ = nullptr;
     IMachineControl *Machines_ = nullptr;
+    MachineLedger *Ledger_ = nullptr;
     ILogger *Logger_ = nullptr;
   };
 
@@ -75,10 +78,9 @@
 
   const std::string &pool() const;
   FencingToken token() const;
-  /// \returns whether a worker has refused this owner for a later one.
-  bool isFencedOff() const;
-  /// \returns for each queue how many accepted jobs have not begun.
-  std::map<std::string, std::uint64_t> pendingJobs() const;
+  /// \returns for each queue how many accepted jobs have not begun; nothing
+  /// before they have been loaded.
+  std::optional<std::map<std::string, std::uint64_t>> pendingJobs() const;
   /// \returns the job's state, or nothing for one that is not held here.
   std::optional<JobPhase> stateOf(const std::string &Job) const;
 
