--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -21,6 +21,14 @@
 constexpr std::chrono::milliseconds RefusedPause{50};
 /// Pause between two orders to stop the same run.
 constexpr std::chrono::milliseconds StopRepeat{400};
+/// Work, in core-milliseconds, that weighs as much as a millisecond of waiting.
+/// Less work goes first, but a large job gains on later ones while it waits.
+constexpr std::int64_t WorkPerWait = 8;
+
+std::int64_t urgencyOf(const ActiveJob &Job) {
+  return Job.stored().AcceptedAt_.count() + Job.remainingWork() / WorkPerWait;
+}
+
 /// \returns whether the job would miss its objective even if it started now.
 bool isLate(const ActiveJob &Job, const QueueSetting &Queue,
             std::chrono::milliseconds Wall) {
@@ -39,7 +47,7 @@
     bool IsShort_;
     std::uint32_t Priority_;
     bool IsLate_;
-    std::int64_t Work_;
+    std::int64_t Urgency_;
   };
   std::vector<Entry> Entries;
   for (auto &[Id, Job] : Pool_.Jobs_) {
@@ -47,15 +55,14 @@
       continue;
     QueueSetting Queue = Pool_.queueOf(*Job);
     Entries.push_back({Job.get(), !Job->isLongRunning(), Queue.Priority_,
-                       isLate(*Job, Queue, Pool_.wallTime()),
-                       Job->remainingWork()});
+                       isLate(*Job, Queue, Pool_.wallTime()), urgencyOf(*Job)});
   }
   std::sort(Entries.begin(), Entries.end(),
             [](const Entry &Left, const Entry &Right) {
               return std::tie(Left.IsShort_, Left.Priority_, Left.IsLate_,
-                              Left.Work_) <
+                              Left.Urgency_) <
                      std::tie(Right.IsShort_, Right.Priority_, Right.IsLate_,
-                              Right.Work_);
+                              Right.Urgency_);
             });
   std::vector<ActiveJob *> Jobs;
   for (const Entry &Each : Entries)
--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -55,15 +55,6 @@
       advance(Each);
 }
 
-bool MaintenanceKeeper::isDue(const std::string &Name) const {
-  return std::any_of(Waves_.begin(), Waves_.end(), [&](const auto &Each) {
-    const Wave &Open = Each.second;
-    const auto &Asked = Open.Asked_.Machines_;
-    return !Open.IsCompleted_ && !Open.Row_.Done_.contains(Name) &&
-           std::find(Asked.begin(), Asked.end(), Name) != Asked.end();
-  });
-}
-
 void MaintenanceKeeper::listMachines() {
   IsListing_ = true;
   NextList_ = Pool_.Clock_.now() + ListInterval;
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -36,8 +36,6 @@
 
   void onWaves(const std::vector<MaintenanceWave> &Waves);
   void tick();
-  /// \returns whether a wave still has to maintain the machine.
-  bool isDue(const std::string &Name) const;
 
 private:
   struct Order {
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -6,7 +6,6 @@
 #include "scheduling/internal/jobfollower.h"
 #include "scheduling/internal/jobregister.h"
 #include "scheduling/internal/maintenancekeeper.h"
-#include "scheduling/internal/movekeeper.h"
 #include "scheduling/internal/pacekeeper.h"
 #include "scheduling/internal/poolstate.h"
 #include "scheduling/internal/progresswriter.h"
@@ -41,14 +40,10 @@
         Paces_(std::make_shared<PaceKeeper>(State_)),
         Maintenance_(std::make_shared<MaintenanceKeeper>(
             State_, *Starts_, *Source.Machines_, *Source.Ledger_)),
-        Moves_(std::make_shared<MoveKeeper>(State_, *Starts_, *Source.Machines_,
-                                            *Source.Ledger_)),
         Follower_(std::make_shared<JobFollower>(
             State_.Store_, State_.Clock_,
             [this](const StoreRow &Row) { Jobs_.onRow(Row); })),
         HasPredecessor_(Tenure.Predecessors_ > 0) {
-    Moves_->setWaveCheck(
-        [this](const std::string &Name) { return Maintenance_->isDue(Name); });
     State_.Token_ = Tenure.Token_;
     State_.FirstRun_ = Tenure.Predecessors_ * RunsPerOwner;
     State_.LeaseEnd_ = Tenure.LeaseEnd_;
@@ -73,7 +68,6 @@
   std::shared_ptr<RosterKeeper> Roster_;
   std::shared_ptr<PaceKeeper> Paces_;
   std::shared_ptr<MaintenanceKeeper> Maintenance_;
-  std::shared_ptr<MoveKeeper> Moves_;
   std::shared_ptr<JobFollower> Follower_;
   bool IsLoaded_ = false;
   /// Whether an earlier owner may have left runs behind.
@@ -282,7 +276,6 @@
   Parts_->logStatus();
   Parts_->Paces_->tick();
   Parts_->Maintenance_->tick();
-  Parts_->Moves_->tick();
   Parts_->Writer_->flush();
   Parts_->Jobs_.retireEnded();
   Parts_->removeGoneWorkers();
