Tests of the scheduler's parts and of the adapter; a handed-over run keeps its lease

Cause: the test of a start that was not answered before its worker was born again failed: the later lifetime's session had no lease on record, so that the run was taken as lapsed at once instead of being stopped there first. Before: the task could start beside a run on the later lifetime.

--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -7,6 +7,7 @@
 #include "emulator/simulation.h"
 #include "scheduling/jobdesk.h"
 
+#include <cinttypes>
 #include <cstdio>
 #include <cstdlib>
 
@@ -119,8 +120,7 @@
       1000);
   for (std::uint64_t Number = 0; Number < Count; ++Number) {
     char Id[17];
-    std::snprintf(Id, sizeof(Id), "%016llx",
-                  static_cast<unsigned long long>(Number + 1));
+    std::snprintf(Id, sizeof(Id), "%016" PRIx64, Number + 1);
     auto At =
         TrafficStart + milliseconds(World_.between(0, Plan_.Traffic_.count()));
     auto Pool = static_cast<std::size_t>(World_.between(0, Plan_.Pools_ - 1));
--- a/src/emulator/internal/modelworkers.cpp
+++ b/src/emulator/internal/modelworkers.cpp
@@ -89,7 +89,7 @@
 
 void ModelWorkers::start(const std::string &Node, const Deliver &Answer,
                          const WorkerTarget &Target, const StartOrder &Order,
-                         IWorkerControl::OrderDone Done) {
+                         const IWorkerControl::OrderDone &Done) {
   bool IsLate = World_.happens(LateShare_);
   if (IsLate)
     World_.after(milliseconds(World_.between(2000, 12000)),
@@ -180,7 +180,7 @@
 void ModelWorkers::stop(const std::string &Node, const Deliver &Answer,
                         const WorkerTarget &Target, const TaskName &Task,
                         RunNumber Run, FencingToken Token,
-                        IWorkerControl::OrderDone Done) {
+                        const IWorkerControl::OrderDone &Done) {
   World_.after(OneWay, [=, this] {
     ModelWorker *Worker = reached(Node, Target);
     if (Worker == nullptr) {
@@ -209,7 +209,7 @@
 
 void ModelWorkers::hold(const std::string &Node, const Deliver &Answer,
                         const WorkerTarget &Target, const HoldOrder &Order,
-                        IWorkerControl::HoldDone Done) {
+                        const IWorkerControl::HoldDone &Done) {
   World_.after(OneWay, [=, this] {
     ModelWorker *Worker = reached(Node, Target);
     if (Worker == nullptr) {
--- a/src/emulator/modelworkers.h
+++ b/src/emulator/modelworkers.h
@@ -65,13 +65,13 @@
 
   void start(const std::string &Node, const Deliver &Answer,
              const WorkerTarget &Target, const StartOrder &Order,
-             IWorkerControl::OrderDone Done);
+             const IWorkerControl::OrderDone &Done);
   void stop(const std::string &Node, const Deliver &Answer,
             const WorkerTarget &Target, const TaskName &Task, RunNumber Run,
-            FencingToken Token, IWorkerControl::OrderDone Done);
+            FencingToken Token, const IWorkerControl::OrderDone &Done);
   void hold(const std::string &Node, const Deliver &Answer,
             const WorkerTarget &Target, const HoldOrder &Order,
-            IWorkerControl::HoldDone Done);
+            const IWorkerControl::HoldDone &Done);
   MachineList machines() const;
   MachineOutcome maintain(const MachineOrder &Order, std::uint64_t Wave);
   MachineOutcome move(const MachineOrder &Order, const std::string &Pool);
--- /dev/null
+++ b/src/http/tests/curlasyncclient_test.cpp
@@ -0,0 +1,81 @@
+#include "http/ihttphandler.h"
+#include "http/ihttpresponder.h"
+#include "http/internal/curlasyncclient.h"
+#include "http/internal/restinioserver.h"
+
+#include <gtest/gtest.h>
+
+#include <future>
+
+namespace dragonflylock {
+namespace {
+
+/// Answers with the request's body, or not at all on the path "/abort".
+class EchoHandler : public IHttpHandler {
+public:
+  void handle(HttpRequest Request,
+              std::shared_ptr<IHttpResponder> Responder) override {
+    if (Request.path() == "/abort") {
+      Responder->abort();
+      return;
+    }
+    Responder->answer({httpstatus::Ok, {}, Request.Body_});
+  }
+};
+
+class CurlAsyncClientTest : public testing::Test {
+protected:
+  CurlAsyncClientTest()
+      : Server_({"127.0.0.1", 0}, Handler_, 1U << 20U),
+        Client_(
+            [](std::function<void()> Next) {
+              Next();
+              return true;
+            },
+            64) {}
+
+  void SetUp() override {
+    ASSERT_TRUE(Server_.start());
+    Client_.start();
+  }
+  void TearDown() override {
+    Client_.stop();
+    Server_.stop();
+  }
+
+  ExchangeEnd exchange(std::uint16_t Port, const std::string &Path) {
+    std::promise<ExchangeEnd> Ended;
+    HttpRequest Request;
+    Request.Method_ = "POST";
+    Request.Target_ = Path;
+    Request.Body_ = "body";
+    Client_.send({"127.0.0.1", Port}, Request, std::chrono::seconds(20),
+                 [&](ExchangeEnd End) { Ended.set_value(std::move(End)); });
+    return Ended.get_future().get();
+  }
+
+  EchoHandler Handler_;
+  RestinioServer Server_;
+  CurlAsyncClient Client_;
+};
+
+TEST_F(CurlAsyncClientTest, ReportsAWholeAnswer) {
+  ExchangeEnd End = exchange(Server_.port(), "/echo");
+  EXPECT_EQ(End.Outcome_, ExchangeOutcome::Answered);
+  EXPECT_EQ(End.Answer_.Status_, httpstatus::Ok);
+  EXPECT_EQ(End.Answer_.Body_, "body");
+}
+
+TEST_F(CurlAsyncClientTest, ReportsALostAnswer) {
+  EXPECT_EQ(exchange(Server_.port(), "/abort").Outcome_,
+            ExchangeOutcome::AnswerLost);
+}
+
+TEST_F(CurlAsyncClientTest, ReportsARequestThatWasNotSent) {
+  std::uint16_t Port = Server_.port();
+  Server_.stop();
+  EXPECT_EQ(exchange(Port, "/echo").Outcome_, ExchangeOutcome::NotSent);
+}
+
+} // namespace
+} // namespace dragonflylock
--- a/src/scheduling/internal/runbook.cpp
+++ b/src/scheduling/internal/runbook.cpp
@@ -204,6 +204,7 @@
     Doubtful.ConfirmedAt_.reset();
     Doubtful.MustStop_ = true;
     Successor.runs()[Name] = Doubtful;
+    Successor.noteLease(Pool_.surelyLapsed(Pool_.Clock_.now()));
     Job->run(Name).Worker_ = Successor.entry().lifetime();
     Job->run(Name).Phase_ = TaskPhase::Stopping;
   }
--- a/src/scheduling/schedulingtypes.h
+++ b/src/scheduling/schedulingtypes.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace dragonflylock {
@@ -86,7 +87,11 @@
   std::uint32_t Step_ = 0;
   std::uint32_t Index_ = 0;
 
-  auto operator<=>(const TaskName &) const = default;
+  bool operator==(const TaskName &) const = default;
+  bool operator<(const TaskName &Other) const {
+    return std::tie(Job_, Occurrence_, Step_, Index_) <
+           std::tie(Other.Job_, Other.Occurrence_, Other.Step_, Other.Index_);
+  }
   /// \returns "JOB.OCCURRENCE.STEP.INDEX".
   std::string text() const;
   /// \returns the name of such a text, or nothing.
--- a/src/scheduling/storetypes.h
+++ b/src/scheduling/storetypes.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace dragonflylock {
@@ -18,7 +19,11 @@
   std::string Part_;
   std::string Key_;
 
-  auto operator<=>(const StoreKey &) const = default;
+  bool operator==(const StoreKey &) const = default;
+  bool operator<(const StoreKey &Other) const {
+    return std::tie(Table_, Part_, Key_) <
+           std::tie(Other.Table_, Other.Part_, Other.Key_);
+  }
 };
 
 /// A row as it was read.
--- /dev/null
+++ b/src/scheduling/tests/mocks/fakefleet.h
@@ -0,0 +1,155 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_TESTS_MOCKS_FAKEFLEET_H
+#define DRAGONFLYLOCK_SCHEDULING_TESTS_MOCKS_FAKEFLEET_H
+
+#include "global/ilogger.h"
+#include "scheduling/imachinecontrol.h"
+#include "scheduling/istore.h"
+#include "scheduling/iworkercontrol.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dragonflylock {
+
+/// A clock that a test sets.
+class ManualClock : public IClock {
+public:
+  TimePoint now() const override { return Now_; }
+  WallTime wallNow() const override {
+    return WallTime(std::chrono::duration_cast<WallTime::duration>(
+        Now_.time_since_epoch()));
+  }
+  void advance(std::chrono::milliseconds By) { Now_ += By; }
+
+private:
+  TimePoint Now_{std::chrono::hours(1)};
+};
+
+class SilentLogger : public ILogger {
+public:
+  void write(LogLevel, const LogEvent &) override {}
+};
+
+/// A store that answers at once.
+class InstantStore : public IStore {
+public:
+  void transact(StoreTransaction Wanted, TransactionDone Done) override {
+    if (Outcome_ != StoreOutcome::Done) {
+      Done({Outcome_, 0, {}});
+      return;
+    }
+    StoreTransactionEnd End;
+    bool Holds = true;
+    for (const StoreExpectation &Each : Wanted.Expected_) {
+      auto Found = Rows_.find(Each.Name_);
+      Holds = Holds && (Found == Rows_.end() ? 0 : Found->second.Version_) ==
+                           Each.Version_;
+      if (Found != Rows_.end())
+        End.Current_.push_back(Found->second);
+    }
+    End.Outcome_ = Holds ? StoreOutcome::Done : StoreOutcome::ConditionFailed;
+    if (Holds) {
+      End.Current_.clear();
+      End.Version_ = ++Version_;
+      for (const StorePut &Each : Wanted.Puts_)
+        Rows_[Each.Name_] = {Each.Name_, Each.Value_, Version_, false};
+    }
+    Done(End);
+  }
+  void readRange(const std::string &Table, const std::string &Part,
+                 const std::string &From, const std::string &To,
+                 RangeDone Done) override {
+    StoreRange Read;
+    Read.Outcome_ = Outcome_;
+    Read.Version_ = Version_;
+    for (const auto &[Name, Row] : Rows_)
+      if (Name.Table_ == Table && Name.Part_ == Part && Name.Key_ >= From &&
+          (To.empty() || Name.Key_ < To))
+        Read.Rows_.push_back(Row);
+    Done(Read);
+  }
+  void awaitChanges(const std::string &, StoreVersion,
+                    std::chrono::milliseconds, ChangesDone) override {}
+
+  /// How every call ends.
+  StoreOutcome Outcome_ = StoreOutcome::Done;
+  StoreVersion Version_ = 0;
+  std::map<StoreKey, StoreRow> Rows_;
+};
+
+/// Workers that keep each order until the test answers it.
+class RecordingWorkers : public IWorkerControl {
+public:
+  struct Start {
+    WorkerTarget Target_;
+    StartOrder Order_;
+    OrderDone Done_;
+  };
+  struct Stop {
+    WorkerTarget Target_;
+    TaskName Task_;
+    OrderDone Done_;
+  };
+  struct Hold {
+    WorkerTarget Target_;
+    HoldOrder Order_;
+    HoldDone Done_;
+  };
+
+  void start(const WorkerTarget &Target, const StartOrder &Order,
+             OrderDone Done) override {
+    Starts_.push_back({Target, Order, std::move(Done)});
+  }
+  void stop(const WorkerTarget &Target, const TaskName &Task, RunNumber,
+            FencingToken, OrderDone Done) override {
+    Stops_.push_back({Target, Task, std::move(Done)});
+  }
+  void hold(const WorkerTarget &Target, const HoldOrder &Order,
+            HoldDone Done) override {
+    Holds_.push_back({Target, Order, std::move(Done)});
+  }
+  void pace(const WorkerTarget &, const TaskName &, RunNumber, std::uint32_t,
+            FencingToken, OrderDone) override {}
+
+  /// Takes the oldest hold that waits.
+  Hold takeHold() {
+    Hold First = std::move(Holds_.front());
+    Holds_.pop_front();
+    return First;
+  }
+  Start takeStart() {
+    Start First = std::move(Starts_.front());
+    Starts_.pop_front();
+    return First;
+  }
+
+  std::deque<Start> Starts_;
+  std::deque<Stop> Stops_;
+  std::deque<Hold> Holds_;
+};
+
+/// Machines that accept every order.
+class AcceptingMachines : public IMachineControl {
+public:
+  void list(ListDone Done) override { Done(List_); }
+  void maintain(const MachineOrder &Order, std::uint64_t,
+                OrderDone Done) override {
+    Orders_.push_back(Order);
+    Done(MachineOutcome::Accepted);
+  }
+  void move(const MachineOrder &, const std::string &,
+            OrderDone Done) override {
+    Done(MachineOutcome::Accepted);
+  }
+  void reportWave(std::uint64_t, bool, ReportDone Done) override { Done(true); }
+
+  MachineList List_;
+  std::vector<MachineOrder> Orders_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- /dev/null
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -0,0 +1,327 @@
+#include "scheduling/controlrows.h"
+#include "scheduling/jobrowcodec.h"
+#include "scheduling/jobrows.h"
+#include "scheduling/machineledger.h"
+#include "scheduling/poolowner.h"
+#include "scheduling/schedulingsettings.h"
+#include "scheduling/tests/mocks/fakefleet.h"
+
+#include <gtest/gtest.h>
+
+namespace dragonflylock {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *JobId = "00000000000000aa";
+
+class PoolOwnerTest : public testing::Test {
+protected:
+  PoolOwnerTest() : Ledger_("node-1", Clock_) {
+    auto Configuration = std::make_shared<SchedulingConfiguration>();
+    QueueSetting Queue;
+    Queue.Name_ = "queue";
+    Queue.Pool_ = "pool";
+    Queue.MostAttempts_ = 3;
+    Configuration->Queues_ = {Queue};
+    Configuration->Pools_ = {{"pool", true, false}};
+    Configuration_ = Configuration;
+  }
+
+  void storeJob(const JobSpec &Spec) {
+    SubmittedJob Job;
+    Job.Queue_ = "queue";
+    Job.Pool_ = "pool";
+    Job.Spec_ = Spec;
+    StoreKey Row = jobrows::name("queue", JobId, JobRowKind::Submission);
+    Store_.Rows_[Row] = {Row, jobrowcodec::encode(Job), ++Store_.Version_,
+                         false};
+  }
+
+  static JobSpec jobOf(std::uint32_t Tasks) {
+    JobSpec Spec;
+    Spec.Payload_ = "payload";
+    StepSpec Step;
+    Step.TaskCount_ = Tasks;
+    Step.PerTask_ = {1000, 1000, 0};
+    Step.Estimate_ = milliseconds(500);
+    Spec.Steps_ = {Step};
+    return Spec;
+  }
+
+  WorkerEntry worker(const std::string &Id) const {
+    WorkerEntry Entry;
+    Entry.Id_ = Id;
+    Entry.Pool_ = "pool";
+    Entry.Machine_ = "machine-of-" + Id;
+    Entry.Address_ = {"10.0.0.1", 80};
+    Entry.Born_ = milliseconds(5);
+    Entry.Capacity_ = {16000, 32000, 0};
+    return Entry;
+  }
+
+  void own(std::uint64_t Predecessors,
+           const std::vector<WorkerEntry> &Workers) {
+    Owner_ = PoolOwner::Builder()
+                 .settings(Settings_)
+                 .clock(Clock_)
+                 .store(Store_)
+                 .workers(Workers_)
+                 .machines(Machines_)
+                 .ledger(Ledger_)
+                 .logger(Logger_)
+                 .build({"pool", Token, Predecessors,
+                         Clock_.now() + std::chrono::hours(1)});
+    Owner_->onConfiguration(Configuration_);
+    Owner_->onWorkers(Workers);
+    // The roster and the jobs are read one after the other.
+    for (int Round = 0; Round < 5; ++Round)
+      Owner_->tick();
+  }
+
+  HoldAnswer listing(const std::vector<ListedRun> &Running,
+                     const std::vector<ListedEnd> &Ended = {}) const {
+    HoldAnswer Answer;
+    Answer.Outcome_ = OrderOutcome::Accepted;
+    Answer.Clock_ = WorkerClock(1000);
+    Answer.Born_ = milliseconds(5);
+    Answer.Running_ = Running;
+    Answer.Ended_ = Ended;
+    return Answer;
+  }
+
+  void answerHold(const HoldAnswer &Answer) {
+    ASSERT_FALSE(Workers_.Holds_.empty());
+    Workers_.takeHold().Done_(Answer);
+    Owner_->tick();
+  }
+
+  /// Lets what one part of the owner has changed reach the others.
+  void tickTwice() {
+    Owner_->tick();
+    Owner_->tick();
+  }
+
+  static constexpr FencingToken Token = 7;
+  ManualClock Clock_;
+  SilentLogger Logger_;
+  InstantStore Store_;
+  RecordingWorkers Workers_;
+  AcceptingMachines Machines_;
+  MachineLedger Ledger_;
+  SchedulingSettings Settings_;
+  std::shared_ptr<const SchedulingConfiguration> Configuration_;
+  std::unique_ptr<PoolOwner> Owner_;
+};
+
+TEST_F(PoolOwnerTest, StartsTasksOnlyOnWorkersThatHaveSeenItsToken) {
+  storeJob(jobOf(1));
+  own(0, {worker("w1")});
+  EXPECT_TRUE(Workers_.Starts_.empty());
+  answerHold(listing({}));
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  EXPECT_EQ(Workers_.Starts_[0].Order_.Token_, Token);
+  EXPECT_EQ(Workers_.Starts_[0].Order_.Payload_, "payload");
+}
+
+TEST_F(PoolOwnerTest, AdoptsRunsOfItsPredecessor) {
+  storeJob(jobOf(1));
+  own(3, {worker("w1")});
+  ListedRun Run;
+  Run.Task_ = {JobId, 0, 0, 0};
+  Run.Run_ = 1;
+  answerHold(listing({Run}));
+  EXPECT_TRUE(Workers_.Starts_.empty());
+  EXPECT_TRUE(Workers_.Stops_.empty());
+}
+
+TEST_F(PoolOwnerTest, WaitsForRunsThatAnUnreachedWorkerMayHave) {
+  storeJob(jobOf(1));
+  own(1, {worker("w1"), worker("w2")});
+  answerHold(listing({}));
+  Workers_.takeHold().Done_(HoldAnswer());
+  Clock_.advance(milliseconds(1000));
+  Owner_->tick();
+  EXPECT_TRUE(Workers_.Starts_.empty());
+  // The entry of a worker that is cut off expires; its runs may go on.
+  Owner_->onWorkers({worker("w1")});
+  Owner_->tick();
+  EXPECT_TRUE(Workers_.Starts_.empty());
+  Clock_.advance(Settings_.LongestHold_ + milliseconds(500));
+  Owner_->tick();
+  EXPECT_EQ(Workers_.Starts_.size(), 1U);
+}
+
+TEST_F(PoolOwnerTest, UsesRunNumbersAboveThoseOfItsPredecessors) {
+  storeJob(jobOf(1));
+  own(2, {worker("w1")});
+  answerHold(listing({}));
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  EXPECT_GT(Workers_.Starts_[0].Order_.Run_, 20000U);
+}
+
+TEST_F(PoolOwnerTest, SilentWorkerGetsNoLongerLease) {
+  storeJob(jobOf(1));
+  own(0, {worker("w1")});
+  answerHold(listing({}));
+  Workers_.takeStart().Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+  Owner_->tick();
+  RecordingWorkers::Hold First = Workers_.takeHold();
+  EXPECT_GT(First.Order_.LeaseEnd_.count(), 0);
+  First.Done_(HoldAnswer());
+  for (int Round = 0; Round < 80; ++Round) {
+    Clock_.advance(milliseconds(100));
+    Owner_->onWorkers({worker("w2")});
+    Owner_->tick();
+    while (!Workers_.Holds_.empty()) {
+      RecordingWorkers::Hold Hold = Workers_.takeHold();
+      if (Hold.Target_.Id_ == "w2") {
+        Hold.Done_(listing({}));
+        continue;
+      }
+      EXPECT_EQ(Hold.Order_.LeaseEnd_.count(), 0);
+      Hold.Done_(HoldAnswer());
+    }
+  }
+  ASSERT_FALSE(Workers_.Starts_.empty());
+  EXPECT_EQ(Workers_.Starts_[0].Target_.Id_, "w2");
+}
+
+TEST_F(PoolOwnerTest, AcknowledgesOnlyALifetimeThatHasJustListed) {
+  storeJob(jobOf(1));
+  own(0, {worker("w1")});
+  answerHold(listing({}));
+  Workers_.takeStart().Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+  Owner_->tick();
+  ListedEnd End;
+  End.Sequence_ = 1;
+  End.Task_ = {JobId, 0, 0, 0};
+  End.Run_ = 1;
+  End.Kind_ = EndKind::Done;
+  RecordingWorkers::Hold Waiting = Workers_.takeHold();
+  Waiting.Done_(listing({}, {End}));
+  // Nothing was sent for longer than a restart takes.
+  Clock_.advance(milliseconds(2000));
+  tickTwice();
+  ASSERT_FALSE(Workers_.Holds_.empty());
+  EXPECT_EQ(Workers_.Holds_.front().Order_.AcknowledgedEnd_, 0U);
+  answerHold(listing({}, {End}));
+  ASSERT_FALSE(Workers_.Holds_.empty());
+  EXPECT_EQ(Workers_.Holds_.front().Order_.AcknowledgedEnd_, 1U);
+}
+
+TEST_F(PoolOwnerTest, StoresAnEndBeforeItIsAcknowledged) {
+  storeJob(jobOf(2));
+  own(0, {worker("w1")});
+  answerHold(listing({}));
+  Workers_.takeStart().Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+  Workers_.takeStart().Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+  Owner_->tick();
+  Store_.Outcome_ = StoreOutcome::NotDone;
+  ListedEnd End;
+  End.Sequence_ = 1;
+  End.Task_ = {JobId, 0, 0, 0};
+  End.Run_ = 1;
+  End.Kind_ = EndKind::Done;
+  answerHold(listing({}, {End}));
+  Clock_.advance(milliseconds(400));
+  Owner_->tick();
+  ASSERT_FALSE(Workers_.Holds_.empty());
+  EXPECT_EQ(Workers_.Holds_.front().Order_.AcknowledgedEnd_, 0U);
+}
+
+TEST_F(PoolOwnerTest, RefusalForAHigherTokenDoesNotStopThePool) {
+  storeJob(jobOf(1));
+  own(0, {worker("w1"), worker("w2")});
+  HoldAnswer Refused;
+  Refused.Outcome_ = OrderOutcome::Fenced;
+  Workers_.takeHold().Done_(Refused);
+  answerHold(listing({}));
+  EXPECT_EQ(Workers_.Starts_.size(), 1U);
+}
+
+TEST_F(PoolOwnerTest, PendingJobsAreUnknownBeforeTheyAreLoaded) {
+  storeJob(jobOf(1));
+  Store_.Outcome_ = StoreOutcome::NotDone;
+  own(0, {});
+  EXPECT_FALSE(Owner_->pendingJobs().has_value());
+  Store_.Outcome_ = StoreOutcome::Done;
+  Clock_.advance(milliseconds(500));
+  for (int Round = 0; Round < 5; ++Round)
+    Owner_->tick();
+  ASSERT_TRUE(Owner_->pendingJobs().has_value());
+  EXPECT_EQ(Owner_->pendingJobs()->at("queue"), 1U);
+}
+
+TEST_F(PoolOwnerTest, UnansweredStartIsStoppedOnALaterLifetime) {
+  storeJob(jobOf(1));
+  own(0, {worker("w1")});
+  answerHold(listing({}));
+  Workers_.takeStart().Done_({OrderOutcome::Unknown, WorkerClock(0)});
+  WorkerEntry Reborn = worker("w1");
+  Reborn.Born_ = milliseconds(900);
+  Owner_->onWorkers({Reborn});
+  Owner_->tick();
+  // The later lifetime may have taken the start: the task waits until it has
+  // been told to stop it.
+  EXPECT_TRUE(Workers_.Starts_.empty());
+  HoldAnswer Empty = listing({});
+  Empty.Born_ = milliseconds(900);
+  for (int Round = 0; Round < 3; ++Round) {
+    while (!Workers_.Holds_.empty())
+      Workers_.takeHold().Done_(Empty);
+    tickTwice();
+  }
+  ASSERT_FALSE(Workers_.Stops_.empty());
+  EXPECT_TRUE(Workers_.Starts_.empty());
+}
+
+JobSpec servingJob() {
+  JobSpec Spec;
+  StepSpec Step;
+  Step.TaskCount_ = 2;
+  Step.PerTask_ = {1000, 1000, 0};
+  Step.IsLongRunning_ = true;
+  Step.DisruptionBudget_ = 1;
+  Spec.Steps_ = {Step};
+  return Spec;
+}
+
+TEST_F(PoolOwnerTest, MaintenanceCountsTasksOnOneWorkerTogether) {
+  storeJob(servingJob());
+  own(0, {worker("w1")});
+  std::vector<ListedRun> Running;
+  for (std::uint32_t Index = 0; Index < 2; ++Index) {
+    ListedRun Run;
+    Run.Task_ = {JobId, 0, 0, Index};
+    Run.Run_ = 1;
+    Run.Percent_ = 100;
+    Running.push_back(Run);
+  }
+  answerHold(listing(Running));
+  Machine Only;
+  Only.Name_ = "machine-of-w1";
+  Only.Pool_ = "pool";
+  Only.State_ = MachineState::Up;
+  Only.Worker_ = "w1";
+  Machines_.List_ = {true, {Only}};
+  MaintenanceWave Wave;
+  Wave.Number_ = 1;
+  Wave.Machines_ = {"machine-of-w1"};
+  Wave.Duration_ = milliseconds(20000);
+  Owner_->onWaves({Wave});
+  for (int Round = 0; Round < 20; ++Round) {
+    Clock_.advance(milliseconds(100));
+    Owner_->tick();
+    while (!Workers_.Holds_.empty())
+      Workers_.takeHold().Done_(listing(Running));
+  }
+  EXPECT_TRUE(Machines_.Orders_.empty());
+  // One of the two is moved away first.
+  ASSERT_FALSE(Workers_.Stops_.empty());
+  for (const RecordingWorkers::Stop &Stop : Workers_.Stops_)
+    EXPECT_EQ(Stop.Task_, Workers_.Stops_[0].Task_);
+}
+
+} // namespace
+} // namespace dragonflylock
