--- a/src/emulator/internal/emulatednode.cpp
+++ b/src/emulator/internal/emulatednode.cpp
@@ -120,19 +120,18 @@
 
 void EmulatedNode::start(const WorkerTarget &Target, const StartOrder &Order,
                          IWorkerControl::OrderDone Done) {
-  Shared_.Workers_.start(Name_, delivery(), Target, Order, std::move(Done));
+  Shared_.Workers_.start(Name_, delivery(), Target, Order, Done);
 }
 
 void EmulatedNode::stop(const WorkerTarget &Target, const TaskName &Task,
                         RunNumber Run, FencingToken Token,
                         IWorkerControl::OrderDone Done) {
-  Shared_.Workers_.stop(Name_, delivery(), Target, Task, Run, Token,
-                        std::move(Done));
+  Shared_.Workers_.stop(Name_, delivery(), Target, Task, Run, Token, Done);
 }
 
 void EmulatedNode::hold(const WorkerTarget &Target, const HoldOrder &Order,
                         HoldDone Done) {
-  Shared_.Workers_.hold(Name_, delivery(), Target, Order, std::move(Done));
+  Shared_.Workers_.hold(Name_, delivery(), Target, Order, Done);
 }
 
 void EmulatedNode::pace(const WorkerTarget &, const TaskName &, RunNumber,
--- a/src/global/internal/boostlogger.cpp
+++ b/src/global/internal/boostlogger.cpp
@@ -62,7 +62,7 @@
   boost::log::add_common_attributes();
   auto Output = boost::make_shared<Backend>();
   Output->add_stream(
-      boost::shared_ptr<std::ostream>(&std::cerr, boost::null_deleter()));
+      boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
   Output->auto_flush(true);
   Sink_->Frontend_ = boost::make_shared<Frontend>(Output);
   Sink_->Frontend_->set_formatter(
--- a/src/global/internal/boostlogger.h
+++ b/src/global/internal/boostlogger.h
@@ -8,7 +8,7 @@
 
 namespace dragonflylock {
 
-/// Logs to standard error through Boost.Log, on a thread of its own. Lines
+/// Logs to standard output through Boost.Log, on a thread of its own. Lines
 /// are dropped where too many wait.
 class BoostLogger : public ILogger {
 public:
--- a/src/http/tests/curlasyncclient_test.cpp
+++ b/src/http/tests/curlasyncclient_test.cpp
@@ -28,7 +28,7 @@
   CurlAsyncClientTest()
       : Server_({"127.0.0.1", 0}, Handler_, 1U << 20U),
         Client_(
-            [](std::function<void()> Next) {
+            [](const std::function<void()> &Next) {
               Next();
               return true;
             },
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -275,7 +275,9 @@
   }
   Parts_->logStatus();
   Parts_->Paces_->tick();
-  Parts_->Maintenance_->tick();
+  // Before every worker has been asked it is not known what an order ends.
+  if (Parts_->IsInheritedSettled_)
+    Parts_->Maintenance_->tick();
   Parts_->Writer_->flush();
   Parts_->Jobs_.retireEnded();
   Parts_->removeGoneWorkers();
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -287,7 +287,10 @@
 
 JobDesk &SchedulerNode::desk() { return *Parts_->Desk_; }
 
-std::uint64_t SchedulerNode::pending(const std::string &Queue) const {
+std::optional<std::uint64_t>
+SchedulerNode::pending(const std::string &Queue) const {
+  if (!Parts_->Control_->isLoaded())
+    return std::nullopt;
   std::uint64_t Sum = 0;
   for (const auto &[Pool, Row] : Parts_->Pending_) {
     auto Found = Row.Pending_.find(Queue);
--- a/src/scheduling/schedulernode.h
+++ b/src/scheduling/schedulernode.h
@@ -78,8 +78,9 @@
   bool needsWorkers() const;
   /// \returns where callers' jobs are handed in.
   JobDesk &desk();
-  /// \returns how many accepted jobs of a queue have not begun.
-  std::uint64_t pending(const std::string &Queue) const;
+  /// \returns how many accepted jobs of a queue have not begun; nothing before
+  /// the owners' reports have been read.
+  std::optional<std::uint64_t> pending(const std::string &Queue) const;
 
 private:
   struct Parts;
