--- a/src/node/internal/eventloop.cpp
+++ b/src/node/internal/eventloop.cpp
@@ -25,7 +25,7 @@
 void EventLoop::run() {
   while (!IsStopping_) {
     Wake_.waitFor(Interval_);
-    Ring_.drain([](Work Next) { Next(); });
+    Ring_.drain([](const Work &Next) { Next(); });
     Regular_();
   }
 }
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -65,6 +65,7 @@
                               Right.Urgency_);
             });
   std::vector<ActiveJob *> Jobs;
+  Jobs.reserve(Entries.size());
   for (const Entry &Each : Entries)
     Jobs.push_back(Each.Job_);
   return Jobs;
--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -347,9 +347,9 @@
     store(Each, Next, "", [](Wave &) {});
 }
 
-void MaintenanceKeeper::store(Wave &Each, WaveProgress Next,
+void MaintenanceKeeper::store(Wave &Each, const WaveProgress &Next,
                               const std::string &Announced,
-                              std::function<void(Wave &)> Then) {
+                              const std::function<void(Wave &)> &Then) {
   Each.IsBusy_ = true;
   StoreKey Row = controlrows::wave(Each.Asked_.Number_);
   StoreTransaction Wanted;
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -76,8 +76,8 @@
                  MachineOutcome Outcome);
   void releaseReturned(Wave &Each);
   /// \param Announced machine that an order is announced for; empty for none.
-  void store(Wave &Each, WaveProgress Next, const std::string &Announced,
-             std::function<void(Wave &)> Then);
+  void store(Wave &Each, const WaveProgress &Next, const std::string &Announced,
+             const std::function<void(Wave &)> &Then);
   void report(Wave &Each);
   bool isComplete(const Wave &Each) const;
   bool isReady(const Wave &Each, const std::string &Name);
