One ManualClock for all tests

Cause: the fakes of the scheduler's tests wrote src/global/tests/mocks/manualclock.h again; the two classes were the same.

--- a/src/scheduling/tests/mocks/fakefleet.h
+++ b/src/scheduling/tests/mocks/fakefleet.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_SCHEDULING_TESTS_MOCKS_FAKEFLEET_H
 
 #include "global/ilogger.h"
+#include "global/tests/mocks/manualclock.h"
 #include "scheduling/imachinecontrol.h"
 #include "scheduling/istore.h"
 #include "scheduling/iworkercontrol.h"
@@ -14,20 +15,6 @@
 
 namespace dragonflylock {
 
-/// A clock that a test sets.
-class ManualClock : public IClock {
-public:
-  TimePoint now() const override { return Now_; }
-  WallTime wallNow() const override {
-    return WallTime(std::chrono::duration_cast<WallTime::duration>(
-        Now_.time_since_epoch()));
-  }
-  void advance(std::chrono::milliseconds By) { Now_ += By; }
-
-private:
-  TimePoint Now_{std::chrono::hours(1)};
-};
-
 class SilentLogger : public ILogger {
 public:
   void write(LogLevel, const LogEvent &) override {}
