Remove an error kind and a field that nothing reads

Cause: SchedulingErrc::BadJob is never made (the adapter has its own kind), and the store's clock was decoded with every range and used nowhere.

--- a/src/scheduling/internal/schedulingerrors.cpp
+++ b/src/scheduling/internal/schedulingerrors.cpp
@@ -8,8 +8,6 @@
   switch (static_cast<SchedulingErrc>(Kind)) {
   case SchedulingErrc::BadRow:
     return "bad-row";
-  case SchedulingErrc::BadJob:
-    return "bad-job";
   }
   return "unknown";
 }
--- a/src/scheduling/schedulingerrors.h
+++ b/src/scheduling/schedulingerrors.h
@@ -9,8 +9,6 @@
 enum class SchedulingErrc {
   /// A row of the store can't be read.
   BadRow = 1,
-  /// A submitted job is malformed.
-  BadJob,
 };
 
 /// \returns the error code of \p Kind.
--- a/src/scheduling/storetypes.h
+++ b/src/scheduling/storetypes.h
@@ -1,7 +1,6 @@
 #ifndef DRAGONFLYLOCK_SCHEDULING_STORETYPES_H
 #define DRAGONFLYLOCK_SCHEDULING_STORETYPES_H
 
-#include <chrono>
 #include <cstdint>
 #include <string>
 #include <tuple>
@@ -85,8 +84,6 @@
   bool HasMore_ = false;
   /// Newest version of the store.
   StoreVersion Version_ = 0;
-  /// The store's steady clock.
-  std::chrono::milliseconds StoreClock_{0};
 };
 
 /// Changes of a table since a version.
