--- /dev/null
+++ b/src/scheduling/capacityplanner.h
@@ -0,0 +1,45 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_CAPACITYPLANNER_H
+#define DRAGONFLYLOCK_SCHEDULING_CAPACITYPLANNER_H
+
+#include <chrono>
+#include <cstdint>
+
+namespace dragonflylock {
+
+/// Load of a pool. A task weighs the largest share of a machine's processors,
+/// memory or accelerators that it takes.
+struct PoolLoad {
+  /// Machines that are ready for jobs.
+  std::uint32_t Machines_ = 0;
+  /// Machines' worth of room that lasting tasks take.
+  double Lasting_ = 0;
+  /// Accepted work that is left, in machine-seconds.
+  double Backlog_ = 0;
+  /// Work that was accepted in the last second, in machine-seconds.
+  double Arriving_ = 0;
+};
+
+/// Decides how many machines a pool wants for the work it has. Answers bursts
+/// that exceed a pool's machines for longer than a machine needs to move.
+class CapacityPlanner {
+public:
+  /// \param MoveTime time in which a machine that changes its pool serves
+  /// neither.
+  explicit CapacityPlanner(std::chrono::milliseconds MoveTime)
+      : MoveTime_(MoveTime) {}
+
+  /// \returns machines that the pool should have besides those it has.
+  std::uint32_t missing(const PoolLoad &Load) const;
+  /// \returns machines that the pool can do without until they could be back.
+  std::uint32_t dispensable(const PoolLoad &Load) const;
+  /// \returns the time for which a machine must be idle before it goes to the
+  /// spare pool.
+  std::chrono::milliseconds releaseAfter() const;
+
+private:
+  std::chrono::milliseconds MoveTime_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -49,6 +49,16 @@
   std::set<std::string> Done_;
 };
 
+/// Machines that a pool asks others for.
+struct DemandRow {
+  /// Machines that the pool lacks besides those that are on their way.
+  std::uint32_t Missing_ = 0;
+  /// Machines that were given and have not arrived.
+  std::set<std::string> Coming_;
+
+  bool operator==(const DemandRow &) const = default;
+};
+
 /// Names and texts of the rows by which nodes coordinate. All are in one table
 /// that every node follows.
 namespace controlrows {
@@ -57,6 +67,7 @@
 inline constexpr const char *OwnerPrefix = "owner/";
 inline constexpr const char *RosterPrefix = "roster/";
 inline constexpr const char *PendingPrefix = "pending/";
+inline constexpr const char *DemandPrefix = "demand/";
 inline constexpr const char *WavePrefix = "wave/";
 /// A row for each machine: the node that ordered it last.
 inline constexpr const char *MachinePrefix = "machine/";
@@ -64,16 +75,19 @@
 StoreKey owner(const std::string &Pool);
 StoreKey roster(const std::string &Pool);
 StoreKey pending(const std::string &Pool);
+StoreKey demand(const std::string &Pool);
 StoreKey wave(std::uint64_t Number);
 StoreKey machine(const std::string &Machine);
 
 std::string encode(const OwnerRow &Row);
 std::string encode(const PendingRow &Row);
+std::string encode(const DemandRow &Row);
 std::string encode(const WaveProgress &Row);
 std::string encode(const RosterRow &Row);
 /// Each is nothing where the text can't be read.
 std::optional<OwnerRow> decodeOwner(const std::string &Text);
 std::optional<PendingRow> decodePending(const std::string &Text);
+std::optional<DemandRow> decodeDemand(const std::string &Text);
 std::optional<WaveProgress> decodeWave(const std::string &Text);
 std::optional<RosterRow> decodeRoster(const std::string &Text);
 
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -23,6 +23,7 @@
 StoreKey owner(const std::string &Pool) { return row(OwnerPrefix + Pool); }
 StoreKey roster(const std::string &Pool) { return row(RosterPrefix + Pool); }
 StoreKey pending(const std::string &Pool) { return row(PendingPrefix + Pool); }
+StoreKey demand(const std::string &Pool) { return row(DemandPrefix + Pool); }
 StoreKey wave(std::uint64_t Number) {
   return row(WavePrefix + std::to_string(Number));
 }
@@ -44,6 +45,10 @@
   return json{{"pending", Row.Pending_}}.dump();
 }
 
+std::string encode(const DemandRow &Row) {
+  return json{{"missing", Row.Missing_}, {"coming", Row.Coming_}}.dump();
+}
+
 std::string encode(const WaveProgress &Row) {
   return json{{"down", Row.Down_}, {"done", Row.Done_}}.dump();
 }
@@ -78,6 +83,15 @@
   });
 }
 
+std::optional<DemandRow> decodeDemand(const std::string &Text) {
+  return read<DemandRow>(Text, [](const json &Source) {
+    DemandRow Row;
+    Row.Missing_ = Source.at("missing").get<std::uint32_t>();
+    Row.Coming_ = Source.at("coming").get<std::set<std::string>>();
+    return Row;
+  });
+}
+
 std::optional<WaveProgress> decodeWave(const std::string &Text) {
   return read<WaveProgress>(Text, [](const json &Source) {
     WaveProgress Row;
--- /dev/null
+++ b/src/scheduling/internal/movekeeper.cpp
@@ -0,0 +1,309 @@
+#include "scheduling/internal/movekeeper.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
+#include "scheduling/demandboard.h"
+#include "scheduling/imachinecontrol.h"
+#include "scheduling/internal/loadmeter.h"
+#include "scheduling/internal/poolstate.h"
+#include "scheduling/istore.h"
+#include "scheduling/machineledger.h"
+
+#include <algorithm>
+
+namespace dragonflylock {
+namespace {
+
+/// Interval of measuring the pool's load.
+constexpr std::chrono::milliseconds RoundInterval{100};
+/// Pause after a grant that did not go through.
+constexpr std::chrono::milliseconds RetryPause{150};
+/// Pause between two orders to move the same machine.
+constexpr std::chrono::milliseconds OrderPause{250};
+/// Interval of reading the list of machines while a pool asks for some.
+constexpr std::chrono::milliseconds ListInterval{400};
+/// Time that the spare pool has to answer a demand before other pools do.
+constexpr std::chrono::milliseconds SpareFirst{250};
+/// Time beyond a move's own in which a machine must have arrived.
+constexpr std::chrono::milliseconds ArrivalMargin{2000};
+/// Machines of one grant; a transaction takes 100 entries.
+constexpr std::size_t LargestGrant = 20;
+
+} // namespace
+
+MoveKeeper::MoveKeeper(PoolState &Pool, IMachineControl &Machines,
+                       MachineLedger &Ledger, DemandBoard &Demands)
+    : Pool_(Pool), Machines_(Machines), Ledger_(Ledger), Demands_(Demands),
+      Planner_(Pool.Settings_.MoveTime_) {}
+
+void MoveKeeper::tick() {
+  const TimePoint Now = Pool_.Clock_.now();
+  std::string Spare = sparePool();
+  if (Spare.empty() || Now < NextRound_ || !Pool_.mayAct())
+    return;
+  NextRound_ = Now + RoundInterval;
+  noteIdleWorkers();
+  repeatMoves();
+  PoolLoad Load = measureLoad(Pool_);
+  if (Pool_.Pool_ != Spare)
+    tellDemand(Load);
+  give(Load);
+}
+
+std::string MoveKeeper::sparePool() const {
+  for (const SchedulingPool &Each : Pool_.Configuration_->Pools_)
+    if (Each.IsSpare_)
+      return Each.Name_;
+  return {};
+}
+
+void MoveKeeper::tellDemand(const PoolLoad &Load) {
+  if (IsWriting_)
+    return;
+  DemandRow Next = Demands_.of(Pool_.Pool_).Row_;
+  dropArrived(Next);
+  auto Coming = static_cast<std::uint32_t>(Next.Coming_.size());
+  std::uint32_t Missing = Planner_.missing(Load);
+  Next.Missing_ = Missing > Coming ? Missing - Coming : 0;
+  if (Next != Demands_.of(Pool_.Pool_).Row_)
+    store(Next);
+}
+
+void MoveKeeper::dropArrived(DemandRow &Row) {
+  const TimePoint Now = Pool_.Clock_.now();
+  std::erase_if(ComingSince_, [&](const auto &Each) {
+    return !Row.Coming_.contains(Each.first);
+  });
+  std::erase_if(Row.Coming_, [&](const std::string &Name) {
+    TimePoint Since = ComingSince_.try_emplace(Name, Now).first->second;
+    bool IsOverdue = Now >= Since + Pool_.Settings_.MoveTime_ + ArrivalMargin;
+    return IsOverdue || sessionOn(Name) != nullptr;
+  });
+}
+
+void MoveKeeper::store(const DemandRow &Row) {
+  IsWriting_ = true;
+  StoreTransaction Wanted;
+  StoreKey Name = controlrows::demand(Pool_.Pool_);
+  Wanted.Expected_ = {{Name, Demands_.of(Pool_.Pool_).Version_}};
+  Wanted.Puts_ = {{Name, controlrows::encode(Row)}};
+  Pool_.Store_.transact(
+      std::move(Wanted),
+      [Weak = weak_from_this(), Row](const StoreTransactionEnd &End) {
+        auto Self = Weak.lock();
+        if (!Self)
+          return;
+        Self->IsWriting_ = false;
+        if (End.Outcome_ == StoreOutcome::Done)
+          Self->Demands_.onStored(Self->Pool_.Pool_, Row, End.Version_);
+        for (const StoreRow &Current : End.Current_)
+          Self->Demands_.onRow(Self->Pool_.Pool_, Current);
+      });
+}
+
+bool MoveKeeper::isIdle(const WorkerSession &Session) const {
+  return Session.IsListed_ && Session.IsFenced_ && !Session.IsReserved_ &&
+         Session.entry().State_ == WorkerState::Ready &&
+         Session.HoldFailures_ == 0 && Session.runs().empty() &&
+         !Session.hasUnsettledEnds() &&
+         Session.acknowledged() >= Session.acknowledgeable() &&
+         !Session.entry().Machine_.empty();
+}
+
+void MoveKeeper::noteIdleWorkers() {
+  std::map<std::string, TimePoint> Idle;
+  for (const auto &[Lifetime, Session] : Pool_.Sessions_) {
+    if (!isIdle(*Session))
+      continue;
+    auto Known = IdleSince_.find(Lifetime);
+    Idle[Lifetime] =
+        Known == IdleSince_.end() ? Pool_.Clock_.now() : Known->second;
+  }
+  IdleSince_ = std::move(Idle);
+}
+
+std::vector<std::string>
+MoveKeeper::idleMachines(std::chrono::milliseconds Least) const {
+  std::vector<std::string> Names;
+  for (const auto &[Lifetime, Since] : IdleSince_) {
+    const WorkerSession &Session = *Pool_.Sessions_.at(Lifetime);
+    const std::string &Name = Session.entry().Machine_;
+    if (Since + Least <= Pool_.Clock_.now() && isIdle(Session) &&
+        Ledger_.mayOrder(Name, Pool_.Settings_.OwnerLease_))
+      Names.push_back(Name);
+  }
+  return Names;
+}
+
+void MoveKeeper::give(const PoolLoad &Load) {
+  const TimePoint Now = Pool_.Clock_.now();
+  std::string To = Demands_.neediest(Pool_.Pool_);
+  if (To.empty())
+    AskedSince_ = TimePoint();
+  else if (AskedSince_ == TimePoint())
+    AskedSince_ = Now;
+  if (IsGranting_ || Now < NextGrant_)
+    return;
+  std::string Spare = sparePool();
+  if (Pool_.Pool_ == Spare) {
+    if (To.empty())
+      return;
+    listSpareMachines();
+    grant(To, SpareMachines_);
+    return;
+  }
+  std::size_t Most = Planner_.dispensable(Load);
+  bool IsAsked = !To.empty() && Now >= AskedSince_ + SpareFirst;
+  auto Idle = idleMachines(IsAsked ? std::chrono::milliseconds(0)
+                                   : Planner_.releaseAfter());
+  Idle.resize(std::min(Idle.size(), Most));
+  if (!Idle.empty() && (IsAsked || To.empty()))
+    grant(IsAsked ? To : Spare, std::move(Idle));
+}
+
+void MoveKeeper::grant(const std::string &To, std::vector<std::string> Names) {
+  std::erase_if(Names, [this](const std::string &Name) {
+    return Moves_.contains(Name) ||
+           !Ledger_.mayOrder(Name, Pool_.Settings_.OwnerLease_);
+  });
+  DemandRow Row = Demands_.of(To).Row_;
+  bool IsAsked = To != sparePool();
+  std::size_t Most = IsAsked ? Row.Missing_ : LargestGrant;
+  Names.resize(std::min({Names.size(), Most, LargestGrant}));
+  if (Names.empty())
+    return;
+  StoreTransaction Wanted;
+  if (IsAsked) {
+    Row.Missing_ -= static_cast<std::uint32_t>(Names.size());
+    Row.Coming_.insert(Names.begin(), Names.end());
+    Wanted.Expected_.push_back(
+        {controlrows::demand(To), Demands_.of(To).Version_});
+    Wanted.Puts_.push_back(
+        {controlrows::demand(To), controlrows::encode(Row)});
+  }
+  for (const std::string &Name : Names) {
+    Ledger_.announce(Name, Wanted);
+    reserve(Name, true);
+  }
+  IsGranting_ = true;
+  Pool_.Store_.transact(std::move(Wanted),
+                        [Weak = weak_from_this(), To, Row,
+                         Names](const StoreTransactionEnd &End) {
+                          if (auto Self = Weak.lock())
+                            Self->onGranted(To, Row, Names, End);
+                        });
+}
+
+void MoveKeeper::onGranted(const std::string &To, const DemandRow &Row,
+                           const std::vector<std::string> &Names,
+                           const StoreTransactionEnd &End) {
+  IsGranting_ = false;
+  NextGrant_ = Pool_.Clock_.now() + RetryPause;
+  if (End.Outcome_ != StoreOutcome::Done) {
+    for (const std::string &Name : Names)
+      reserve(Name, false);
+    for (const StoreRow &Current : End.Current_) {
+      if (Current.Name_ == controlrows::demand(To))
+        Demands_.onRow(To, Current);
+      for (const std::string &Name : Names)
+        if (Current.Name_ == controlrows::machine(Name))
+          Ledger_.onRow(Name, Current);
+    }
+    return;
+  }
+  if (To != sparePool())
+    Demands_.onStored(To, Row, End.Version_);
+  Pool_.Logger_.write(LogLevel::Info,
+                      LogEvent("machines.given")
+                          .with("pool", Pool_.Pool_)
+                          .with("to", To)
+                          .with("machines", std::uint64_t{Names.size()})
+                          .with("token", End.Version_));
+  for (const std::string &Name : Names) {
+    Ledger_.onAnnounced(Name, End.Version_);
+    WorkerSession *Session = sessionOn(Name);
+    Move &Each = Moves_[Name];
+    Each.To_ = To;
+    Each.Lifetime_ =
+        Session != nullptr ? Session->entry().lifetime() : std::string();
+    Each.Token_ = End.Version_;
+    send(Name, Each);
+  }
+}
+
+void MoveKeeper::send(const std::string &Name, Move &Each) {
+  const TimePoint Now = Pool_.Clock_.now();
+  if (Each.IsBusy_ || Now < Each.NextTry_ || !Pool_.mayAct())
+    return;
+  Each.IsBusy_ = true;
+  Each.NextTry_ = Now + OrderPause;
+  Machines_.move({Name, Pool_.Settings_.Node_, Each.Token_}, Each.To_,
+                 [Weak = weak_from_this(), Name](MachineOutcome Outcome) {
+                   if (auto Self = Weak.lock())
+                     Self->onMoved(Name, Outcome);
+                 });
+}
+
+void MoveKeeper::repeatMoves() {
+  for (auto &[Name, Each] : Moves_)
+    send(Name, Each);
+}
+
+void MoveKeeper::onMoved(const std::string &Name, MachineOutcome Outcome) {
+  auto Found = Moves_.find(Name);
+  if (Found == Moves_.end())
+    return;
+  Found->second.IsBusy_ = false;
+  Pool_.Logger_.write(
+      LogLevel::Info,
+      LogEvent("machine.moved")
+          .with("machine", Name)
+          .with("from", Pool_.Pool_)
+          .with("to", Found->second.To_)
+          .with("outcome", static_cast<std::uint64_t>(Outcome)));
+  // An order whose fate is not known is repeated: the platform accepts one
+  // that it has carried out already.
+  if (Outcome == MachineOutcome::Unknown || Outcome == MachineOutcome::NotDone)
+    return;
+  if (WorkerSession *Session = Pool_.session(Found->second.Lifetime_)) {
+    bool IsMoved = Outcome == MachineOutcome::Accepted;
+    Session->IsListed_ = Session->IsListed_ && !IsMoved;
+    Session->IsReserved_ = IsMoved;
+  }
+  std::erase(SpareMachines_, Name);
+  Moves_.erase(Found);
+}
+
+void MoveKeeper::listSpareMachines() {
+  const TimePoint Now = Pool_.Clock_.now();
+  if (IsListing_ || Now < NextList_)
+    return;
+  IsListing_ = true;
+  NextList_ = Now + ListInterval;
+  Machines_.list([Weak = weak_from_this()](const MachineList &Read) {
+    auto Self = Weak.lock();
+    if (!Self)
+      return;
+    Self->IsListing_ = false;
+    if (!Read.IsValid_)
+      return;
+    Self->SpareMachines_.clear();
+    for (const Machine &Each : Read.Machines_)
+      if (Each.Pool_ == Self->Pool_.Pool_ && Each.State_ == MachineState::Up)
+        Self->SpareMachines_.push_back(Each.Name_);
+  });
+}
+
+WorkerSession *MoveKeeper::sessionOn(const std::string &Machine) {
+  for (auto &[Lifetime, Session] : Pool_.Sessions_)
+    if (Session->entry().Machine_ == Machine && Session->IsListed_)
+      return Session.get();
+  return nullptr;
+}
+
+void MoveKeeper::reserve(const std::string &Machine, bool IsReserved) {
+  if (WorkerSession *Session = sessionOn(Machine))
+    Session->IsReserved_ = IsReserved;
+  Pool_.NeedsDispatch_ = true;
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/movekeeper.h
@@ -0,0 +1,90 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_INTERNAL_MOVEKEEPER_H
+#define DRAGONFLYLOCK_SCHEDULING_INTERNAL_MOVEKEEPER_H
+
+#include "global/iclock.h"
+#include "scheduling/capacityplanner.h"
+#include "scheduling/controlrows.h"
+#include "scheduling/machinecalls.h"
+#include "scheduling/storetypes.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dragonflylock {
+
+class DemandBoard;
+class IMachineControl;
+class MachineLedger;
+class WorkerSession;
+struct PoolState;
+
+/// Asks for machines that the pool lacks, and gives idle ones of the pool to
+/// pools that ask, or to the spare pool. Only the owner of the pool that a
+/// machine is in orders its move, and only while nothing runs there.
+class MoveKeeper : public std::enable_shared_from_this<MoveKeeper> {
+public:
+  MoveKeeper(PoolState &Pool, IMachineControl &Machines, MachineLedger &Ledger,
+             DemandBoard &Demands);
+
+  void tick();
+
+private:
+  struct Move {
+    std::string To_;
+    /// Lifetime of the machine's worker; empty where it has none.
+    std::string Lifetime_;
+    FencingToken Token_ = 0;
+    bool IsBusy_ = false;
+    TimePoint NextTry_;
+  };
+
+  void tellDemand(const PoolLoad &Load);
+  /// Forgets machines that have arrived, or that are overdue.
+  void dropArrived(DemandRow &Row);
+  void store(const DemandRow &Row);
+  void give(const PoolLoad &Load);
+  void grant(const std::string &To, std::vector<std::string> Names);
+  void onGranted(const std::string &To, const DemandRow &Row,
+                 const std::vector<std::string> &Names,
+                 const StoreTransactionEnd &End);
+  void send(const std::string &Name, Move &Each);
+  void onMoved(const std::string &Name, MachineOutcome Outcome);
+  void repeatMoves();
+  void listSpareMachines();
+  void noteIdleWorkers();
+  /// \returns machines on which nothing has run for at least \p Least.
+  std::vector<std::string> idleMachines(std::chrono::milliseconds Least) const;
+  bool isIdle(const WorkerSession &Session) const;
+  WorkerSession *sessionOn(const std::string &Machine);
+  void reserve(const std::string &Machine, bool IsReserved);
+  /// \returns the configuration's spare pool; empty for none.
+  std::string sparePool() const;
+
+  PoolState &Pool_;
+  IMachineControl &Machines_;
+  MachineLedger &Ledger_;
+  DemandBoard &Demands_;
+  CapacityPlanner Planner_;
+  bool IsWriting_ = false;
+  bool IsGranting_ = false;
+  bool IsListing_ = false;
+  TimePoint NextRound_;
+  TimePoint NextGrant_;
+  TimePoint NextList_;
+  /// By lifetime.
+  std::map<std::string, TimePoint> IdleSince_;
+  /// Since when another pool has asked; unset while none does.
+  TimePoint AskedSince_;
+  /// Machines of the spare pool that are up, as listed last.
+  std::vector<std::string> SpareMachines_;
+  /// When each machine that is coming was seen in the pool's demand first.
+  std::map<std::string, TimePoint> ComingSince_;
+  /// By machine.
+  std::map<std::string, Move> Moves_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- a/src/scheduling/internal/placement.cpp
+++ b/src/scheduling/internal/placement.cpp
@@ -36,9 +36,13 @@
   // Tasks that a disruption must not take together are spread.
   bool IsSpread = Step.DisruptionBudget_.has_value();
   std::int64_t Together = IsSpread ? Worker.SameStep_ : 0;
+  // Lasting tasks go where most room is left, short ones where least is: so
+  // machines become idle as a whole and can serve other pools.
+  std::int64_t Sign = Step.IsLongRunning_ ? 1 : -1;
   return std::make_tuple(!Worker.HasFailedTask_, !IsFar, -Together,
                          -static_cast<std::int64_t>(Disturbed),
-                         Worker.Free_.CpuMillis_, Worker.Free_.MemoryMb_);
+                         Sign * Worker.Free_.CpuMillis_,
+                         Sign * Worker.Free_.MemoryMb_);
 }
 
 } // namespace
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -6,6 +6,7 @@
 #include "scheduling/internal/jobfollower.h"
 #include "scheduling/internal/jobregister.h"
 #include "scheduling/internal/maintenancekeeper.h"
+#include "scheduling/internal/movekeeper.h"
 #include "scheduling/internal/pacekeeper.h"
 #include "scheduling/internal/poolstate.h"
 #include "scheduling/internal/progresswriter.h"
@@ -40,6 +41,8 @@
         Paces_(std::make_shared<PaceKeeper>(State_)),
         Maintenance_(std::make_shared<MaintenanceKeeper>(
             State_, *Starts_, *Source.Machines_, *Source.Ledger_)),
+        Moves_(std::make_shared<MoveKeeper>(State_, *Source.Machines_,
+                                            *Source.Ledger_, *Source.Demands_)),
         Follower_(std::make_shared<JobFollower>(
             State_.Store_, State_.Clock_,
             [this](const StoreRow &Row) { Jobs_.onRow(Row); })),
@@ -68,6 +71,7 @@
   std::shared_ptr<RosterKeeper> Roster_;
   std::shared_ptr<PaceKeeper> Paces_;
   std::shared_ptr<MaintenanceKeeper> Maintenance_;
+  std::shared_ptr<MoveKeeper> Moves_;
   std::shared_ptr<JobFollower> Follower_;
   bool IsLoaded_ = false;
   /// Whether an earlier owner may have left runs behind.
@@ -108,6 +112,11 @@
   return *this;
 }
 
+PoolOwner::Builder &PoolOwner::Builder::demands(DemandBoard &Value) {
+  Demands_ = &Value;
+  return *this;
+}
+
 PoolOwner::Builder &PoolOwner::Builder::logger(ILogger &Value) {
   Logger_ = &Value;
   return *this;
@@ -276,8 +285,10 @@
   Parts_->logStatus();
   Parts_->Paces_->tick();
   // Before every worker has been asked it is not known what an order ends.
-  if (Parts_->IsInheritedSettled_)
+  if (Parts_->IsInheritedSettled_) {
     Parts_->Maintenance_->tick();
+    Parts_->Moves_->tick();
+  }
   Parts_->Writer_->flush();
   Parts_->Jobs_.retireEnded();
   Parts_->removeGoneWorkers();
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -2,6 +2,7 @@
 #include "global/ilogger.h"
 #include "global/logevent.h"
 #include "scheduling/controlrows.h"
+#include "scheduling/demandboard.h"
 #include "scheduling/istore.h"
 #include "scheduling/machineledger.h"
 #include "scheduling/ownershipkeeper.h"
@@ -38,6 +39,7 @@
   IStore &Store_;
   ILogger &Logger_;
   MachineLedger Ledger_;
+  DemandBoard Demands_;
   PoolOwner::Builder OwnerBuilder_;
   std::shared_ptr<const SchedulingConfiguration> Configuration_;
   std::map<std::string, WorkerEntry> Workers_;
@@ -64,6 +66,7 @@
       .workers(*Source.Workers_)
       .machines(*Source.Machines_)
       .ledger(Ledger_)
+      .demands(Demands_)
       .logger(Logger_);
   Desk_ = std::make_shared<JobDesk>(
       Store_, Clock_, Logger_,
@@ -94,6 +97,7 @@
   const std::string OwnerPrefix = controlrows::OwnerPrefix;
   const std::string MachinePrefix = controlrows::MachinePrefix;
   const std::string PendingPrefix = controlrows::PendingPrefix;
+  const std::string DemandPrefix = controlrows::DemandPrefix;
   for (const StoreRow &Row : Rows) {
     const std::string &Key = Row.Name_.Key_;
     if (Row.IsRemoved_)
@@ -102,6 +106,8 @@
       Ownership_->onRow(Key.substr(OwnerPrefix.size()), Row);
     if (Key.starts_with(MachinePrefix))
       Ledger_.onRow(Key.substr(MachinePrefix.size()), Row);
+    if (Key.starts_with(DemandPrefix))
+      Demands_.onRow(Key.substr(DemandPrefix.size()), Row);
     if (!Key.starts_with(PendingPrefix))
       continue;
     if (auto Read = controlrows::decodePending(Row.Value_))
--- a/src/scheduling/poolowner.h
+++ b/src/scheduling/poolowner.h
@@ -14,6 +14,7 @@
 
 namespace dragonflylock {
 
+class DemandBoard;
 class IClock;
 class ILogger;
 class IMachineControl;
@@ -46,6 +47,7 @@
     Builder &workers(IWorkerControl &Value);
     Builder &machines(IMachineControl &Value);
     Builder &ledger(MachineLedger &Value);
+    Builder &demands(DemandBoard &Value);
     Builder &logger(ILogger &Value);
     /// \returns an owner that has not begun to act.
     std::unique_ptr<PoolOwner> build(const PoolTenure &Tenure) const;
@@ -58,6 +60,7 @@
     IWorkerControl *Workers_ = nullptr;
     IMachineControl *Machines_ = nullptr;
     MachineLedger *Ledger_ = nullptr;
+    DemandBoard *Demands_ = nullptr;
     ILogger *Logger_ = nullptr;
   };
 
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/controlrows.h"
+#include "scheduling/demandboard.h"
 #include "scheduling/jobrowcodec.h"
 #include "scheduling/jobrows.h"
 #include "scheduling/machineledger.h"
@@ -69,6 +70,7 @@
                  .workers(Workers_)
                  .machines(Machines_)
                  .ledger(Ledger_)
+                 .demands(Demands_)
                  .logger(Logger_)
                  .build({"pool", Token, Predecessors,
                          Clock_.now() + std::chrono::hours(1)});
@@ -109,6 +111,7 @@
   RecordingWorkers Workers_;
   AcceptingMachines Machines_;
   MachineLedger Ledger_;
+  DemandBoard Demands_;
   SchedulingSettings Settings_;
   std::shared_ptr<const SchedulingConfiguration> Configuration_;
   std::unique_ptr<PoolOwner> Owner_;
