--- a/src/scheduling/capacityplanner.h
+++ b/src/scheduling/capacityplanner.h
@@ -11,11 +11,17 @@
 struct PoolLoad {
   /// Machines that are ready for jobs.
   std::uint32_t Machines_ = 0;
+  /// Machines that the pool has while no other pool borrows or lends.
+  std::uint32_t Home_ = 0;
   /// Machines' worth of room that lasting tasks take.
   double Lasting_ = 0;
-  /// Accepted work that is left, in machine-seconds.
-  double Backlog_ = 0;
-  /// Work that was accepted in the last second, in machine-seconds.
+  /// Machines' worth of room that other tasks take which run.
+  double Running_ = 0;
+  /// Machines' worth of room in which the tasks that could start now would
+  /// end within CapacityPlanner::ClearTime.
+  double Waiting_ = 0;
+  /// Work that was accepted in the last second, in machine-seconds; the room
+  /// that it takes while it goes on arriving.
   double Arriving_ = 0;
 };
 
@@ -23,6 +29,9 @@
 /// that exceed a pool's machines for longer than a machine needs to move.
 class CapacityPlanner {
 public:
+  /// Time in which waiting tasks are to be worked off once machines have come.
+  static constexpr std::chrono::milliseconds ClearTime{2500};
+
   /// \param MoveTime time in which a machine that changes its pool serves
   /// neither.
   explicit CapacityPlanner(std::chrono::milliseconds MoveTime)
@@ -30,8 +39,10 @@
 
   /// \returns machines that the pool should have besides those it has.
   std::uint32_t missing(const PoolLoad &Load) const;
-  /// \returns machines that the pool can do without until they could be back.
-  std::uint32_t dispensable(const PoolLoad &Load) const;
+  /// \returns machines that the pool can lend to another one.
+  std::uint32_t lendable(const PoolLoad &Load) const;
+  /// \returns machines that the pool can give to the spare pool.
+  std::uint32_t releasable(const PoolLoad &Load) const;
   /// \returns the time for which a machine must be idle before it goes to the
   /// spare pool.
   std::chrono::milliseconds releaseAfter() const;
--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -55,6 +55,8 @@
   std::uint32_t Missing_ = 0;
   /// Machines that were given and have not arrived.
   std::set<std::string> Coming_;
+  /// Machines that the pool had before any was moved; 0 where not known.
+  std::uint32_t Home_ = 0;
 
   bool operator==(const DemandRow &) const = default;
 };
--- a/src/scheduling/internal/capacityplanner.cpp
+++ b/src/scheduling/internal/capacityplanner.cpp
@@ -12,11 +12,6 @@
 constexpr double Packing = 0.85;
 /// Time from a worker's start until it is registered and takes tasks.
 constexpr Seconds RegistrationTime{0.4};
-/// Time in which a backlog is to be worked off once machines have come.
-constexpr Seconds ClearTime{1.5};
-/// Backlog, as time of the whole pool, that is worked off without more
-/// machines.
-constexpr Seconds TolerableBacklog{0.5};
 /// A machine goes to the spare pool when it has been idle for as long as two
 /// moves take: the way there and back.
 constexpr int MovesOfRelease = 2;
@@ -30,25 +25,28 @@
 } // namespace
 
 std::uint32_t CapacityPlanner::missing(const PoolLoad &Load) const {
-  double Delay = Seconds(MoveTime_ + RegistrationTime).count();
   double Now = usable(Load);
-  double Backlog =
-      std::max(0.0, Load.Backlog_ + (Load.Arriving_ - Now) * Delay);
-  if (Backlog <= Now * TolerableBacklog.count())
+  double Needed = std::max(Load.Arriving_, Load.Running_) + Load.Waiting_;
+  if (Needed <= Now)
     return 0;
-  double Wanted = Load.Arriving_ + Backlog / ClearTime.count();
-  return static_cast<std::uint32_t>(
-      std::ceil(std::max(0.0, (Wanted - Now) / Packing)));
+  // What gathers until machines come is to be worked off as well.
+  double Delay = Seconds(MoveTime_ + RegistrationTime) / Seconds(ClearTime);
+  Needed += std::max(0.0, Load.Arriving_ - Now) * Delay;
+  return static_cast<std::uint32_t>(std::ceil((Needed - Now) / Packing));
 }
 
-std::uint32_t CapacityPlanner::dispensable(const PoolLoad &Load) const {
-  double Needed =
-      std::max(Load.Arriving_, Load.Backlog_ / ClearTime.count()) / Packing +
-      Load.Lasting_;
-  double Left = static_cast<double>(Load.Machines_) - std::ceil(Needed);
+std::uint32_t CapacityPlanner::lendable(const PoolLoad &Load) const {
+  double Needed = std::max(Load.Arriving_, Load.Running_) + Load.Waiting_;
+  double Left = static_cast<double>(Load.Machines_) - Load.Lasting_ -
+                std::ceil(Needed / Packing);
   return static_cast<std::uint32_t>(std::max(0.0, Left));
 }
 
+std::uint32_t CapacityPlanner::releasable(const PoolLoad &Load) const {
+  std::uint32_t Kept = std::min(Load.Machines_, Load.Home_);
+  return std::min(lendable(Load), Load.Machines_ - Kept);
+}
+
 std::chrono::milliseconds CapacityPlanner::releaseAfter() const {
   return MoveTime_ * MovesOfRelease;
 }
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -46,7 +46,10 @@
 }
 
 std::string encode(const DemandRow &Row) {
-  return json{{"missing", Row.Missing_}, {"coming", Row.Coming_}}.dump();
+  return json{{"missing", Row.Missing_},
+              {"coming", Row.Coming_},
+              {"home", Row.Home_}}
+      .dump();
 }
 
 std::string encode(const WaveProgress &Row) {
@@ -88,6 +91,7 @@
     DemandRow Row;
     Row.Missing_ = Source.at("missing").get<std::uint32_t>();
     Row.Coming_ = Source.at("coming").get<std::set<std::string>>();
+    Row.Home_ = Source.at("home").get<std::uint32_t>();
     return Row;
   });
 }
--- a/src/scheduling/internal/loadmeter.cpp
+++ b/src/scheduling/internal/loadmeter.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/internal/loadmeter.h"
+#include "global/iclock.h"
 #include "scheduling/internal/poolstate.h"
 
 #include <algorithm>
@@ -10,9 +11,6 @@
 
 /// Age up to which a job counts as arriving.
 constexpr std::chrono::milliseconds ArrivalWindow{1000};
-/// A task that runs has half of its time left on average.
-constexpr double RunningShare = 0.5;
-
 bool isReady(const WorkerSession &Session) {
   return Session.IsListed_ && !Session.IsReserved_ &&
          Session.entry().State_ == WorkerState::Ready;
@@ -44,36 +42,39 @@
                    shareOf(Step.PerTask_.Gpus_, Unit.Gpus_)});
 }
 
-/// \returns the job's work in machine-seconds, of occurrences that are due.
-/// \param OnlyLeft whether to leave out what has been done.
-double workOf(const ActiveJob &Job, const Resources &Unit,
-              std::chrono::milliseconds Wall, bool OnlyLeft) {
-  const JobSpec &Spec = Job.stored().Spec_;
+double secondsOf(const StepSpec &Step) {
+  return Seconds(Step.Estimate_).count();
+}
+
+/// \returns the job's work in machine-seconds.
+double workOf(const ActiveJob &Job, const Resources &Unit) {
   double Work = 0;
-  Job.forEachTask([&](const TaskName &Name, const TaskRun &Run) {
-    const StepSpec &Step = Job.step(Name);
-    bool IsDue = Spec.Times_ == 0 ||
-                 Wall >= Spec.FirstDue_ + Name.Occurrence_ * Spec.Interval_;
-    if (!IsDue || Step.IsLongRunning_)
-      return;
-    double Left = 1;
-    if (OnlyLeft && Run.Phase_ == TaskPhase::Done)
-      Left = 0;
-    else if (OnlyLeft && Run.Phase_ != TaskPhase::Waiting)
-      Left = RunningShare;
-    Work += Left * Seconds(Step.Estimate_).count() * shareOf(Step, Unit);
-  });
+  for (const StepSpec &Step : Job.stored().Spec_.Steps_)
+    if (!Step.IsLongRunning_)
+      Work += Step.TaskCount_ * secondsOf(Step) * shareOf(Step, Unit);
   return Work;
 }
 
-double lastingRoomOf(const ActiveJob &Job, const Resources &Unit) {
-  double Room = 0;
-  Job.forEachTask([&](const TaskName &Name, const TaskRun &) {
+/// \returns the room in which tasks of the step, once they may start, end in
+/// time.
+double waitingRoomOf(const StepSpec &Step, const Resources &Unit) {
+  double Clear = Seconds(CapacityPlanner::ClearTime).count();
+  return shareOf(Step, Unit) * std::min(1.0, secondsOf(Step) / Clear);
+}
+
+void addTasks(PoolLoad &Load, ActiveJob &Job, const Resources &Unit,
+              const PoolState &Pool) {
+  Job.forEachTask([&](const TaskName &Name, const TaskRun &Run) {
     const StepSpec &Step = Job.step(Name);
     if (Step.IsLongRunning_)
-      Room += shareOf(Step, Unit);
+      Load.Lasting_ += shareOf(Step, Unit);
+    else if (!Run.Worker_.empty())
+      Load.Running_ += shareOf(Step, Unit);
   });
-  return Room;
+  for (const TaskName &Name :
+       Job.startable(Pool.Clock_.now(), Pool.wallTime()))
+    if (!Job.step(Name).IsLongRunning_)
+      Load.Waiting_ += waitingRoomOf(Job.step(Name), Unit);
 }
 
 } // namespace
@@ -87,11 +88,11 @@
   for (const auto &[Id, Job] : Pool.Jobs_) {
     if (isFinal(Job->progress().state()) || Job->isCancelled())
       continue;
-    Load.Lasting_ += lastingRoomOf(*Job, Unit);
-    Load.Backlog_ += workOf(*Job, Unit, Wall, /*OnlyLeft=*/true);
-    if (std::chrono::abs(Wall - Job->stored().AcceptedAt_) < ArrivalWindow)
-      Load.Arriving_ += workOf(*Job, Unit, Wall, /*OnlyLeft=*/false) /
-                        Seconds(ArrivalWindow).count();
+    addTasks(Load, *Job, Unit, Pool);
+    bool IsNew =
+        std::chrono::abs(Wall - Job->stored().AcceptedAt_) < ArrivalWindow;
+    if (IsNew && Job->stored().Spec_.Times_ == 0)
+      Load.Arriving_ += workOf(*Job, Unit) / Seconds(ArrivalWindow).count();
   }
   return Load;
 }
--- a/src/scheduling/internal/movekeeper.cpp
+++ b/src/scheduling/internal/movekeeper.cpp
@@ -25,6 +25,9 @@
 constexpr std::chrono::milliseconds SpareFirst{250};
 /// Time beyond a move's own in which a machine must have arrived.
 constexpr std::chrono::milliseconds ArrivalMargin{2000};
+/// Time for which the number of machines must not change to be taken as the
+/// pool's own.
+constexpr std::chrono::milliseconds SteadyTime{1000};
 /// Machines of one grant; a transaction takes 100 entries.
 constexpr std::size_t LargestGrant = 20;
 
@@ -44,6 +47,7 @@
   noteIdleWorkers();
   repeatMoves();
   PoolLoad Load = measureLoad(Pool_);
+  Load.Home_ = Demands_.of(Pool_.Pool_).Row_.Home_;
   if (Pool_.Pool_ != Spare)
     tellDemand(Load);
   give(Load);
@@ -61,6 +65,8 @@
     return;
   DemandRow Next = Demands_.of(Pool_.Pool_).Row_;
   dropArrived(Next);
+  if (Next.Home_ == 0)
+    noteHome(Next, Load.Machines_);
   auto Coming = static_cast<std::uint32_t>(Next.Coming_.size());
   std::uint32_t Missing = Planner_.missing(Load);
   Next.Missing_ = Missing > Coming ? Missing - Coming : 0;
@@ -68,6 +74,15 @@
     store(Next);
 }
 
+void MoveKeeper::noteHome(DemandRow &Row, std::uint32_t Machines) {
+  const TimePoint Now = Pool_.Clock_.now();
+  if (Machines != LastMachines_)
+    SteadySince_ = Now;
+  LastMachines_ = Machines;
+  if (Now >= SteadySince_ + SteadyTime)
+    Row.Home_ = Machines;
+}
+
 void MoveKeeper::dropArrived(DemandRow &Row) {
   const TimePoint Now = Pool_.Clock_.now();
   std::erase_if(ComingSince_, [&](const auto &Each) {
@@ -151,8 +166,10 @@
     grant(To, SpareMachines_);
     return;
   }
-  std::size_t Most = Planner_.dispensable(Load);
   bool IsAsked = !To.empty() && Now >= AskedSince_ + SpareFirst;
+  std::size_t Most = Load.Home_ == 0 ? 0
+                     : IsAsked       ? Planner_.lendable(Load)
+                                     : Planner_.releasable(Load);
   auto Idle = idleMachines(IsAsked ? std::chrono::milliseconds(0)
                                    : Planner_.releaseAfter());
   Idle.resize(std::min(Idle.size(), Most));
--- a/src/scheduling/internal/movekeeper.h
+++ b/src/scheduling/internal/movekeeper.h
@@ -40,6 +40,8 @@
     TimePoint NextTry_;
   };
 
+  /// Notes the pool's own machines once their number is steady.
+  void noteHome(DemandRow &Row, std::uint32_t Machines);
   void tellDemand(const PoolLoad &Load);
   /// Forgets machines that have arrived, or that are overdue.
   void dropArrived(DemandRow &Row);
@@ -71,6 +73,8 @@
   bool IsGranting_ = false;
   bool IsListing_ = false;
   TimePoint NextRound_;
+  std::uint32_t LastMachines_ = 0;
+  TimePoint SteadySince_;
   TimePoint NextGrant_;
   TimePoint NextList_;
   /// By lifetime.
