One order for a machine at a time, sent within its window

Change: an announced order is sent within 1 s of its announcement, others wait for that besides the lease; a node makes one order for a machine at a time, and only from a list newer than the last one.

--- a/src/scheduling/internal/machineledger.cpp
+++ b/src/scheduling/internal/machineledger.cpp
@@ -2,33 +2,57 @@
 #include "scheduling/controlrows.h"
 
 namespace dragonflylock {
+namespace {
+
+/// Longest time for which an announced order is taken to be under way: the
+/// store's and the platform's answers together.
+constexpr std::chrono::milliseconds LongestOrder{4000};
+
+} // namespace
 
 void MachineLedger::onRow(const std::string &Machine, const StoreRow &Row) {
   LastOrder &Last = Orders_[Machine];
   if (Row.Version_ <= Last.Version_)
     return;
-  Last = {Row.Value_, Row.Version_, Clock_.now()};
+  Last.Node_ = Row.Value_;
+  Last.Version_ = Row.Version_;
+  Last.SeenAt_ = Clock_.now();
 }
 
 bool MachineLedger::mayOrder(const std::string &Machine,
-                             std::chrono::milliseconds Lease) const {
+                             std::chrono::milliseconds Lease,
+                             TimePoint ListedAt) const {
   auto Found = Orders_.find(Machine);
-  return Found == Orders_.end() || Found->second.Node_ == Node_ ||
-         Clock_.now() >= Found->second.SeenAt_ + Lease;
+  if (Found == Orders_.end())
+    return true;
+  const LastOrder &Last = Found->second;
+  const TimePoint Now = Clock_.now();
+  if (Now < Last.BusyUntil_ || ListedAt < Last.SeenAt_)
+    return false;
+  return Last.Node_ == Node_ || Now >= Last.SeenAt_ + Lease + OrderWindow;
 }
 
 void MachineLedger::announce(const std::string &Machine,
-                             StoreTransaction &Into) const {
-  auto Found = Orders_.find(Machine);
-  StoreVersion Version = Found == Orders_.end() ? 0 : Found->second.Version_;
+                             StoreTransaction &Into) {
+  LastOrder &Last = Orders_[Machine];
+  Last.BusyUntil_ = Clock_.now() + LongestOrder;
   StoreKey Row = controlrows::machine(Machine);
-  Into.Expected_.push_back({Row, Version});
+  Into.Expected_.push_back({Row, Last.Version_});
   Into.Puts_.push_back({Row, Node_});
 }
 
 void MachineLedger::onAnnounced(const std::string &Machine,
                                 StoreVersion Version) {
-  Orders_[Machine] = {Node_, Version, Clock_.now()};
+  LastOrder &Last = Orders_[Machine];
+  Last.Node_ = Node_;
+  Last.Version_ = std::max(Last.Version_, Version);
+  Last.SeenAt_ = Clock_.now();
+}
+
+void MachineLedger::onEnded(const std::string &Machine) {
+  LastOrder &Last = Orders_[Machine];
+  Last.BusyUntil_ = TimePoint();
+  Last.SeenAt_ = Clock_.now();
 }
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -90,7 +90,7 @@
   if (Each.Next_.empty())
     chooseNext(Each);
   if (!Each.Next_.empty() && isReady(Each, Each.Next_) &&
-      Ledger_.mayOrder(Each.Next_, Pool_.Settings_.OwnerLease_) &&
+      mayOrder(Each.Next_) &&
       Each.Row_.Down_.size() < Each.Asked_.MostAtOnce_)
     claim(Each, Each.Next_, /*IsRepeat=*/false);
 }
@@ -253,18 +253,27 @@
   // The row's new version is the token of the order, which no other has.
   WaveProgress Next = Each.Row_;
   Next.Down_[Name] = Pool_.Settings_.Node_;
-  store(Each, Next, Name, [this, Name, IsRepeat](Wave &Claimed) {
-    if (Claimed.Next_ == Name)
-      Claimed.Next_.clear();
-    order(Claimed, Name, IsRepeat);
-  });
+  store(Each, Next, Name,
+        [this, Name, IsRepeat, Sent = Pool_.Clock_.now()](Wave &Claimed) {
+          if (Claimed.Next_ == Name)
+            Claimed.Next_.clear();
+          Ledger_.onAnnounced(Name, Claimed.Version_);
+          bool IsInTime =
+              Pool_.Clock_.now() < Sent + MachineLedger::OrderWindow;
+          if (!IsInTime || !order(Claimed, Name, IsRepeat))
+            Ledger_.onEnded(Name); // Claimed again later.
+        });
+}
+
+bool MaintenanceKeeper::mayOrder(const std::string &Name) const {
+  return Ledger_.mayOrder(Name, Pool_.Settings_.OwnerLease_, ListedAt_);
 }
 
-void MaintenanceKeeper::order(Wave &Each, const std::string &Name,
+bool MaintenanceKeeper::order(Wave &Each, const std::string &Name,
                               bool IsRepeat) {
   WorkerSession *Session = sessionOf(Name);
   if (!Pool_.mayAct() || (Session != nullptr && !keepsBudgets(*Session)))
-    return; // Claimed again later.
+    return false;
   Each.IsBusy_ = true;
   Each.Ordered_[Name] = {Session != nullptr ? Session->entry().lifetime()
                                             : std::string(),
@@ -277,12 +286,14 @@
                        if (auto Self = Weak.lock())
                          Self->onOrdered(Number, Name, Outcome);
                      });
+  return true;
 }
 
 void MaintenanceKeeper::onOrdered(std::uint64_t Number, const std::string &Name,
                                   MachineOutcome Outcome) {
   Wave &Each = Waves_[Number];
   Each.IsBusy_ = false;
+  Ledger_.onEnded(Name);
   Pool_.Logger_.write(
       LogLevel::Info,
       LogEvent("machine.maintained")
@@ -329,7 +340,7 @@
     if (Ordered == Each.Ordered_.end()) {
       // Claimed by an earlier owner, or not known to be carried out.
       if (Found->second.State_ != MachineState::Up || !readyForOrder(Name) ||
-          !Ledger_.mayOrder(Name, Pool_.Settings_.OwnerLease_))
+          !mayOrder(Name))
         continue;
       claim(Each, Name, /*IsRepeat=*/true);
       return;
@@ -368,6 +379,8 @@
         Stored.IsBusy_ = false;
         if (End.Outcome_ != StoreOutcome::Done) {
           Stored.IsLoaded_ = false;
+          if (!Announced.empty())
+            Self->Ledger_.onEnded(Announced);
           return;
         }
         Stored.Row_ = Next;
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -71,7 +71,9 @@
   void onLoaded(std::uint64_t Number, const StoreRange &Read);
   void chooseNext(Wave &Each);
   void claim(Wave &Each, const std::string &Name, bool IsRepeat);
-  void order(Wave &Each, const std::string &Name, bool IsRepeat);
+  /// \returns whether the order was sent.
+  bool order(Wave &Each, const std::string &Name, bool IsRepeat);
+  bool mayOrder(const std::string &Name) const;
   void onOrdered(std::uint64_t Number, const std::string &Name,
                  MachineOutcome Outcome);
   void releaseReturned(Wave &Each);
--- a/src/scheduling/internal/movekeeper.cpp
+++ b/src/scheduling/internal/movekeeper.cpp
@@ -142,8 +142,7 @@
   for (const auto &[Lifetime, Since] : IdleSince_) {
     const WorkerSession &Session = *Pool_.Sessions_.at(Lifetime);
     const std::string &Name = Session.entry().Machine_;
-    if (Since + Least <= Pool_.Clock_.now() && isIdle(Session) &&
-        Ledger_.mayOrder(Name, Pool_.Settings_.OwnerLease_))
+    if (Since + Least <= Pool_.Clock_.now() && isIdle(Session))
       Names.push_back(Name);
   }
   return Names;
@@ -152,36 +151,58 @@
 void MoveKeeper::give(const PoolLoad &Load) {
   const TimePoint Now = Pool_.Clock_.now();
   std::string To = Demands_.neediest(Pool_.Pool_);
-  if (To.empty())
-    AskedSince_ = TimePoint();
-  else if (AskedSince_ == TimePoint())
-    AskedSince_ = Now;
+  noteSince(AskedSince_, !To.empty());
+  noteSince(SurplusSince_, Load.Home_ > 0 && Planner_.releasable(Load) > 0);
   if (IsGranting_ || Now < NextGrant_)
     return;
-  std::string Spare = sparePool();
-  if (Pool_.Pool_ == Spare) {
-    if (To.empty())
-      return;
-    listSpareMachines();
-    grant(To, SpareMachines_);
+  if (Pool_.Pool_ == sparePool())
+    giveSpare(To);
+  else if (AskedSince_ && Now >= *AskedSince_ + SpareFirst)
+    lend(To, Load);
+  else if (!AskedSince_ && SurplusSince_ &&
+           Now >= *SurplusSince_ + Planner_.releaseAfter())
+    release(Load);
+}
+
+void MoveKeeper::noteSince(std::optional<TimePoint> &Since, bool IsSo) const {
+  if (!IsSo)
+    Since.reset();
+  else if (!Since)
+    Since = Pool_.Clock_.now();
+}
+
+void MoveKeeper::giveSpare(const std::string &To) {
+  if (To.empty())
     return;
-  }
-  bool IsAsked = !To.empty() && Now >= AskedSince_ + SpareFirst;
-  std::size_t Most = Load.Home_ == 0 ? 0
-                     : IsAsked       ? Planner_.lendable(Load)
-                                     : Planner_.releasable(Load);
-  auto Idle = idleMachines(IsAsked ? std::chrono::milliseconds(0)
-                                   : Planner_.releaseAfter());
-  Idle.resize(std::min(Idle.size(), Most));
-  if (!Idle.empty() && (IsAsked || To.empty()))
-    grant(IsAsked ? To : Spare, std::move(Idle));
+  listSpareMachines();
+  grant(To, SpareMachines_);
+}
+
+void MoveKeeper::lend(const std::string &To, const PoolLoad &Load) {
+  if (Load.Home_ == 0)
+    return;
+  auto Idle = idleMachines(std::chrono::milliseconds(0));
+  Idle.resize(std::min<std::size_t>(Idle.size(), Planner_.lendable(Load)));
+  grant(To, std::move(Idle));
+}
+
+void MoveKeeper::release(const PoolLoad &Load) {
+  auto Idle = idleMachines(Planner_.releaseAfter());
+  Idle.resize(std::min<std::size_t>(Idle.size(), Planner_.releasable(Load)));
+  grant(sparePool(), std::move(Idle));
+}
+
+bool MoveKeeper::mayOrder(const std::string &Name) const {
+  // A worker that answers shows that its machine is here now.
+  bool IsSpare = Pool_.Pool_ == sparePool();
+  TimePoint ListedAt = IsSpare ? ListedAt_ : Pool_.Clock_.now();
+  return !Moves_.contains(Name) &&
+         Ledger_.mayOrder(Name, Pool_.Settings_.OwnerLease_, ListedAt);
 }
 
 void MoveKeeper::grant(const std::string &To, std::vector<std::string> Names) {
-  std::erase_if(Names, [this](const std::string &Name) {
-    return Moves_.contains(Name) ||
-           !Ledger_.mayOrder(Name, Pool_.Settings_.OwnerLease_);
-  });
+  std::erase_if(Names,
+                [this](const std::string &Name) { return !mayOrder(Name); });
   DemandRow Row = Demands_.of(To).Row_;
   bool IsAsked = To != sparePool();
   std::size_t Most = IsAsked ? Row.Missing_ : LargestGrant;
@@ -203,28 +224,38 @@
   }
   IsGranting_ = true;
   Pool_.Store_.transact(std::move(Wanted),
-                        [Weak = weak_from_this(), To, Row,
-                         Names](const StoreTransactionEnd &End) {
+                        [Weak = weak_from_this(), To, Row, Names,
+                         Sent = Pool_.Clock_.now()](
+                            const StoreTransactionEnd &End) {
                           if (auto Self = Weak.lock())
-                            Self->onGranted(To, Row, Names, End);
+                            Self->onGranted(To, Row, Sent, Names, End);
                         });
 }
 
+void MoveKeeper::onRefused(const std::string &To,
+                           const std::vector<std::string> &Names,
+                           const StoreTransactionEnd &End) {
+  for (const std::string &Name : Names) {
+    reserve(Name, false);
+    Ledger_.onEnded(Name);
+  }
+  for (const StoreRow &Current : End.Current_) {
+    if (Current.Name_ == controlrows::demand(To))
+      Demands_.onRow(To, Current);
+    for (const std::string &Name : Names)
+      if (Current.Name_ == controlrows::machine(Name))
+        Ledger_.onRow(Name, Current);
+  }
+}
+
 void MoveKeeper::onGranted(const std::string &To, const DemandRow &Row,
+                           TimePoint Sent,
                            const std::vector<std::string> &Names,
                            const StoreTransactionEnd &End) {
   IsGranting_ = false;
   NextGrant_ = Pool_.Clock_.now() + RetryPause;
   if (End.Outcome_ != StoreOutcome::Done) {
-    for (const std::string &Name : Names)
-      reserve(Name, false);
-    for (const StoreRow &Current : End.Current_) {
-      if (Current.Name_ == controlrows::demand(To))
-        Demands_.onRow(To, Current);
-      for (const std::string &Name : Names)
-        if (Current.Name_ == controlrows::machine(Name))
-          Ledger_.onRow(Name, Current);
-    }
+    onRefused(To, Names, End);
     return;
   }
   if (To != sparePool())
@@ -243,16 +274,19 @@
     Each.Lifetime_ =
         Session != nullptr ? Session->entry().lifetime() : std::string();
     Each.Token_ = End.Version_;
+    Each.AnnouncedAt_ = Sent;
     send(Name, Each);
   }
 }
 
 void MoveKeeper::send(const std::string &Name, Move &Each) {
   const TimePoint Now = Pool_.Clock_.now();
-  if (Each.IsBusy_ || Now < Each.NextTry_ || !Pool_.mayAct())
+  if (Each.IsBusy_ || Now < Each.LastTry_ + OrderPause ||
+      Now >= Each.AnnouncedAt_ + MachineLedger::OrderWindow ||
+      !Pool_.mayAct())
     return;
   Each.IsBusy_ = true;
-  Each.NextTry_ = Now + OrderPause;
+  Each.LastTry_ = Now;
   Machines_.move({Name, Pool_.Settings_.Node_, Each.Token_}, Each.To_,
                  [Weak = weak_from_this(), Name](MachineOutcome Outcome) {
                    if (auto Self = Weak.lock())
@@ -260,9 +294,24 @@
                  });
 }
 
+bool MoveKeeper::isOver(const Move &Each) const {
+  TimePoint End = Each.AnnouncedAt_ + MachineLedger::OrderWindow;
+  // A machine that was moved without an answer leaves the registry soon.
+  if (Each.MayBeDone_)
+    End = Each.LastTry_ + Pool_.Settings_.MoveTime_ + ArrivalMargin;
+  return !Each.IsBusy_ && Pool_.Clock_.now() >= End;
+}
+
 void MoveKeeper::repeatMoves() {
-  for (auto &[Name, Each] : Moves_)
-    send(Name, Each);
+  std::vector<std::string> Names;
+  for (const auto &[Name, Each] : Moves_)
+    Names.push_back(Name);
+  for (const std::string &Name : Names) {
+    if (isOver(Moves_[Name]))
+      endMove(Name, /*IsMoved=*/false);
+    else
+      send(Name, Moves_[Name]); // The answer may end the move.
+  }
 }
 
 void MoveKeeper::onMoved(const std::string &Name, MachineOutcome Outcome) {
@@ -279,15 +328,21 @@
           .with("outcome", static_cast<std::uint64_t>(Outcome)));
   // An order whose fate is not known is repeated: the platform accepts one
   // that it has carried out already.
-  if (Outcome == MachineOutcome::Unknown || Outcome == MachineOutcome::NotDone)
-    return;
-  if (WorkerSession *Session = Pool_.session(Found->second.Lifetime_)) {
-    bool IsMoved = Outcome == MachineOutcome::Accepted;
+  if (Outcome == MachineOutcome::Unknown)
+    Found->second.MayBeDone_ = true;
+  if (Outcome != MachineOutcome::Unknown && Outcome != MachineOutcome::NotDone)
+    endMove(Name, Outcome == MachineOutcome::Accepted);
+}
+
+void MoveKeeper::endMove(const std::string &Name, bool IsMoved) {
+  if (WorkerSession *Session = Pool_.session(Moves_[Name].Lifetime_)) {
     Session->IsListed_ = Session->IsListed_ && !IsMoved;
     Session->IsReserved_ = IsMoved;
   }
   std::erase(SpareMachines_, Name);
-  Moves_.erase(Found);
+  Moves_.erase(Name);
+  Ledger_.onEnded(Name);
+  Pool_.NeedsDispatch_ = true;
 }
 
 void MoveKeeper::listSpareMachines() {
@@ -296,13 +351,15 @@
     return;
   IsListing_ = true;
   NextList_ = Now + ListInterval;
-  Machines_.list([Weak = weak_from_this()](const MachineList &Read) {
+  Machines_.list([Weak = weak_from_this(),
+                  Asked = Now](const MachineList &Read) {
     auto Self = Weak.lock();
     if (!Self)
       return;
     Self->IsListing_ = false;
     if (!Read.IsValid_)
       return;
+    Self->ListedAt_ = Asked;
     Self->SpareMachines_.clear();
     for (const Machine &Each : Read.Machines_)
       if (Each.Pool_ == Self->Pool_.Pool_ && Each.State_ == MachineState::Up)
--- a/src/scheduling/internal/movekeeper.h
+++ b/src/scheduling/internal/movekeeper.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -36,8 +37,12 @@
     /// Lifetime of the machine's worker; empty where it has none.
     std::string Lifetime_;
     FencingToken Token_ = 0;
+    /// When the announcement was sent.
+    TimePoint AnnouncedAt_;
     bool IsBusy_ = false;
-    TimePoint NextTry_;
+    /// Whether an order may have been carried out without an answer.
+    bool MayBeDone_ = false;
+    TimePoint LastTry_;
   };
 
   /// Notes the pool's own machines once their number is steady.
@@ -47,13 +52,23 @@
   void dropArrived(DemandRow &Row);
   void store(const DemandRow &Row);
   void give(const PoolLoad &Load);
+  void giveSpare(const std::string &To);
+  void lend(const std::string &To, const PoolLoad &Load);
+  void release(const PoolLoad &Load);
+  void noteSince(std::optional<TimePoint> &Since, bool IsSo) const;
   void grant(const std::string &To, std::vector<std::string> Names);
-  void onGranted(const std::string &To, const DemandRow &Row,
+  void onGranted(const std::string &To, const DemandRow &Row, TimePoint Sent,
                  const std::vector<std::string> &Names,
                  const StoreTransactionEnd &End);
+  void onRefused(const std::string &To, const std::vector<std::string> &Names,
+                 const StoreTransactionEnd &End);
+  bool mayOrder(const std::string &Name) const;
   void send(const std::string &Name, Move &Each);
   void onMoved(const std::string &Name, MachineOutcome Outcome);
   void repeatMoves();
+  /// \returns whether a move has neither been answered nor may be any more.
+  bool isOver(const Move &Each) const;
+  void endMove(const std::string &Name, bool IsMoved);
   void listSpareMachines();
   void noteIdleWorkers();
   /// \returns machines on which nothing has run for at least \p Least.
@@ -79,10 +94,13 @@
   TimePoint NextList_;
   /// By lifetime.
   std::map<std::string, TimePoint> IdleSince_;
-  /// Since when another pool has asked; unset while none does.
-  TimePoint AskedSince_;
+  /// Since when another pool has asked.
+  std::optional<TimePoint> AskedSince_;
+  /// Since when the pool has had machines that are not its own and not needed.
+  std::optional<TimePoint> SurplusSince_;
   /// Machines of the spare pool that are up, as listed last.
   std::vector<std::string> SpareMachines_;
+  TimePoint ListedAt_;
   /// When each machine that is coming was seen in the pool's demand first.
   std::map<std::string, TimePoint> ComingSince_;
   /// By machine.
--- a/src/scheduling/machineledger.h
+++ b/src/scheduling/machineledger.h
@@ -16,6 +16,11 @@
 /// row that announced it as its token, so that tokens rise.
 class MachineLedger {
 public:
+  /// Time from sending an announcement until its order must have been sent;
+  /// other nodes wait for it besides the lease, since the row may have been
+  /// written long before its answer came.
+  static constexpr std::chrono::milliseconds OrderWindow{1000};
+
   /// \param Node this node's name.
   /// \param Clock must outlive the ledger.
   MachineLedger(std::string Node, const IClock &Clock)
@@ -25,19 +30,26 @@
   void onRow(const std::string &Machine, const StoreRow &Row);
   /// \returns whether this node may order the machine.
   /// \param Lease time between orders of two nodes.
-  bool mayOrder(const std::string &Machine,
-                std::chrono::milliseconds Lease) const;
+  /// \param ListedAt when the list was asked for that shows the machine; it
+  /// must be newer than the last order.
+  bool mayOrder(const std::string &Machine, std::chrono::milliseconds Lease,
+                TimePoint ListedAt) const;
   /// Adds what announces an order to a transaction on the control rows. It
-  /// applies only if no other node has announced one since.
-  void announce(const std::string &Machine, StoreTransaction &Into) const;
+  /// applies only if no other node has announced one since. Until the order
+  /// has ended, or its time is over, this node makes no other one.
+  void announce(const std::string &Machine, StoreTransaction &Into);
   /// Notes that an announcement was stored.
   void onAnnounced(const std::string &Machine, StoreVersion Version);
+  /// Notes that an announced order was answered, or was not made.
+  void onEnded(const std::string &Machine);
 
 private:
   struct LastOrder {
     std::string Node_;
     StoreVersion Version_ = 0;
     TimePoint SeenAt_;
+    /// End of the time in which an order of this node may be under way.
+    TimePoint BusyUntil_;
   };
 
   std::string Node_;
--- a/src/scheduling/tests/mocks/fakefleet.h
+++ b/src/scheduling/tests/mocks/fakefleet.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dragonflylock {
@@ -44,7 +45,16 @@
       for (const StorePut &Each : Wanted.Puts_)
         Rows_[Each.Name_] = {Each.Name_, Each.Value_, Version_, false};
     }
-    Done(End);
+    if (IsHolding_)
+      Held_.push_back([End, Done = std::move(Done)] { Done(End); });
+    else
+      Done(End);
+  }
+  /// Gives the answers that were held back.
+  void release() {
+    IsHolding_ = false;
+    for (const auto &Answer : std::exchange(Held_, {}))
+      Answer();
   }
   void readRange(const std::string &Table, const std::string &Part,
                  const std::string &From, const std::string &To,
@@ -61,6 +71,9 @@
   void awaitChanges(const std::string &, StoreVersion,
                     std::chrono::milliseconds, ChangesDone) override {}
 
+  /// Whether answers to transactions are held back.
+  bool IsHolding_ = false;
+  std::vector<std::function<void()>> Held_;
   /// How every call ends.
   StoreOutcome Outcome_ = StoreOutcome::Done;
   StoreVersion Version_ = 0;
@@ -121,20 +134,28 @@
 /// Machines that accept every order.
 class AcceptingMachines : public IMachineControl {
 public:
+  struct Move {
+    MachineOrder Order_;
+    std::string Pool_;
+  };
+
   void list(ListDone Done) override { Done(List_); }
   void maintain(const MachineOrder &Order, std::uint64_t,
                 OrderDone Done) override {
     Orders_.push_back(Order);
     Done(MachineOutcome::Accepted);
   }
-  void move(const MachineOrder &, const std::string &,
+  void move(const MachineOrder &Order, const std::string &Pool,
             OrderDone Done) override {
-    Done(MachineOutcome::Accepted);
+    Moves_.push_back({Order, Pool});
+    Done(MoveOutcome_);
   }
   void reportWave(std::uint64_t, bool, ReportDone Done) override { Done(true); }
 
   MachineList List_;
   std::vector<MachineOrder> Orders_;
+  std::vector<Move> Moves_;
+  MachineOutcome MoveOutcome_ = MachineOutcome::Accepted;
 };
 
 } // namespace dragonflylock
