--- a/src/scheduling/internal/machineledger.cpp
+++ b/src/scheduling/internal/machineledger.cpp
@@ -49,10 +49,14 @@
   Last.SeenAt_ = Clock_.now();
 }
 
-void MachineLedger::onEnded(const std::string &Machine) {
+void MachineLedger::onOrdered(const std::string &Machine) {
   LastOrder &Last = Orders_[Machine];
   Last.BusyUntil_ = TimePoint();
   Last.SeenAt_ = Clock_.now();
 }
 
+void MachineLedger::onNotOrdered(const std::string &Machine) {
+  Orders_[Machine].BusyUntil_ = TimePoint();
+}
+
 } // namespace dragonflylock
--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -261,7 +261,7 @@
           bool IsInTime =
               Pool_.Clock_.now() < Sent + MachineLedger::OrderWindow;
           if (!IsInTime || !order(Claimed, Name, IsRepeat))
-            Ledger_.onEnded(Name); // Claimed again later.
+            Ledger_.onNotOrdered(Name); // Claimed again later.
         });
 }
 
@@ -293,7 +293,7 @@
                                   MachineOutcome Outcome) {
   Wave &Each = Waves_[Number];
   Each.IsBusy_ = false;
-  Ledger_.onEnded(Name);
+  Ledger_.onOrdered(Name);
   Pool_.Logger_.write(
       LogLevel::Info,
       LogEvent("machine.maintained")
@@ -306,13 +306,22 @@
   }
   Order &Accepted = Each.Ordered_[Name];
   Accepted.AcceptedAt_ = Pool_.Clock_.now();
-  if (Accepted.IsRepeat_)
+  WorkerSession *Session = Pool_.session(Accepted.Lifetime_);
+  if (Session == nullptr)
+    return;
+  if (Accepted.IsRepeat_) {
+    doubtRuns(*Session);
     return;
-  // All that ran on the machine ended with the order.
-  if (WorkerSession *Session = Pool_.session(Accepted.Lifetime_)) {
-    Session->IsListed_ = false;
-    Starts_.abandon(*Session);
   }
+  // All that ran on the machine ended with the order.
+  Session->IsListed_ = false;
+  Starts_.abandon(*Session);
+}
+
+void MaintenanceKeeper::doubtRuns(const WorkerSession &Session) {
+  for (const auto &[Name, Run] : Session.runs())
+    if (ActiveJob *Job = Pool_.job(Name.Job_))
+      Job->run(Name).Percent_ = 0;
 }
 
 bool MaintenanceKeeper::readyForOrder(const std::string &Name) {
@@ -380,7 +389,7 @@
         if (End.Outcome_ != StoreOutcome::Done) {
           Stored.IsLoaded_ = false;
           if (!Announced.empty())
-            Self->Ledger_.onEnded(Announced);
+            Self->Ledger_.onNotOrdered(Announced);
           return;
         }
         Stored.Row_ = Next;
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -76,6 +76,8 @@
   bool mayOrder(const std::string &Name) const;
   void onOrdered(std::uint64_t Number, const std::string &Name,
                  MachineOutcome Outcome);
+  /// Takes the worker's tasks for not at work until it lists them again.
+  void doubtRuns(const WorkerSession &Session);
   void releaseReturned(Wave &Each);
   /// \param Announced machine that an order is announced for; empty for none.
   void store(Wave &Each, const WaveProgress &Next, const std::string &Announced,
--- a/src/scheduling/internal/movekeeper.cpp
+++ b/src/scheduling/internal/movekeeper.cpp
@@ -237,7 +237,7 @@
                            const StoreTransactionEnd &End) {
   for (const std::string &Name : Names) {
     reserve(Name, false);
-    Ledger_.onEnded(Name);
+    Ledger_.onNotOrdered(Name);
   }
   for (const StoreRow &Current : End.Current_) {
     if (Current.Name_ == controlrows::demand(To))
@@ -341,7 +341,7 @@
   }
   std::erase(SpareMachines_, Name);
   Moves_.erase(Name);
-  Ledger_.onEnded(Name);
+  Ledger_.onOrdered(Name);
   Pool_.NeedsDispatch_ = true;
 }
 
--- a/src/scheduling/machineledger.h
+++ b/src/scheduling/machineledger.h
@@ -19,7 +19,7 @@
   /// Time from sending an announcement until its order must have been sent;
   /// other nodes wait for it besides the lease, since the row may have been
   /// written long before its answer came.
-  static constexpr std::chrono::milliseconds OrderWindow{1000};
+  static constexpr std::chrono::milliseconds OrderWindow{500};
 
   /// \param Node this node's name.
   /// \param Clock must outlive the ledger.
@@ -40,13 +40,16 @@
   void announce(const std::string &Machine, StoreTransaction &Into);
   /// Notes that an announcement was stored.
   void onAnnounced(const std::string &Machine, StoreVersion Version);
-  /// Notes that an announced order was answered, or was not made.
-  void onEnded(const std::string &Machine);
+  /// Notes that an announced order was answered.
+  void onOrdered(const std::string &Machine);
+  /// Notes that an announced order was not made.
+  void onNotOrdered(const std::string &Machine);
 
 private:
   struct LastOrder {
     std::string Node_;
     StoreVersion Version_ = 0;
+    /// When the row was seen, or this node's order was answered.
     TimePoint SeenAt_;
     /// End of the time in which an order of this node may be under way.
     TimePoint BusyUntil_;
