An order under way counts as a disruption for other waves

Change: the tasks of a machine count as away from the moment its order is sent until they are listed again. Test: ServingPairTest.OrdersOfTwoWavesKeepOneBudget, failed before.

--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -275,6 +275,8 @@
   if (!Pool_.mayAct() || (Session != nullptr && !keepsBudgets(*Session)))
     return false;
   Each.IsBusy_ = true;
+  if (Session != nullptr)
+    doubtRuns(*Session); // Other waves' orders may be made meanwhile.
   Each.Ordered_[Name] = {Session != nullptr ? Session->entry().lifetime()
                                             : std::string(),
                          IsRepeat,
@@ -310,7 +312,7 @@
   if (Session == nullptr)
     return;
   if (Accepted.IsRepeat_) {
-    doubtRuns(*Session);
+    doubtRuns(*Session); // They may have been listed since the order.
     return;
   }
   // All that ran on the machine ended with the order.
--- a/src/scheduling/tests/mocks/fakefleet.h
+++ b/src/scheduling/tests/mocks/fakefleet.h
@@ -143,7 +143,8 @@
   void maintain(const MachineOrder &Order, std::uint64_t,
                 OrderDone Done) override {
     Orders_.push_back(Order);
-    Done(MachineOutcome::Accepted);
+    if (!IsSilent_)
+      Done(MachineOutcome::Accepted);
   }
   void move(const MachineOrder &Order, const std::string &Pool,
             OrderDone Done) override {
@@ -153,6 +154,8 @@
   void reportWave(std::uint64_t, bool, ReportDone Done) override { Done(true); }
 
   MachineList List_;
+  /// Whether maintenance orders get no answer.
+  bool IsSilent_ = false;
   std::vector<MachineOrder> Orders_;
   std::vector<Move> Moves_;
   MachineOutcome MoveOutcome_ = MachineOutcome::Accepted;
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -326,49 +326,76 @@
     EXPECT_EQ(Stop.Task_, Workers_.Stops_[0].Task_);
 }
 
-TEST_F(PoolOwnerTest, ARepeatedMaintenanceOrderMayHaveEndedTasks) {
-  storeJob(servingJob());
-  MaintenanceWave Wave;
-  Wave.Number_ = 1;
-  Wave.Machines_ = {"machine-of-w1", "machine-of-w2"};
-  Wave.Duration_ = milliseconds(20000);
-  Wave.MostAtOnce_ = 2;
-  WaveProgress Claimed;
-  Claimed.Down_["machine-of-w1"] = "node-0";
-  StoreKey Row = controlrows::wave(1);
-  Store_.Rows_[Row] = {Row, controlrows::encode(Claimed), ++Store_.Version_,
-                       false};
-  own(0, {worker("w1"), worker("w2")});
-  auto listingOf = [this](const std::string &Id) {
+/// Two workers that each run one task of a serving step.
+class ServingPairTest : public PoolOwnerTest {
+protected:
+  ServingPairTest() {
+    storeJob(servingJob());
+    for (const char *Id : {"w1", "w2"}) {
+      Machine Each;
+      Each.Name_ = std::string("machine-of-") + Id;
+      Each.Pool_ = "pool";
+      Each.State_ = MachineState::Up;
+      Each.Worker_ = Id;
+      Machines_.List_.Machines_.push_back(Each);
+    }
+    Machines_.List_.IsValid_ = true;
+  }
+
+  static MaintenanceWave waveOf(std::uint64_t Number,
+                                const std::vector<std::string> &Machines) {
+    MaintenanceWave Wave;
+    Wave.Number_ = Number;
+    Wave.Machines_ = Machines;
+    Wave.Duration_ = milliseconds(20000);
+    Wave.MostAtOnce_ = 2;
+    return Wave;
+  }
+
+  HoldAnswer listingOf(const std::string &Id) const {
     ListedRun Run;
     Run.Task_ = {JobId, 0, 0, Id == "w1" ? 0U : 1U};
     Run.Run_ = 1;
     Run.Percent_ = 100;
     return listing({Run});
-  };
-  for (const char *Id : {"w1", "w2"}) {
-    Machine Each;
-    Each.Name_ = std::string("machine-of-") + Id;
-    Each.Pool_ = "pool";
-    Each.State_ = MachineState::Up;
-    Each.Worker_ = Id;
-    Machines_.List_.Machines_.push_back(Each);
   }
-  Machines_.List_.IsValid_ = true;
-  Owner_->onWaves({Wave});
-  for (int Round = 0; Round < 30; ++Round) {
-    Clock_.advance(milliseconds(100));
-    Owner_->tick();
-    // Whatever the order did, the first worker is silent from then on.
-    std::deque<RecordingWorkers::Hold> Holds;
-    Holds.swap(Workers_.Holds_);
-    for (RecordingWorkers::Hold &Each : Holds)
-      if (Each.Target_.Id_ == "w2" || Machines_.Orders_.empty())
-        Each.Done_(listingOf(Each.Target_.Id_));
+
+  /// Lets three seconds pass; the first worker is silent once an order was
+  /// made, whatever that has done.
+  void play() {
+    for (int Round = 0; Round < 30; ++Round) {
+      Clock_.advance(milliseconds(100));
+      Owner_->tick();
+      std::deque<RecordingWorkers::Hold> Holds;
+      Holds.swap(Workers_.Holds_);
+      for (RecordingWorkers::Hold &Each : Holds)
+        if (Each.Target_.Id_ == "w2" || Machines_.Orders_.empty())
+          Each.Done_(listingOf(Each.Target_.Id_));
+    }
   }
+};
+
+TEST_F(ServingPairTest, ARepeatedMaintenanceOrderMayHaveEndedTasks) {
+  WaveProgress Claimed;
+  Claimed.Down_["machine-of-w1"] = "node-0";
+  StoreKey Row = controlrows::wave(1);
+  Store_.Rows_[Row] = {Row, controlrows::encode(Claimed), ++Store_.Version_,
+                       false};
+  own(0, {worker("w1"), worker("w2")});
+  Owner_->onWaves({waveOf(1, {"machine-of-w1", "machine-of-w2"})});
+  play();
   ASSERT_EQ(Machines_.Orders_.size(), 1U);
   EXPECT_EQ(Machines_.Orders_[0].Machine_, "machine-of-w1");
 }
 
+TEST_F(ServingPairTest, OrdersOfTwoWavesKeepOneBudget) {
+  own(0, {worker("w1"), worker("w2")});
+  Machines_.IsSilent_ = true;
+  Owner_->onWaves(
+      {waveOf(1, {"machine-of-w1"}), waveOf(2, {"machine-of-w2"})});
+  play();
+  EXPECT_EQ(Machines_.Orders_.size(), 1U);
+}
+
 } // namespace
 } // namespace dragonflylock
