--- a/src/app/schedulerdaemon.cpp
+++ b/src/app/schedulerdaemon.cpp
@@ -6,6 +6,7 @@
 #include "http/internal/curlasyncclient.h"
 #include "http/internal/restinioserver.h"
 #include "node/eventloop.h"
+#include "platform/adviceclient.h"
 #include "platform/callerport.h"
 #include "platform/fleetfeeds.h"
 #include "platform/machineclient.h"
@@ -45,6 +46,7 @@
             ExchangeRing),
         Store_(Client_, Settings_.Store_), Workers_(Client_),
         Machines_(Client_, Settings_.Machines_, Store_),
+        Advisor_(Client_, Settings_.Advice_),
         Node_(SchedulerNode::Builder()
                   .settings(Settings_.Scheduling_)
                   .process(randomId(ProcessIdBytes))
@@ -52,6 +54,7 @@
                   .store(Store_)
                   .workers(Workers_)
                   .machines(Machines_)
+                  .advisor(Advisor_)
                   .logger(Logger_)
                   .build()),
         Feeds_(Store_, Clock_, Logger_, *Node_),
@@ -82,6 +85,7 @@
   TableStore Store_;
   WorkerClient Workers_;
   MachineClient Machines_;
+  AdviceClient Advisor_;
   std::unique_ptr<SchedulerNode> Node_;
   FleetFeeds Feeds_;
   JobCallerPort Callers_;
--- a/src/emulator/internal/emulatednode.cpp
+++ b/src/emulator/internal/emulatednode.cpp
@@ -33,6 +33,7 @@
               .store(*this)
               .workers(*this)
               .machines(*this)
+              .advisor(*this)
               .logger(*this)
               .build();
   Node_->onConfiguration(Shared_.Configuration_);
@@ -142,6 +143,15 @@
   });
 }
 
+void EmulatedNode::advise(const std::string &Step,
+                          const std::vector<std::string> &Workers,
+                          IAdvisor::Done Answer) {
+  Shared_.World_.after(CallTime, [=, this, Reach = delivery()] {
+    Advice Given = Shared_.Workers_.advise(Step, Workers);
+    Reach([=] { Answer(Given); });
+  });
+}
+
 void EmulatedNode::list(ListDone Done) {
   Shared_.World_.after(CallTime, [this, Answer = delivery(), Done] {
     MachineList Read = Shared_.Workers_.machines();
--- a/src/emulator/internal/emulatednode.h
+++ b/src/emulator/internal/emulatednode.h
@@ -4,6 +4,7 @@
 #include "emulator/modelstore.h"
 #include "emulator/modelworkers.h"
 #include "global/ilogger.h"
+#include "scheduling/iadvisor.h"
 #include "scheduling/imachinecontrol.h"
 #include "scheduling/istore.h"
 #include "scheduling/iworkercontrol.h"
@@ -33,6 +34,7 @@
 class EmulatedNode : public IStore,
                      public IWorkerControl,
                      public IMachineControl,
+                     public IAdvisor,
                      public ILogger {
 public:
   EmulatedNode(std::string Name, EmulatedWorld &Shared);
@@ -64,6 +66,8 @@
   void pace(const WorkerTarget &Target, const TaskName &Task, RunNumber Run,
             std::uint32_t Percent, FencingToken Token,
             IWorkerControl::OrderDone Done) override;
+  void advise(const std::string &Step, const std::vector<std::string> &Workers,
+              IAdvisor::Done Answer) override;
   void list(ListDone Done) override;
   void maintain(const MachineOrder &Order, std::uint64_t Wave,
                 IMachineControl::OrderDone Done) override;
--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -63,6 +63,7 @@
     Queue.MostAttempts_ = Rules_.MostAttempts_;
     Queue.Stretch_ = 1.6;
     Queue.TargetLatency_ = milliseconds(600);
+    Queue.NeedsAdvice_ = Number + 1 == Plan_.Pools_;
     Shared_.Configuration_.Queues_.push_back(Queue);
     for (std::uint32_t Worker = 0; Worker < Plan_.WorkersPerPool_; ++Worker)
       Workers_.add(Pool, Capacity);
@@ -90,7 +91,10 @@
     Step.TaskCount_ = static_cast<std::uint32_t>(World_.between(1, 6));
     Step.PerTask_ = {World_.between(300, 2500), World_.between(200, 3000), 0};
     Step.Estimate_ = milliseconds(World_.between(200, 1800));
-    Step.MayRunTwice_ = !IsLasting && World_.happens(0.2);
+    Step.IsGang_ = !IsLasting && World_.happens(0.15);
+    Step.WantsOneRack_ = Step.IsGang_ && World_.happens(0.5);
+    Step.MayRunTwice_ =
+        !IsLasting && !Step.IsGang_ && World_.happens(0.2);
     if (Number > 0)
       Step.After_ = {static_cast<std::uint32_t>(Number - 1)};
     if (IsLasting) {
@@ -129,6 +133,7 @@
       JobRecord &Record = Rules_.job(Job);
       Record.Spec_ = makeJob(Job);
       Record.Pool_ = Queue.Pool_;
+      Record.NeedsAdvice_ = Queue.NeedsAdvice_;
       submit(Job, Queue, 1);
     });
   }
@@ -230,6 +235,7 @@
 
 EmulatorReport Emulator::run() {
   Parts &World = *Parts_;
+  World.Rules_.IsCalm_ = World.Plan_.Faults_ == 0 && !World.Plan_.HasWave_;
   World.build();
   World.planTraffic();
   World.Faults_ = std::make_unique<FaultPlayer>(World.World_, World.Store_,
--- a/src/emulator/internal/modelworkers.cpp
+++ b/src/emulator/internal/modelworkers.cpp
@@ -2,6 +2,7 @@
 #include "emulator/simulation.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace dragonflylock {
 namespace {
@@ -16,6 +17,12 @@
 constexpr milliseconds HoldStep{20};
 constexpr milliseconds MaintenanceTime{2000};
 constexpr milliseconds MoveTime{1500};
+/// How long a member of a gang waits for the others.
+constexpr milliseconds GangTimeout{3000};
+/// Validity of an advice ticket.
+constexpr milliseconds TicketTime{3000};
+/// One in so many workers must not run a step that needs advice.
+constexpr std::size_t ForbiddenOneIn = 3;
 /// Time from the start of a lasting task until it works at full speed.
 constexpr milliseconds LastingStartup{900};
 constexpr std::uint32_t FullSpeed = 100;
@@ -48,10 +55,13 @@
 void ModelWorkers::restart(const std::string &Id, milliseconds Pause) {
   ModelWorker &Worker = Workers_[Id];
   std::string Lifetime = Worker.Entry_.lifetime();
-  for (const auto &[Task, Run] : Worker.Running_)
+  std::map<TaskName, ModelRun> Lost;
+  Lost.swap(Worker.Running_);
+  for (const auto &[Task, Run] : Lost) {
     Rules_.onEnd(Lifetime, Task, Run.Run_, EndKind::Stopped);
+    breakGang(Task, Run.Run_);
+  }
   Worker.IsUp_ = false;
-  Worker.Running_.clear();
   Worker.EndedRuns_.clear();
   Worker.Ends_.clear();
   Worker.LastEnd_ = 0;
@@ -133,10 +143,15 @@
   Free -= usedOf(Worker);
   if (!Free.holds(Step.PerTask_))
     return {OrderOutcome::NoRoom, Clock};
+  if (!hasTicket(Worker, Order))
+    return {OrderOutcome::BadTicket, Clock};
   Rules_.onStart(Worker.Entry_, Order.Task_, Order.Payload_);
-  ModelRun Run{Order.Run_, Step.PerTask_, World_.now(), ++NextSerial_};
+  ModelRun Run{Order.Run_, Step.PerTask_, World_.now(), ++NextSerial_,
+               Step.IsGang_};
   Worker.Running_[Order.Task_] = Run;
-  if (!Step.IsLongRunning_)
+  if (Step.IsGang_)
+    joinGang(Worker.Entry_.Id_, Order.Task_, Run);
+  else if (!Step.IsLongRunning_)
     World_.after(Step.Estimate_ * World_.between(50, 200) / 100,
                  [this, Id = Worker.Entry_.Id_, Life = Worker.Lives_,
                   Task = Order.Task_,
@@ -156,6 +171,86 @@
       World_.happens(Worker.FailShare_) ? EndKind::Failed : EndKind::Done);
 }
 
+std::map<TaskName, ModelWorker *>
+ModelWorkers::membersOf(const TaskName &Like, RunNumber Run) {
+  std::map<TaskName, ModelWorker *> Members;
+  for (auto &[Id, Worker] : Workers_)
+    for (const auto &[Task, Each] : Worker.Running_)
+      if (Task.Job_ == Like.Job_ && Task.Occurrence_ == Like.Occurrence_ &&
+          Task.Step_ == Like.Step_ && Each.Run_ == Run)
+        Members[Task] = &Worker;
+  return Members;
+}
+
+void ModelWorkers::joinGang(const std::string &Id, const TaskName &Task,
+                            const ModelRun &Run) {
+  const StepSpec &Step = Rules_.job(Task.Job_).Spec_.Steps_[Task.Step_];
+  auto Members = membersOf(Task, Run.Run_);
+  if (Members.size() == Step.TaskCount_) {
+    for (auto &[Name, Worker] : Members)
+      Worker->Running_[Name].IsWaiting_ = false;
+    World_.after(Step.Estimate_ * World_.between(50, 200) / 100,
+                 [this, Task, Number = Run.Run_] { finishGang(Task, Number); });
+    return;
+  }
+  World_.after(GangTimeout, [this, Id, Task, Serial = Run.Serial_] {
+    ModelWorker &Worker = Workers_[Id];
+    auto Found = Worker.Running_.find(Task);
+    if (Found == Worker.Running_.end() || Found->second.Serial_ != Serial ||
+        !Found->second.IsWaiting_)
+      return;
+    Rules_.onGangIncomplete(Task);
+    end(Worker, Task, EndKind::GangIncomplete);
+  });
+}
+
+void ModelWorkers::finishGang(const TaskName &Like, RunNumber Run) {
+  const StepSpec &Step = Rules_.job(Like.Job_).Spec_.Steps_[Like.Step_];
+  auto Members = membersOf(Like, Run);
+  if (Members.size() != Step.TaskCount_)
+    return; // A member has ended, and the others with it.
+  auto First = Members.begin();
+  if (World_.happens(First->second->FailShare_)) {
+    end(*First->second, First->first, EndKind::Failed);
+    return;
+  }
+  for (auto &[Name, Worker] : Members)
+    end(*Worker, Name, EndKind::Done);
+}
+
+void ModelWorkers::breakGang(const TaskName &Like, RunNumber Run) {
+  for (auto &[Name, Worker] : membersOf(Like, Run))
+    if (!Worker->Running_[Name].IsWaiting_)
+      end(*Worker, Name, EndKind::GangBroken);
+}
+
+bool ModelWorkers::hasTicket(const ModelWorker &Worker,
+                             const StartOrder &Order) const {
+  if (!Rules_.job(Order.Task_.Job_).NeedsAdvice_)
+    return true;
+  std::string Step = Order.Task_.Job_ + "." +
+                     std::to_string(Order.Task_.Occurrence_) + "." +
+                     std::to_string(Order.Task_.Step_);
+  Advice Given = advise(Step, {Worker.Entry_.Id_});
+  auto Ticket = Given.Tickets_.find(Worker.Entry_.Id_);
+  return Ticket != Given.Tickets_.end() && Ticket->second == Order.Ticket_;
+}
+
+Advice ModelWorkers::advise(const std::string &Step,
+                            const std::vector<std::string> &Workers) const {
+  Advice Given;
+  Given.IsValid_ = true;
+  Given.Validity_ = TicketTime;
+  for (const std::string &Id : Workers) {
+    auto Found = Workers_.find(Id);
+    bool IsForbidden =
+        std::hash<std::string>()(Step + Id) % ForbiddenOneIn == 0;
+    if (Found != Workers_.end() && !IsForbidden)
+      Given.Tickets_[Id] = Step + "/" + Found->second.Entry_.lifetime();
+  }
+  return Given;
+}
+
 void ModelWorkers::end(ModelWorker &Worker, const TaskName &Task,
                        EndKind Kind) {
   ModelRun Run = Worker.Running_[Task];
@@ -163,6 +258,9 @@
   Worker.EndedRuns_[Task] = std::max(Worker.EndedRuns_[Task], Run.Run_);
   Worker.Ends_.push_back({++Worker.LastEnd_, Task, Run.Run_, Kind, ""});
   Rules_.onEnd(Worker.Entry_.lifetime(), Task, Run.Run_, Kind);
+  const StepSpec &Step = Rules_.job(Task.Job_).Spec_.Steps_[Task.Step_];
+  if (Step.IsGang_ && Kind != EndKind::Done && Kind != EndKind::GangBroken)
+    breakGang(Task, Run.Run_);
 }
 
 void ModelWorkers::checkLease(const std::string &Id) {
--- a/src/emulator/internal/ruleledger.cpp
+++ b/src/emulator/internal/ruleledger.cpp
@@ -35,9 +35,7 @@
                      World_.now() > Job.CancelledAt_ + CancelLimit;
   if (IsCancelled)
     World_.breaks("UNASKED", Task.text() + " starts after its cancellation");
-  auto Failures = Job.NotedFailures_.find(Task);
-  if (Failures != Job.NotedFailures_.end() &&
-      Failures->second.size() >= MostAttempts_)
+  if (failuresOf(Job, Task, Job.NotedFailures_).size() >= MostAttempts_)
     World_.breaks("BUDGET", Task.text() + " starts after its last attempt");
   checkOrder(Job, Task);
   checkTwice(Job, Task);
@@ -163,10 +161,31 @@
   }
 }
 
+std::set<RunNumber> RuleLedger::failuresOf(
+    const JobRecord &Job, const TaskName &Task,
+    const std::map<TaskName, std::set<RunNumber>> &Failures) {
+  std::set<RunNumber> Counted;
+  const StepSpec &Step = Job.Spec_.Steps_[Task.Step_];
+  for (const auto &[Other, Runs] : Failures) {
+    bool IsMember = Step.IsGang_ && Other.Step_ == Task.Step_ &&
+                    Other.Occurrence_ == Task.Occurrence_;
+    if (Other == Task || IsMember)
+      Counted.insert(Runs.begin(), Runs.end());
+  }
+  return Counted;
+}
+
+void RuleLedger::onGangIncomplete(const TaskName &Task) {
+  if (IsCalm_ && Jobs_[Task.Job_].CancelledAt_ == TimePoint())
+    World_.breaks("GANG", Task.text() + " waited in vain for its gang");
+}
+
 bool RuleLedger::mayHaveFailed(const JobRecord &Job) const {
   return std::any_of(
-      Job.Failures_.begin(), Job.Failures_.end(),
-      [this](const auto &Each) { return Each.second.size() >= MostAttempts_; });
+      Job.Failures_.begin(), Job.Failures_.end(), [&](const auto &Each) {
+        return failuresOf(Job, Each.first, Job.Failures_).size() >=
+               MostAttempts_;
+      });
 }
 
 void RuleLedger::checkEnd() {
--- a/src/emulator/modelworkers.h
+++ b/src/emulator/modelworkers.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_EMULATOR_MODELWORKERS_H
 
 #include "emulator/ruleledger.h"
+#include "scheduling/iadvisor.h"
 #include "scheduling/iworkercontrol.h"
 #include "scheduling/machinecalls.h"
 #include "scheduling/schedulingtypes.h"
@@ -22,6 +23,8 @@
   Resources Resources_;
   TimePoint Started_;
   std::uint64_t Serial_ = 0;
+  /// Whether the run waits for the other members of its gang.
+  bool IsWaiting_ = false;
 };
 
 /// One worker in virtual time.
@@ -72,6 +75,9 @@
   void hold(const std::string &Node, const Deliver &Answer,
             const WorkerTarget &Target, const HoldOrder &Order,
             const IWorkerControl::HoldDone &Done);
+  /// \returns which of \p Workers may run the step, with their tickets.
+  Advice advise(const std::string &Step,
+                const std::vector<std::string> &Workers) const;
   MachineList machines() const;
   MachineOutcome maintain(const MachineOrder &Order, std::uint64_t Wave);
   MachineOutcome move(const MachineOrder &Order, const std::string &Pool);
@@ -81,6 +87,16 @@
   OrderAnswer applyStart(ModelWorker &Worker, const StartOrder &Order);
   WorkerClock clockOf(const ModelWorker &Worker) const;
   Resources usedOf(const ModelWorker &Worker) const;
+  /// Lets a gang work once all members of the run are there; a member that is
+  /// alone for too long ends.
+  void joinGang(const std::string &Id, const TaskName &Task,
+                const ModelRun &Run);
+  /// \returns the workers on which members of the run are, by task.
+  std::map<TaskName, ModelWorker *> membersOf(const TaskName &Like,
+                                              RunNumber Run);
+  void finishGang(const TaskName &Like, RunNumber Run);
+  void breakGang(const TaskName &Like, RunNumber Run);
+  bool hasTicket(const ModelWorker &Worker, const StartOrder &Order) const;
   void finish(const std::string &Id, std::uint64_t Life, const TaskName &Task,
               std::uint64_t Serial);
   void end(ModelWorker &Worker, const TaskName &Task, EndKind Kind);
--- a/src/emulator/ruleledger.h
+++ b/src/emulator/ruleledger.h
@@ -19,6 +19,8 @@
 struct JobRecord {
   JobSpec Spec_;
   std::string Pool_;
+  /// Whether starts must carry a ticket.
+  bool NeedsAdvice_ = false;
   bool IsAccepted_ = false;
   /// Whether some attempt to hand it in got an answer other than a refusal.
   bool MayBeAccepted_ = false;
@@ -59,6 +61,8 @@
 
   JobRecord &job(const std::string &Id) { return Jobs_[Id]; }
   const std::map<std::string, JobRecord> &jobs() const { return Jobs_; }
+  /// Whether the day has no faults.
+  bool IsCalm_ = false;
   /// Failed runs of a task after which it must not start again.
   std::uint32_t MostAttempts_ = 4;
 
@@ -68,6 +72,8 @@
              EndKind Kind);
   /// The worker was told to forget the end of a run.
   void onEndNoted(const TaskName &Task, RunNumber Run, EndKind Kind);
+  /// A member of a gang waited in vain for the others.
+  void onGangIncomplete(const TaskName &Task);
   void onAccepted(const std::string &Id);
   void onShown(const std::string &Id, JobPhase State);
   /// Checks that orders for a machine come from one node at a time.
@@ -88,6 +94,11 @@
 
 private:
   bool mayHaveFailed(const JobRecord &Job) const;
+  /// \returns failed runs that count for the task: its own, or those of all
+  /// members of its gang.
+  static std::set<RunNumber>
+  failuresOf(const JobRecord &Job, const TaskName &Task,
+             const std::map<TaskName, std::set<RunNumber>> &Failures);
   void checkOrder(const JobRecord &Job, const TaskName &Task);
   void checkTwice(const JobRecord &Job, const TaskName &Task);
 
--- a/src/scheduling/activejob.h
+++ b/src/scheduling/activejob.h
@@ -7,7 +7,9 @@
 #include "scheduling/storetypes.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dragonflylock {
@@ -33,6 +35,8 @@
   RunNumber Run_ = 0;
   /// Lifetime of the worker; empty while waiting.
   std::string Worker_;
+  /// Whether a worker refused the last run before it began.
+  bool WasRefused_ = false;
   /// Worker on which the last run failed; another one is preferred.
   std::string FailedOn_;
   /// Earliest time of the next start.
@@ -46,6 +50,15 @@
   TimePoint AtWorkSince_;
 };
 
+/// The current run of a gang: all tasks of one step of one occurrence.
+struct GangRun {
+  /// Run number of all members; 0 before the first start.
+  RunNumber Run_ = 0;
+  TimePoint StartedAt_;
+  /// Since when the gang could have started but did not fit.
+  TimePoint WaitsSince_;
+};
+
 /// A job that has not ended, as the owner of its pool holds it.
 class ActiveJob {
 public:
@@ -58,6 +71,10 @@
   }
   JobProgress &progress() { return Progress_; }
   const JobProgress &progress() const { return Progress_; }
+  /// \returns the run of the gang that the task belongs to.
+  GangRun &gang(const TaskName &Name) {
+    return Gangs_[{Name.Occurrence_, Name.Step_}];
+  }
   TaskRun &run(const TaskName &Name);
   const TaskRun &run(const TaskName &Name) const;
 
@@ -80,6 +97,8 @@
   /// occurrence is due at \p Wall.
   bool isStepOpen(std::uint32_t Occurrence, std::uint32_t Step,
                   std::chrono::milliseconds Wall) const;
+  /// \returns all tasks of the step of \p Like and its occurrence.
+  std::vector<TaskName> membersOf(const TaskName &Like) const;
   /// \returns the tasks that may be started at \p Now.
   std::vector<TaskName> startable(TimePoint Now,
                                   std::chrono::milliseconds Wall);
@@ -121,6 +140,8 @@
   bool IsCancelled_ = false;
   /// By occurrence, step and index.
   std::vector<std::vector<std::vector<TaskRun>>> Runs_;
+  /// By occurrence and step.
+  std::map<std::pair<std::uint32_t, std::uint32_t>, GangRun> Gangs_;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/activejob.cpp
+++ b/src/scheduling/internal/activejob.cpp
@@ -31,6 +31,13 @@
   });
 }
 
+std::vector<TaskName> ActiveJob::membersOf(const TaskName &Like) const {
+  std::vector<TaskName> Members;
+  for (std::uint32_t I = 0; I < Runs_[Like.Occurrence_][Like.Step_].size(); ++I)
+    Members.push_back({Id_, Like.Occurrence_, Like.Step_, I});
+  return Members;
+}
+
 std::vector<TaskName> ActiveJob::startable(TimePoint Now,
                                            std::chrono::milliseconds Wall) {
   std::vector<TaskName> Found;
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -1,12 +1,15 @@
 #include "scheduling/internal/dispatcher.h"
 #include "global/ilogger.h"
 #include "global/logevent.h"
+#include "scheduling/internal/advicekeeper.h"
 #include "scheduling/internal/poolstate.h"
 #include "scheduling/internal/runbook.h"
 #include "scheduling/iworkercontrol.h"
 
 #include <algorithm>
+#include <map>
 #include <tuple>
+#include <utility>
 
 namespace dragonflylock {
 namespace {
@@ -21,6 +24,8 @@
 constexpr std::chrono::milliseconds RefusedPause{50};
 /// Pause between two orders to stop the same run.
 constexpr std::chrono::milliseconds StopRepeat{400};
+/// Time for which a gang that does not fit lets less urgent tasks start.
+constexpr std::chrono::milliseconds GangPatience{1000};
 /// Work, in core-milliseconds, that weighs as much as a millisecond of waiting.
 /// Less work goes first, but a large job gains on later ones while it waits.
 constexpr std::int64_t WorkPerWait = 8;
@@ -73,68 +78,120 @@
 
 void Dispatcher::dispatch() {
   Pool_.NeedsDispatch_ = false;
-  for (ActiveJob *Job : jobsByUrgency()) {
-    if (!Pool_.mayAct())
+  for (ActiveJob *Job : jobsByUrgency())
+    if (!Pool_.mayAct() || !dispatchJob(*Job))
       return;
-    dispatchJob(*Job);
-  }
 }
 
-void Dispatcher::dispatchJob(ActiveJob &Job) {
+bool Dispatcher::dispatchJob(ActiveJob &Job) {
   std::uint32_t FullStep = UINT32_MAX;
+  std::map<std::pair<std::uint32_t, std::uint32_t>, std::vector<TaskName>>
+      Gangs;
   for (const TaskName &Name :
        Job.startable(Pool_.Clock_.now(), Pool_.wallTime())) {
+    if (Job.step(Name).IsGang_) {
+      Gangs[{Name.Occurrence_, Name.Step_}].push_back(Name);
+      continue;
+    }
     if (Name.Step_ == FullStep)
       continue;
-    WorkerSession *Session = choose(Job, Name);
+    WorkerSession *Session = Chooser_.choose(Job, Name);
     if (Session == nullptr) {
       FullStep = Name.Step_;
       continue;
     }
-    start(Job, Name, *Session);
+    start(Job, Name, *Session, nextRun(Job, Name));
   }
+  return std::all_of(Gangs.begin(), Gangs.end(), [&](const auto &Each) {
+    return dispatchGang(Job, Each.second);
+  });
 }
 
-bool Dispatcher::isUsable(const WorkerSession &Session) const {
-  return Session.IsFenced_ && Session.IsInRoster_ && Session.IsListed_ &&
-         !Session.IsReserved_ && Session.knowsClock() &&
-         Session.HoldFailures_ == 0 &&
-         Session.entry().State_ == WorkerState::Ready &&
-         Session.AvoidUntil_ <= Pool_.Clock_.now();
+RunNumber Dispatcher::nextRun(const ActiveJob &Job,
+                              const TaskName &Name) const {
+  return std::max(Job.run(Name).Run_, Pool_.FirstRun_) + 1;
 }
 
-WorkerSession *Dispatcher::choose(const ActiveJob &Job, const TaskName &Name) {
-  std::vector<PlacementCandidate> Candidates;
-  std::vector<WorkerSession *> Sessions;
-  const std::string &FailedOn = Job.run(Name).FailedOn_;
-  for (auto &[Lifetime, Session] : Pool_.Sessions_) {
-    if (!isUsable(*Session) || Session->runs().contains(Name))
+bool Dispatcher::dispatchGang(ActiveJob &Job,
+                              const std::vector<TaskName> &Waiting) {
+  std::vector<TaskName> Members = Job.membersOf(Waiting.front());
+  if (Waiting.size() == Members.size())
+    return startGang(Job, Members);
+  completeGang(Job, Waiting);
+  return true;
+}
+
+bool Dispatcher::mayWaitForOneRack(const StepSpec &Step,
+                                   const GangRun &Gang) const {
+  // Waiting longer than the run takes more on several racks is no gain.
+  auto Gain = std::chrono::duration_cast<std::chrono::milliseconds>(
+      (Pool_.Settings_.FarFactor_ - 1) * Step.Estimate_);
+  return Step.WantsOneRack_ && Pool_.Clock_.now() < Gang.WaitsSince_ + Gain;
+}
+
+bool Dispatcher::startGang(ActiveJob &Job,
+                           const std::vector<TaskName> &Members) {
+  const TimePoint Now = Pool_.Clock_.now();
+  const StepSpec &Step = Job.step(Members.front());
+  GangRun &Gang = Job.gang(Members.front());
+  if (Gang.WaitsSince_ == TimePoint())
+    Gang.WaitsSince_ = Now;
+  bool WaitsForRack = mayWaitForOneRack(Step, Gang) &&
+                      Chooser_.mayFitLater(Job, Members, /*OnOneRack=*/true);
+  auto Workers = Chooser_.chooseAll(Job, Members, Step.WantsOneRack_);
+  if (Workers.empty() && Step.WantsOneRack_ && !WaitsForRack)
+    Workers = Chooser_.chooseAll(Job, Members, /*OnOneRack=*/false);
+  if (Workers.empty())
+    // Room that becomes free in pieces is kept for a gang that has waited.
+    return Now < Gang.WaitsSince_ + GangPatience ||
+           !Chooser_.mayFitLater(Job, Members, WaitsForRack);
+  RunNumber Number = 0;
+  for (const TaskName &Name : Members)
+    Number = std::max(Number, nextRun(Job, Name));
+  Gang = {Number, Now, TimePoint()};
+  for (std::size_t Index = 0; Index < Members.size(); ++Index)
+    start(Job, Members[Index], *Workers[Index], Number);
+  return true;
+}
+
+void Dispatcher::completeGang(ActiveJob &Job,
+                              const std::vector<TaskName> &Waiting) {
+  const TimePoint Now = Pool_.Clock_.now();
+  const GangRun &Gang = Job.gang(Waiting.front());
+  bool MayJoin = Now < Gang.StartedAt_ + Pool_.Settings_.GangTimeout_ / 2 &&
+                 std::all_of(Waiting.begin(), Waiting.end(),
+                             [&](const TaskName &Name) {
+                               const TaskRun &Run = Job.run(Name);
+                               return Run.WasRefused_ && Run.Run_ == Gang.Run_;
+                             });
+  if (MayJoin) {
+    auto Workers = Chooser_.chooseAll(Job, Waiting, /*OnOneRack=*/false);
+    for (std::size_t Index = 0; Index < Workers.size(); ++Index)
+      start(Job, Waiting[Index], *Workers[Index], Gang.Run_);
+    return;
+  }
+  // The others end by themselves once they know; those that could still wait
+  // for a member are stopped.
+  for (const TaskName &Name : Job.membersOf(Waiting.front())) {
+    const TaskRun &Run = Job.run(Name);
+    WorkerSession *Session = Pool_.session(Run.Worker_);
+    if (Session == nullptr || Run.Phase_ != TaskPhase::Running)
       continue;
-    PlacementCandidate Candidate;
-    Candidate.Rack_ = Session->entry().Rack_;
-    Candidate.Labels_ = Session->entry().Labels_;
-    Candidate.Free_ = Session->freeRoom();
-    Candidate.SameStep_ = Session->countOf(Name);
-    Candidate.HasFailedTask_ = Lifetime == FailedOn;
-    for (const auto &[Other, Run] : Session->runs()) {
-      Candidate.Fillers_ += Run.IsFiller_ ? 1 : 0;
-      Candidate.Serving_ += Run.LatencyTarget_.count() > 0 ? 1 : 0;
-    }
-    Candidates.push_back(std::move(Candidate));
-    Sessions.push_back(Session.get());
+    auto Known = Session->runs().find(Name);
+    if (Known != Session->runs().end())
+      Known->second.MustStop_ = true;
   }
-  auto Chosen = choosePlacement(Job.step(Name), Candidates);
-  return Chosen ? Sessions[*Chosen] : nullptr;
 }
 
 void Dispatcher::start(ActiveJob &Job, const TaskName &Name,
-                       WorkerSession &Session) {
+                       WorkerSession &Session, RunNumber Number) {
   const TimePoint Now = Pool_.Clock_.now();
   if (!Pool_.mayAct())
     return;
   const StepSpec &Step = Job.step(Name);
   TaskRun &Run = Job.run(Name);
-  Run.Run_ = std::max(Run.Run_, Pool_.FirstRun_) + 1;
+  Run.Run_ = Number;
+  Run.WasRefused_ = false;
   Run.Phase_ = TaskPhase::Starting;
   Run.Worker_ = Session.entry().lifetime();
   Run.Percent_ = 0;
@@ -159,6 +216,8 @@
   Order.LeaseEnd_ = Session.clockAt(Now) + StartLease;
   Order.Token_ = Pool_.Token_;
   Order.Checkpoint_ = Job.progress().task(Name).Checkpoint_;
+  if (Advice_.isNeededFor(Job))
+    Order.Ticket_ = Advice_.ticketFor(Name, Session);
   Pool_.Workers_.start(Session.target(), Order,
                        [Weak = weak_from_this(), Lifetime = Run.Worker_, Name,
                         Number = Run.Run_](const OrderAnswer &Answer) {
@@ -203,12 +262,18 @@
                                 OrderOutcome Outcome) {
   const TimePoint Now = Pool_.Clock_.now();
   Runs_.release(Session, Name);
-  if (ActiveJob *Job = Pool_.job(Name.Job_))
+  if (ActiveJob *Job = Pool_.job(Name.Job_)) {
     Job->run(Name).NotBefore_ = Now + RefusedPause;
+    Job->run(Name).WasRefused_ = true;
+  }
+  if (Outcome == OrderOutcome::BadTicket)
+    Advice_.drop(Name, Session.entry().lifetime());
   std::chrono::milliseconds Pause = UnhealthyPause;
   if (Outcome == OrderOutcome::NoRoom || Outcome == OrderOutcome::TooLate ||
       Outcome == OrderOutcome::OldRun)
     Pause = NoRoomPause;
+  if (Outcome == OrderOutcome::BadTicket)
+    Pause = std::chrono::milliseconds(0);
   Session.AvoidUntil_ = std::max(Session.AvoidUntil_, Now + Pause);
   Session.NextHold_ = Now;
   if (Outcome == OrderOutcome::OtherLifetime) {
--- a/src/scheduling/internal/dispatcher.h
+++ b/src/scheduling/internal/dispatcher.h
@@ -1,7 +1,8 @@
 #ifndef DRAGONFLYLOCK_SCHEDULING_INTERNAL_DISPATCHER_H
 #define DRAGONFLYLOCK_SCHEDULING_INTERNAL_DISPATCHER_H
 
-#include "scheduling/placement.h"
+#include "global/iclock.h"
+#include "scheduling/internal/workerchooser.h"
 #include "scheduling/workercalls.h"
 
 #include <memory>
@@ -11,15 +12,18 @@
 namespace dragonflylock {
 
 class ActiveJob;
+class AdviceKeeper;
 class RunBook;
 class WorkerSession;
+struct GangRun;
 struct PoolState;
 
 /// Starts the tasks of a pool in the order of their jobs' urgency, and stops
 /// runs that should not go on.
 class Dispatcher : public std::enable_shared_from_this<Dispatcher> {
 public:
-  Dispatcher(PoolState &Pool, RunBook &Runs) : Pool_(Pool), Runs_(Runs) {}
+  Dispatcher(PoolState &Pool, RunBook &Runs, AdviceKeeper &Advice)
+      : Pool_(Pool), Runs_(Runs), Advice_(Advice), Chooser_(Pool, Advice) {}
 
   /// Starts what fits.
   void dispatch();
@@ -33,10 +37,19 @@
 
 private:
   std::vector<ActiveJob *> jobsByUrgency();
-  void dispatchJob(ActiveJob &Job);
-  WorkerSession *choose(const ActiveJob &Job, const TaskName &Name);
-  bool isUsable(const WorkerSession &Session) const;
-  void start(ActiveJob &Job, const TaskName &Name, WorkerSession &Session);
+  /// \returns whether less urgent jobs may start tasks as well.
+  bool dispatchJob(ActiveJob &Job);
+  /// Starts a gang as a whole, or completes one of which a worker has refused
+  /// a member.
+  /// \returns whether less urgent jobs may start tasks as well.
+  bool dispatchGang(ActiveJob &Job, const std::vector<TaskName> &Waiting);
+  bool startGang(ActiveJob &Job, const std::vector<TaskName> &Members);
+  void completeGang(ActiveJob &Job, const std::vector<TaskName> &Waiting);
+  bool mayWaitForOneRack(const StepSpec &Step, const GangRun &Gang) const;
+  void start(ActiveJob &Job, const TaskName &Name, WorkerSession &Session,
+             RunNumber Number);
+  /// \returns a number above those of all earlier runs of the task.
+  RunNumber nextRun(const ActiveJob &Job, const TaskName &Name) const;
   void onStarted(const std::string &Lifetime, const TaskName &Name,
                  RunNumber Run, const OrderAnswer &Answer);
   void onStopped(const std::string &Lifetime, const TaskName &Name,
@@ -47,6 +60,8 @@
 
   PoolState &Pool_;
   RunBook &Runs_;
+  AdviceKeeper &Advice_;
+  WorkerChooser Chooser_;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/placement.cpp
+++ b/src/scheduling/internal/placement.cpp
@@ -6,13 +6,6 @@
 namespace dragonflylock {
 namespace {
 
-Resources neededBy(const StepSpec &Step) {
-  Resources Needed = Step.PerTask_;
-  if (Step.IsFiller_)
-    Needed.CpuMillis_ = 0;
-  return Needed;
-}
-
 bool hasLabel(const StepSpec &Step, const std::vector<std::string> &Labels) {
   return Step.RequiredLabel_.empty() ||
          std::find(Labels.begin(), Labels.end(), Step.RequiredLabel_) !=
@@ -20,7 +13,7 @@
 }
 
 bool isAllowed(const StepSpec &Step, const PlacementCandidate &Worker) {
-  if (!Worker.Free_.holds(neededBy(Step)) || !hasLabel(Step, Worker.Labels_))
+  if (!Worker.Free_.holds(roomOf(Step)) || !hasLabel(Step, Worker.Labels_))
     return false;
   return Step.MostPerWorker_ == 0 || Worker.SameStep_ < Step.MostPerWorker_;
 }
@@ -28,6 +21,7 @@
 /// Higher is better; compared from the first element on.
 auto rank(const StepSpec &Step, const PlacementCandidate &Worker) {
   bool IsFar = !Step.DataRack_.empty() && Worker.Rack_ != Step.DataRack_;
+  bool IsOffRack = Step.WantsOneRack_ && !Worker.IsRackOfStep_;
   std::uint32_t Disturbed = 0;
   if (Step.IsFiller_)
     Disturbed = Worker.Serving_;
@@ -39,7 +33,7 @@
   // Lasting tasks go where most room is left, short ones where least is: so
   // machines become idle as a whole and can serve other pools.
   std::int64_t Sign = Step.IsLongRunning_ ? 1 : -1;
-  return std::make_tuple(!Worker.HasFailedTask_, !IsFar, -Together,
+  return std::make_tuple(!Worker.HasFailedTask_, !IsFar, !IsOffRack, -Together,
                          -static_cast<std::int64_t>(Disturbed),
                          Sign * Worker.Free_.CpuMillis_,
                          Sign * Worker.Free_.MemoryMb_);
@@ -47,6 +41,13 @@
 
 } // namespace
 
+Resources roomOf(const StepSpec &Step) {
+  Resources Room = Step.PerTask_;
+  if (Step.IsFiller_)
+    Room.CpuMillis_ = 0;
+  return Room;
+}
+
 std::optional<std::size_t>
 choosePlacement(const StepSpec &Step,
                 const std::vector<PlacementCandidate> &Candidates) {
@@ -62,7 +63,7 @@
 
 bool mayEverRun(const StepSpec &Step, const Resources &Capacity,
                 const std::vector<std::string> &Labels) {
-  return Capacity.holds(neededBy(Step)) && hasLabel(Step, Labels);
+  return Capacity.holds(roomOf(Step)) && hasLabel(Step, Labels);
 }
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/poolowner.h"
 #include "global/ilogger.h"
 #include "global/logevent.h"
+#include "scheduling/internal/advicekeeper.h"
 #include "scheduling/internal/dispatcher.h"
 #include "scheduling/internal/holdkeeper.h"
 #include "scheduling/internal/jobfollower.h"
@@ -34,7 +35,8 @@
       : State_(Tenure.Pool_, *Source.Settings_, *Source.Clock_, *Source.Store_,
                *Source.Workers_, *Source.Logger_),
         Runs_(State_), Jobs_(State_, Runs_),
-        Starts_(std::make_shared<Dispatcher>(State_, Runs_)),
+        Advice_(std::make_shared<AdviceKeeper>(State_, *Source.Advisor_)),
+        Starts_(std::make_shared<Dispatcher>(State_, Runs_, *Advice_)),
         Holds_(std::make_shared<HoldKeeper>(State_, Runs_, *Starts_)),
         Writer_(std::make_shared<ProgressWriter>(State_)),
         Roster_(std::make_shared<RosterKeeper>(State_)),
@@ -65,6 +67,7 @@
   PoolState State_;
   RunBook Runs_;
   JobRegister Jobs_;
+  std::shared_ptr<AdviceKeeper> Advice_;
   std::shared_ptr<Dispatcher> Starts_;
   std::shared_ptr<HoldKeeper> Holds_;
   std::shared_ptr<ProgressWriter> Writer_;
@@ -107,6 +110,11 @@
   return *this;
 }
 
+PoolOwner::Builder &PoolOwner::Builder::advisor(IAdvisor &Value) {
+  Advisor_ = &Value;
+  return *this;
+}
+
 PoolOwner::Builder &PoolOwner::Builder::ledger(MachineLedger &Value) {
   Ledger_ = &Value;
   return *this;
@@ -291,6 +299,7 @@
   }
   Parts_->Writer_->flush();
   Parts_->Jobs_.retireEnded();
+  Parts_->Advice_->forgetEnded();
   Parts_->removeGoneWorkers();
 }
 
--- a/src/scheduling/internal/runbook.cpp
+++ b/src/scheduling/internal/runbook.cpp
@@ -4,6 +4,9 @@
 #include "scheduling/internal/poolstate.h"
 
 #include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
 
 namespace dragonflylock {
 namespace {
@@ -65,7 +68,7 @@
   std::uint64_t Before = Job->changes();
   bool IsEndless = Job->step(End.Task_).IsLongRunning_;
   if (!End.Checkpoint_.empty() && IsCurrent)
-    Job->progress().task(End.Task_).Checkpoint_ = End.Checkpoint_;
+    noteCheckpoint(*Job, End.Task_, End.Checkpoint_);
   if (End.Kind_ == EndKind::Done && !IsEndless)
     noteDone(*Job, End.Task_);
   if (End.Kind_ == EndKind::Done)
@@ -80,7 +83,28 @@
     Session.settleEnd(End.Sequence_);
 }
 
+void RunBook::noteCheckpoint(ActiveJob &Job, const TaskName &Name,
+                             const std::string &Checkpoint) {
+  if (!Job.step(Name).IsGang_) {
+    Job.progress().task(Name).Checkpoint_ = Checkpoint;
+    return;
+  }
+  // All members of a gang resume from the same checkpoint.
+  for (const TaskName &Member : Job.membersOf(Name))
+    Job.progress().task(Member).Checkpoint_ = Checkpoint;
+}
+
 void RunBook::noteDone(ActiveJob &Job, const TaskName &Name) {
+  if (!Job.step(Name).IsGang_) {
+    noteTaskDone(Job, Name);
+    return;
+  }
+  // The members of a gang end together; one end stands for all.
+  for (const TaskName &Member : Job.membersOf(Name))
+    noteTaskDone(Job, Member);
+}
+
+void RunBook::noteTaskDone(ActiveJob &Job, const TaskName &Name) {
   TaskProgress &Progress = Job.progress().task(Name);
   if (Progress.IsDone_)
     return;
@@ -139,7 +163,7 @@
   if (Run.Phase_ != TaskPhase::Stopping)
     Run.Phase_ = TaskPhase::Running;
   if (!Listed.Checkpoint_.empty())
-    Job->progress().task(Listed.Task_).Checkpoint_ = Listed.Checkpoint_;
+    noteCheckpoint(*Job, Listed.Task_, Listed.Checkpoint_);
   constexpr std::uint32_t FullSpeed = 100;
   if (Listed.Percent_ >= FullSpeed && Run.Percent_ < FullSpeed)
     Run.AtWorkSince_ = Pool_.Clock_.now();
@@ -212,11 +236,20 @@
 
 bool RunBook::hasFailed(ActiveJob &Job) const {
   std::uint32_t Most = Pool_.queueOf(Job).MostAttempts_;
+  // A gang fails as a whole, by whichever member.
+  std::map<std::pair<std::uint32_t, std::uint32_t>, std::set<RunNumber>> Gangs;
   bool Failed = false;
   Job.forEachTask([&](const TaskName &Name, TaskRun &) {
-    Failed = Failed || Job.progress().task(Name).FailedRuns_.size() >= Most;
+    const std::vector<RunNumber> &Runs =
+        Job.progress().task(Name).FailedRuns_;
+    Failed = Failed || Runs.size() >= Most;
+    if (!Runs.empty() && Job.step(Name).IsGang_)
+      Gangs[{Name.Occurrence_, Name.Step_}].insert(Runs.begin(), Runs.end());
   });
-  return Failed;
+  return Failed || std::any_of(Gangs.begin(), Gangs.end(),
+                               [Most](const auto &Each) {
+                                 return Each.second.size() >= Most;
+                               });
 }
 
 void RunBook::judge(ActiveJob &Job) {
--- a/src/scheduling/internal/runbook.h
+++ b/src/scheduling/internal/runbook.h
@@ -39,7 +39,10 @@
   void judge(ActiveJob &Job);
 
 private:
+  void noteCheckpoint(ActiveJob &Job, const TaskName &Name,
+                      const std::string &Checkpoint);
   void noteDone(ActiveJob &Job, const TaskName &Name);
+  void noteTaskDone(ActiveJob &Job, const TaskName &Name);
   void noteFailure(WorkerSession &Session, ActiveJob &Job,
                    const ListedEnd &End);
   void countFailure(WorkerSession &Session, const ActiveJob &Job,
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -65,6 +65,7 @@
       .store(Store_)
       .workers(*Source.Workers_)
       .machines(*Source.Machines_)
+      .advisor(*Source.Advisor_)
       .ledger(Ledger_)
       .demands(Demands_)
       .logger(Logger_);
@@ -196,6 +197,11 @@
   return *this;
 }
 
+SchedulerNode::Builder &SchedulerNode::Builder::advisor(IAdvisor &Value) {
+  Advisor_ = &Value;
+  return *this;
+}
+
 SchedulerNode::Builder &SchedulerNode::Builder::logger(ILogger &Value) {
   Logger_ = &Value;
   return *this;
--- /dev/null
+++ b/src/scheduling/internal/workerchooser.h
@@ -0,0 +1,62 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_INTERNAL_WORKERCHOOSER_H
+#define DRAGONFLYLOCK_SCHEDULING_INTERNAL_WORKERCHOOSER_H
+
+#include "scheduling/placement.h"
+#include "scheduling/schedulingtypes.h"
+
+#include <string>
+#include <vector>
+
+namespace dragonflylock {
+
+class ActiveJob;
+class AdviceKeeper;
+class WorkerSession;
+struct PoolState;
+
+/// Finds workers of a pool for tasks that are to start.
+class WorkerChooser {
+public:
+  WorkerChooser(PoolState &Pool, AdviceKeeper &Advice)
+      : Pool_(Pool), Advice_(Advice) {}
+
+  /// \returns a worker for the task, or null where none may run it now.
+  WorkerSession *choose(const ActiveJob &Job, const TaskName &Name);
+  /// \returns a worker for each of a step's tasks, or nothing where they do
+  /// not all fit now.
+  /// \param OnOneRack whether all must be on the same rack.
+  std::vector<WorkerSession *> chooseAll(const ActiveJob &Job,
+                                         const std::vector<TaskName> &Names,
+                                         bool OnOneRack);
+  /// \returns whether all tasks would fit if the pool ran lasting tasks only.
+  bool mayFitLater(const ActiveJob &Job, const std::vector<TaskName> &Names,
+                   bool OnOneRack);
+
+private:
+  /// Workers that may be asked to run a step, with what placement needs.
+  struct Choice {
+    std::vector<PlacementCandidate> Candidates_;
+    std::vector<WorkerSession *> Sessions_;
+    /// Workers that the advice service has not been asked about.
+    std::vector<WorkerSession *> Unasked_;
+  };
+
+  bool isUsable(const WorkerSession &Session) const;
+  PlacementCandidate candidateOf(const ActiveJob &Job, const TaskName &Name,
+                                 const WorkerSession &Session) const;
+  Choice gather(const ActiveJob &Job, const TaskName &Name);
+  /// Leaves only workers with a ticket.
+  void keepAllowed(Choice &Among, const TaskName &Name) const;
+  std::vector<WorkerSession *> placeAll(const StepSpec &Step, Choice Among,
+                                        std::size_t Tasks) const;
+  std::vector<WorkerSession *> placeOnOneRack(const StepSpec &Step,
+                                              const Choice &Among,
+                                              std::size_t Tasks) const;
+
+  PoolState &Pool_;
+  AdviceKeeper &Advice_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- a/src/scheduling/placement.h
+++ b/src/scheduling/placement.h
@@ -19,12 +19,17 @@
   std::uint32_t SameStep_ = 0;
   /// Whether the last run of the task failed there.
   bool HasFailedTask_ = false;
+  /// Whether other tasks of the step run on the worker's rack.
+  bool IsRackOfStep_ = false;
   /// Filling tasks on the worker, which disturb serving ones.
   std::uint32_t Fillers_ = 0;
   /// Serving tasks on the worker, which filling ones disturb.
   std::uint32_t Serving_ = 0;
 };
 
+/// \returns the room that a task of the step takes on a worker.
+Resources roomOf(const StepSpec &Step);
+
 /// \returns the best of \p Candidates for a task of \p Step, or nothing where
 /// none may run it now. Room, label and spread are conditions; then a worker
 /// counts for less where the task has failed, away from the data's rack, where
--- a/src/scheduling/poolowner.h
+++ b/src/scheduling/poolowner.h
@@ -15,6 +15,7 @@
 namespace dragonflylock {
 
 class DemandBoard;
+class IAdvisor;
 class IClock;
 class ILogger;
 class IMachineControl;
@@ -46,6 +47,7 @@
     Builder &store(IStore &Value);
     Builder &workers(IWorkerControl &Value);
     Builder &machines(IMachineControl &Value);
+    Builder &advisor(IAdvisor &Value);
     Builder &ledger(MachineLedger &Value);
     Builder &demands(DemandBoard &Value);
     Builder &logger(ILogger &Value);
@@ -59,6 +61,7 @@
     IStore *Store_ = nullptr;
     IWorkerControl *Workers_ = nullptr;
     IMachineControl *Machines_ = nullptr;
+    IAdvisor *Advisor_ = nullptr;
     MachineLedger *Ledger_ = nullptr;
     DemandBoard *Demands_ = nullptr;
     ILogger *Logger_ = nullptr;
--- a/src/scheduling/schedulernode.h
+++ b/src/scheduling/schedulernode.h
@@ -12,6 +12,7 @@
 
 namespace dragonflylock {
 
+class IAdvisor;
 class IClock;
 class ILogger;
 class IMachineControl;
@@ -33,6 +34,7 @@
     Builder &store(IStore &Value);
     Builder &workers(IWorkerControl &Value);
     Builder &machines(IMachineControl &Value);
+    Builder &advisor(IAdvisor &Value);
     Builder &logger(ILogger &Value);
     std::unique_ptr<SchedulerNode> build() const;
 
@@ -44,6 +46,7 @@
     IStore *Store_ = nullptr;
     IWorkerControl *Workers_ = nullptr;
     IMachineControl *Machines_ = nullptr;
+    IAdvisor *Advisor_ = nullptr;
     ILogger *Logger_ = nullptr;
   };
 
--- a/src/scheduling/schedulingsettings.h
+++ b/src/scheduling/schedulingsettings.h
@@ -17,6 +17,8 @@
   std::chrono::milliseconds LeaseMargin_{300};
   /// Longest lease that a worker grants to what runs on it.
   std::chrono::milliseconds LongestHold_{6000};
+  /// How long members of a gang wait on workers for the others.
+  std::chrono::milliseconds GangTimeout_{3000};
   /// Limit for a worker to stop a run.
   std::chrono::milliseconds StopLimit_{200};
   /// Time for which an ended job can still be looked up.
--- a/src/scheduling/schedulingtypes.h
+++ b/src/scheduling/schedulingtypes.h
@@ -141,6 +141,8 @@
   /// Factor between a job's chain of work and its objective.
   double Stretch_ = 1.0;
   std::chrono::milliseconds TargetLatency_{0};
+  /// Whether only some workers may run a step, which the advice service knows.
+  bool NeedsAdvice_ = false;
 
   bool operator==(const QueueSetting &) const = default;
 };
--- /dev/null
+++ b/src/scheduling/tests/gangsandadvice_test.cpp
@@ -0,0 +1,256 @@
+#include "scheduling/demandboard.h"
+#include "scheduling/jobprogress.h"
+#include "scheduling/jobrowcodec.h"
+#include "scheduling/jobrows.h"
+#include "scheduling/machineledger.h"
+#include "scheduling/poolowner.h"
+#include "scheduling/schedulingsettings.h"
+#include "scheduling/tests/mocks/fakefleet.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace dragonflylock {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *JobId = "00000000000000aa";
+
+class GangsAndAdviceTest : public testing::Test {
+protected:
+  GangsAndAdviceTest() : Ledger_("node-1", Clock_) {
+    Queue_.Name_ = "queue";
+    Queue_.Pool_ = "pool";
+    Queue_.MostAttempts_ = 2;
+    Step_.TaskCount_ = 2;
+    Step_.PerTask_ = {8000, 1000, 0};
+    Step_.Estimate_ = milliseconds(500);
+    Step_.IsGang_ = true;
+  }
+
+  WorkerEntry worker(const std::string &Id, const std::string &Rack) const {
+    WorkerEntry Entry;
+    Entry.Id_ = Id;
+    Entry.Pool_ = "pool";
+    Entry.Address_ = {"10.0.0.1", 80};
+    Entry.Rack_ = Rack;
+    Entry.Born_ = milliseconds(5);
+    Entry.Capacity_ = {10000, 32000, 0};
+    return Entry;
+  }
+
+  void own(const std::vector<WorkerEntry> &Workers) {
+    SubmittedJob Job;
+    Job.Queue_ = "queue";
+    Job.Pool_ = "pool";
+    Job.Spec_.Steps_ = {Step_};
+    StoreKey Row = jobrows::name("queue", JobId, JobRowKind::Submission);
+    Store_.Rows_[Row] = {Row, jobrowcodec::encode(Job), ++Store_.Version_,
+                         false};
+    auto Configuration = std::make_shared<SchedulingConfiguration>();
+    Configuration->Queues_ = {Queue_};
+    Configuration->Pools_ = {{"pool", true, false}};
+    Owner_ = PoolOwner::Builder()
+                 .settings(Settings_)
+                 .clock(Clock_)
+                 .store(Store_)
+                 .workers(Workers_)
+                 .machines(Machines_)
+                 .advisor(Advisor_)
+                 .ledger(Ledger_)
+                 .demands(Demands_)
+                 .logger(Logger_)
+                 .build({"pool", 7, 0, Clock_.now() + std::chrono::hours(1)});
+    Owner_->onConfiguration(Configuration);
+    Owner_->onWorkers(Workers);
+    for (int Round = 0; Round < 5; ++Round)
+      Owner_->tick();
+    answerHolds();
+  }
+
+  /// Answers all holds; \p Ended of the worker of that id are listed.
+  void answerHolds(const std::map<std::string, ListedEnd> &Ended = {}) {
+    std::deque<RecordingWorkers::Hold> Holds;
+    Holds.swap(Workers_.Holds_);
+    for (RecordingWorkers::Hold &Each : Holds) {
+      HoldAnswer Answer;
+      Answer.Outcome_ = OrderOutcome::Accepted;
+      Answer.Clock_ = WorkerClock(1000);
+      Answer.Born_ = milliseconds(5);
+      auto Found = Ended.find(Each.Target_.Id_);
+      if (Found != Ended.end())
+        Answer.Ended_ = {Found->second};
+      Each.Done_(Answer);
+    }
+    Owner_->tick();
+    Owner_->tick();
+  }
+
+  JobPhase storedState() {
+    JobProgress Progress;
+    StoreKey Row = jobrows::name("queue", JobId, JobRowKind::Progress);
+    EXPECT_TRUE(Progress.decode(Store_.Rows_[Row].Value_));
+    return Progress.state();
+  }
+
+  std::set<std::string> startedOn() const {
+    std::set<std::string> Ids;
+    for (const RecordingWorkers::Start &Each : Workers_.Starts_)
+      Ids.insert(Each.Target_.Id_);
+    return Ids;
+  }
+
+  void answerStart(OrderOutcome Outcome) {
+    Workers_.takeStart().Done_({Outcome, WorkerClock(1000)});
+  }
+
+  void pass(milliseconds Length) {
+    Clock_.advance(Length);
+    Owner_->tick();
+  }
+
+  ManualClock Clock_;
+  SilentLogger Logger_;
+  InstantStore Store_;
+  RecordingWorkers Workers_;
+  AcceptingMachines Machines_;
+  RecordingAdvisor Advisor_;
+  MachineLedger Ledger_;
+  DemandBoard Demands_;
+  SchedulingSettings Settings_;
+  QueueSetting Queue_;
+  StepSpec Step_;
+  std::unique_ptr<PoolOwner> Owner_;
+};
+
+TEST_F(GangsAndAdviceTest, AGangDoesNotStartInParts) {
+  own({worker("w1", "r1-1")});
+  EXPECT_TRUE(Workers_.Starts_.empty());
+}
+
+TEST_F(GangsAndAdviceTest, MembersShareTheRunNumber) {
+  own({worker("w1", "r1-1"), worker("w2", "r1-1")});
+  ASSERT_EQ(Workers_.Starts_.size(), 2U);
+  EXPECT_EQ(Workers_.Starts_[0].Order_.Run_, Workers_.Starts_[1].Order_.Run_);
+}
+
+TEST_F(GangsAndAdviceTest, ARefusedMemberJoinsOnAnotherWorker) {
+  own({worker("w1", "r1-1"), worker("w2", "r1-1"), worker("w3", "r1-1")});
+  ASSERT_EQ(Workers_.Starts_.size(), 2U);
+  RunNumber Run = Workers_.Starts_[0].Order_.Run_;
+  answerStart(OrderOutcome::Accepted);
+  answerStart(OrderOutcome::NoRoom);
+  pass(milliseconds(100));
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  EXPECT_EQ(Workers_.Starts_[0].Order_.Run_, Run);
+}
+
+TEST_F(GangsAndAdviceTest, MembersAreStoppedWhenOneCannotJoin) {
+  own({worker("w1", "r1-1"), worker("w2", "r1-1")});
+  ASSERT_EQ(Workers_.Starts_.size(), 2U);
+  TaskName Running = Workers_.Starts_[0].Order_.Task_;
+  answerStart(OrderOutcome::Accepted);
+  answerStart(OrderOutcome::Unhealthy);
+  Owner_->onWorkers({worker("w1", "r1-1")});
+  for (int Round = 0; Round < 20; ++Round)
+    pass(milliseconds(100));
+  ASSERT_FALSE(Workers_.Stops_.empty());
+  EXPECT_EQ(Workers_.Stops_[0].Task_, Running);
+  // In time to be gone before they would wait in vain.
+  EXPECT_TRUE(Workers_.Starts_.empty());
+}
+
+TEST_F(GangsAndAdviceTest, OneEndStandsForTheGang) {
+  own({worker("w1", "r1-1"), worker("w2", "r1-1")});
+  ASSERT_EQ(Workers_.Starts_.size(), 2U);
+  ListedEnd End{1, Workers_.Starts_[0].Order_.Task_,
+                Workers_.Starts_[0].Order_.Run_, EndKind::Done, ""};
+  std::string Id = Workers_.Starts_[0].Target_.Id_;
+  answerStart(OrderOutcome::Accepted);
+  answerStart(OrderOutcome::Accepted);
+  pass(milliseconds(10));
+  answerHolds({{Id, End}});
+  EXPECT_EQ(Owner_->stateOf(JobId), JobPhase::Completed);
+}
+
+TEST_F(GangsAndAdviceTest, AGangFailsByWhicheverMember) {
+  own({worker("w1", "r1-1"), worker("w2", "r1-1"), worker("w3", "r1-1"),
+       worker("w4", "r1-1")});
+  for (std::uint64_t Attempt = 0; Attempt < 2; ++Attempt) {
+    ASSERT_EQ(Workers_.Starts_.size(), 2U);
+    auto Failing = Workers_.Starts_[Attempt];
+    auto Other = Workers_.Starts_[1 - Attempt];
+    answerStart(OrderOutcome::Accepted);
+    answerStart(OrderOutcome::Accepted);
+    pass(milliseconds(10));
+    std::uint64_t Sequence = Attempt + 1;
+    answerHolds({{Failing.Target_.Id_,
+                  {Sequence, Failing.Order_.Task_, Failing.Order_.Run_,
+                   EndKind::Failed, ""}},
+                 {Other.Target_.Id_,
+                  {Sequence, Other.Order_.Task_, Other.Order_.Run_,
+                   EndKind::GangBroken, ""}}});
+  }
+  EXPECT_EQ(storedState(), JobPhase::Failed);
+}
+
+TEST_F(GangsAndAdviceTest, TasksThatWantOneRackShareIt) {
+  Step_.WantsOneRack_ = true;
+  own({worker("w1", "r1-1"), worker("w2", "r1-2"), worker("w3", "r1-2")});
+  EXPECT_EQ(startedOn(), (std::set<std::string>{"w2", "w3"}));
+}
+
+TEST_F(GangsAndAdviceTest, AGangThatFitsNoRackIsSpread) {
+  Step_.WantsOneRack_ = true;
+  own({worker("w1", "r1-1"), worker("w2", "r1-2")});
+  EXPECT_EQ(Workers_.Starts_.size(), 2U);
+}
+
+TEST_F(GangsAndAdviceTest, StartsNothingWithoutAdvice) {
+  Queue_.NeedsAdvice_ = true;
+  own({worker("w1", "r1-1"), worker("w2", "r1-1")});
+  EXPECT_TRUE(Workers_.Starts_.empty());
+  ASSERT_EQ(Advisor_.Calls_.size(), 1U);
+  EXPECT_EQ(Advisor_.Calls_[0].Step_, std::string(JobId) + ".0.0");
+  EXPECT_EQ(Advisor_.Calls_[0].Workers_.size(), 2U);
+}
+
+TEST_F(GangsAndAdviceTest, StartsOnAllowedWorkersWithTheirTickets) {
+  Queue_.NeedsAdvice_ = true;
+  Step_.IsGang_ = false;
+  own({worker("w1", "r1-1"), worker("w2", "r1-1")});
+  ASSERT_EQ(Advisor_.Calls_.size(), 1U);
+  Advisor_.Calls_[0].Answer_({true, {{"w2", "ticket-2"}}, milliseconds(3000)});
+  Owner_->tick();
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  EXPECT_EQ(Workers_.Starts_[0].Target_.Id_, "w2");
+  EXPECT_EQ(Workers_.Starts_[0].Order_.Ticket_, "ticket-2");
+}
+
+TEST_F(GangsAndAdviceTest, AsksAgainForARefusedTicket) {
+  Queue_.NeedsAdvice_ = true;
+  Step_.IsGang_ = false;
+  Step_.TaskCount_ = 1;
+  own({worker("w1", "r1-1")});
+  ASSERT_EQ(Advisor_.Calls_.size(), 1U);
+  Advisor_.Calls_[0].Answer_({true, {{"w1", "old"}}, milliseconds(3000)});
+  Owner_->tick();
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  answerStart(OrderOutcome::BadTicket);
+  pass(milliseconds(100));
+  EXPECT_TRUE(Workers_.Starts_.empty());
+  EXPECT_EQ(Advisor_.Calls_.size(), 2U);
+}
+
+TEST_F(GangsAndAdviceTest, AsksAgainAfterACallWithoutAnAnswer) {
+  Queue_.NeedsAdvice_ = true;
+  own({worker("w1", "r1-1"), worker("w2", "r1-1")});
+  Advisor_.Calls_[0].Answer_({});
+  pass(milliseconds(300));
+  EXPECT_EQ(Advisor_.Calls_.size(), 2U);
+}
+
+} // namespace
+} // namespace dragonflylock
--- a/src/scheduling/tests/mocks/fakefleet.h
+++ b/src/scheduling/tests/mocks/fakefleet.h
@@ -3,6 +3,7 @@
 
 #include "global/ilogger.h"
 #include "global/tests/mocks/manualclock.h"
+#include "scheduling/iadvisor.h"
 #include "scheduling/imachinecontrol.h"
 #include "scheduling/istore.h"
 #include "scheduling/iworkercontrol.h"
@@ -131,6 +132,21 @@
   std::deque<Hold> Holds_;
 };
 
+/// Keeps each call until the test answers it.
+class RecordingAdvisor : public IAdvisor {
+public:
+  struct Call {
+    std::string Step_;
+    std::vector<std::string> Workers_;
+    Done Answer_;
+  };
+  void advise(const std::string &Step, const std::vector<std::string> &Workers,
+              Done Answer) override {
+    Calls_.push_back({Step, Workers, std::move(Answer)});
+  }
+  std::deque<Call> Calls_;
+};
+
 /// Machines that accept every order.
 class AcceptingMachines : public IMachineControl {
 public:
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -69,6 +69,7 @@
                  .store(Store_)
                  .workers(Workers_)
                  .machines(Machines_)
+                 .advisor(Advisor_)
                  .ledger(Ledger_)
                  .demands(Demands_)
                  .logger(Logger_)
@@ -110,6 +111,7 @@
   InstantStore Store_;
   RecordingWorkers Workers_;
   AcceptingMachines Machines_;
+  RecordingAdvisor Advisor_;
   MachineLedger Ledger_;
   DemandBoard Demands_;
   SchedulingSettings Settings_;
