A count of pending jobs is told only from the pool's present owner

A count stands in a row that the owner writes; while nobody owns the pool, or when a write of an earlier owner is applied late, it is out of date. Change: the row carries the owner's token; it is told only while that owner's lease is known to run, else the caller is refused with Retry-After.

--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -30,6 +30,9 @@
 
 /// Jobs that have not begun, by queue.
 struct PendingRow {
+  /// Of the owner that counted; a count of an earlier owner may be written
+  /// late.
+  FencingToken Token_ = 0;
   std::map<std::string, std::uint64_t> Pending_;
 };
 
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -42,7 +42,7 @@
 }
 
 std::string encode(const PendingRow &Row) {
-  return json{{"pending", Row.Pending_}}.dump();
+  return json{{"token", Row.Token_}, {"pending", Row.Pending_}}.dump();
 }
 
 std::string encode(const DemandRow &Row) {
@@ -80,6 +80,7 @@
 std::optional<PendingRow> decodePending(const std::string &Text) {
   return read<PendingRow>(Text, [](const json &Source) {
     PendingRow Row;
+    Row.Token_ = Source.at("token").get<FencingToken>();
     Row.Pending_ =
         Source.at("pending").get<std::map<std::string, std::uint64_t>>();
     return Row;
--- a/src/scheduling/internal/ownershipkeeper.cpp
+++ b/src/scheduling/internal/ownershipkeeper.cpp
@@ -64,7 +64,8 @@
   if (Lease.Version_ == 0)
     return IsLoaded_;
   // An earlier process of this node is gone for certain.
-  if (Lease.Row_.Holder_.empty() || Lease.Row_.Holder_ == Settings_.Node_)
+  bool IsOwn = Lease.Row_.Holder_ == Settings_.Node_ && !Lease.IsMine_;
+  if (Lease.Row_.Holder_.empty() || IsOwn)
     return true;
   return Clock_.now() >=
          Lease.SeenAt_ + Settings_.OwnerLease_ + Settings_.LeaseMargin_;
@@ -230,6 +231,19 @@
   }
 }
 
+std::optional<FencingToken>
+OwnershipKeeper::liveToken(const std::string &Pool) const {
+  auto Found = Leases_.find(Pool);
+  if (Found == Leases_.end() || Found->second.Version_ == 0 ||
+      isFree(Found->second))
+    return std::nullopt;
+  const PoolLease &Lease = Found->second;
+  if (Lease.IsMine_)
+    return Lease.Token_;
+  // The row that begins a tenure has its own version as the token.
+  return Lease.Row_.Token_ > 0 ? Lease.Row_.Token_ : Lease.Version_;
+}
+
 std::size_t OwnershipKeeper::owned() const {
   return static_cast<std::size_t>(
       std::count_if(Leases_.begin(), Leases_.end(),
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -152,15 +152,17 @@
     auto Pending = Owner->pendingJobs();
     if (!Pending)
       continue;
-    PendingRow Row{*Pending};
+    PendingRow Row{Owner->token(), *Pending};
     if (Reported_.contains(Pool) && Reported_[Pool].Pending_ == Row.Pending_)
       continue;
     Reported_[Pool] = Row;
     StoreTransaction Wanted;
     Wanted.Puts_ = {{controlrows::pending(Pool), controlrows::encode(Row)}};
     Store_.transact(std::move(Wanted),
-                    [this, Pool = Pool](const StoreTransactionEnd &End) {
-                      if (End.Outcome_ != StoreOutcome::Done)
+                    [this, Pool = Pool, Row](const StoreTransactionEnd &End) {
+                      if (End.Outcome_ == StoreOutcome::Done)
+                        Pending_[Pool] = Row;
+                      else
                         Reported_.erase(Pool);
                     });
   }
@@ -309,15 +311,22 @@
 
 std::optional<std::uint64_t>
 SchedulerNode::pending(const std::string &Queue) const {
-  if (!Parts_->Control_->isLoaded())
+  const QueueSetting *Known =
+      Parts_->Configuration_ ? Parts_->Configuration_->queue(Queue) : nullptr;
+  if (Known == nullptr || !Parts_->Control_->isLoaded())
     return std::nullopt;
   std::uint64_t Sum = 0;
+  bool HasReport = false;
   for (const auto &[Pool, Row] : Parts_->Pending_) {
+    // A count of an owner that is gone says nothing of now.
+    if (Parts_->Ownership_->liveToken(Pool) != Row.Token_)
+      continue;
+    HasReport = HasReport || Pool == Known->Pool_;
     auto Found = Row.Pending_.find(Queue);
     if (Found != Row.Pending_.end())
       Sum += Found->second;
   }
-  return Sum;
+  return HasReport ? std::optional(Sum) : std::nullopt;
 }
 
 } // namespace dragonflylock
--- a/src/scheduling/ownershipkeeper.h
+++ b/src/scheduling/ownershipkeeper.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,9 @@
   void tick();
   /// Gives all pools up, so that others can take them at once.
   void releaseAll();
+  /// \returns the token of the pool's owner, or nothing where the pool is not
+  /// known to have one now.
+  std::optional<FencingToken> liveToken(const std::string &Pool) const;
   /// \returns the number of pools owned.
   std::size_t owned() const;
 
--- /dev/null
+++ b/src/scheduling/tests/schedulernode_test.cpp
@@ -0,0 +1,93 @@
+#include "scheduling/schedulernode.h"
+#include "scheduling/controlrows.h"
+#include "scheduling/tests/mocks/fakefleet.h"
+
+#include <gtest/gtest.h>
+
+namespace dragonflylock {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr FencingToken Token = 5;
+
+/// A node that does not own the pool.
+class SchedulerNodeTest : public testing::Test {
+protected:
+  void start() {
+    SchedulingSettings Settings;
+    Settings.Node_ = "node-1";
+    Node_ = SchedulerNode::Builder()
+                .settings(Settings)
+                .process("process-1")
+                .clock(Clock_)
+                .store(Store_)
+                .workers(Workers_)
+                .machines(Machines_)
+                .advisor(Advisor_)
+                .logger(Logger_)
+                .build();
+    SchedulingConfiguration Configuration;
+    Configuration.Version_ = 1;
+    QueueSetting Queue;
+    Queue.Name_ = "queue";
+    Queue.Pool_ = "pool";
+    Configuration.Queues_ = {Queue};
+    Configuration.Pools_ = {{"pool", true, false}};
+    Node_->onConfiguration(Configuration);
+    Node_->tick();
+  }
+
+  void put(const StoreKey &Name, const std::string &Value) {
+    Store_.Rows_[Name] = {Name, Value, ++Store_.Version_, false};
+  }
+
+  void putOwner(FencingToken Of) {
+    OwnerRow Owner;
+    Owner.Holder_ = "node-2";
+    Owner.Process_ = "process-2";
+    Owner.Token_ = Of;
+    Owner.Renewals_ = 3;
+    put(controlrows::owner("pool"), controlrows::encode(Owner));
+  }
+
+  void putCount(FencingToken Of, std::uint64_t Count) {
+    PendingRow Row;
+    Row.Token_ = Of;
+    Row.Pending_["queue"] = Count;
+    put(controlrows::pending("pool"), controlrows::encode(Row));
+  }
+
+  ManualClock Clock_;
+  SilentLogger Logger_;
+  InstantStore Store_;
+  RecordingWorkers Workers_;
+  AcceptingMachines Machines_;
+  RecordingAdvisor Advisor_;
+  std::unique_ptr<SchedulerNode> Node_;
+};
+
+TEST_F(SchedulerNodeTest, TellsTheOwnersCount) {
+  putOwner(Token);
+  putCount(Token, 9);
+  start();
+  EXPECT_EQ(Node_->pending("queue"), 9U);
+}
+
+TEST_F(SchedulerNodeTest, ACountOfAnEarlierOwnerIsNotTold) {
+  putOwner(Token + 1);
+  putCount(Token, 9);
+  start();
+  EXPECT_EQ(Node_->pending("queue"), std::nullopt);
+}
+
+TEST_F(SchedulerNodeTest, ACountIsNotToldWhileNobodyOwnsThePool) {
+  putOwner(Token);
+  putCount(Token, 9);
+  start();
+  Clock_.advance(milliseconds(4000));
+  EXPECT_EQ(Node_->pending("queue"), std::nullopt);
+}
+
+} // namespace
+} // namespace dragonflylock
