Waves take no more machines down than they need to be in time

Cause: each owner emptied machines one after the other from the moment a wave was announced, in the middle of its queue's turn; and a new owner counted a wave's time from when it took over. Change: a pool has only as many machines down as the time left asks for, none while it lacks machines and time is left; the time a wave was seen first is stored with its progress.

--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -47,6 +47,9 @@
 
 /// Progress of a maintenance wave.
 struct WaveProgress {
+  /// When an owner saw the wave first, since 1970; later owners count the
+  /// wave's time from then.
+  std::chrono::milliseconds SeenAt_{0};
   /// Machines that may be down now, with the node that ordered it.
   std::map<std::string, std::string> Down_;
   std::set<std::string> Done_;
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -53,7 +53,10 @@
 }
 
 std::string encode(const WaveProgress &Row) {
-  return json{{"down", Row.Down_}, {"done", Row.Done_}}.dump();
+  return json{{"seen-ms", Row.SeenAt_.count()},
+              {"down", Row.Down_},
+              {"done", Row.Done_}}
+      .dump();
 }
 
 std::string encode(const RosterRow &Row) {
@@ -100,6 +103,8 @@
 std::optional<WaveProgress> decodeWave(const std::string &Text) {
   return read<WaveProgress>(Text, [](const json &Source) {
     WaveProgress Row;
+    Row.SeenAt_ = std::chrono::milliseconds(
+        Source.at("seen-ms").get<std::int64_t>());
     Row.Down_ = Source.at("down").get<std::map<std::string, std::string>>();
     Row.Done_ = Source.at("done").get<std::set<std::string>>();
     return Row;
--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -22,6 +22,13 @@
 /// Longest wait for a machine's runs to end by themselves.
 constexpr std::chrono::milliseconds LongestPatience{3000};
 constexpr std::uint32_t FullSpeed = 100;
+/// Time in which a machine becomes empty and its maintenance is ordered.
+constexpr std::chrono::milliseconds EmptyingTime{1500};
+/// Share of a wave's time that is planned for; the rest is for faults.
+constexpr int UsableTenths = 6;
+/// Age of a wave, as a multiple of its time, beyond which a stored time is
+/// taken for that of a clock that was set.
+constexpr int LongestWaveAge = 4;
 
 } // namespace
 
@@ -87,7 +94,7 @@
   releaseReturned(Each);
   if (Each.IsBusy_)
     return;
-  if (Each.Next_.empty())
+  if (Each.Next_.empty() && mayTakeNext(Each))
     chooseNext(Each);
   if (!Each.Next_.empty() && isReady(Each, Each.Next_) &&
       mayOrder(Each.Next_) &&
@@ -118,8 +125,14 @@
     return;
   auto Row = controlrows::decodeWave(Read.Rows_.front().Value_);
   Each.Version_ = Read.Rows_.front().Version_;
-  if (Row)
-    Each.Row_ = *Row;
+  if (!Row)
+    return;
+  Each.Row_ = *Row;
+  auto Age = Pool_.wallTime() - Row->SeenAt_;
+  bool IsPlausible = Row->SeenAt_.count() > 0 && Age.count() > 0 &&
+                     Age < Each.Asked_.Duration_ * LongestWaveAge;
+  if (IsPlausible)
+    Each.FirstSeen_ = std::min(Each.FirstSeen_, Pool_.Clock_.now() - Age);
 }
 
 WorkerSession *MaintenanceKeeper::sessionOf(const std::string &Name) {
@@ -219,15 +232,44 @@
   }
 }
 
+std::chrono::milliseconds MaintenanceKeeper::spent(const Wave &Each) const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      Pool_.Clock_.now() - Each.FirstSeen_);
+}
+
+std::chrono::milliseconds
+MaintenanceKeeper::timeLeft(const Wave &Each) const {
+  return std::max(std::chrono::milliseconds(0),
+                  Each.Asked_.Duration_ - spent(Each));
+}
+
+bool MaintenanceKeeper::mayTakeNext(const Wave &Each) const {
+  std::int64_t Left = 0;
+  std::int64_t Down = 0;
+  for (const std::string &Name : Each.Asked_.Machines_) {
+    auto Found = Known_.find(Name);
+    if (Found == Known_.end() || Found->second.Pool_ != Pool_.Pool_ ||
+        Each.Row_.Done_.contains(Name))
+      continue;
+    ++Left;
+    Down += Each.Row_.Down_.contains(Name) ? 1 : 0;
+  }
+  auto Cycle = Pool_.Settings_.MaintenanceTime_ + EmptyingTime;
+  auto Usable = timeLeft(Each) * UsableTenths / 10;
+  if (Usable <= Cycle)
+    return true;
+  std::int64_t AtOnce = (Left * Cycle + Usable - std::chrono::milliseconds(1)) /
+                        Usable;
+  if (Down >= AtOnce)
+    return false;
+  return !Pool_.LacksMachines_ || Usable < Left * Cycle * 2;
+}
+
 std::chrono::milliseconds MaintenanceKeeper::patience(const Wave &Each) const {
   std::size_t Left =
       Each.Asked_.Machines_.size() -
       std::min(Each.Asked_.Machines_.size(), Each.Row_.Done_.size());
-  auto Spent = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Pool_.Clock_.now() - Each.FirstSeen_);
-  auto Remaining =
-      std::max(std::chrono::milliseconds(0), Each.Asked_.Duration_ - Spent);
-  auto PerMachine = Remaining * Each.Asked_.MostAtOnce_ /
+  auto PerMachine = timeLeft(Each) * Each.Asked_.MostAtOnce_ /
                     static_cast<std::int64_t>(std::max<std::size_t>(1, Left));
   return std::min(LongestPatience, PerMachine);
 }
@@ -374,14 +416,17 @@
                               const std::function<void(Wave &)> &Then) {
   Each.IsBusy_ = true;
   StoreKey Row = controlrows::wave(Each.Asked_.Number_);
+  WaveProgress Dated = Next;
+  if (Dated.SeenAt_.count() == 0)
+    Dated.SeenAt_ = Pool_.wallTime() - spent(Each);
   StoreTransaction Wanted;
   Wanted.Expected_ = {{Row, Each.Version_}};
-  Wanted.Puts_ = {{Row, controlrows::encode(Next)}};
+  Wanted.Puts_ = {{Row, controlrows::encode(Dated)}};
   if (!Announced.empty())
     Ledger_.announce(Announced, Wanted);
   Pool_.Store_.transact(
       std::move(Wanted),
-      [Weak = weak_from_this(), Next, Then, Announced,
+      [Weak = weak_from_this(), Next = Dated, Then, Announced,
        Number = Each.Asked_.Number_](const StoreTransactionEnd &End) {
         auto Self = Weak.lock();
         if (!Self)
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -69,6 +69,14 @@
   void advance(Wave &Each);
   void load(Wave &Each);
   void onLoaded(std::uint64_t Number, const StoreRange &Read);
+  /// \returns time since the wave was seen first.
+  std::chrono::milliseconds spent(const Wave &Each) const;
+  /// \returns time until the wave is due.
+  std::chrono::milliseconds timeLeft(const Wave &Each) const;
+  /// \returns whether another machine of the pool is to go down now: no more
+  /// than needed to be done in time, and none while the pool lacks machines
+  /// and time is left.
+  bool mayTakeNext(const Wave &Each) const;
   void chooseNext(Wave &Each);
   void claim(Wave &Each, const std::string &Name, bool IsRepeat);
   /// \returns whether the order was sent.
--- a/src/scheduling/internal/movekeeper.cpp
+++ b/src/scheduling/internal/movekeeper.cpp
@@ -48,6 +48,7 @@
   repeatMoves();
   PoolLoad Load = measureLoad(Pool_);
   Load.Home_ = Demands_.of(Pool_.Pool_).Row_.Home_;
+  Pool_.LacksMachines_ = Pool_.Pool_ != Spare && Planner_.missing(Load) > 0;
   if (Pool_.Pool_ != Spare)
     tellDemand(Load);
   give(Load);
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -55,6 +55,8 @@
   std::map<std::string, std::unique_ptr<WorkerSession>> Sessions_;
   std::shared_ptr<const SchedulingConfiguration> Configuration_;
   std::vector<UnstoredEnd> UnstoredEnds_;
+  /// Whether the pool's work needs more machines than it has.
+  bool LacksMachines_ = false;
   /// Whether something has changed that may let a task start.
   bool NeedsDispatch_ = false;
 
