A new owner waits only for tasks that silent workers may run

Change: an owner declares a worker silent in the roster, with the tasks that may run there, and starts nothing on it until the roster says otherwise; the next owner waits for these tasks only. The wait is counted from the end of the earlier owner's lease. Tests: DeclaresASilentWorkerAndWhatMayRunThere, StartsWhatASilentWorkerCanNotRun, DoesNotAskALifetimeThatIsOver.

--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -40,6 +40,9 @@
 struct RosterRow {
   /// Workers that may run tasks of the pool.
   std::vector<WorkerEntry> Workers_;
+  /// By lifetime of a worker that does not answer: all tasks that may run
+  /// there. Nothing is started on it until the row says otherwise.
+  std::map<std::string, std::set<std::string>> Silent_;
   /// Queues that may hold jobs of the pool, also such as are routed elsewhere
   /// by now.
   std::set<std::string> Queues_;
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -65,7 +65,10 @@
     Workers.push_back({{"id", Worker.Id_},
                        {"address", Worker.Address_.text()},
                        {"born-ms", Worker.Born_.count()}});
-  return json{{"workers", Workers}, {"queues", Row.Queues_}}.dump();
+  return json{{"workers", Workers},
+              {"silent", Row.Silent_},
+              {"queues", Row.Queues_}}
+      .dump();
 }
 
 std::optional<OwnerRow> decodeOwner(const std::string &Text) {
@@ -115,6 +118,8 @@
   return read<RosterRow>(Text, [](const json &Source) {
     RosterRow Row;
     Row.Queues_ = Source.at("queues").get<std::set<std::string>>();
+    Row.Silent_ = Source.at("silent")
+                      .get<std::map<std::string, std::set<std::string>>>();
     for (const json &Each : Source.at("workers")) {
       WorkerEntry Worker;
       Worker.Id_ = Each.at("id").get<std::string>();
--- a/src/scheduling/internal/holdkeeper.cpp
+++ b/src/scheduling/internal/holdkeeper.cpp
@@ -37,7 +37,7 @@
 }
 
 bool HoldKeeper::isDue(const WorkerSession &Session) const {
-  if (Session.IsHolding_ || !Session.IsInRoster_ ||
+  if (Session.IsHolding_ || Session.IsOver_ || !Session.IsInRoster_ ||
       Session.NextHold_ > Pool_.Clock_.now())
     return false;
   return !Session.IsFenced_ || !Session.runs().empty() ||
--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -25,7 +25,7 @@
 /// Time in which a machine becomes empty and its maintenance is ordered.
 constexpr std::chrono::milliseconds EmptyingTime{1500};
 /// Share of a wave's time that is planned for; the rest is for faults.
-constexpr int UsableTenths = 6;
+constexpr int UsableTenths = 4;
 /// Age of a wave, as a multiple of its time, beyond which a stored time is
 /// taken for that of a clock that was set.
 constexpr int LongestWaveAge = 4;
--- a/src/scheduling/internal/ownershipkeeper.cpp
+++ b/src/scheduling/internal/ownershipkeeper.cpp
@@ -112,12 +112,22 @@
   return Wanted;
 }
 
+std::optional<TimePoint>
+OwnershipKeeper::endOfOwner(const PoolLease &Lease) const {
+  if (Lease.Version_ == 0 || Lease.Row_.Holder_ == Settings_.Node_)
+    return std::nullopt;
+  if (Lease.Row_.Holder_.empty())
+    return Lease.SeenAt_;
+  return std::min(Clock_.now(), Lease.SeenAt_ + Settings_.OwnerLease_);
+}
+
 void OwnershipKeeper::tryToWin(const std::string &Pool, PoolLease &Lease) {
   OwnerRow Sought;
   Sought.Holder_ = Settings_.Node_;
   Sought.Process_ = Process_;
   bool HadOwner = Lease.Version_ > 0;
   Sought.Predecessors_ = HadOwner ? Lease.Row_.Predecessors_ + 1 : 0;
+  Lease.PredecessorEnd_ = endOfOwner(Lease);
   Lease.IsBusy_ = true;
   Store_.transact(writeOf(Pool, Lease, Sought),
                   [Weak = weak_from_this(), Pool, Sought,
@@ -160,7 +170,8 @@
                     .with("pool", Pool)
                     .with("token", Token)
                     .with("predecessors", Lease.Row_.Predecessors_));
-  OnWon_({Pool, Token, Lease.Row_.Predecessors_, Lease.LeaseEnd_});
+  OnWon_({Pool, Token, Lease.Row_.Predecessors_, Lease.LeaseEnd_,
+          Lease.PredecessorEnd_});
 }
 
 void OwnershipKeeper::renew(const std::string &Pool, PoolLease &Lease) {
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -56,15 +56,19 @@
     State_.FirstRun_ = Tenure.Predecessors_ * RunsPerOwner;
     State_.LeaseEnd_ = Tenure.LeaseEnd_;
     if (HasPredecessor_)
-      State_.InheritedLapse_ = State_.surelyLapsed(State_.Clock_.now());
+      State_.InheritedLapse_ = State_.surelyLapsed(
+          Tenure.PredecessorEnd_.value_or(State_.Clock_.now()));
   }
 
   void onLoaded();
   PoolView view() const;
   void logStatus();
   void followQueues();
-  void settleInherited();
   void removeGoneWorkers();
+  /// Lets tasks start again that can't run under an earlier owner's orders.
+  void settleInherited();
+  /// Ends the sessions of workers that now live in another pool.
+  void endLivesBeforeMoves();
   /// Ends the sessions of earlier lifetimes of the same worker.
   void endEarlierLives(WorkerSession &Latest);
 
@@ -81,10 +85,14 @@
   std::shared_ptr<MoveKeeper> Moves_;
   const DemandBoard &Demands_;
   std::shared_ptr<JobFollower> Follower_;
+  /// Registered workers of other pools: id and start of the lifetime.
+  std::map<std::string, std::chrono::milliseconds> Elsewhere_;
   bool IsLoaded_ = false;
   /// Whether an earlier owner may have left runs behind.
   bool HasPredecessor_;
   bool IsInheritedSettled_ = false;
+  /// Tasks that may run on silent workers since an earlier owner.
+  std::set<std::string> InheritedTasks_;
   TimePoint NextDispatch_;
   TimePoint NextStatus_;
 };
@@ -219,19 +227,33 @@
 }
 
 void PoolOwner::Parts::settleInherited() {
-  if (IsInheritedSettled_)
+  if (IsInheritedSettled_ && InheritedTasks_.empty())
+    return;
+  bool HasLapsed = !HasPredecessor_ ||
+                   State_.Clock_.now() >= State_.InheritedLapse_;
+  // Of a worker that the earlier owner has declared silent it is known what
+  // may run there.
+  bool IsKnown = std::all_of(
+      State_.Sessions_.begin(), State_.Sessions_.end(), [](const auto &Each) {
+        return Each.second->IsFenced_ || Each.second->WasDeclaredSilent_;
+      });
+  if (!HasLapsed && !IsKnown)
     return;
-  bool AllAsked =
-      std::all_of(State_.Sessions_.begin(), State_.Sessions_.end(),
-                  [](const auto &Each) { return Each.second->IsFenced_; });
-  if (HasPredecessor_ && !AllAsked &&
-      State_.Clock_.now() < State_.InheritedLapse_)
+  std::set<std::string> Doubtful;
+  for (const auto &[Lifetime, Session] : State_.Sessions_)
+    if (!HasLapsed && !Session->IsFenced_)
+      Doubtful.insert(Session->InheritedTasks_.begin(),
+                      Session->InheritedTasks_.end());
+  if (IsInheritedSettled_ && Doubtful == InheritedTasks_)
     return;
   IsInheritedSettled_ = true;
+  InheritedTasks_ = std::move(Doubtful);
   State_.NeedsDispatch_ = true;
   for (auto &[Id, Job] : State_.Jobs_)
-    Job->forEachTask(
-        [](const TaskName &, TaskRun &Run) { Run.MayRunElsewhere_ = false; });
+    Job->forEachTask([this](const TaskName &Name, TaskRun &Run) {
+      Run.MayRunElsewhere_ =
+          Run.MayRunElsewhere_ && InheritedTasks_.contains(Name.text());
+    });
 }
 
 void PoolOwner::Parts::removeGoneWorkers() {
@@ -243,6 +265,21 @@
   });
 }
 
+void PoolOwner::Parts::endLivesBeforeMoves() {
+  for (auto &[Lifetime, Session] : State_.Sessions_) {
+    auto Moved = Elsewhere_.find(Session->entry().Id_);
+    if (Session->IsOver_ || Moved == Elsewhere_.end() ||
+        Session->entry().Born_ >= Moved->second)
+      continue;
+    Session->IsOver_ = true;
+    Session->IsListed_ = false;
+    // What was not confirmed may still reach the later lifetime; it lapses.
+    Runs_.releaseConfirmed(*Session);
+    // Nothing of an earlier owner runs there any more.
+    Session->IsFenced_ = true;
+  }
+}
+
 void PoolOwner::Parts::endEarlierLives(WorkerSession &Latest) {
   const WorkerEntry &Entry = Latest.entry();
   for (auto &[Lifetime, Session] : State_.Sessions_) {
@@ -267,6 +304,11 @@
 }
 
 void PoolOwner::onWorkers(const std::vector<WorkerEntry> &Workers) {
+  Parts_->Elsewhere_.clear();
+  for (const WorkerEntry &Worker : Workers)
+    if (Worker.Pool_ != pool())
+      Parts_->Elsewhere_[Worker.Id_] = Worker.Born_;
+  Parts_->endLivesBeforeMoves();
   auto &Sessions = Parts_->State_.Sessions_;
   std::map<std::string, std::chrono::milliseconds> BornOfId;
   for (const WorkerEntry &Worker : Workers)
@@ -280,6 +322,8 @@
     Session->IsListed_ = IsListed;
   }
   for (const WorkerEntry &Worker : Workers) {
+    if (Worker.Pool_ != pool())
+      continue;
     WorkerSession &Session = Parts_->State_.meet(Worker);
     Parts_->endEarlierLives(Session);
     if (Session.entry() == Worker && Session.IsListed_)
@@ -299,6 +343,8 @@
   Parts_->Roster_->tick();
   if (!Parts_->Roster_->isLoaded())
     return;
+  if (!Parts_->IsLoaded_)
+    Parts_->endLivesBeforeMoves();
   Parts_->followQueues();
   if (!Parts_->IsLoaded_)
     return;
--- a/src/scheduling/internal/rosterkeeper.cpp
+++ b/src/scheduling/internal/rosterkeeper.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds RetryPause{100};
+/// Holds without an answer after which a worker is declared silent.
+constexpr std::uint32_t SilentAfter = 2;
 
 } // namespace
 
@@ -48,9 +50,13 @@
         LogEvent("roster.unreadable").with("pool", Pool_.Pool_));
     return;
   }
-  StoredQueues_ = Roster->Queues_;
-  addQueues(Roster->Queues_);
-  for (WorkerEntry &Worker : Roster->Workers_) {
+  adopt(*Roster);
+}
+
+void RosterKeeper::adopt(const RosterRow &Roster) {
+  StoredQueues_ = Roster.Queues_;
+  addQueues(Roster.Queues_);
+  for (WorkerEntry Worker : Roster.Workers_) {
     Worker.Pool_ = Pool_.Pool_;
     Stored_.insert(Worker.lifetime());
     bool IsKnown = Pool_.session(Worker.lifetime()) != nullptr;
@@ -58,6 +64,13 @@
     Session.IsInRoster_ = true;
     if (!IsKnown)
       Session.IsListed_ = false;
+    auto Silent = Roster.Silent_.find(Worker.lifetime());
+    if (Silent == Roster.Silent_.end())
+      continue;
+    StoredSilent_.insert(Worker.lifetime());
+    Session.IsDeclaredSilent_ = true;
+    Session.WasDeclaredSilent_ = true;
+    Session.InheritedTasks_ = Silent->second;
   }
 }
 
@@ -65,13 +78,36 @@
   Queues_.insert(Queues.begin(), Queues.end());
 }
 
+bool RosterKeeper::isToBeDeclared(const WorkerSession &Session) const {
+  bool IsKnown = Session.IsFenced_ || Session.WasDeclaredSilent_ ||
+                 Pool_.Clock_.now() >= Pool_.InheritedLapse_;
+  return IsKnown && Session.HoldFailures_ >= SilentAfter;
+}
+
+std::map<std::string, std::set<std::string>>
+RosterKeeper::silentWorkers() const {
+  std::map<std::string, std::set<std::string>> Silent;
+  for (const auto &[Lifetime, Session] : Pool_.Sessions_) {
+    if (!isToBeDeclared(*Session))
+      continue;
+    std::set<std::string> &Tasks = Silent[Lifetime];
+    for (const auto &[Name, Run] : Session->runs())
+      Tasks.insert(Name.text());
+    if (!Session->IsFenced_)
+      Tasks.insert(Session->InheritedTasks_.begin(),
+                   Session->InheritedTasks_.end());
+  }
+  return Silent;
+}
+
 bool RosterKeeper::needsWriting() const {
   if (Queues_ != StoredQueues_)
     return true;
   if (Pool_.Sessions_.size() != Stored_.size())
     return true;
   for (const auto &[Lifetime, Session] : Pool_.Sessions_)
-    if (!Stored_.contains(Lifetime))
+    if (!Stored_.contains(Lifetime) ||
+        isToBeDeclared(*Session) != StoredSilent_.contains(Lifetime))
       return true;
   return false;
 }
@@ -80,35 +116,46 @@
   IsBusy_ = true;
   RosterRow Roster;
   Roster.Queues_ = Queues_;
+  Roster.Silent_ = silentWorkers();
   std::set<std::string> Written;
   for (const auto &[Lifetime, Session] : Pool_.Sessions_) {
     Roster.Workers_.push_back(Session->entry());
     Written.insert(Lifetime);
+    // The declaration may take effect though its answer is lost.
+    if (Roster.Silent_.contains(Lifetime))
+      Session->IsDeclaredSilent_ = true;
   }
   StoreKey Row = controlrows::roster(Pool_.Pool_);
   StoreTransaction Wanted;
   Wanted.Expected_ = {{Row, Version_}};
   Wanted.Puts_ = {{Row, controlrows::encode(Roster)}};
-  Pool_.Store_.transact(std::move(Wanted),
-                        [Weak = weak_from_this(), Written,
-                         Queues = Queues_](const StoreTransactionEnd &End) {
-                          if (auto Self = Weak.lock())
-                            Self->onWritten(Written, Queues, End);
-                        });
+  Pool_.Store_.transact(
+      std::move(Wanted), [Weak = weak_from_this(), Written,
+                          Roster](const StoreTransactionEnd &End) {
+        if (auto Self = Weak.lock())
+          Self->onWritten(Written, Roster, End);
+      });
 }
 
 void RosterKeeper::onWritten(const std::set<std::string> &Written,
-                             const std::set<std::string> &Queues,
+                             const RosterRow &Roster,
                              const StoreTransactionEnd &End) {
   IsBusy_ = false;
   switch (End.Outcome_) {
   case StoreOutcome::Done:
     Version_ = End.Version_;
     Stored_ = Written;
-    StoredQueues_ = Queues;
-    for (auto &[Lifetime, Session] : Pool_.Sessions_)
-      if (Written.contains(Lifetime))
-        Session->IsInRoster_ = true;
+    StoredQueues_ = Roster.Queues_;
+    StoredSilent_.clear();
+    for (const auto &[Lifetime, Tasks] : Roster.Silent_)
+      StoredSilent_.insert(Lifetime);
+    for (auto &[Lifetime, Session] : Pool_.Sessions_) {
+      if (!Written.contains(Lifetime))
+        continue;
+      Session->IsInRoster_ = true;
+      Session->IsDeclaredSilent_ = StoredSilent_.contains(Lifetime);
+      Pool_.NeedsDispatch_ = true;
+    }
     break;
   case StoreOutcome::ConditionFailed:
     // An earlier write of ours, or a later owner, whose lease is checked
--- a/src/scheduling/internal/rosterkeeper.h
+++ b/src/scheduling/internal/rosterkeeper.h
@@ -1,17 +1,19 @@
 #ifndef DRAGONFLYLOCK_SCHEDULING_INTERNAL_ROSTERKEEPER_H
 #define DRAGONFLYLOCK_SCHEDULING_INTERNAL_ROSTERKEEPER_H
 
-#include "scheduling/storetypes.h"
-
 #include "global/iclock.h"
+#include "scheduling/storetypes.h"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
 
 namespace dragonflylock {
 
+class WorkerSession;
 struct PoolState;
+struct RosterRow;
 struct StoreRange;
 
 /// Keeps the stored list of the workers that may run tasks of the pool. A
@@ -32,11 +34,16 @@
 private:
   void load();
   void onLoaded(const StoreRange &Read);
+  void adopt(const RosterRow &Roster);
   bool needsWriting() const;
+  /// \returns whether all tasks are known that may run on a worker which does
+  /// not answer.
+  bool isToBeDeclared(const WorkerSession &Session) const;
+  /// \returns for each silent worker the tasks that may run there.
+  std::map<std::string, std::set<std::string>> silentWorkers() const;
   void write();
   void onWritten(const std::set<std::string> &Written,
-                 const std::set<std::string> &Queues,
-                 const StoreTransactionEnd &End);
+                 const RosterRow &Roster, const StoreTransactionEnd &End);
 
   PoolState &Pool_;
   bool IsLoaded_ = false;
@@ -46,6 +53,7 @@
   /// Lifetimes in the stored row.
   std::set<std::string> Stored_;
   std::set<std::string> StoredQueues_;
+  std::set<std::string> StoredSilent_;
   std::set<std::string> Queues_;
 };
 
--- a/src/scheduling/internal/runbook.cpp
+++ b/src/scheduling/internal/runbook.cpp
@@ -205,6 +205,15 @@
   }
 }
 
+void RunBook::releaseConfirmed(WorkerSession &Session) {
+  std::vector<TaskName> Confirmed;
+  for (const auto &[Name, Run] : Session.runs())
+    if (Run.ConfirmedAt_)
+      Confirmed.push_back(Name);
+  for (const TaskName &Name : Confirmed)
+    release(Session, Name);
+}
+
 void RunBook::releaseDead(WorkerSession &Session) {
   std::vector<TaskName> Dead;
   for (const auto &[Name, Run] : Session.runs())
--- a/src/scheduling/internal/runbook.h
+++ b/src/scheduling/internal/runbook.h
@@ -28,6 +28,8 @@
   /// Forgets all runs of a lifetime whose leases have lapsed, or that an order
   /// has ended.
   void releaseAll(WorkerSession &Session);
+  /// Takes those runs as ended whose start was confirmed.
+  void releaseConfirmed(WorkerSession &Session);
   /// Forgets the runs that ended with their worker's lifetime. A start that
   /// this lifetime has not listed since may have reached a later one, which
   /// answers to the same id; it stays until that one has been asked.
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -137,11 +137,11 @@
 
 void SchedulerNode::Parts::giveWorkers() {
   HaveWorkersChanged_ = false;
-  std::map<std::string, std::vector<WorkerEntry>> ByPool;
+  std::vector<WorkerEntry> All;
   for (const auto &[Id, Worker] : Workers_)
-    ByPool[Worker.Pool_].push_back(Worker);
+    All.push_back(Worker);
   for (auto &[Pool, Owner] : Owners_)
-    Owner->onWorkers(ByPool[Pool]);
+    Owner->onWorkers(All);
 }
 
 void SchedulerNode::Parts::reportPending() {
--- a/src/scheduling/ownershipkeeper.h
+++ b/src/scheduling/ownershipkeeper.h
@@ -63,9 +63,14 @@
     /// Since when the pool is known to be free; the clock's start otherwise.
     TimePoint FreeSince_;
     TimePoint NextAttempt_;
+    /// End of the previous owner's acts, as of the last attempt to win.
+    std::optional<TimePoint> PredecessorEnd_;
   };
 
   bool isFree(const PoolLease &Lease) const;
+  /// \returns when the present owner has stopped acting, if that is earlier
+  /// than now for certain.
+  std::optional<TimePoint> endOfOwner(const PoolLease &Lease) const;
   std::chrono::milliseconds attemptDelay(const std::string &Pool) const;
   void tryToWin(const std::string &Pool, PoolLease &Lease);
   void onAttempt(const std::string &Pool, TimePoint Sent,
--- a/src/scheduling/poolowner.h
+++ b/src/scheduling/poolowner.h
@@ -33,6 +33,9 @@
   std::uint64_t Predecessors_ = 0;
   /// End of the lease, by this process's clock.
   TimePoint LeaseEnd_;
+  /// When the owner before this one had stopped acting for certain; unset
+  /// where that is only known of the moment of the takeover.
+  std::optional<TimePoint> PredecessorEnd_;
 };
 
 /// Schedules the jobs of one pool while this node owns it: places tasks on
@@ -76,7 +79,7 @@
   void extendLease(TimePoint End);
   void
   onConfiguration(std::shared_ptr<const SchedulingConfiguration> Configuration);
-  /// Takes in all workers that are registered for the pool.
+  /// Takes in all workers that are registered, also those of other pools.
   void onWorkers(const std::vector<WorkerEntry> &Workers);
   /// Takes in the waves that operators have asked for.
   void onWaves(const std::vector<MaintenanceWave> &Waves);
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -9,6 +9,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace dragonflylock {
 namespace {
 
@@ -328,6 +330,72 @@
     EXPECT_EQ(Stop.Task_, Workers_.Stops_[0].Task_);
 }
 
+TEST_F(PoolOwnerTest, DeclaresASilentWorkerAndWhatMayRunThere) {
+  storeJob(jobOf(1));
+  own(0, {worker("w1")});
+  answerHold(listing({}));
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  for (int Round = 0; Round < 10; ++Round) {
+    while (!Workers_.Holds_.empty())
+      Workers_.takeHold().Done_({});
+    Clock_.advance(milliseconds(150));
+    Owner_->tick();
+  }
+  auto Roster = controlrows::decodeRoster(
+      Store_.Rows_[controlrows::roster("pool")].Value_);
+  ASSERT_TRUE(Roster);
+  std::string Lifetime = worker("w1").lifetime();
+  ASSERT_TRUE(Roster->Silent_.contains(Lifetime));
+  EXPECT_EQ(Roster->Silent_[Lifetime],
+            std::set<std::string>{std::string(JobId) + ".0.0.0"});
+}
+
+TEST_F(PoolOwnerTest, StartsWhatASilentWorkerCanNotRun) {
+  storeJob(jobOf(2));
+  RosterRow Roster;
+  Roster.Workers_ = {worker("w1"), worker("w2")};
+  Roster.Silent_[worker("w1").lifetime()] = {std::string(JobId) + ".0.0.0"};
+  Roster.Queues_ = {"queue"};
+  StoreKey Row = controlrows::roster("pool");
+  Store_.Rows_[Row] = {Row, controlrows::encode(Roster), ++Store_.Version_,
+                       false};
+  own(1, {worker("w1"), worker("w2")});
+  for (int Round = 0; Round < 3; ++Round) {
+    std::deque<RecordingWorkers::Hold> Holds;
+    Holds.swap(Workers_.Holds_);
+    for (RecordingWorkers::Hold &Each : Holds)
+      Each.Done_(Each.Target_.Id_ == "w2" ? listing({}) : HoldAnswer());
+    Clock_.advance(milliseconds(200));
+    Owner_->tick();
+  }
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  EXPECT_EQ(Workers_.Starts_[0].Order_.Task_.Index_, 1U);
+  // Until its lease must have lapsed, the other one may still run.
+  Clock_.advance(Settings_.LongestHold_ * 2);
+  tickTwice();
+  EXPECT_TRUE(std::any_of(Workers_.Starts_.begin(), Workers_.Starts_.end(),
+                          [](const RecordingWorkers::Start &Each) {
+                            return Each.Order_.Task_.Index_ == 0;
+                          }));
+}
+
+TEST_F(PoolOwnerTest, DoesNotAskALifetimeThatIsOver) {
+  WorkerEntry Moved = worker("w1");
+  Moved.Pool_ = "other";
+  Moved.Born_ = milliseconds(50);
+  RosterRow Roster;
+  Roster.Workers_ = {worker("w1")};
+  Roster.Queues_ = {"queue"};
+  StoreKey Row = controlrows::roster("pool");
+  Store_.Rows_[Row] = {Row, controlrows::encode(Roster), ++Store_.Version_,
+                       false};
+  storeJob(jobOf(1));
+  own(1, {Moved, worker("w2")});
+  ASSERT_FALSE(Workers_.Holds_.empty());
+  for (const RecordingWorkers::Hold &Each : Workers_.Holds_)
+    EXPECT_NE(Each.Target_.Id_, "w1");
+}
+
 /// Two workers that each run one task of a serving step.
 class ServingPairTest : public PoolOwnerTest {
 protected:
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,8 +80,18 @@
 
   /// Whether the worker has answered under this owner's token.
   bool IsFenced_ = false;
+  /// Whether a later lifetime of the worker is registered in another pool, so
+  /// that this one is over and must not be asked: the other would answer.
+  bool IsOver_ = false;
   /// Whether the worker stands in the stored roster.
   bool IsInRoster_ = false;
+  /// Whether the stored roster says, or may say, that the worker is silent; it
+  /// gets no starts until it does not.
+  bool IsDeclaredSilent_ = false;
+  /// Tasks that may run there since an earlier owner, by its declaration.
+  std::set<std::string> InheritedTasks_;
+  /// Whether an earlier owner has declared the worker silent.
+  bool WasDeclaredSilent_ = false;
   /// Whether the registry still lists the worker.
   bool IsListed_ = true;
   /// Whether the worker is being emptied for its maintenance or a move.
