No maintenance before the registered workers are known

Change: waves and moves wait for the registry; machines that are to go down are reserved before each round of starts.

--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -62,6 +62,19 @@
       advance(Each);
 }
 
+void MaintenanceKeeper::reserveMachines() {
+  auto Keep = [this](const std::string &Name) {
+    if (WorkerSession *Session = sessionOf(Name))
+      Session->IsReserved_ = true;
+  };
+  for (const auto &[Number, Each] : Waves_) {
+    if (!Each.Next_.empty())
+      Keep(Each.Next_);
+    for (const auto &[Name, Holder] : Each.Row_.Down_)
+      Keep(Name);
+  }
+}
+
 void MaintenanceKeeper::listMachines() {
   IsListing_ = true;
   NextList_ = Pool_.Clock_.now() + ListInterval;
@@ -137,11 +150,15 @@
 
 WorkerSession *MaintenanceKeeper::sessionOf(const std::string &Name) {
   auto Found = Known_.find(Name);
-  if (Found == Known_.end() || Found->second.Worker_.empty())
-    return nullptr;
-  for (auto &[Lifetime, Session] : Pool_.Sessions_)
-    if (Session->entry().Id_ == Found->second.Worker_ && Session->IsListed_)
+  for (auto &[Lifetime, Session] : Pool_.Sessions_) {
+    const WorkerEntry &Entry = Session->entry();
+    bool IsOnMachine =
+        Entry.Machine_ == Name ||
+        (Found != Known_.end() && !Found->second.Worker_.empty() &&
+         Entry.Id_ == Found->second.Worker_);
+    if (IsOnMachine && Session->IsListed_)
       return Session.get();
+  }
   return nullptr;
 }
 
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -35,6 +35,9 @@
       : Pool_(Pool), Starts_(Starts), Machines_(Machines), Ledger_(Ledger) {}
 
   void onWaves(const std::vector<MaintenanceWave> &Waves);
+  /// Keeps starts off machines that are to go down or are down; to be called
+  /// before tasks are started, since workers appear at any time.
+  void reserveMachines();
   void tick();
 
 private:
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -88,6 +88,8 @@
   /// Registered workers of other pools: id and start of the lifetime.
   std::map<std::string, std::chrono::milliseconds> Elsewhere_;
   bool IsLoaded_ = false;
+  /// Whether the registered workers have been told.
+  bool AreWorkersKnown_ = false;
   /// Whether an earlier owner may have left runs behind.
   bool HasPredecessor_;
   bool IsInheritedSettled_ = false;
@@ -304,6 +306,7 @@
 }
 
 void PoolOwner::onWorkers(const std::vector<WorkerEntry> &Workers) {
+  Parts_->AreWorkersKnown_ = true;
   Parts_->Elsewhere_.clear();
   for (const WorkerEntry &Worker : Workers)
     if (Worker.Pool_ != pool())
@@ -350,6 +353,7 @@
     return;
   Parts_->Holds_->tick();
   Parts_->settleInherited();
+  Parts_->Maintenance_->reserveMachines();
   Parts_->Starts_->stopUnwanted();
   const TimePoint Now = State.Clock_.now();
   if (State.NeedsDispatch_ || Now >= Parts_->NextDispatch_) {
@@ -359,7 +363,7 @@
   Parts_->logStatus();
   Parts_->Paces_->tick();
   // Before every worker has been asked it is not known what an order ends.
-  if (Parts_->IsInheritedSettled_) {
+  if (Parts_->IsInheritedSettled_ && Parts_->AreWorkersKnown_) {
     Parts_->Maintenance_->tick();
     Parts_->Moves_->tick();
   }
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -45,6 +45,8 @@
   std::shared_ptr<const SchedulingConfiguration> Configuration_;
   std::map<std::string, WorkerEntry> Workers_;
   bool HaveWorkersChanged_ = false;
+  /// Whether Workers_ holds the registry; it is not kept up without a pool.
+  bool AreWorkersKnown_ = false;
   std::map<std::uint64_t, MaintenanceWave> Waves_;
   std::shared_ptr<JobDesk> Desk_;
   std::shared_ptr<OwnershipKeeper> Ownership_;
@@ -133,6 +135,8 @@
 void SchedulerNode::Parts::onLost(const std::string &Pool) {
   Owners_.erase(Pool);
   Reported_.erase(Pool);
+  if (Owners_.empty())
+    AreWorkersKnown_ = false;
 }
 
 void SchedulerNode::Parts::giveWorkers() {
@@ -253,6 +257,7 @@
 }
 
 void SchedulerNode::onAllWorkers(const std::vector<WorkerEntry> &Workers) {
+  Parts_->AreWorkersKnown_ = true;
   Parts_->Workers_.clear();
   for (const WorkerEntry &Worker : Workers)
     Parts_->Workers_[Worker.Id_] = Worker;
@@ -276,7 +281,7 @@
   Parts_->Desk_->tick();
   if (!Parts_->IsReleased_)
     Parts_->Ownership_->tick();
-  if (Parts_->HaveWorkersChanged_)
+  if (Parts_->HaveWorkersChanged_ && Parts_->AreWorkersKnown_)
     Parts_->giveWorkers();
   for (auto &[Pool, Owner] : Parts_->Owners_)
     Owner->tick();
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -65,6 +65,14 @@
 
   void own(std::uint64_t Predecessors,
            const std::vector<WorkerEntry> &Workers) {
+    build(Predecessors);
+    Owner_->onWorkers(Workers);
+    // The roster and the jobs are read one after the other.
+    for (int Round = 0; Round < 5; ++Round)
+      Owner_->tick();
+  }
+
+  void build(std::uint64_t Predecessors) {
     Owner_ = PoolOwner::Builder()
                  .settings(Settings_)
                  .clock(Clock_)
@@ -78,10 +86,6 @@
                  .build({"pool", Token, Predecessors,
                          Clock_.now() + std::chrono::hours(1)});
     Owner_->onConfiguration(Configuration_);
-    Owner_->onWorkers(Workers);
-    // The roster and the jobs are read one after the other.
-    for (int Round = 0; Round < 5; ++Round)
-      Owner_->tick();
   }
 
   HoldAnswer listing(const std::vector<ListedRun> &Running,
@@ -458,6 +462,19 @@
   EXPECT_EQ(Machines_.Orders_[0].Machine_, "machine-of-w1");
 }
 
+TEST_F(ServingPairTest, OrdersNothingBeforeTheWorkersAreKnown) {
+  RosterRow Roster;
+  Roster.Workers_ = {worker("w1"), worker("w2")};
+  Roster.Queues_ = {"queue"};
+  StoreKey Row = controlrows::roster("pool");
+  Store_.Rows_[Row] = {Row, controlrows::encode(Roster), ++Store_.Version_,
+                       false};
+  build(1);
+  Owner_->onWaves({waveOf(1, {"machine-of-w1"})});
+  play();
+  EXPECT_TRUE(Machines_.Orders_.empty());
+}
+
 TEST_F(ServingPairTest, OrdersOfTwoWavesKeepOneBudget) {
   own(0, {worker("w1"), worker("w2")});
   Machines_.IsSilent_ = true;
