--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -93,8 +93,7 @@
     Step.Estimate_ = milliseconds(World_.between(200, 1800));
     Step.IsGang_ = !IsLasting && World_.happens(0.15);
     Step.WantsOneRack_ = Step.IsGang_ && World_.happens(0.5);
-    Step.MayRunTwice_ =
-        !IsLasting && !Step.IsGang_ && World_.happens(0.2);
+    Step.MayRunTwice_ = !IsLasting && !Step.IsGang_ && World_.happens(0.2);
     if (Number > 0)
       Step.After_ = {static_cast<std::uint32_t>(Number - 1)};
     if (IsLasting) {
--- a/src/emulator/internal/modelworkers.cpp
+++ b/src/emulator/internal/modelworkers.cpp
@@ -171,8 +171,8 @@
       World_.happens(Worker.FailShare_) ? EndKind::Failed : EndKind::Done);
 }
 
-std::map<TaskName, ModelWorker *>
-ModelWorkers::membersOf(const TaskName &Like, RunNumber Run) {
+std::map<TaskName, ModelWorker *> ModelWorkers::membersOf(const TaskName &Like,
+                                                          RunNumber Run) {
   std::map<TaskName, ModelWorker *> Members;
   for (auto &[Id, Worker] : Workers_)
     for (const auto &[Task, Each] : Worker.Running_)
@@ -247,9 +247,8 @@
     auto Found = Workers_.find(Id);
     // By the worker's number, so that every pool has workers that may.
     std::size_t Number = std::stoul(Id.substr(1));
-    bool IsForbidden = (std::hash<std::string>()(Step) + Number) %
-                           ForbiddenOneIn ==
-                       0;
+    bool IsForbidden =
+        (std::hash<std::string>()(Step) + Number) % ForbiddenOneIn == 0;
     if (Found != Workers_.end() && !IsForbidden)
       Given.Tickets_[Id] = Step + "/" + Found->second.Entry_.lifetime();
   }
--- a/src/metrics/internal/metricregistry.cpp
+++ b/src/metrics/internal/metricregistry.cpp
@@ -5,18 +5,26 @@
 namespace dragonflylock {
 
 CounterFamily &MetricRegistry::counter(const char *Name, const char *Help) {
-  return prometheus::BuildCounter().Name(Name).Help(Help).Labels(Common_)
+  return prometheus::BuildCounter()
+      .Name(Name)
+      .Help(Help)
+      .Labels(Common_)
       .Register(Registry_);
 }
 
 GaugeFamily &MetricRegistry::gauge(const char *Name, const char *Help) {
-  return prometheus::BuildGauge().Name(Name).Help(Help).Labels(Common_)
+  return prometheus::BuildGauge()
+      .Name(Name)
+      .Help(Help)
+      .Labels(Common_)
       .Register(Registry_);
 }
 
-HistogramFamily &MetricRegistry::histogram(const char *Name,
-                                           const char *Help) {
-  return prometheus::BuildHistogram().Name(Name).Help(Help).Labels(Common_)
+HistogramFamily &MetricRegistry::histogram(const char *Name, const char *Help) {
+  return prometheus::BuildHistogram()
+      .Name(Name)
+      .Help(Help)
+      .Labels(Common_)
       .Register(Registry_);
 }
 
--- a/src/metrics/internal/prometheusmetrics.cpp
+++ b/src/metrics/internal/prometheusmetrics.cpp
@@ -5,25 +5,26 @@
 
 struct PrometheusMetrics::Families {
   explicit Families(const MetricLabels &Common)
-      : Registry_(Common), Requests_(Registry_.counter( "dragonflylock_requests_total",
-                          "Requests that ended, by pool and result")),
-        Offers_(Registry_.counter( "dragonflylock_offers_total",
-                        "Offers to endpoints, by pool")),
-        Refused_(Registry_.counter( "dragonflylock_ring_refused_total",
-                         "Entries that a full ring refused")),
-        PlatformFailures_(Registry_.counter(
-                                  "dragonflylock_platform_failures_total",
-                                  "Failed calls to the platform")),
-        WholeTime_(Registry_.histogram( "dragonflylock_request_seconds",
-                             "Time from arrival to answer")),
-        Wait_(Registry_.histogram( "dragonflylock_wait_seconds",
-                        "Time from arrival to the first offer")),
-        Version_(Registry_.gauge( "dragonflylock_configuration_version",
-                       "Configuration version in force")),
-        Peers_(
-            Registry_.gauge( "dragonflylock_live_peers", "Peers heard of lately")),
-        Active_(Registry_.gauge( "dragonflylock_active_requests",
-                      "Requests that have not ended, by stage")) {}
+      : Registry_(Common),
+        Requests_(Registry_.counter("dragonflylock_requests_total",
+                                    "Requests that ended, by pool and result")),
+        Offers_(Registry_.counter("dragonflylock_offers_total",
+                                  "Offers to endpoints, by pool")),
+        Refused_(Registry_.counter("dragonflylock_ring_refused_total",
+                                   "Entries that a full ring refused")),
+        PlatformFailures_(
+            Registry_.counter("dragonflylock_platform_failures_total",
+                              "Failed calls to the platform")),
+        WholeTime_(Registry_.histogram("dragonflylock_request_seconds",
+                                       "Time from arrival to answer")),
+        Wait_(Registry_.histogram("dragonflylock_wait_seconds",
+                                  "Time from arrival to the first offer")),
+        Version_(Registry_.gauge("dragonflylock_configuration_version",
+                                 "Configuration version in force")),
+        Peers_(Registry_.gauge("dragonflylock_live_peers",
+                               "Peers heard of lately")),
+        Active_(Registry_.gauge("dragonflylock_active_requests",
+                                "Requests that have not ended, by stage")) {}
 
   MetricRegistry Registry_;
   CounterFamily &Requests_;
@@ -39,9 +40,8 @@
 
 PrometheusMetrics::PrometheusMetrics(const std::string &Name,
                                      const std::string &Zone)
-    : Families_(
-          std::make_unique<Families>(MetricLabels{{"entry", Name}, {"zone", Zone}})) {
-}
+    : Families_(std::make_unique<Families>(
+          MetricLabels{{"entry", Name}, {"zone", Zone}})) {}
 
 PrometheusMetrics::~PrometheusMetrics() = default;
 
--- a/src/metrics/internal/prometheusnodemetrics.cpp
+++ b/src/metrics/internal/prometheusnodemetrics.cpp
@@ -60,8 +60,8 @@
   Families_->Calls_
       .Add({{"system", System}, {"call", Call}, {"outcome", Outcome}})
       .Increment();
-  Families_->CallTime_.Add({{"system", System}, {"call", Call}},
-                           durationBounds())
+  Families_->CallTime_
+      .Add({{"system", System}, {"call", Call}}, durationBounds())
       .Observe(metricSeconds(Took));
 }
 
--- a/src/scheduling/iadvisor.h
+++ b/src/scheduling/iadvisor.h
@@ -30,8 +30,7 @@
   /// \param Step names the step as JOB.OCCURRENCE.STEP.
   /// \param Workers ids of the workers to ask about, 100 at most.
   virtual void advise(const std::string &Step,
-                      const std::vector<std::string> &Workers,
-                      Done Answer) = 0;
+                      const std::vector<std::string> &Workers, Done Answer) = 0;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/activejob.cpp
+++ b/src/scheduling/internal/activejob.cpp
@@ -38,8 +38,8 @@
   return Members;
 }
 
-std::vector<TaskName> ActiveJob::startable(TimePoint Now,
-                                           std::chrono::milliseconds Wall) const {
+std::vector<TaskName>
+ActiveJob::startable(TimePoint Now, std::chrono::milliseconds Wall) const {
   std::vector<TaskName> Found;
   if (IsCancelled_ || isFinal(Progress_.state()))
     return Found;
--- a/src/scheduling/internal/capacityplanner.cpp
+++ b/src/scheduling/internal/capacityplanner.cpp
@@ -17,9 +17,8 @@
 constexpr int MovesOfRelease = 2;
 
 double usable(const PoolLoad &Load) {
-  return std::max(0.0,
-                  (static_cast<double>(Load.Machines_) - Load.Lasting_) *
-                      Packing);
+  return std::max(0.0, (static_cast<double>(Load.Machines_) - Load.Lasting_) *
+                           Packing);
 }
 
 } // namespace
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -46,9 +46,8 @@
 }
 
 std::string encode(const DemandRow &Row) {
-  return json{{"missing", Row.Missing_},
-              {"coming", Row.Coming_},
-              {"home", Row.Home_}}
+  return json{
+      {"missing", Row.Missing_}, {"coming", Row.Coming_}, {"home", Row.Home_}}
       .dump();
 }
 
@@ -65,9 +64,8 @@
     Workers.push_back({{"id", Worker.Id_},
                        {"address", Worker.Address_.text()},
                        {"born-ms", Worker.Born_.count()}});
-  return json{{"workers", Workers},
-              {"silent", Row.Silent_},
-              {"queues", Row.Queues_}}
+  return json{
+      {"workers", Workers}, {"silent", Row.Silent_}, {"queues", Row.Queues_}}
       .dump();
 }
 
@@ -106,8 +104,8 @@
 std::optional<WaveProgress> decodeWave(const std::string &Text) {
   return read<WaveProgress>(Text, [](const json &Source) {
     WaveProgress Row;
-    Row.SeenAt_ = std::chrono::milliseconds(
-        Source.at("seen-ms").get<std::int64_t>());
+    Row.SeenAt_ =
+        std::chrono::milliseconds(Source.at("seen-ms").get<std::int64_t>());
     Row.Down_ = Source.at("down").get<std::map<std::string, std::string>>();
     Row.Done_ = Source.at("done").get<std::set<std::string>>();
     return Row;
@@ -118,8 +116,8 @@
   return read<RosterRow>(Text, [](const json &Source) {
     RosterRow Row;
     Row.Queues_ = Source.at("queues").get<std::set<std::string>>();
-    Row.Silent_ = Source.at("silent")
-                      .get<std::map<std::string, std::set<std::string>>>();
+    Row.Silent_ =
+        Source.at("silent").get<std::map<std::string, std::set<std::string>>>();
     for (const json &Each : Source.at("workers")) {
       WorkerEntry Worker;
       Worker.Id_ = Each.at("id").get<std::string>();
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -161,12 +161,12 @@
                               const std::vector<TaskName> &Waiting) {
   const TimePoint Now = Pool_.Clock_.now();
   const GangRun &Gang = Job.gang(Waiting.front());
-  bool MayJoin = Now < Gang.StartedAt_ + Pool_.Settings_.GangTimeout_ / 2 &&
-                 std::all_of(Waiting.begin(), Waiting.end(),
-                             [&](const TaskName &Name) {
-                               const TaskRun &Run = Job.run(Name);
-                               return Run.WasRefused_ && Run.Run_ == Gang.Run_;
-                             });
+  bool MayJoin =
+      Now < Gang.StartedAt_ + Pool_.Settings_.GangTimeout_ / 2 &&
+      std::all_of(Waiting.begin(), Waiting.end(), [&](const TaskName &Name) {
+        const TaskRun &Run = Job.run(Name);
+        return Run.WasRefused_ && Run.Run_ == Gang.Run_;
+      });
   if (MayJoin) {
     auto Workers = Chooser_.chooseAll(Job, Waiting, /*OnOneRack=*/false);
     for (std::size_t Index = 0; Index < Workers.size(); ++Index)
--- a/src/scheduling/internal/loadmeter.cpp
+++ b/src/scheduling/internal/loadmeter.cpp
@@ -71,8 +71,7 @@
     else if (!Run.Worker_.empty())
       Load.Running_ += shareOf(Step, Unit);
   });
-  for (const TaskName &Name :
-       Job.startable(Pool.Clock_.now(), Pool.wallTime()))
+  for (const TaskName &Name : Job.startable(Pool.Clock_.now(), Pool.wallTime()))
     if (!Job.step(Name).IsLongRunning_)
       Load.Waiting_ += waitingRoomOf(Job.step(Name), Unit);
 }
@@ -90,9 +89,10 @@
       continue;
     addTasks(Load, *Job, Unit, Pool);
     if (auto Since = Job->waitsSince())
-      Load.LongestWait_ = std::max(
-          Load.LongestWait_, std::chrono::duration_cast<std::chrono::milliseconds>(
-                                 Pool.Clock_.now() - *Since));
+      Load.LongestWait_ =
+          std::max(Load.LongestWait_,
+                   std::chrono::duration_cast<std::chrono::milliseconds>(
+                       Pool.Clock_.now() - *Since));
     bool IsNew =
         std::chrono::abs(Wall - Job->stored().AcceptedAt_) < ArrivalWindow;
     if (IsNew && Job->stored().Spec_.Times_ == 0)
--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -110,8 +110,7 @@
   if (Each.Next_.empty() && mayTakeNext(Each))
     chooseNext(Each);
   if (!Each.Next_.empty() && isReady(Each, Each.Next_) &&
-      mayOrder(Each.Next_) &&
-      Each.Row_.Down_.size() < Each.Asked_.MostAtOnce_)
+      mayOrder(Each.Next_) && Each.Row_.Down_.size() < Each.Asked_.MostAtOnce_)
     claim(Each, Each.Next_, /*IsRepeat=*/false);
 }
 
@@ -254,8 +253,7 @@
       Pool_.Clock_.now() - Each.FirstSeen_);
 }
 
-std::chrono::milliseconds
-MaintenanceKeeper::timeLeft(const Wave &Each) const {
+std::chrono::milliseconds MaintenanceKeeper::timeLeft(const Wave &Each) const {
   return std::max(std::chrono::milliseconds(0),
                   Each.Asked_.Duration_ - spent(Each));
 }
@@ -275,8 +273,8 @@
   auto Usable = timeLeft(Each) * UsableTenths / 10;
   if (Usable <= Cycle)
     return true;
-  std::int64_t AtOnce = (Left * Cycle + Usable - std::chrono::milliseconds(1)) /
-                        Usable;
+  std::int64_t AtOnce =
+      (Left * Cycle + Usable - std::chrono::milliseconds(1)) / Usable;
   if (Down >= AtOnce)
     return false;
   return !Pool_.LacksMachines_ || Usable < Left * Cycle * 2;
--- a/src/scheduling/internal/movekeeper.cpp
+++ b/src/scheduling/internal/movekeeper.cpp
@@ -102,18 +102,17 @@
   StoreKey Name = controlrows::demand(Pool_.Pool_);
   Wanted.Expected_ = {{Name, Demands_.of(Pool_.Pool_).Version_}};
   Wanted.Puts_ = {{Name, controlrows::encode(Row)}};
-  Pool_.Store_.transact(
-      std::move(Wanted),
-      [Weak = weak_from_this(), Row](const StoreTransactionEnd &End) {
-        auto Self = Weak.lock();
-        if (!Self)
-          return;
-        Self->IsWriting_ = false;
-        if (End.Outcome_ == StoreOutcome::Done)
-          Self->Demands_.onStored(Self->Pool_.Pool_, Row, End.Version_);
-        for (const StoreRow &Current : End.Current_)
-          Self->Demands_.onRow(Self->Pool_.Pool_, Current);
-      });
+  Pool_.Store_.transact(std::move(Wanted), [Weak = weak_from_this(), Row](
+                                               const StoreTransactionEnd &End) {
+    auto Self = Weak.lock();
+    if (!Self)
+      return;
+    Self->IsWriting_ = false;
+    if (End.Outcome_ == StoreOutcome::Done)
+      Self->Demands_.onStored(Self->Pool_.Pool_, Row, End.Version_);
+    for (const StoreRow &Current : End.Current_)
+      Self->Demands_.onRow(Self->Pool_.Pool_, Current);
+  });
 }
 
 bool MoveKeeper::isIdle(const WorkerSession &Session) const {
@@ -216,21 +215,19 @@
     Row.Coming_.insert(Names.begin(), Names.end());
     Wanted.Expected_.push_back(
         {controlrows::demand(To), Demands_.of(To).Version_});
-    Wanted.Puts_.push_back(
-        {controlrows::demand(To), controlrows::encode(Row)});
+    Wanted.Puts_.push_back({controlrows::demand(To), controlrows::encode(Row)});
   }
   for (const std::string &Name : Names) {
     Ledger_.announce(Name, Wanted);
     reserve(Name, true);
   }
   IsGranting_ = true;
-  Pool_.Store_.transact(std::move(Wanted),
-                        [Weak = weak_from_this(), To, Row, Names,
-                         Sent = Pool_.Clock_.now()](
-                            const StoreTransactionEnd &End) {
-                          if (auto Self = Weak.lock())
-                            Self->onGranted(To, Row, Sent, Names, End);
-                        });
+  Pool_.Store_.transact(std::move(Wanted), [Weak = weak_from_this(), To, Row,
+                                            Names, Sent = Pool_.Clock_.now()](
+                                               const StoreTransactionEnd &End) {
+    if (auto Self = Weak.lock())
+      Self->onGranted(To, Row, Sent, Names, End);
+  });
 }
 
 void MoveKeeper::onRefused(const std::string &To,
@@ -283,8 +280,7 @@
 void MoveKeeper::send(const std::string &Name, Move &Each) {
   const TimePoint Now = Pool_.Clock_.now();
   if (Each.IsBusy_ || Now < Each.LastTry_ + OrderPause ||
-      Now >= Each.AnnouncedAt_ + MachineLedger::OrderWindow ||
-      !Pool_.mayAct())
+      Now >= Each.AnnouncedAt_ + MachineLedger::OrderWindow || !Pool_.mayAct())
     return;
   Each.IsBusy_ = true;
   Each.LastTry_ = Now;
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -231,8 +231,8 @@
 void PoolOwner::Parts::settleInherited() {
   if (IsInheritedSettled_ && InheritedTasks_.empty())
     return;
-  bool HasLapsed = !HasPredecessor_ ||
-                   State_.Clock_.now() >= State_.InheritedLapse_;
+  bool HasLapsed =
+      !HasPredecessor_ || State_.Clock_.now() >= State_.InheritedLapse_;
   // Of a worker that the earlier owner has declared silent it is known what
   // may run there.
   bool IsKnown = std::all_of(
--- a/src/scheduling/internal/rosterkeeper.cpp
+++ b/src/scheduling/internal/rosterkeeper.cpp
@@ -129,12 +129,12 @@
   StoreTransaction Wanted;
   Wanted.Expected_ = {{Row, Version_}};
   Wanted.Puts_ = {{Row, controlrows::encode(Roster)}};
-  Pool_.Store_.transact(
-      std::move(Wanted), [Weak = weak_from_this(), Written,
-                          Roster](const StoreTransactionEnd &End) {
-        if (auto Self = Weak.lock())
-          Self->onWritten(Written, Roster, End);
-      });
+  Pool_.Store_.transact(std::move(Wanted),
+                        [Weak = weak_from_this(), Written,
+                         Roster](const StoreTransactionEnd &End) {
+                          if (auto Self = Weak.lock())
+                            Self->onWritten(Written, Roster, End);
+                        });
 }
 
 void RosterKeeper::onWritten(const std::set<std::string> &Written,
--- a/src/scheduling/internal/rosterkeeper.h
+++ b/src/scheduling/internal/rosterkeeper.h
@@ -42,8 +42,8 @@
   /// \returns for each silent worker the tasks that may run there.
   std::map<std::string, std::set<std::string>> silentWorkers() const;
   void write();
-  void onWritten(const std::set<std::string> &Written,
-                 const RosterRow &Roster, const StoreTransactionEnd &End);
+  void onWritten(const std::set<std::string> &Written, const RosterRow &Roster,
+                 const StoreTransactionEnd &End);
 
   PoolState &Pool_;
   bool IsLoaded_ = false;
--- a/src/scheduling/internal/runbook.cpp
+++ b/src/scheduling/internal/runbook.cpp
@@ -249,16 +249,15 @@
   std::map<std::pair<std::uint32_t, std::uint32_t>, std::set<RunNumber>> Gangs;
   bool Failed = false;
   Job.forEachTask([&](const TaskName &Name, TaskRun &) {
-    const std::vector<RunNumber> &Runs =
-        Job.progress().task(Name).FailedRuns_;
+    const std::vector<RunNumber> &Runs = Job.progress().task(Name).FailedRuns_;
     Failed = Failed || Runs.size() >= Most;
     if (!Runs.empty() && Job.step(Name).IsGang_)
       Gangs[{Name.Occurrence_, Name.Step_}].insert(Runs.begin(), Runs.end());
   });
-  return Failed || std::any_of(Gangs.begin(), Gangs.end(),
-                               [Most](const auto &Each) {
-                                 return Each.second.size() >= Most;
-                               });
+  return Failed ||
+         std::any_of(Gangs.begin(), Gangs.end(), [Most](const auto &Each) {
+           return Each.second.size() >= Most;
+         });
 }
 
 void RunBook::judge(ActiveJob &Job) {
--- a/src/scheduling/internal/workerchooser.cpp
+++ b/src/scheduling/internal/workerchooser.cpp
@@ -10,8 +10,7 @@
 bool WorkerChooser::isUsable(const WorkerSession &Session) const {
   return Session.IsFenced_ && Session.IsInRoster_ && Session.IsListed_ &&
          !Session.IsReserved_ && !Session.IsDeclaredSilent_ &&
-         Session.knowsClock() &&
-         Session.HoldFailures_ == 0 &&
+         Session.knowsClock() && Session.HoldFailures_ == 0 &&
          Session.entry().State_ == WorkerState::Ready &&
          Session.AvoidUntil_ <= Pool_.Clock_.now();
 }
@@ -78,9 +77,9 @@
   return nullptr;
 }
 
-std::vector<WorkerSession *>
-WorkerChooser::placeAll(const StepSpec &Step, Choice Among,
-                        std::size_t Tasks) const {
+std::vector<WorkerSession *> WorkerChooser::placeAll(const StepSpec &Step,
+                                                     Choice Among,
+                                                     std::size_t Tasks) const {
   std::vector<WorkerSession *> Chosen;
   for (std::size_t Task = 0; Task < Tasks; ++Task) {
     auto Index = choosePlacement(Step, Among.Candidates_);
--- a/src/scheduling/schedulernode.h
+++ b/src/scheduling/schedulernode.h
@@ -89,7 +89,7 @@
   std::optional<std::uint64_t> pending(const std::string &Queue) const;
 
 private:
-struct Parts;
+  struct Parts;
   explicit SchedulerNode(std::unique_ptr<Parts> Built);
 
   std::unique_ptr<Parts> Parts_;
--- a/src/scheduling/tests/machinemoves_test.cpp
+++ b/src/scheduling/tests/machinemoves_test.cpp
@@ -27,8 +27,7 @@
       Each->Configuration_ = Configuration;
       Each->LeaseEnd_ = Clock_.now() + std::chrono::hours(1);
     }
-    Keeper_ =
-        std::make_shared<MoveKeeper>(Pool_, Machines_, Ledger_, Demands_);
+    Keeper_ = std::make_shared<MoveKeeper>(Pool_, Machines_, Ledger_, Demands_);
     SpareKeeper_ =
         std::make_shared<MoveKeeper>(Spare_, Machines_, Ledger_, Demands_);
   }
@@ -165,8 +164,7 @@
   pass(milliseconds(1500));
   Ledger_.onRow("machine-of-w1", Other);
   otherAsksFor(1);
-  pass(Settings_.OwnerLease_ + MachineLedger::OrderWindow -
-       milliseconds(200));
+  pass(Settings_.OwnerLease_ + MachineLedger::OrderWindow - milliseconds(200));
   EXPECT_TRUE(Machines_.Moves_.empty());
   pass(milliseconds(600));
   EXPECT_EQ(Machines_.Moves_.size(), 1U);
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -478,8 +478,7 @@
 TEST_F(ServingPairTest, OrdersOfTwoWavesKeepOneBudget) {
   own(0, {worker("w1"), worker("w2")});
   Machines_.IsSilent_ = true;
-  Owner_->onWaves(
-      {waveOf(1, {"machine-of-w1"}), waveOf(2, {"machine-of-w2"})});
+  Owner_->onWaves({waveOf(1, {"machine-of-w1"}), waveOf(2, {"machine-of-w2"})});
   play();
   EXPECT_EQ(Machines_.Orders_.size(), 1U);
 }
--- a/src/scheduling/tests/schedulernode_test.cpp
+++ b/src/scheduling/tests/schedulernode_test.cpp
@@ -1,5 +1,5 @@
-#include "scheduling/schedulernode.h"
 #include "scheduling/controlrows.h"
+#include "scheduling/schedulernode.h"
 #include "scheduling/tests/mocks/fakefleet.h"
 
 #include <gtest/gtest.h>
--- a/src/telemetry/internal/meteredhandler.cpp
+++ b/src/telemetry/internal/meteredhandler.cpp
@@ -34,8 +34,8 @@
 
 void MeteredHandler::handle(HttpRequest Request,
                             std::shared_ptr<IHttpResponder> Responder) {
-  auto Metered = std::make_shared<MeteredResponder>(
-      std::move(Responder), Request.Method_, Metrics_);
+  auto Metered = std::make_shared<MeteredResponder>(std::move(Responder),
+                                                    Request.Method_, Metrics_);
   Inner_.handle(std::move(Request), std::move(Metered));
 }
 
--- a/src/telemetry/tests/telemetry_test.cpp
+++ b/src/telemetry/tests/telemetry_test.cpp
@@ -84,8 +84,7 @@
   MeteredHandler Handler(Inner, Metrics_);
   Handler.handle({"POST", "/q/1", {}, ""},
                  std::make_shared<KeepingResponder>());
-  EXPECT_THAT(get("/metrics"),
-              HasSubstr("method=\"POST\",status=\"503\""));
+  EXPECT_THAT(get("/metrics"), HasSubstr("method=\"POST\",status=\"503\""));
 }
 
 TEST_F(TelemetryTest, ForgetsAPoolThatIsLost) {
