Tasks wait for the rack of their data as long as that pays

Change: a task waits for a worker of the data's rack for as long as its declared run would take longer elsewhere, if the rack has a worker.

--- a/src/scheduling/activejob.h
+++ b/src/scheduling/activejob.h
@@ -51,12 +51,13 @@
   TimePoint AtWorkSince_;
 };
 
-/// The current run of a gang: all tasks of one step of one occurrence.
-struct GangRun {
-  /// Run number of all members; 0 before the first start.
+/// What the tasks of one step of one occurrence share.
+struct StepRun {
+  /// Run number of all members of a gang; 0 before the first start.
   RunNumber Run_ = 0;
+  /// When the gang was started last.
   TimePoint StartedAt_;
-  /// Since when the gang could have started but did not fit.
+  /// Since when the step could have started but did not fit.
   TimePoint WaitsSince_;
 };
 
@@ -72,9 +73,9 @@
   }
   JobProgress &progress() { return Progress_; }
   const JobProgress &progress() const { return Progress_; }
-  /// \returns the run of the gang that the task belongs to.
-  GangRun &gang(const TaskName &Name) {
-    return Gangs_[{Name.Occurrence_, Name.Step_}];
+  /// \returns what the tasks of the task's step share.
+  StepRun &stepRun(const TaskName &Name) {
+    return StepRuns_[{Name.Occurrence_, Name.Step_}];
   }
   TaskRun &run(const TaskName &Name);
   const TaskRun &run(const TaskName &Name) const;
@@ -153,7 +154,7 @@
   /// By occurrence, step and index.
   std::vector<std::vector<std::vector<TaskRun>>> Runs_;
   /// By occurrence and step.
-  std::map<std::pair<std::uint32_t, std::uint32_t>, GangRun> Gangs_;
+  std::map<std::pair<std::uint32_t, std::uint32_t>, StepRun> StepRuns_;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -95,7 +95,7 @@
     }
     if (Name.Step_ == FullStep)
       continue;
-    WorkerSession *Session = Chooser_.choose(Job, Name);
+    WorkerSession *Session = workerFor(Job, Name);
     if (Session == nullptr) {
       FullStep = Name.Step_;
       Job.noteRoom(/*IsMissing=*/true, Pool_.Clock_.now());
@@ -122,22 +122,34 @@
   return true;
 }
 
-bool Dispatcher::mayWaitForOneRack(const StepSpec &Step,
-                                   const GangRun &Gang) const {
-  // Waiting longer than the run takes more on several racks is no gain.
+bool Dispatcher::mayWaitForRack(const StepSpec &Step,
+                                const StepRun &Shared) const {
+  // Waiting for longer than the run takes more elsewhere is no gain.
   auto Gain = std::chrono::duration_cast<std::chrono::milliseconds>(
       (Pool_.Settings_.FarFactor_ - 1) * Step.Estimate_);
-  return Step.WantsOneRack_ && Pool_.Clock_.now() < Gang.WaitsSince_ + Gain;
+  return Pool_.Clock_.now() < Shared.WaitsSince_ + Gain;
+}
+
+WorkerSession *Dispatcher::workerFor(ActiveJob &Job, const TaskName &Name) {
+  const StepSpec &Step = Job.step(Name);
+  if (Step.DataRack_.empty())
+    return Chooser_.choose(Job, Name);
+  StepRun &Shared = Job.stepRun(Name);
+  if (Shared.WaitsSince_ == TimePoint())
+    Shared.WaitsSince_ = Pool_.Clock_.now();
+  if (Chooser_.hasWorkerOn(Step.DataRack_) && mayWaitForRack(Step, Shared))
+    return Chooser_.choose(Job, Name, /*OnlyOnDataRack=*/true);
+  return Chooser_.choose(Job, Name);
 }
 
 bool Dispatcher::startGang(ActiveJob &Job,
                            const std::vector<TaskName> &Members) {
   const TimePoint Now = Pool_.Clock_.now();
   const StepSpec &Step = Job.step(Members.front());
-  GangRun &Gang = Job.gang(Members.front());
+  StepRun &Gang = Job.stepRun(Members.front());
   if (Gang.WaitsSince_ == TimePoint())
     Gang.WaitsSince_ = Now;
-  bool WaitsForRack = mayWaitForOneRack(Step, Gang) &&
+  bool WaitsForRack = Step.WantsOneRack_ && mayWaitForRack(Step, Gang) &&
                       Chooser_.mayFitLater(Job, Members, /*OnOneRack=*/true);
   auto Workers = Chooser_.chooseAll(Job, Members, Step.WantsOneRack_);
   if (Workers.empty() && Step.WantsOneRack_ && !WaitsForRack)
@@ -160,7 +172,7 @@
 void Dispatcher::completeGang(ActiveJob &Job,
                               const std::vector<TaskName> &Waiting) {
   const TimePoint Now = Pool_.Clock_.now();
-  const GangRun &Gang = Job.gang(Waiting.front());
+  const StepRun &Gang = Job.stepRun(Waiting.front());
   bool MayJoin =
       Now < Gang.StartedAt_ + Pool_.Settings_.GangTimeout_ / 2 &&
       std::all_of(Waiting.begin(), Waiting.end(), [&](const TaskName &Name) {
--- a/src/scheduling/internal/dispatcher.h
+++ b/src/scheduling/internal/dispatcher.h
@@ -15,7 +15,7 @@
 class AdviceKeeper;
 class RunBook;
 class WorkerSession;
-struct GangRun;
+struct StepRun;
 struct PoolState;
 
 /// Starts the tasks of a pool in the order of their jobs' urgency, and stops
@@ -45,7 +45,11 @@
   bool dispatchGang(ActiveJob &Job, const std::vector<TaskName> &Waiting);
   bool startGang(ActiveJob &Job, const std::vector<TaskName> &Members);
   void completeGang(ActiveJob &Job, const std::vector<TaskName> &Waiting);
-  bool mayWaitForOneRack(const StepSpec &Step, const GangRun &Gang) const;
+  /// \returns whether the step's tasks may still wait for a rack of their
+  /// choice, given how much longer they run elsewhere.
+  bool mayWaitForRack(const StepSpec &Step, const StepRun &Shared) const;
+  /// \returns a worker for a task that is not of a gang, or null.
+  WorkerSession *workerFor(ActiveJob &Job, const TaskName &Name);
   void start(ActiveJob &Job, const TaskName &Name, WorkerSession &Session,
              RunNumber Number);
   /// \returns a number above those of all earlier runs of the task.
--- a/src/scheduling/internal/workerchooser.cpp
+++ b/src/scheduling/internal/workerchooser.cpp
@@ -65,9 +65,29 @@
   Among = std::move(Allowed);
 }
 
-WorkerSession *WorkerChooser::choose(const ActiveJob &Job,
-                                     const TaskName &Name) {
+bool WorkerChooser::hasWorkerOn(const std::string &Rack) const {
+  return std::any_of(
+      Pool_.Sessions_.begin(), Pool_.Sessions_.end(), [&](const auto &Each) {
+        return Each.second->entry().Rack_ == Rack && isUsable(*Each.second);
+      });
+}
+
+void WorkerChooser::keepRack(Choice &Among, const std::string &Rack) {
+  Choice OfRack;
+  for (std::size_t Index = 0; Index < Among.Sessions_.size(); ++Index) {
+    if (Among.Candidates_[Index].Rack_ != Rack)
+      continue;
+    OfRack.Candidates_.push_back(Among.Candidates_[Index]);
+    OfRack.Sessions_.push_back(Among.Sessions_[Index]);
+  }
+  Among = std::move(OfRack);
+}
+
+WorkerSession *WorkerChooser::choose(const ActiveJob &Job, const TaskName &Name,
+                                     bool OnlyOnDataRack) {
   Choice Among = gather(Job, Name);
+  if (OnlyOnDataRack)
+    keepRack(Among, Job.step(Name).DataRack_);
   if (Advice_.isNeededFor(Job))
     keepAllowed(Among, Name);
   auto Chosen = choosePlacement(Job.step(Name), Among.Candidates_);
@@ -100,13 +120,8 @@
   for (const PlacementCandidate &Candidate : Among.Candidates_)
     Racks.insert(Candidate.Rack_);
   for (const std::string &Rack : Racks) {
-    Choice OfRack;
-    for (std::size_t Index = 0; Index < Among.Sessions_.size(); ++Index) {
-      if (Among.Candidates_[Index].Rack_ != Rack)
-        continue;
-      OfRack.Candidates_.push_back(Among.Candidates_[Index]);
-      OfRack.Sessions_.push_back(Among.Sessions_[Index]);
-    }
+    Choice OfRack = Among;
+    keepRack(OfRack, Rack);
     auto Chosen = placeAll(Step, std::move(OfRack), Tasks);
     if (!Chosen.empty())
       return Chosen;
--- a/src/scheduling/internal/workerchooser.h
+++ b/src/scheduling/internal/workerchooser.h
@@ -21,7 +21,11 @@
       : Pool_(Pool), Advice_(Advice) {}
 
   /// \returns a worker for the task, or null where none may run it now.
-  WorkerSession *choose(const ActiveJob &Job, const TaskName &Name);
+  /// \param OnlyOnDataRack whether the worker must be where the data is.
+  WorkerSession *choose(const ActiveJob &Job, const TaskName &Name,
+                        bool OnlyOnDataRack = false);
+  /// \returns whether a worker of the rack takes tasks.
+  bool hasWorkerOn(const std::string &Rack) const;
   /// \returns a worker for each of a step's tasks, or nothing where they do
   /// not all fit now.
   /// \param OnOneRack whether all must be on the same rack.
@@ -45,6 +49,8 @@
   PlacementCandidate candidateOf(const ActiveJob &Job, const TaskName &Name,
                                  const WorkerSession &Session) const;
   Choice gather(const ActiveJob &Job, const TaskName &Name);
+  /// Leaves only workers of a rack.
+  static void keepRack(Choice &Among, const std::string &Rack);
   /// Leaves only workers with a ticket.
   void keepAllowed(Choice &Among, const TaskName &Name) const;
   std::vector<WorkerSession *> placeAll(const StepSpec &Step, Choice Among,
--- a/src/scheduling/tests/gangsandadvice_test.cpp
+++ b/src/scheduling/tests/gangsandadvice_test.cpp
@@ -208,6 +208,19 @@
   EXPECT_EQ(Workers_.Starts_.size(), 2U);
 }
 
+TEST_F(GangsAndAdviceTest, WaitsForTheRackOfTheDataWhileThatPays) {
+  Step_.IsGang_ = false;
+  Step_.TaskCount_ = 2;
+  Step_.DataRack_ = "r1-1";
+  own({worker("w1", "r1-1"), worker("w2", "r1-2")});
+  EXPECT_EQ(startedOn(), std::set<std::string>{"w1"});
+  // The declared run time of 500 ms doubles on another rack.
+  pass(milliseconds(400));
+  EXPECT_EQ(startedOn(), std::set<std::string>{"w1"});
+  pass(milliseconds(200));
+  EXPECT_EQ(startedOn(), (std::set<std::string>{"w1", "w2"}));
+}
+
 TEST_F(GangsAndAdviceTest, StartsNothingWithoutAdvice) {
   Queue_.NeedsAdvice_ = true;
   own({worker("w1", "r1-1"), worker("w2", "r1-1")});
