Placement looks through the workers once a round; gangs hold nobody up for ever

Change: workers are gathered once a round and kept up with what is started; a task larger than any room is turned away at once. Ends gather for 40 ms before they are stored, and control rows for 120 ms. Room is kept for 6 s at most, and only where the advice allows it to fit. Test: GangsAndAdviceTest.AGangThatDoesNotFitHoldsNobodyUpForEver.

--- a/src/emulator/internal/modelworkers.cpp
+++ b/src/emulator/internal/modelworkers.cpp
@@ -68,7 +68,10 @@
   Worker.Token_ = 0;
   Worker.LeaseEnd_ = {};
   ++Worker.Lives_;
-  World_.after(Pause, [this, Id, Life = Worker.Lives_] {
+  // A worker that goes down again does not come up earlier for it.
+  Worker.UpAt_ = std::max(Worker.UpAt_, World_.now() + Pause);
+  auto Down = std::chrono::ceil<milliseconds>(Worker.UpAt_ - World_.now());
+  World_.after(Down, [this, Id, Life = Worker.Lives_] {
     ModelWorker &Next = Workers_[Id];
     if (Next.Lives_ != Life)
       return;
--- a/src/emulator/modelworkers.h
+++ b/src/emulator/modelworkers.h
@@ -31,6 +31,8 @@
 struct ModelWorker {
   WorkerEntry Entry_;
   bool IsUp_ = true;
+  /// Earliest start of the next lifetime, while the worker is down.
+  TimePoint UpAt_;
   /// Nodes that it can't be reached from.
   std::set<std::string> CutFrom_;
   /// The worker's steady clock runs at this share of the true speed.
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -26,6 +26,9 @@
 constexpr std::chrono::milliseconds StopRepeat{400};
 /// Time for which a gang that does not fit lets less urgent tasks start.
 constexpr std::chrono::milliseconds GangPatience{1000};
+/// Time from when a gang could start until it no longer keeps them from it;
+/// ordinary tasks end within it.
+constexpr std::chrono::milliseconds LongestKeeping{6000};
 /// Work, in core-milliseconds, that weighs as much as a millisecond of waiting.
 /// Less work goes first, but a large job gains on later ones while it waits.
 constexpr std::int64_t WorkPerWait = 8;
@@ -78,6 +81,7 @@
 
 void Dispatcher::dispatch() {
   Pool_.NeedsDispatch_ = false;
+  Chooser_.beginRound();
   for (ActiveJob *Job : jobsByUrgency())
     if (!Pool_.mayAct() || !dispatchJob(*Job))
       return;
@@ -156,9 +160,11 @@
     Workers = Chooser_.chooseAll(Job, Members, /*OnOneRack=*/false);
   if (Workers.empty()) {
     Job.noteRoom(/*IsMissing=*/true, Now);
-    // Room that becomes free in pieces is kept for a gang that has waited.
-    return Now < Gang.WaitsSince_ + GangPatience ||
-           !Chooser_.mayFitLater(Job, Members, WaitsForRack);
+    // Room that becomes free in pieces is kept for a gang that has waited, but
+    // not for so long that others suffer from one that does not come to fit.
+    bool KeepsRoom = Now >= Gang.WaitsSince_ + GangPatience &&
+                     Now < Gang.WaitsSince_ + LongestKeeping;
+    return !KeepsRoom || !Chooser_.mayFitLater(Job, Members, WaitsForRack);
   }
   RunNumber Number = 0;
   for (const TaskName &Name : Members)
@@ -219,6 +225,7 @@
   Entry.OrderExpires_ = Now + StartLease + StartLease / 20;
   Session.runs()[Name] = Entry;
   Session.noteLease(Entry.OrderExpires_);
+  Chooser_.onStarted(Session, Step);
 
   Pool_.Logger_.write(LogLevel::Debug,
                       LogEvent("run.ordered")
--- a/src/scheduling/internal/placement.cpp
+++ b/src/scheduling/internal/placement.cpp
@@ -13,7 +13,8 @@
 }
 
 bool isAllowed(const StepSpec &Step, const PlacementCandidate &Worker) {
-  if (!Worker.Free_.holds(roomOf(Step)) || !hasLabel(Step, Worker.Labels_))
+  if (Worker.IsBarred_ || !Worker.Free_.holds(roomOf(Step)) ||
+      !hasLabel(Step, Worker.Labels_))
     return false;
   return Step.MostPerWorker_ == 0 || Worker.SameStep_ < Step.MostPerWorker_;
 }
--- a/src/scheduling/internal/progresswriter.cpp
+++ b/src/scheduling/internal/progresswriter.cpp
@@ -11,6 +11,9 @@
 /// Rows of one transaction; the store takes 100 entries, and each row counts
 /// twice, as an expectation and as a new value.
 constexpr std::size_t LargestBatch = 50;
+/// Pause after a transaction, in which ends gather. Callers ask for a job's
+/// state far less often.
+constexpr std::chrono::milliseconds GatherPause{40};
 /// Pause after a transaction that failed.
 constexpr std::chrono::milliseconds RetryPause{150};
 
@@ -60,6 +63,7 @@
                            const StoreTransactionEnd &End) {
   PartState &State = Parts_[Part];
   State.IsBusy_ = false;
+  State.NotBefore_ = Pool_.Clock_.now() + GatherPause;
   switch (End.Outcome_) {
   case StoreOutcome::Done:
     onStored(Sent, End.Version_);
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -19,7 +19,7 @@
 /// Least time between two reports of a pool's pending jobs.
 constexpr std::chrono::milliseconds PendingInterval{400};
 /// Pause between two answers about the control rows, in which changes gather.
-constexpr std::chrono::milliseconds ControlPause{60};
+constexpr std::chrono::milliseconds ControlPause{120};
 /// A node that the store has not answered for this long sends callers to
 /// others.
 constexpr std::chrono::milliseconds SilentStore{2500};
--- a/src/scheduling/internal/workerchooser.cpp
+++ b/src/scheduling/internal/workerchooser.cpp
@@ -15,16 +15,11 @@
          Session.AvoidUntil_ <= Pool_.Clock_.now();
 }
 
-PlacementCandidate
-WorkerChooser::candidateOf(const ActiveJob &Job, const TaskName &Name,
-                           const WorkerSession &Session) const {
+PlacementCandidate WorkerChooser::candidateOf(const WorkerSession &Session) {
   PlacementCandidate Candidate;
   Candidate.Rack_ = Session.entry().Rack_;
   Candidate.Labels_ = Session.entry().Labels_;
   Candidate.Free_ = Session.freeRoom();
-  Candidate.SameStep_ = Session.countOf(Name);
-  Candidate.HasFailedTask_ =
-      Session.entry().lifetime() == Job.run(Name).FailedOn_;
   for (const auto &[Other, Run] : Session.runs()) {
     Candidate.Fillers_ += Run.IsFiller_ ? 1 : 0;
     Candidate.Serving_ += Run.LatencyTarget_.count() > 0 ? 1 : 0;
@@ -32,21 +27,59 @@
   return Candidate;
 }
 
-WorkerChooser::Choice WorkerChooser::gather(const ActiveJob &Job,
-                                            const TaskName &Name) {
-  Choice Among;
-  std::set<std::string> RacksOfStep;
+void WorkerChooser::beginRound() {
+  Round_ = Choice();
   for (auto &[Lifetime, Session] : Pool_.Sessions_) {
-    if (Session->countOf(Name) > 0)
-      RacksOfStep.insert(Session->entry().Rack_);
-    if (!isUsable(*Session) || Session->runs().contains(Name))
+    if (!isUsable(*Session))
       continue;
-    Among.Candidates_.push_back(candidateOf(Job, Name, *Session));
-    Among.Sessions_.push_back(Session.get());
+    Round_.Candidates_.push_back(candidateOf(*Session));
+    Round_.Sessions_.push_back(Session.get());
+  }
+  noteLargest();
+}
+
+void WorkerChooser::noteLargest() {
+  Largest_ = {};
+  for (const PlacementCandidate &Each : Round_.Candidates_) {
+    Largest_.CpuMillis_ = std::max(Largest_.CpuMillis_, Each.Free_.CpuMillis_);
+    Largest_.MemoryMb_ = std::max(Largest_.MemoryMb_, Each.Free_.MemoryMb_);
+    Largest_.Gpus_ = std::max(Largest_.Gpus_, Each.Free_.Gpus_);
   }
-  for (PlacementCandidate &Candidate : Among.Candidates_)
-    Candidate.IsRackOfStep_ = RacksOfStep.contains(Candidate.Rack_);
-  return Among;
+}
+
+void WorkerChooser::onStarted(const WorkerSession &Session,
+                              const StepSpec &Step) {
+  auto Found =
+      std::find(Round_.Sessions_.begin(), Round_.Sessions_.end(), &Session);
+  if (Found == Round_.Sessions_.end())
+    return;
+  auto Index = static_cast<std::size_t>(Found - Round_.Sessions_.begin());
+  PlacementCandidate &Used = Round_.Candidates_[Index];
+  Used.Free_ -= roomOf(Step);
+  Used.Fillers_ += Step.IsFiller_ ? 1 : 0;
+  Used.Serving_ += Step.LatencyTarget_.count() > 0 ? 1 : 0;
+  noteLargest();
+}
+
+void WorkerChooser::fitTo(const ActiveJob &Job, const TaskName &Name) {
+  const StepSpec &Step = Job.step(Name);
+  const std::string &FailedOn = Job.run(Name).FailedOn_;
+  bool CountsStep = Step.MostPerWorker_ > 0 || Step.WantsOneRack_ ||
+                    Step.DisruptionBudget_.has_value();
+  std::set<std::string> RacksOfStep;
+  for (std::size_t Index = 0; Index < Round_.Sessions_.size(); ++Index) {
+    const WorkerSession &Session = *Round_.Sessions_[Index];
+    PlacementCandidate &Candidate = Round_.Candidates_[Index];
+    Candidate.IsBarred_ = Session.runs().contains(Name);
+    Candidate.HasFailedTask_ =
+        !FailedOn.empty() && Session.entry().lifetime() == FailedOn;
+    Candidate.SameStep_ = CountsStep ? Session.countOf(Name) : 0;
+    if (Candidate.SameStep_ > 0)
+      RacksOfStep.insert(Candidate.Rack_);
+  }
+  for (PlacementCandidate &Candidate : Round_.Candidates_)
+    Candidate.IsRackOfStep_ =
+        Step.WantsOneRack_ && RacksOfStep.contains(Candidate.Rack_);
 }
 
 void WorkerChooser::keepAllowed(Choice &Among, const TaskName &Name) const {
@@ -85,10 +118,18 @@
 
 WorkerSession *WorkerChooser::choose(const ActiveJob &Job, const TaskName &Name,
                                      bool OnlyOnDataRack) {
-  Choice Among = gather(Job, Name);
+  if (!Largest_.holds(roomOf(Job.step(Name))))
+    return nullptr;
+  fitTo(Job, Name);
+  bool NeedsAdvice = Advice_.isNeededFor(Job);
+  if (!OnlyOnDataRack && !NeedsAdvice) {
+    auto Chosen = choosePlacement(Job.step(Name), Round_.Candidates_);
+    return Chosen ? Round_.Sessions_[*Chosen] : nullptr;
+  }
+  Choice Among = Round_;
   if (OnlyOnDataRack)
     keepRack(Among, Job.step(Name).DataRack_);
-  if (Advice_.isNeededFor(Job))
+  if (NeedsAdvice)
     keepAllowed(Among, Name);
   auto Chosen = choosePlacement(Job.step(Name), Among.Candidates_);
   if (Chosen)
@@ -132,7 +173,8 @@
 std::vector<WorkerSession *>
 WorkerChooser::chooseAll(const ActiveJob &Job,
                          const std::vector<TaskName> &Names, bool OnOneRack) {
-  Choice Among = gather(Job, Names.front());
+  fitTo(Job, Names.front());
+  Choice Among = Round_;
   if (Advice_.isNeededFor(Job))
     keepAllowed(Among, Names.front());
   const StepSpec &Step = Job.step(Names.front());
@@ -146,7 +188,12 @@
 bool WorkerChooser::mayFitLater(const ActiveJob &Job,
                                 const std::vector<TaskName> &Names,
                                 bool OnOneRack) {
-  Choice Among = gather(Job, Names.front());
+  fitTo(Job, Names.front());
+  Choice Among = Round_;
+  if (Advice_.isNeededFor(Job))
+    for (std::size_t Index = 0; Index < Among.Sessions_.size(); ++Index)
+      Among.Candidates_[Index].IsBarred_ =
+          Advice_.isForbidden(Names.front(), *Among.Sessions_[Index]);
   for (std::size_t Index = 0; Index < Among.Sessions_.size(); ++Index)
     for (const auto &[Name, Run] : Among.Sessions_[Index]->runs()) {
       const ActiveJob *Other = Pool_.job(Name.Job_);
--- a/src/scheduling/internal/workerchooser.h
+++ b/src/scheduling/internal/workerchooser.h
@@ -14,12 +14,19 @@
 class WorkerSession;
 struct PoolState;
 
-/// Finds workers of a pool for tasks that are to start.
+/// Finds workers of a pool for tasks that are to start. Works in rounds: the
+/// workers are looked through once, and what is started is taken off their
+/// room.
 class WorkerChooser {
 public:
   WorkerChooser(PoolState &Pool, AdviceKeeper &Advice)
       : Pool_(Pool), Advice_(Advice) {}
 
+  /// Looks through the pool's workers; to be called before tasks are placed,
+  /// and again once workers may have changed.
+  void beginRound();
+  /// Notes that a task was started.
+  void onStarted(const WorkerSession &Session, const StepSpec &Step);
   /// \returns a worker for the task, or null where none may run it now.
   /// \param OnlyOnDataRack whether the worker must be where the data is.
   WorkerSession *choose(const ActiveJob &Job, const TaskName &Name,
@@ -46,9 +53,10 @@
   };
 
   bool isUsable(const WorkerSession &Session) const;
-  PlacementCandidate candidateOf(const ActiveJob &Job, const TaskName &Name,
-                                 const WorkerSession &Session) const;
-  Choice gather(const ActiveJob &Job, const TaskName &Name);
+  static PlacementCandidate candidateOf(const WorkerSession &Session);
+  /// Fills in what the round's candidates are to this task.
+  void fitTo(const ActiveJob &Job, const TaskName &Name);
+  void noteLargest();
   /// Leaves only workers of a rack.
   static void keepRack(Choice &Among, const std::string &Rack);
   /// Leaves only workers with a ticket.
@@ -61,6 +69,9 @@
 
   PoolState &Pool_;
   AdviceKeeper &Advice_;
+  Choice Round_;
+  /// The most room of each kind on any worker.
+  Resources Largest_;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/placement.h
+++ b/src/scheduling/placement.h
@@ -12,6 +12,8 @@
 
 /// A worker as placement sees it.
 struct PlacementCandidate {
+  /// Whether the task must not be placed here, whatever the room.
+  bool IsBarred_ = false;
   std::string Rack_;
   std::vector<std::string> Labels_;
   Resources Free_;
--- a/src/scheduling/tests/gangsandadvice_test.cpp
+++ b/src/scheduling/tests/gangsandadvice_test.cpp
@@ -130,6 +130,29 @@
   EXPECT_TRUE(Workers_.Starts_.empty());
 }
 
+TEST_F(GangsAndAdviceTest, AGangThatDoesNotFitHoldsNobodyUpForEver) {
+  Step_.TaskCount_ = 3;
+  SubmittedJob Later;
+  Later.Queue_ = "queue";
+  Later.Pool_ = "pool";
+  Later.AcceptedAt_ = milliseconds(60000);
+  StepSpec Small;
+  Small.PerTask_ = {1000, 1000, 0};
+  Later.Spec_.Steps_ = {Small, Small};
+  Later.Spec_.Steps_[1].After_ = {0};
+  StoreKey Row =
+      jobrows::name("queue", "00000000000000bb", JobRowKind::Submission);
+  Store_.Rows_[Row] = {Row, jobrowcodec::encode(Later), ++Store_.Version_,
+                       false};
+  // Of the three workers that the gang would need one is kept by another job.
+  own({worker("w1", "r1-1"), worker("w2", "r1-1"), worker("w3", "r1-1")});
+  Workers_.Starts_.clear();
+  pass(milliseconds(200));
+  for (int Round = 0; Round < 100 && Workers_.Starts_.empty(); ++Round)
+    pass(milliseconds(100));
+  EXPECT_FALSE(Workers_.Starts_.empty());
+}
+
 TEST_F(GangsAndAdviceTest, MembersShareTheRunNumber) {
   own({worker("w1", "r1-1"), worker("w2", "r1-1")});
   ASSERT_EQ(Workers_.Starts_.size(), 2U);
@@ -193,6 +216,7 @@
                   {Sequence, Other.Order_.Task_, Other.Order_.Run_,
                    EndKind::GangBroken, ""}}});
   }
+  pass(milliseconds(100)); // Ends gather before they are stored.
   EXPECT_EQ(storedState(), JobPhase::Failed);
 }
 
