--- a/src/scheduling/capacityplanner.h
+++ b/src/scheduling/capacityplanner.h
@@ -41,10 +41,8 @@
 
   /// \returns machines that the pool should have besides those it has.
   std::uint32_t missing(const PoolLoad &Load) const;
-  /// \returns machines that the pool can lend to another one.
-  std::uint32_t lendable(const PoolLoad &Load) const;
-  /// \returns machines that the pool can give to the spare pool.
-  std::uint32_t releasable(const PoolLoad &Load) const;
+  /// \returns machines that are not the pool's own and that it does not need.
+  std::uint32_t surplus(const PoolLoad &Load) const;
   /// \returns the time for which a machine must be idle before it goes to the
   /// spare pool.
   std::chrono::milliseconds releaseAfter() const;
--- a/src/scheduling/internal/capacityplanner.cpp
+++ b/src/scheduling/internal/capacityplanner.cpp
@@ -36,16 +36,12 @@
   return static_cast<std::uint32_t>(std::ceil((Needed - Now) / Packing));
 }
 
-std::uint32_t CapacityPlanner::lendable(const PoolLoad &Load) const {
+std::uint32_t CapacityPlanner::surplus(const PoolLoad &Load) const {
   double Needed = std::max(Load.Arriving_, Load.Running_) + Load.Waiting_;
-  double Left = static_cast<double>(Load.Machines_) - Load.Lasting_ -
-                std::ceil(Needed / Packing);
-  return static_cast<std::uint32_t>(std::max(0.0, Left));
-}
-
-std::uint32_t CapacityPlanner::releasable(const PoolLoad &Load) const {
-  std::uint32_t Kept = std::min(Load.Machines_, Load.Home_);
-  return std::min(lendable(Load), Load.Machines_ - Kept);
+  double Used = Load.Lasting_ + std::ceil(Needed / Packing);
+  double Kept = std::max(Used, static_cast<double>(Load.Home_));
+  return static_cast<std::uint32_t>(
+      std::max(0.0, static_cast<double>(Load.Machines_) - Kept));
 }
 
 std::chrono::milliseconds CapacityPlanner::releaseAfter() const {
--- a/src/scheduling/internal/movekeeper.cpp
+++ b/src/scheduling/internal/movekeeper.cpp
@@ -152,7 +152,7 @@
   const TimePoint Now = Pool_.Clock_.now();
   std::string To = Demands_.neediest(Pool_.Pool_);
   noteSince(AskedSince_, !To.empty());
-  noteSince(SurplusSince_, Load.Home_ > 0 && Planner_.releasable(Load) > 0);
+  noteSince(SurplusSince_, Load.Home_ > 0 && Planner_.surplus(Load) > 0);
   if (IsGranting_ || Now < NextGrant_)
     return;
   if (Pool_.Pool_ == sparePool())
@@ -182,13 +182,13 @@
   if (Load.Home_ == 0)
     return;
   auto Idle = idleMachines(std::chrono::milliseconds(0));
-  Idle.resize(std::min<std::size_t>(Idle.size(), Planner_.lendable(Load)));
+  Idle.resize(std::min<std::size_t>(Idle.size(), Planner_.surplus(Load)));
   grant(To, std::move(Idle));
 }
 
 void MoveKeeper::release(const PoolLoad &Load) {
   auto Idle = idleMachines(Planner_.releaseAfter());
-  Idle.resize(std::min<std::size_t>(Idle.size(), Planner_.releasable(Load)));
+  Idle.resize(std::min<std::size_t>(Idle.size(), Planner_.surplus(Load)));
   grant(sparePool(), std::move(Idle));
 }
 
--- a/src/scheduling/internal/progresswriter.cpp
+++ b/src/scheduling/internal/progresswriter.cpp
@@ -28,8 +28,10 @@
     return;
   std::map<std::string, std::vector<ActiveJob *>> Dirty;
   for (auto &[Id, Job] : Pool_.Jobs_) {
+    if (!Job->isDirty())
+      continue;
     std::vector<ActiveJob *> &OfPart = Dirty[Job->stored().Queue_];
-    if (Job->isDirty() && OfPart.size() < LargestBatch)
+    if (OfPart.size() < LargestBatch)
       OfPart.push_back(Job.get());
   }
   for (auto &[Part, Jobs] : Dirty) {
