One lookup of a machine's worker, one way to release runs, one measure of what is missing

Reading the change as a newcomer: the worker on a machine was looked up by two keepers (now PoolState::sessionOn), three loops released some of a session's runs (now RunBook::releaseIf), the load meter had its own copy of roomOf and went through the sessions twice, missing machines were worked out twice a round, and a search for a worker on the data's rack went through all sessions for each waiting task though the round has gathered them.

--- a/src/scheduling/internal/loadmeter.cpp
+++ b/src/scheduling/internal/loadmeter.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/internal/loadmeter.h"
 #include "global/iclock.h"
 #include "scheduling/internal/poolstate.h"
+#include "scheduling/placement.h"
 
 #include <algorithm>
 
@@ -11,23 +12,25 @@
 
 /// Age up to which a job counts as arriving.
 constexpr std::chrono::milliseconds ArrivalWindow{1000};
+
 bool isReady(const WorkerSession &Session) {
   return Session.IsListed_ && !Session.IsReserved_ &&
          Session.entry().State_ == WorkerState::Ready;
 }
 
-/// \returns the mean capacity of the pool's machines.
-Resources unitOf(const PoolState &Pool) {
+/// Counts the pool's machines into \p Load.
+/// \returns their mean capacity.
+Resources countMachines(PoolLoad &Load, const PoolState &Pool) {
   Resources Sum;
-  std::int64_t Count = 0;
   for (const auto &[Lifetime, Session] : Pool.Sessions_) {
     if (!isReady(*Session))
       continue;
     Sum += Session->entry().Capacity_;
-    ++Count;
+    ++Load.Machines_;
   }
-  if (Count == 0)
+  if (Load.Machines_ == 0)
     return {};
+  std::int64_t Count = Load.Machines_;
   return {Sum.CpuMillis_ / Count, Sum.MemoryMb_ / Count, Sum.Gpus_ / Count};
 }
 
@@ -36,10 +39,10 @@
 }
 
 double shareOf(const StepSpec &Step, const Resources &Unit) {
-  double Cpu =
-      Step.IsFiller_ ? 0 : shareOf(Step.PerTask_.CpuMillis_, Unit.CpuMillis_);
-  return std::max({Cpu, shareOf(Step.PerTask_.MemoryMb_, Unit.MemoryMb_),
-                   shareOf(Step.PerTask_.Gpus_, Unit.Gpus_)});
+  const Resources Room = roomOf(Step);
+  return std::max({shareOf(Room.CpuMillis_, Unit.CpuMillis_),
+                   shareOf(Room.MemoryMb_, Unit.MemoryMb_),
+                   shareOf(Room.Gpus_, Unit.Gpus_)});
 }
 
 double secondsOf(const StepSpec &Step) {
@@ -80,10 +83,8 @@
 
 PoolLoad measureLoad(const PoolState &Pool) {
   PoolLoad Load;
-  const Resources Unit = unitOf(Pool);
+  const Resources Unit = countMachines(Load, Pool);
   const std::chrono::milliseconds Wall = Pool.wallTime();
-  for (const auto &[Lifetime, Session] : Pool.Sessions_)
-    Load.Machines_ += isReady(*Session) ? 1 : 0;
   for (const auto &[Id, Job] : Pool.Jobs_) {
     if (isFinal(Job->progress().state()) || Job->isCancelled())
       continue;
--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -148,16 +148,15 @@
 }
 
 WorkerSession *MaintenanceKeeper::sessionOf(const std::string &Name) {
+  if (WorkerSession *Session = Pool_.sessionOn(Name))
+    return Session;
+  // The roster does not tell machines; the platform's list does.
   auto Found = Known_.find(Name);
-  for (auto &[Lifetime, Session] : Pool_.Sessions_) {
-    const WorkerEntry &Entry = Session->entry();
-    bool IsOnMachine =
-        Entry.Machine_ == Name ||
-        (Found != Known_.end() && !Found->second.Worker_.empty() &&
-         Entry.Id_ == Found->second.Worker_);
-    if (IsOnMachine && Session->IsListed_)
+  if (Found == Known_.end() || Found->second.Worker_.empty())
+    return nullptr;
+  for (auto &[Lifetime, Session] : Pool_.Sessions_)
+    if (Session->IsListed_ && Session->entry().Id_ == Found->second.Worker_)
       return Session.get();
-  }
   return nullptr;
 }
 
--- a/src/scheduling/internal/movekeeper.cpp
+++ b/src/scheduling/internal/movekeeper.cpp
@@ -48,7 +48,7 @@
   repeatMoves();
   PoolLoad Load = measureLoad(Pool_);
   Load.Home_ = Demands_.of(Pool_.Pool_).Row_.Home_;
-  Pool_.LacksMachines_ = Pool_.Pool_ != Spare && Planner_.missing(Load) > 0;
+  Pool_.LacksMachines_ = false;
   if (Pool_.Pool_ != Spare)
     tellDemand(Load);
   give(Load);
@@ -62,6 +62,8 @@
 }
 
 void MoveKeeper::tellDemand(const PoolLoad &Load) {
+  const std::uint32_t Missing = Planner_.missing(Load);
+  Pool_.LacksMachines_ = Missing > 0;
   if (IsWriting_)
     return;
   DemandRow Next = Demands_.of(Pool_.Pool_).Row_;
@@ -69,7 +71,6 @@
   if (Next.Home_ == 0)
     noteHome(Next, Load.Machines_);
   auto Coming = static_cast<std::uint32_t>(Next.Coming_.size());
-  std::uint32_t Missing = Planner_.missing(Load);
   Next.Missing_ = Missing > Coming ? Missing - Coming : 0;
   if (Next != Demands_.of(Pool_.Pool_).Row_)
     store(Next);
@@ -92,7 +93,7 @@
   std::erase_if(Row.Coming_, [&](const std::string &Name) {
     TimePoint Since = ComingSince_.try_emplace(Name, Now).first->second;
     bool IsOverdue = Now >= Since + Pool_.Settings_.MoveTime_ + ArrivalMargin;
-    return IsOverdue || sessionOn(Name) != nullptr;
+    return IsOverdue || Pool_.sessionOn(Name) != nullptr;
   });
 }
 
@@ -266,7 +267,7 @@
                           .with("token", End.Version_));
   for (const std::string &Name : Names) {
     Ledger_.onAnnounced(Name, End.Version_);
-    WorkerSession *Session = sessionOn(Name);
+    WorkerSession *Session = Pool_.sessionOn(Name);
     Move &Each = Moves_[Name];
     Each.To_ = To;
     Each.Lifetime_ =
@@ -364,15 +365,8 @@
   });
 }
 
-WorkerSession *MoveKeeper::sessionOn(const std::string &Machine) {
-  for (auto &[Lifetime, Session] : Pool_.Sessions_)
-    if (Session->entry().Machine_ == Machine && Session->IsListed_)
-      return Session.get();
-  return nullptr;
-}
-
 void MoveKeeper::reserve(const std::string &Machine, bool IsReserved) {
-  if (WorkerSession *Session = sessionOn(Machine))
+  if (WorkerSession *Session = Pool_.sessionOn(Machine))
     Session->IsReserved_ = IsReserved;
   Pool_.NeedsDispatch_ = true;
 }
--- a/src/scheduling/internal/movekeeper.h
+++ b/src/scheduling/internal/movekeeper.h
@@ -74,7 +74,6 @@
   /// \returns machines on which nothing has run for at least \p Least.
   std::vector<std::string> idleMachines(std::chrono::milliseconds Least) const;
   bool isIdle(const WorkerSession &Session) const;
-  WorkerSession *sessionOn(const std::string &Machine);
   void reserve(const std::string &Machine, bool IsReserved);
   /// \returns the configuration's spare pool; empty for none.
   std::string sparePool() const;
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -39,6 +39,13 @@
   return Found == Sessions_.end() ? nullptr : Found->second.get();
 }
 
+WorkerSession *PoolState::sessionOn(const std::string &Machine) {
+  for (auto &[Lifetime, Session] : Sessions_)
+    if (Session->IsListed_ && Session->entry().Machine_ == Machine)
+      return Session.get();
+  return nullptr;
+}
+
 QueueSetting PoolState::queueOf(const ActiveJob &Job) const {
   const QueueSetting *Found =
       Configuration_ ? Configuration_->queue(Job.stored().Queue_) : nullptr;
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -68,6 +68,8 @@
   WorkerSession &meet(const WorkerEntry &Entry);
   ActiveJob *job(const std::string &Id);
   WorkerSession *session(const std::string &Lifetime);
+  /// \returns the registered worker on the machine, or null.
+  WorkerSession *sessionOn(const std::string &Machine);
   /// \returns the queue's setting, or defaults where it has been removed.
   QueueSetting queueOf(const ActiveJob &Job) const;
   /// \returns when a lease granted at \p Now has ended for certain.
--- a/src/scheduling/internal/runbook.cpp
+++ b/src/scheduling/internal/runbook.cpp
@@ -199,28 +199,28 @@
 }
 
 void RunBook::releaseAll(WorkerSession &Session) {
-  while (!Session.runs().empty()) {
-    TaskName Name = Session.runs().begin()->first;
-    release(Session, Name);
-  }
+  releaseIf(Session, [](const SessionRun &) { return true; });
 }
 
-void RunBook::releaseConfirmed(WorkerSession &Session) {
-  std::vector<TaskName> Confirmed;
+void RunBook::releaseIf(WorkerSession &Session,
+                        const std::function<bool(const SessionRun &)> &IsOver) {
+  std::vector<TaskName> Over;
   for (const auto &[Name, Run] : Session.runs())
-    if (Run.ConfirmedAt_)
-      Confirmed.push_back(Name);
-  for (const TaskName &Name : Confirmed)
+    if (IsOver(Run))
+      Over.push_back(Name);
+  for (const TaskName &Name : Over)
     release(Session, Name);
 }
 
+void RunBook::releaseConfirmed(WorkerSession &Session) {
+  releaseIf(Session,
+            [](const SessionRun &Run) { return Run.ConfirmedAt_.has_value(); });
+}
+
 void RunBook::releaseDead(WorkerSession &Session) {
-  std::vector<TaskName> Dead;
-  for (const auto &[Name, Run] : Session.runs())
-    if (Run.ConfirmedAt_ && *Run.ConfirmedAt_ <= Session.LastLists_)
-      Dead.push_back(Name);
-  for (const TaskName &Name : Dead)
-    release(Session, Name);
+  releaseIf(Session, [Listed = Session.LastLists_](const SessionRun &Run) {
+    return Run.ConfirmedAt_ && *Run.ConfirmedAt_ <= Listed;
+  });
 }
 
 void RunBook::handOver(WorkerSession &Session, WorkerSession &Successor) {
--- a/src/scheduling/internal/runbook.h
+++ b/src/scheduling/internal/runbook.h
@@ -4,6 +4,7 @@
 #include "scheduling/schedulingtypes.h"
 #include "scheduling/workercalls.h"
 
+#include <functional>
 #include <string>
 
 namespace dragonflylock {
@@ -11,6 +12,7 @@
 class ActiveJob;
 class WorkerSession;
 struct PoolState;
+struct SessionRun;
 
 /// Follows the runs of a pool's tasks: what workers list, how runs end, and
 /// what that makes of their jobs.
@@ -41,6 +43,8 @@
   void judge(ActiveJob &Job);
 
 private:
+  void releaseIf(WorkerSession &Session,
+                 const std::function<bool(const SessionRun &)> &IsOver);
   void noteCheckpoint(ActiveJob &Job, const TaskName &Name,
                       const std::string &Checkpoint);
   void noteDone(ActiveJob &Job, const TaskName &Name);
--- a/src/scheduling/internal/workerchooser.cpp
+++ b/src/scheduling/internal/workerchooser.cpp
@@ -100,9 +100,8 @@
 
 bool WorkerChooser::hasWorkerOn(const std::string &Rack) const {
   return std::any_of(
-      Pool_.Sessions_.begin(), Pool_.Sessions_.end(), [&](const auto &Each) {
-        return Each.second->entry().Rack_ == Rack && isUsable(*Each.second);
-      });
+      Round_.Candidates_.begin(), Round_.Candidates_.end(),
+      [&](const PlacementCandidate &Each) { return Each.Rack_ == Rack; });
 }
 
 void WorkerChooser::keepRack(Choice &Among, const std::string &Rack) {
