One loop of libcurl transfers for endpoints and for the platform

CurlAsyncClient was written beside CurlEndpointClient with the same multi handle, waker, ring, table of active transfers and thread. Both now use CurlLoop, and keep only what differs: how a transfer is prepared and how its end is told.

--- a/src/forward/internal/curlendpointclient.h
+++ b/src/forward/internal/curlendpointclient.h
@@ -3,15 +3,8 @@
 
 #include "forward/forwardtypes.h"
 #include "forward/iendpointclient.h"
-#include "global/boundedring.h"
 #include "global/iclock.h"
-#include "http/internal/curltransfer.h"
-
-#include <atomic>
-#include <map>
-#include <memory>
-#include <thread>
-#include <vector>
+#include "http/internal/curlloop.h"
 
 namespace dragonflylock {
 
@@ -28,44 +21,22 @@
   /// \param RingCapacity offers that may wait for the thread.
   CurlEndpointClient(const IClock &Clock, IOfferListener &Listener,
                      std::size_t RingCapacity);
-  ~CurlEndpointClient() override;
 
-  void start() override;
-  bool offer(Offer Wanted) override;
-  void stop() override;
+  void start() override { Loop_.start(); }
+  bool offer(Offer Wanted) override { return Loop_.tryPut(std::move(Wanted)); }
+  void stop() override { Loop_.stop(); }
 
 private:
-  struct Exchange {
-    CurlTransfer Transfer_;
-    Offer Offer_;
-  };
-  struct MultiDeleter {
-    void operator()(CURLM *Handle) const { curl_multi_cleanup(Handle); }
-  };
-  class MultiWaker : public IWaker {
-  public:
-    explicit MultiWaker(CURLM *Multi) : Multi_(Multi) {}
-    void wake() override { curl_multi_wakeup(Multi_); }
-
-  private:
-    CURLM *Multi_;
-  };
+  using Exchange = CurlLoop<Offer>::Exchange;
 
-  void run();
-  void begin(Offer Wanted);
-  void collectEnded();
+  /// \returns whether the offer may still be made; reports it where not.
+  bool prepare(Exchange &Started);
   void report(Exchange &Ended);
   void reportUnsent(const Offer &Wanted);
 
   const IClock &Clock_;
   IOfferListener &Listener_;
-  std::unique_ptr<CURLM, MultiDeleter> Multi_;
-  MultiWaker Waker_;
-  BoundedRing<Offer> Offers_;
-  std::map<CurlTransfer *, std::unique_ptr<Exchange>> Active_;
-  std::vector<std::unique_ptr<Exchange>> Idle_;
-  std::atomic<bool> IsStopping_ = false;
-  std::thread Thread_;
+  CurlLoop<Offer> Loop_;
 };
 
 } // namespace dragonflylock
--- /dev/null
+++ b/src/http/internal/curlloop.h
@@ -0,0 +1,161 @@
+#ifndef DRAGONFLYLOCK_HTTP_INTERNAL_CURLLOOP_H
+#define DRAGONFLYLOCK_HTTP_INTERNAL_CURLLOOP_H
+
+#include "global/boundedring.h"
+#include "http/internal/curltransfer.h"
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace dragonflylock {
+
+/// Limits of a loop of transfers.
+struct CurlLoopLimits {
+  /// Time in which a connection must be made.
+  std::chrono::milliseconds Connect_{1000};
+  /// Connections kept open between requests, over all addresses.
+  long KeptConnections_ = 0;
+  /// Transfer objects kept for later requests.
+  std::size_t KeptExchanges_ = 0;
+  /// Requests that may wait for the thread.
+  std::size_t RingCapacity_ = 0;
+};
+
+/// Carries out many transfers at a time by libcurl's multi interface, on a
+/// thread of its own. \p Wanted is what each transfer is for; it must be
+/// default constructible.
+template <typename Wanted> class CurlLoop {
+public:
+  /// One transfer and what it is for.
+  struct Exchange {
+    CurlTransfer Transfer_;
+    Wanted Wanted_;
+  };
+  /// Prepares the transfer for what is wanted; called on the loop's thread.
+  /// \returns whether to begin it; it does not end otherwise.
+  using Prepare = std::function<bool(Exchange &)>;
+  /// Takes a transfer that has ended; called on the loop's thread.
+  using Ended = std::function<void(Exchange &)>;
+
+  CurlLoop(CurlLoopLimits Limits, Prepare OnPrepare, Ended OnEnded)
+      : Limits_(Limits), OnPrepare_(std::move(OnPrepare)),
+        OnEnded_(std::move(OnEnded)), Multi_(curl_multi_init()),
+        Waker_(Multi_.get()), Waiting_(Limits.RingCapacity_, Waker_) {
+    curl_multi_setopt(Multi_.get(), CURLMOPT_MAXCONNECTS,
+                      Limits_.KeptConnections_);
+  }
+  ~CurlLoop() { stop(); }
+  CurlLoop(const CurlLoop &) = delete;
+  CurlLoop &operator=(const CurlLoop &) = delete;
+
+  void start() {
+    Thread_ = std::thread([this] { run(); });
+  }
+
+  /// Ends the thread; transfers under way are given up without an end.
+  void stop() {
+    IsStopping_ = true;
+    Waker_.wake();
+    if (Thread_.joinable())
+      Thread_.join();
+    for (auto &[Transfer, Each] : Active_)
+      curl_multi_remove_handle(Multi_.get(), Transfer->handle());
+    Active_.clear();
+  }
+
+  /// \returns false where the ring is full.
+  bool tryPut(Wanted Next) { return Waiting_.tryPut(std::move(Next)); }
+
+private:
+  struct MultiDeleter {
+    void operator()(CURLM *Handle) const { curl_multi_cleanup(Handle); }
+  };
+  class MultiWaker : public IWaker {
+  public:
+    explicit MultiWaker(CURLM *Multi) : Multi_(Multi) {}
+    void wake() override { curl_multi_wakeup(Multi_); }
+
+  private:
+    CURLM *Multi_;
+  };
+
+  /// Longest sleep; new requests wake the loop.
+  static constexpr int PollMilliseconds = 1000;
+
+  void run() {
+    while (!IsStopping_) {
+      Waiting_.drain([this](Wanted Next) { begin(std::move(Next)); });
+      int Running = 0;
+      curl_multi_perform(Multi_.get(), &Running);
+      collectEnded();
+      curl_multi_poll(Multi_.get(), nullptr, 0, PollMilliseconds, nullptr);
+    }
+  }
+
+  void begin(Wanted Next) {
+    std::unique_ptr<Exchange> Started;
+    if (Idle_.empty()) {
+      Started = std::make_unique<Exchange>();
+    } else {
+      Started = std::move(Idle_.back());
+      Idle_.pop_back();
+    }
+    Started->Wanted_ = std::move(Next);
+    if (!OnPrepare_(*Started)) {
+      putBack(std::move(Started));
+      return;
+    }
+    CurlTransfer &Transfer = Started->Transfer_;
+    curl_easy_setopt(Transfer.handle(), CURLOPT_CONNECTTIMEOUT_MS,
+                     static_cast<long>(Limits_.Connect_.count()));
+    curl_multi_add_handle(Multi_.get(), Transfer.handle());
+    Active_.emplace(&Transfer, std::move(Started));
+  }
+
+  void collectEnded() {
+    int Left = 0;
+    while (CURLMsg *Message = curl_multi_info_read(Multi_.get(), &Left)) {
+      if (Message->msg != CURLMSG_DONE)
+        continue;
+      CURL *Handle = Message->easy_handle;
+      CURLcode Code = Message->data.result;
+      char *Private = nullptr;
+      curl_easy_getinfo(Handle, CURLINFO_PRIVATE, &Private);
+      auto *Transfer = reinterpret_cast<CurlTransfer *>(Private);
+      Transfer->finish(Code);
+      curl_multi_remove_handle(Multi_.get(), Handle);
+      auto Found = Active_.find(Transfer);
+      std::unique_ptr<Exchange> Over = std::move(Found->second);
+      Active_.erase(Found);
+      OnEnded_(*Over);
+      putBack(std::move(Over));
+    }
+  }
+
+  void putBack(std::unique_ptr<Exchange> Over) {
+    Over->Wanted_ = Wanted();
+    if (Idle_.size() < Limits_.KeptExchanges_)
+      Idle_.push_back(std::move(Over));
+  }
+
+  CurlLoopLimits Limits_;
+  Prepare OnPrepare_;
+  Ended OnEnded_;
+  std::unique_ptr<CURLM, MultiDeleter> Multi_;
+  MultiWaker Waker_;
+  BoundedRing<Wanted> Waiting_;
+  std::map<CurlTransfer *, std::unique_ptr<Exchange>> Active_;
+  std::vector<std::unique_ptr<Exchange>> Idle_;
+  std::atomic<bool> IsStopping_ = false;
+  std::thread Thread_;
+};
+
+} // namespace dragonflylock
+
+#endif
