One fixture for the tests of a pool's owner; the gang's test now blocks

Two test files built the same owner with the same ports; OwnerTest does it once, and their assertions stay as they were, but for one: AGangThatDoesNotFitHoldsNobodyUpForEver played a gang that fitted at once, so that it passed with the mended fault put back. It now keeps a worker from the gang by a task that goes on, and checks that a less urgent job starts after 5 s and within 6.5 s.

--- a/src/scheduling/tests/gangsandadvice_test.cpp
+++ b/src/scheduling/tests/gangsandadvice_test.cpp
@@ -1,14 +1,7 @@
-#include "scheduling/demandboard.h"
 #include "scheduling/jobprogress.h"
-#include "scheduling/jobrowcodec.h"
-#include "scheduling/jobrows.h"
-#include "scheduling/machineledger.h"
-#include "scheduling/poolowner.h"
-#include "scheduling/schedulingsettings.h"
-#include "scheduling/tests/mocks/fakefleet.h"
-
-#include <gtest/gtest.h>
+#include "scheduling/tests/mocks/ownertest.h"
 
+#include <algorithm>
 #include <set>
 
 namespace dragonflylock {
@@ -16,13 +9,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr const char *JobId = "00000000000000aa";
-
-class GangsAndAdviceTest : public testing::Test {
+class GangsAndAdviceTest : public OwnerTest {
 protected:
-  GangsAndAdviceTest() : Ledger_("node-1", Clock_) {
-    Queue_.Name_ = "queue";
-    Queue_.Pool_ = "pool";
+  GangsAndAdviceTest() {
     Queue_.MostAttempts_ = 2;
     Step_.TaskCount_ = 2;
     Step_.PerTask_ = {8000, 1000, 0};
@@ -30,43 +19,21 @@
     Step_.IsGang_ = true;
   }
 
-  WorkerEntry worker(const std::string &Id, const std::string &Rack) const {
-    WorkerEntry Entry;
-    Entry.Id_ = Id;
-    Entry.Pool_ = "pool";
-    Entry.Address_ = {"10.0.0.1", 80};
+  static WorkerEntry worker(const std::string &Id, const std::string &Rack) {
+    WorkerEntry Entry = workerOf(Id, {10000, 32000, 0});
     Entry.Rack_ = Rack;
-    Entry.Born_ = milliseconds(5);
-    Entry.Capacity_ = {10000, 32000, 0};
     return Entry;
   }
 
+  static JobSpec jobOf(const StepSpec &Step) {
+    JobSpec Spec;
+    Spec.Steps_ = {Step};
+    return Spec;
+  }
+
   void own(const std::vector<WorkerEntry> &Workers) {
-    SubmittedJob Job;
-    Job.Queue_ = "queue";
-    Job.Pool_ = "pool";
-    Job.Spec_.Steps_ = {Step_};
-    StoreKey Row = jobrows::name("queue", JobId, JobRowKind::Submission);
-    Store_.Rows_[Row] = {Row, jobrowcodec::encode(Job), ++Store_.Version_,
-                         false};
-    auto Configuration = std::make_shared<SchedulingConfiguration>();
-    Configuration->Queues_ = {Queue_};
-    Configuration->Pools_ = {{"pool", true, false}};
-    Owner_ = PoolOwner::Builder()
-                 .settings(Settings_)
-                 .clock(Clock_)
-                 .store(Store_)
-                 .workers(Workers_)
-                 .machines(Machines_)
-                 .advisor(Advisor_)
-                 .ledger(Ledger_)
-                 .demands(Demands_)
-                 .logger(Logger_)
-                 .build({"pool", 7, 0, Clock_.now() + std::chrono::hours(1)});
-    Owner_->onConfiguration(Configuration);
-    Owner_->onWorkers(Workers);
-    for (int Round = 0; Round < 5; ++Round)
-      Owner_->tick();
+    storeJob(jobOf(Step_));
+    OwnerTest::own(0, Workers);
     answerHolds();
   }
 
@@ -75,17 +42,11 @@
     std::deque<RecordingWorkers::Hold> Holds;
     Holds.swap(Workers_.Holds_);
     for (RecordingWorkers::Hold &Each : Holds) {
-      HoldAnswer Answer;
-      Answer.Outcome_ = OrderOutcome::Accepted;
-      Answer.Clock_ = WorkerClock(1000);
-      Answer.Born_ = milliseconds(5);
       auto Found = Ended.find(Each.Target_.Id_);
-      if (Found != Ended.end())
-        Answer.Ended_ = {Found->second};
-      Each.Done_(Answer);
+      Each.Done_(Found == Ended.end() ? listing({})
+                                      : listing({}, {Found->second}));
     }
-    Owner_->tick();
-    Owner_->tick();
+    tickTwice();
   }
 
   JobPhase storedState() {
@@ -111,18 +72,7 @@
     Owner_->tick();
   }
 
-  ManualClock Clock_;
-  SilentLogger Logger_;
-  InstantStore Store_;
-  RecordingWorkers Workers_;
-  AcceptingMachines Machines_;
-  RecordingAdvisor Advisor_;
-  MachineLedger Ledger_;
-  DemandBoard Demands_;
-  SchedulingSettings Settings_;
-  QueueSetting Queue_;
   StepSpec Step_;
-  std::unique_ptr<PoolOwner> Owner_;
 };
 
 TEST_F(GangsAndAdviceTest, AGangDoesNotStartInParts) {
@@ -131,26 +81,42 @@
 }
 
 TEST_F(GangsAndAdviceTest, AGangThatDoesNotFitHoldsNobodyUpForEver) {
-  Step_.TaskCount_ = 3;
-  SubmittedJob Later;
-  Later.Queue_ = "queue";
-  Later.Pool_ = "pool";
-  Later.AcceptedAt_ = milliseconds(60000);
+  // A task that goes on for longer than declared keeps a worker from the gang.
+  constexpr const char *EndlessJob = "0000000000000001";
+  constexpr const char *SmallJob = "00000000000000bb";
+  StepSpec Endless = Step_;
+  Endless.TaskCount_ = 1;
+  Endless.IsGang_ = false;
+  storeJob(jobOf(Endless), EndlessJob);
+  // Less urgent, and due once the gang keeps room.
   StepSpec Small;
   Small.PerTask_ = {1000, 1000, 0};
-  Later.Spec_.Steps_ = {Small, Small};
-  Later.Spec_.Steps_[1].After_ = {0};
-  StoreKey Row =
-      jobrows::name("queue", "00000000000000bb", JobRowKind::Submission);
-  Store_.Rows_[Row] = {Row, jobrowcodec::encode(Later), ++Store_.Version_,
-                       false};
-  // Of the three workers that the gang would need one is kept by another job.
-  own({worker("w1", "r1-1"), worker("w2", "r1-1"), worker("w3", "r1-1")});
-  Workers_.Starts_.clear();
-  pass(milliseconds(200));
-  for (int Round = 0; Round < 100 && Workers_.Starts_.empty(); ++Round)
+  JobSpec Due = jobOf(Small);
+  Due.Times_ = 1;
+  Due.FirstDue_ = milliseconds(millisecondsSinceEpoch(Clock_.wallNow()) + 3000);
+  storeJob(Due, SmallJob, milliseconds(60000));
+  own({worker("w1", "r1-1"), worker("w2", "r1-1")});
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  RecordingWorkers::Start Running = Workers_.takeStart();
+  ASSERT_EQ(Running.Order_.Task_.Job_, EndlessJob);
+  Running.Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+  ListedRun Run;
+  Run.Task_ = Running.Order_.Task_;
+  Run.Run_ = Running.Order_.Run_;
+  milliseconds Passed{0};
+  while (Workers_.Starts_.empty() && Passed < milliseconds(20000)) {
+    Passed += milliseconds(100);
     pass(milliseconds(100));
-  EXPECT_FALSE(Workers_.Starts_.empty());
+    std::deque<RecordingWorkers::Hold> Holds;
+    Holds.swap(Workers_.Holds_);
+    for (RecordingWorkers::Hold &Each : Holds)
+      Each.Done_(Each.Target_.Id_ == Running.Target_.Id_ ? listing({Run})
+                                                         : listing({}));
+  }
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  EXPECT_EQ(Workers_.Starts_[0].Order_.Task_.Job_, SmallJob);
+  EXPECT_GT(Passed, milliseconds(5000));
+  EXPECT_LE(Passed, milliseconds(6500));
 }
 
 TEST_F(GangsAndAdviceTest, MembersShareTheRunNumber) {
--- /dev/null
+++ b/src/scheduling/tests/mocks/ownertest.h
@@ -0,0 +1,112 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_TESTS_MOCKS_OWNERTEST_H
+#define DRAGONFLYLOCK_SCHEDULING_TESTS_MOCKS_OWNERTEST_H
+
+#include "scheduling/demandboard.h"
+#include "scheduling/jobrowcodec.h"
+#include "scheduling/jobrows.h"
+#include "scheduling/machineledger.h"
+#include "scheduling/poolowner.h"
+#include "scheduling/schedulingsettings.h"
+#include "scheduling/tests/mocks/fakefleet.h"
+
+#include <gtest/gtest.h>
+
+namespace dragonflylock {
+
+/// The owner of the pool "pool", whose jobs come by the queue "queue".
+class OwnerTest : public testing::Test {
+protected:
+  static constexpr const char *JobId = "00000000000000aa";
+  static constexpr FencingToken Token = 7;
+
+  OwnerTest() : Ledger_("node-1", Clock_) {
+    Queue_.Name_ = "queue";
+    Queue_.Pool_ = "pool";
+  }
+
+  /// Puts a job into the store, before the owner reads it.
+  void storeJob(const JobSpec &Spec, const std::string &Id = JobId,
+                std::chrono::milliseconds AcceptedAt = {}) {
+    SubmittedJob Job;
+    Job.Queue_ = "queue";
+    Job.Pool_ = "pool";
+    Job.Spec_ = Spec;
+    Job.AcceptedAt_ = AcceptedAt;
+    StoreKey Row = jobrows::name("queue", Id, JobRowKind::Submission);
+    Store_.Rows_[Row] = {Row, jobrowcodec::encode(Job), ++Store_.Version_,
+                         false};
+  }
+
+  static WorkerEntry workerOf(const std::string &Id, Resources Capacity) {
+    WorkerEntry Entry;
+    Entry.Id_ = Id;
+    Entry.Pool_ = "pool";
+    Entry.Address_ = {"10.0.0.1", 80};
+    Entry.Born_ = std::chrono::milliseconds(5);
+    Entry.Capacity_ = Capacity;
+    return Entry;
+  }
+
+  /// An answer of such a worker.
+  static HoldAnswer listing(const std::vector<ListedRun> &Running,
+                            const std::vector<ListedEnd> &Ended = {}) {
+    HoldAnswer Answer;
+    Answer.Outcome_ = OrderOutcome::Accepted;
+    Answer.Clock_ = WorkerClock(1000);
+    Answer.Born_ = std::chrono::milliseconds(5);
+    Answer.Running_ = Running;
+    Answer.Ended_ = Ended;
+    return Answer;
+  }
+
+  void build(std::uint64_t Predecessors) {
+    auto Configuration = std::make_shared<SchedulingConfiguration>();
+    Configuration->Queues_ = {Queue_};
+    Configuration->Pools_ = {{"pool", true, false}};
+    Owner_ = PoolOwner::Builder()
+                 .settings(Settings_)
+                 .clock(Clock_)
+                 .store(Store_)
+                 .workers(Workers_)
+                 .machines(Machines_)
+                 .advisor(Advisor_)
+                 .ledger(Ledger_)
+                 .demands(Demands_)
+                 .logger(Logger_)
+                 .build({"pool", Token, Predecessors,
+                         Clock_.now() + std::chrono::hours(1)});
+    Owner_->onConfiguration(Configuration);
+  }
+
+  /// Builds the owner and lets it read the roster and the jobs, which it does
+  /// one after the other.
+  void own(std::uint64_t Predecessors,
+           const std::vector<WorkerEntry> &Workers) {
+    build(Predecessors);
+    Owner_->onWorkers(Workers);
+    for (int Round = 0; Round < 5; ++Round)
+      Owner_->tick();
+  }
+
+  /// Lets what one part of the owner has changed reach the others.
+  void tickTwice() {
+    Owner_->tick();
+    Owner_->tick();
+  }
+
+  ManualClock Clock_;
+  SilentLogger Logger_;
+  InstantStore Store_;
+  RecordingWorkers Workers_;
+  AcceptingMachines Machines_;
+  RecordingAdvisor Advisor_;
+  MachineLedger Ledger_;
+  DemandBoard Demands_;
+  SchedulingSettings Settings_;
+  QueueSetting Queue_;
+  std::unique_ptr<PoolOwner> Owner_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -1,13 +1,5 @@
 #include "scheduling/controlrows.h"
-#include "scheduling/demandboard.h"
-#include "scheduling/jobrowcodec.h"
-#include "scheduling/jobrows.h"
-#include "scheduling/machineledger.h"
-#include "scheduling/poolowner.h"
-#include "scheduling/schedulingsettings.h"
-#include "scheduling/tests/mocks/fakefleet.h"
-
-#include <gtest/gtest.h>
+#include "scheduling/tests/mocks/ownertest.h"
 
 #include <algorithm>
 
@@ -16,30 +8,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr const char *JobId = "00000000000000aa";
-
-class PoolOwnerTest : public testing::Test {
+class PoolOwnerTest : public OwnerTest {
 protected:
-  PoolOwnerTest() : Ledger_("node-1", Clock_) {
-    auto Configuration = std::make_shared<SchedulingConfiguration>();
-    QueueSetting Queue;
-    Queue.Name_ = "queue";
-    Queue.Pool_ = "pool";
-    Queue.MostAttempts_ = 3;
-    Configuration->Queues_ = {Queue};
-    Configuration->Pools_ = {{"pool", true, false}};
-    Configuration_ = Configuration;
-  }
-
-  void storeJob(const JobSpec &Spec) {
-    SubmittedJob Job;
-    Job.Queue_ = "queue";
-    Job.Pool_ = "pool";
-    Job.Spec_ = Spec;
-    StoreKey Row = jobrows::name("queue", JobId, JobRowKind::Submission);
-    Store_.Rows_[Row] = {Row, jobrowcodec::encode(Job), ++Store_.Version_,
-                         false};
-  }
+  PoolOwnerTest() { Queue_.MostAttempts_ = 3; }
 
   static JobSpec jobOf(std::uint32_t Tasks) {
     JobSpec Spec;
@@ -52,77 +23,17 @@
     return Spec;
   }
 
-  WorkerEntry worker(const std::string &Id) const {
-    WorkerEntry Entry;
-    Entry.Id_ = Id;
-    Entry.Pool_ = "pool";
+  static WorkerEntry worker(const std::string &Id) {
+    WorkerEntry Entry = workerOf(Id, {16000, 32000, 0});
     Entry.Machine_ = "machine-of-" + Id;
-    Entry.Address_ = {"10.0.0.1", 80};
-    Entry.Born_ = milliseconds(5);
-    Entry.Capacity_ = {16000, 32000, 0};
     return Entry;
   }
 
-  void own(std::uint64_t Predecessors,
-           const std::vector<WorkerEntry> &Workers) {
-    build(Predecessors);
-    Owner_->onWorkers(Workers);
-    // The roster and the jobs are read one after the other.
-    for (int Round = 0; Round < 5; ++Round)
-      Owner_->tick();
-  }
-
-  void build(std::uint64_t Predecessors) {
-    Owner_ = PoolOwner::Builder()
-                 .settings(Settings_)
-                 .clock(Clock_)
-                 .store(Store_)
-                 .workers(Workers_)
-                 .machines(Machines_)
-                 .advisor(Advisor_)
-                 .ledger(Ledger_)
-                 .demands(Demands_)
-                 .logger(Logger_)
-                 .build({"pool", Token, Predecessors,
-                         Clock_.now() + std::chrono::hours(1)});
-    Owner_->onConfiguration(Configuration_);
-  }
-
-  HoldAnswer listing(const std::vector<ListedRun> &Running,
-                     const std::vector<ListedEnd> &Ended = {}) const {
-    HoldAnswer Answer;
-    Answer.Outcome_ = OrderOutcome::Accepted;
-    Answer.Clock_ = WorkerClock(1000);
-    Answer.Born_ = milliseconds(5);
-    Answer.Running_ = Running;
-    Answer.Ended_ = Ended;
-    return Answer;
-  }
-
   void answerHold(const HoldAnswer &Answer) {
     ASSERT_FALSE(Workers_.Holds_.empty());
     Workers_.takeHold().Done_(Answer);
     Owner_->tick();
   }
-
-  /// Lets what one part of the owner has changed reach the others.
-  void tickTwice() {
-    Owner_->tick();
-    Owner_->tick();
-  }
-
-  static constexpr FencingToken Token = 7;
-  ManualClock Clock_;
-  SilentLogger Logger_;
-  InstantStore Store_;
-  RecordingWorkers Workers_;
-  AcceptingMachines Machines_;
-  RecordingAdvisor Advisor_;
-  MachineLedger Ledger_;
-  DemandBoard Demands_;
-  SchedulingSettings Settings_;
-  std::shared_ptr<const SchedulingConfiguration> Configuration_;
-  std::unique_ptr<PoolOwner> Owner_;
 };
 
 TEST_F(PoolOwnerTest, StartsTasksOnlyOnWorkersThatHaveSeenItsToken) {
