One list of machines for the keepers of a pool's owner

Waves and moves each read and kept the platform's list of machines, and the mover kept a second list of the spare machines among them, from which it struck those it had ordered. MachineLister reads the list once for both; the spare machines are derived from it, and the ledger already refuses a machine whose list is older than its last order.

--- /dev/null
+++ b/src/scheduling/internal/machinelister.cpp
@@ -0,0 +1,27 @@
+#include "scheduling/internal/machinelister.h"
+#include "scheduling/imachinecontrol.h"
+
+namespace dragonflylock {
+
+void MachineLister::refresh(std::chrono::milliseconds Interval) {
+  const TimePoint Now = Clock_.now();
+  if (IsListing_ || Now < AskedAt_ + Interval)
+    return;
+  IsListing_ = true;
+  AskedAt_ = Now;
+  Control_.list(
+      [Weak = weak_from_this(), Asked = Now](const MachineList &Read) {
+        auto Self = Weak.lock();
+        if (!Self)
+          return;
+        Self->IsListing_ = false;
+        if (!Read.IsValid_)
+          return;
+        Self->ListedAt_ = Asked;
+        Self->Machines_.clear();
+        for (const Machine &Each : Read.Machines_)
+          Self->Machines_[Each.Name_] = Each;
+      });
+}
+
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/internal/machinelister.h
@@ -0,0 +1,42 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_INTERNAL_MACHINELISTER_H
+#define DRAGONFLYLOCK_SCHEDULING_INTERNAL_MACHINELISTER_H
+
+#include "global/iclock.h"
+#include "scheduling/machinecalls.h"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace dragonflylock {
+
+class IMachineControl;
+
+/// Keeps the platform's list of machines for the keepers of a pool's owner.
+class MachineLister : public std::enable_shared_from_this<MachineLister> {
+public:
+  /// \param Control, Clock must outlive this object.
+  MachineLister(IMachineControl &Control, const IClock &Clock)
+      : Control_(Control), Clock_(Clock) {}
+
+  /// Asks for the list, unless that was done within \p Interval.
+  void refresh(std::chrono::milliseconds Interval);
+  /// \returns the machines as listed last, by name.
+  const std::map<std::string, Machine> &machines() const { return Machines_; }
+  /// \returns when that list was asked for.
+  TimePoint listedAt() const { return ListedAt_; }
+
+private:
+  IMachineControl &Control_;
+  const IClock &Clock_;
+  std::map<std::string, Machine> Machines_;
+  bool IsListing_ = false;
+  /// When a list was asked for last.
+  TimePoint AskedAt_;
+  TimePoint ListedAt_;
+};
+
+} // namespace dragonflylock
+
+#endif
--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -3,6 +3,7 @@
 #include "global/logevent.h"
 #include "scheduling/imachinecontrol.h"
 #include "scheduling/internal/dispatcher.h"
+#include "scheduling/internal/machinelister.h"
 #include "scheduling/internal/poolstate.h"
 #include "scheduling/istore.h"
 #include "scheduling/machineledger.h"
@@ -55,8 +56,7 @@
   });
   if (!IsOpen || !Pool_.mayAct())
     return;
-  if (!IsListing_ && Pool_.Clock_.now() >= NextList_)
-    listMachines();
+  List_.refresh(ListInterval);
   for (auto &[Number, Each] : Waves_)
     if (!Each.IsCompleted_)
       advance(Each);
@@ -75,26 +75,8 @@
   }
 }
 
-void MaintenanceKeeper::listMachines() {
-  IsListing_ = true;
-  NextList_ = Pool_.Clock_.now() + ListInterval;
-  Machines_.list([Weak = weak_from_this(),
-                  Asked = Pool_.Clock_.now()](const MachineList &Read) {
-    auto Self = Weak.lock();
-    if (!Self)
-      return;
-    Self->IsListing_ = false;
-    if (!Read.IsValid_)
-      return;
-    Self->ListedAt_ = Asked;
-    Self->Known_.clear();
-    for (const Machine &Each : Read.Machines_)
-      Self->Known_[Each.Name_] = Each;
-  });
-}
-
 void MaintenanceKeeper::advance(Wave &Each) {
-  if (Each.IsBusy_ || Known_.empty())
+  if (Each.IsBusy_ || List_.machines().empty())
     return;
   if (!Each.IsLoaded_ || Pool_.Clock_.now() >= Each.NextLoad_) {
     load(Each);
@@ -151,8 +133,8 @@
   if (WorkerSession *Session = Pool_.sessionOn(Name))
     return Session;
   // The roster does not tell machines; the platform's list does.
-  auto Found = Known_.find(Name);
-  if (Found == Known_.end() || Found->second.Worker_.empty())
+  auto Found = List_.machines().find(Name);
+  if (Found == List_.machines().end() || Found->second.Worker_.empty())
     return nullptr;
   for (auto &[Lifetime, Session] : Pool_.Sessions_)
     if (Session->IsListed_ && Session->entry().Id_ == Found->second.Worker_)
@@ -170,8 +152,8 @@
   std::string Best;
   std::size_t FewestRuns = SIZE_MAX;
   for (const std::string &Name : Each.Asked_.Machines_) {
-    auto Found = Known_.find(Name);
-    if (Found == Known_.end() || Found->second.Pool_ != Pool_.Pool_ ||
+    auto Found = List_.machines().find(Name);
+    if (Found == List_.machines().end() || Found->second.Pool_ != Pool_.Pool_ ||
         Found->second.State_ != MachineState::Up ||
         Each.Row_.Done_.contains(Name) || Each.Row_.Down_.contains(Name))
       continue;
@@ -261,8 +243,8 @@
   std::int64_t Left = 0;
   std::int64_t Down = 0;
   for (const std::string &Name : Each.Asked_.Machines_) {
-    auto Found = Known_.find(Name);
-    if (Found == Known_.end() || Found->second.Pool_ != Pool_.Pool_ ||
+    auto Found = List_.machines().find(Name);
+    if (Found == List_.machines().end() || Found->second.Pool_ != Pool_.Pool_ ||
         Each.Row_.Done_.contains(Name))
       continue;
     ++Left;
@@ -322,7 +304,7 @@
 }
 
 bool MaintenanceKeeper::mayOrder(const std::string &Name) const {
-  return Ledger_.mayOrder(Name, Pool_.Settings_.OwnerLease_, ListedAt_);
+  return Ledger_.mayOrder(Name, Pool_.Settings_.OwnerLease_, List_.listedAt());
 }
 
 bool MaintenanceKeeper::order(Wave &Each, const std::string &Name,
@@ -396,8 +378,8 @@
 void MaintenanceKeeper::releaseReturned(Wave &Each) {
   WaveProgress Next = Each.Row_;
   for (const auto &[Name, Holder] : Each.Row_.Down_) {
-    auto Found = Known_.find(Name);
-    if (Found == Known_.end()) {
+    auto Found = List_.machines().find(Name);
+    if (Found == List_.machines().end()) {
       Next.Down_.erase(Name);
       continue;
     }
@@ -414,7 +396,7 @@
     }
     const auto &AcceptedAt = Ordered->second.AcceptedAt_;
     bool IsBack = Found->second.State_ == MachineState::Up && AcceptedAt &&
-                  ListedAt_ > *AcceptedAt;
+                  List_.listedAt() > *AcceptedAt;
     if (!IsBack)
       continue;
     Next.Down_.erase(Name);
@@ -463,7 +445,7 @@
   return std::all_of(Each.Asked_.Machines_.begin(), Each.Asked_.Machines_.end(),
                      [&](const std::string &Name) {
                        return Each.Row_.Done_.contains(Name) ||
-                              !Known_.contains(Name);
+                              !List_.machines().contains(Name);
                      });
 }
 
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -19,6 +19,7 @@
 class Dispatcher;
 class IMachineControl;
 class MachineLedger;
+class MachineLister;
 class WorkerSession;
 struct PoolState;
 struct StoreRange;
@@ -31,8 +32,10 @@
     : public std::enable_shared_from_this<MaintenanceKeeper> {
 public:
   MaintenanceKeeper(PoolState &Pool, Dispatcher &Starts,
-                    IMachineControl &Machines, MachineLedger &Ledger)
-      : Pool_(Pool), Starts_(Starts), Machines_(Machines), Ledger_(Ledger) {}
+                    IMachineControl &Machines, MachineLister &List,
+                    MachineLedger &Ledger)
+      : Pool_(Pool), Starts_(Starts), Machines_(Machines), List_(List),
+        Ledger_(Ledger) {}
 
   void onWaves(const std::vector<MaintenanceWave> &Waves);
   /// Keeps starts off machines that are to go down or are down; to be called
@@ -68,7 +71,6 @@
     std::map<std::string, Order> Ordered_;
   };
 
-  void listMachines();
   void advance(Wave &Each);
   void load(Wave &Each);
   void onLoaded(std::uint64_t Number, const StoreRange &Read);
@@ -116,13 +118,9 @@
   PoolState &Pool_;
   Dispatcher &Starts_;
   IMachineControl &Machines_;
+  MachineLister &List_;
   MachineLedger &Ledger_;
   std::map<std::uint64_t, Wave> Waves_;
-  std::map<std::string, Machine> Known_;
-  bool IsListing_ = false;
-  TimePoint NextList_;
-  /// When the list in Known_ was asked for.
-  TimePoint ListedAt_;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/movekeeper.cpp
+++ b/src/scheduling/internal/movekeeper.cpp
@@ -4,6 +4,7 @@
 #include "scheduling/demandboard.h"
 #include "scheduling/imachinecontrol.h"
 #include "scheduling/internal/loadmeter.h"
+#include "scheduling/internal/machinelister.h"
 #include "scheduling/internal/poolstate.h"
 #include "scheduling/istore.h"
 #include "scheduling/machineledger.h"
@@ -34,9 +35,10 @@
 } // namespace
 
 MoveKeeper::MoveKeeper(PoolState &Pool, IMachineControl &Machines,
-                       MachineLedger &Ledger, DemandBoard &Demands)
-    : Pool_(Pool), Machines_(Machines), Ledger_(Ledger), Demands_(Demands),
-      Planner_(Pool.Settings_.MoveTime_) {}
+                       MachineLister &List, MachineLedger &Ledger,
+                       DemandBoard &Demands)
+    : Pool_(Pool), Machines_(Machines), List_(List), Ledger_(Ledger),
+      Demands_(Demands), Planner_(Pool.Settings_.MoveTime_) {}
 
 void MoveKeeper::tick() {
   const TimePoint Now = Pool_.Clock_.now();
@@ -175,8 +177,12 @@
 void MoveKeeper::giveSpare(const std::string &To) {
   if (To.empty())
     return;
-  listSpareMachines();
-  grant(To, SpareMachines_);
+  List_.refresh(ListInterval);
+  std::vector<std::string> Names;
+  for (const auto &[Name, Each] : List_.machines())
+    if (Each.Pool_ == Pool_.Pool_ && Each.State_ == MachineState::Up)
+      Names.push_back(Name);
+  grant(To, std::move(Names));
 }
 
 void MoveKeeper::lend(const std::string &To, const PoolLoad &Load) {
@@ -196,7 +202,7 @@
 bool MoveKeeper::mayOrder(const std::string &Name) const {
   // A worker that answers shows that its machine is here now.
   bool IsSpare = Pool_.Pool_ == sparePool();
-  TimePoint ListedAt = IsSpare ? ListedAt_ : Pool_.Clock_.now();
+  TimePoint ListedAt = IsSpare ? List_.listedAt() : Pool_.Clock_.now();
   return !Moves_.contains(Name) &&
          Ledger_.mayOrder(Name, Pool_.Settings_.OwnerLease_, ListedAt);
 }
@@ -337,34 +343,11 @@
     Session->IsListed_ = Session->IsListed_ && !IsMoved;
     Session->IsReserved_ = IsMoved;
   }
-  std::erase(SpareMachines_, Name);
   Moves_.erase(Name);
   Ledger_.onOrdered(Name);
   Pool_.NeedsDispatch_ = true;
 }
 
-void MoveKeeper::listSpareMachines() {
-  const TimePoint Now = Pool_.Clock_.now();
-  if (IsListing_ || Now < NextList_)
-    return;
-  IsListing_ = true;
-  NextList_ = Now + ListInterval;
-  Machines_.list([Weak = weak_from_this(),
-                  Asked = Now](const MachineList &Read) {
-    auto Self = Weak.lock();
-    if (!Self)
-      return;
-    Self->IsListing_ = false;
-    if (!Read.IsValid_)
-      return;
-    Self->ListedAt_ = Asked;
-    Self->SpareMachines_.clear();
-    for (const Machine &Each : Read.Machines_)
-      if (Each.Pool_ == Self->Pool_.Pool_ && Each.State_ == MachineState::Up)
-        Self->SpareMachines_.push_back(Each.Name_);
-  });
-}
-
 void MoveKeeper::reserve(const std::string &Machine, bool IsReserved) {
   if (WorkerSession *Session = Pool_.sessionOn(Machine))
     Session->IsReserved_ = IsReserved;
--- a/src/scheduling/internal/movekeeper.h
+++ b/src/scheduling/internal/movekeeper.h
@@ -18,6 +18,7 @@
 class DemandBoard;
 class IMachineControl;
 class MachineLedger;
+class MachineLister;
 class WorkerSession;
 struct PoolState;
 
@@ -26,8 +27,8 @@
 /// machine is in orders its move, and only while nothing runs there.
 class MoveKeeper : public std::enable_shared_from_this<MoveKeeper> {
 public:
-  MoveKeeper(PoolState &Pool, IMachineControl &Machines, MachineLedger &Ledger,
-             DemandBoard &Demands);
+  MoveKeeper(PoolState &Pool, IMachineControl &Machines, MachineLister &List,
+             MachineLedger &Ledger, DemandBoard &Demands);
 
   void tick();
 
@@ -69,7 +70,6 @@
   /// \returns whether a move has neither been answered nor may be any more.
   bool isOver(const Move &Each) const;
   void endMove(const std::string &Name, bool IsMoved);
-  void listSpareMachines();
   void noteIdleWorkers();
   /// \returns machines on which nothing has run for at least \p Least.
   std::vector<std::string> idleMachines(std::chrono::milliseconds Least) const;
@@ -80,26 +80,22 @@
 
   PoolState &Pool_;
   IMachineControl &Machines_;
+  MachineLister &List_;
   MachineLedger &Ledger_;
   DemandBoard &Demands_;
   CapacityPlanner Planner_;
   bool IsWriting_ = false;
   bool IsGranting_ = false;
-  bool IsListing_ = false;
   TimePoint NextRound_;
   std::uint32_t LastMachines_ = 0;
   TimePoint SteadySince_;
   TimePoint NextGrant_;
-  TimePoint NextList_;
   /// By lifetime.
   std::map<std::string, TimePoint> IdleSince_;
   /// Since when another pool has asked.
   std::optional<TimePoint> AskedSince_;
   /// Since when the pool has had machines that are not its own and not needed.
   std::optional<TimePoint> SurplusSince_;
-  /// Machines of the spare pool that are up, as listed last.
-  std::vector<std::string> SpareMachines_;
-  TimePoint ListedAt_;
   /// When each machine that is coming was seen in the pool's demand first.
   std::map<std::string, TimePoint> ComingSince_;
   /// By machine.
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -7,6 +7,7 @@
 #include "scheduling/internal/holdkeeper.h"
 #include "scheduling/internal/jobfollower.h"
 #include "scheduling/internal/jobregister.h"
+#include "scheduling/internal/machinelister.h"
 #include "scheduling/internal/maintenancekeeper.h"
 #include "scheduling/internal/movekeeper.h"
 #include "scheduling/internal/pacekeeper.h"
@@ -43,10 +44,13 @@
         Writer_(std::make_shared<ProgressWriter>(State_)),
         Roster_(std::make_shared<RosterKeeper>(State_)),
         Paces_(std::make_shared<PaceKeeper>(State_)),
+        Machines_(
+            std::make_shared<MachineLister>(*Source.Machines_, State_.Clock_)),
         Maintenance_(std::make_shared<MaintenanceKeeper>(
-            State_, *Starts_, *Source.Machines_, *Source.Ledger_)),
+            State_, *Starts_, *Source.Machines_, *Machines_, *Source.Ledger_)),
         Moves_(std::make_shared<MoveKeeper>(State_, *Source.Machines_,
-                                            *Source.Ledger_, *Source.Demands_)),
+                                            *Machines_, *Source.Ledger_,
+                                            *Source.Demands_)),
         Demands_(*Source.Demands_),
         Follower_(std::make_shared<JobFollower>(
             State_.Store_, State_.Clock_,
@@ -81,6 +85,7 @@
   std::shared_ptr<ProgressWriter> Writer_;
   std::shared_ptr<RosterKeeper> Roster_;
   std::shared_ptr<PaceKeeper> Paces_;
+  std::shared_ptr<MachineLister> Machines_;
   std::shared_ptr<MaintenanceKeeper> Maintenance_;
   std::shared_ptr<MoveKeeper> Moves_;
   const DemandBoard &Demands_;
--- a/src/scheduling/tests/machinemoves_test.cpp
+++ b/src/scheduling/tests/machinemoves_test.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/controlrows.h"
 #include "scheduling/demandboard.h"
+#include "scheduling/internal/machinelister.h"
 #include "scheduling/internal/movekeeper.h"
 #include "scheduling/internal/poolstate.h"
 #include "scheduling/machineledger.h"
@@ -27,9 +28,10 @@
       Each->Configuration_ = Configuration;
       Each->LeaseEnd_ = Clock_.now() + std::chrono::hours(1);
     }
-    Keeper_ = std::make_shared<MoveKeeper>(Pool_, Machines_, Ledger_, Demands_);
-    SpareKeeper_ =
-        std::make_shared<MoveKeeper>(Spare_, Machines_, Ledger_, Demands_);
+    Keeper_ = std::make_shared<MoveKeeper>(Pool_, Machines_, *List_, Ledger_,
+                                           Demands_);
+    SpareKeeper_ = std::make_shared<MoveKeeper>(Spare_, Machines_, *List_,
+                                                Ledger_, Demands_);
   }
 
   WorkerSession &addWorker(const std::string &Id) {
@@ -95,6 +97,8 @@
   SchedulingSettings Settings_;
   PoolState Pool_;
   PoolState Spare_;
+  std::shared_ptr<MachineLister> List_ =
+      std::make_shared<MachineLister>(Machines_, Clock_);
   MachineLedger Ledger_;
   DemandBoard Demands_;
   std::shared_ptr<MoveKeeper> Keeper_;
