Logs and metrics tell how late a node's own threads and its renewals are

New: node.late, pool.renewal-late, the renewal's state in pool.lost, the histogram dragonflylock_wait_seconds.

No logic changes.

--- a/src/app/schedulerdaemon.cpp
+++ b/src/app/schedulerdaemon.cpp
@@ -21,6 +21,7 @@
 #include "telemetry/meteredstore.h"
 #include "telemetry/meteredworkercontrol.h"
 #include "telemetry/metricsport.h"
+#include "telemetry/waitmeter.h"
 
 #include <atomic>
 #include <optional>
@@ -54,12 +55,13 @@
       : Settings_(std::move(Chosen)),
         Metrics_(Settings_.Scheduling_.Node_, Settings_.Scheduling_.Zone_),
         Bounded_(Log, Clock_, LinesPerSecond), Logger_(Bounded_, Metrics_),
-        Loop_(DecisionRing, TickInterval),
+        Waits_(Metrics_, Logger_, Clock_),
+        Loop_(DecisionRing, TickInterval, &Waits_),
         Client_(
             [this](EventLoop::Work Next) {
               return Loop_.post(std::move(Next));
             },
-            ExchangeRing),
+            ExchangeRing, &Waits_),
         Table_(Client_, Settings_.Store_), Store_(Table_, Metrics_),
         WorkerCalls_(Client_), Workers_(WorkerCalls_, Metrics_),
         Machines_(Client_, Settings_.Machines_, Store_),
@@ -92,6 +94,7 @@
   void tick() {
     Feeds_.tick();
     Node_->tick();
+    Waits_.tick();
     tellPools();
     bool IsReady = Node_->isReady();
     if (IsReady_.exchange(IsReady) != IsReady)
@@ -121,6 +124,7 @@
   PrometheusNodeMetrics Metrics_;
   BoundedLogger Bounded_;
   CountingLogger Logger_;
+  WaitMeter Waits_;
   EventLoop Loop_;
   CurlAsyncClient Client_;
   TableStore Table_;
--- a/src/http/internal/curlasyncclient.cpp
+++ b/src/http/internal/curlasyncclient.cpp
@@ -10,22 +10,28 @@
 
 } // namespace
 
-CurlAsyncClient::CurlAsyncClient(Poster Post, std::size_t RingCapacity)
-    : Post_(std::move(Post)),
-      Loop_({ConnectLimit, KeptConnections, KeptExchanges, RingCapacity},
-            &CurlAsyncClient::prepare,
-            [this](Exchange &Ended) { reportEnd(Ended); }) {}
+CurlAsyncClient::CurlAsyncClient(Poster Post, std::size_t RingCapacity,
+                                 IWaitObserver *Waits)
+    : Post_(std::move(Post)), Waits_(Waits),
+      Loop_(
+          {ConnectLimit, KeptConnections, KeptExchanges, RingCapacity},
+          [this](Exchange &Started) { return prepare(Started); },
+          [this](Exchange &Ended) { reportEnd(Ended); }) {}
 
 void CurlAsyncClient::send(const SocketAddress &Address, HttpRequest Request,
                            std::chrono::milliseconds Longest, Done Ended) {
-  bool IsPut = Loop_.tryPut(
-      {"http://" + Address.text(), std::move(Request), Longest, Ended});
+  bool IsPut = Loop_.tryPut({"http://" + Address.text(), std::move(Request),
+                             Longest, Ended, std::chrono::steady_clock::now()});
   if (!IsPut)
     report(std::move(Ended), {});
 }
 
 bool CurlAsyncClient::prepare(Exchange &Started) {
   const Wanted &Each = Started.Wanted_;
+  if (Waits_ != nullptr)
+    Waits_->waited(WaitPlace::BeforeSending,
+                   std::chrono::duration_cast<std::chrono::microseconds>(
+                       std::chrono::steady_clock::now() - Each.PutAt_));
   Started.Transfer_.prepare(Each.BaseUrl_, Each.Request_, Each.Longest_,
                             LargestAnswer,
                             CurlTransfer::ConnectionPolicy::Reuse);
--- a/src/http/internal/curlasyncclient.h
+++ b/src/http/internal/curlasyncclient.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYLOCK_HTTP_INTERNAL_CURLASYNCCLIENT_H
 #define DRAGONFLYLOCK_HTTP_INTERNAL_CURLASYNCCLIENT_H
 
+#include "global/iwaitobserver.h"
 #include "http/iasynchttpclient.h"
 #include "http/internal/curlloop.h"
 
@@ -16,7 +17,10 @@
   using Poster = std::function<bool(std::function<void()>)>;
 
   /// \param RingCapacity requests that may wait for the thread.
-  CurlAsyncClient(Poster Post, std::size_t RingCapacity);
+  /// \param Waits is told how long requests wait for the thread; may be null,
+  ///   must outlive the client.
+  CurlAsyncClient(Poster Post, std::size_t RingCapacity,
+                  IWaitObserver *Waits = nullptr);
 
   void start() { Loop_.start(); }
   void stop() { Loop_.stop(); }
@@ -29,14 +33,16 @@
     HttpRequest Request_;
     std::chrono::milliseconds Longest_{0};
     Done Ended_;
+    std::chrono::steady_clock::time_point PutAt_;
   };
   using Exchange = CurlLoop<Wanted>::Exchange;
 
-  static bool prepare(Exchange &Started);
+  bool prepare(Exchange &Started);
   void reportEnd(Exchange &Ended);
   void report(Done Ended, ExchangeEnd End);
 
   Poster Post_;
+  IWaitObserver *Waits_;
   CurlLoop<Wanted> Loop_;
 };
 
--- a/src/metrics/inodemetrics.h
+++ b/src/metrics/inodemetrics.h
@@ -26,6 +26,10 @@
   virtual void called(const std::string &System, const std::string &Call,
                       const std::string &Outcome,
                       std::chrono::microseconds Took) = 0;
+  /// Counts a wait of the node's own work.
+  /// \param Place where it waited.
+  virtual void waited(const std::string &Place,
+                      std::chrono::microseconds Time) = 0;
   /// Counts an event of the log.
   virtual void eventLogged(const std::string &Event) = 0;
   /// States what the owner of a pool knows of it.
--- a/src/metrics/internal/prometheusnodemetrics.cpp
+++ b/src/metrics/internal/prometheusnodemetrics.cpp
@@ -19,6 +19,9 @@
             "Calls to outside systems, by system, call and outcome")),
         CallTime_(Registry_.histogram("dragonflylock_call_seconds",
                                       "Time of calls to outside systems")),
+        WaitTime_(Registry_.histogram(
+            "dragonflylock_wait_seconds",
+            "Time for which work waited for the node's own threads")),
         Events_(Registry_.counter("dragonflylock_events_total",
                                   "Events of the log, by name")),
         Pools_(Registry_.gauge("dragonflylock_pool",
@@ -29,6 +32,7 @@
   HistogramFamily &AnswerTime_;
   CounterFamily &Calls_;
   HistogramFamily &CallTime_;
+  HistogramFamily &WaitTime_;
   CounterFamily &Events_;
   GaugeFamily &Pools_;
   std::mutex Mutex_;
@@ -65,6 +69,12 @@
       .Observe(metricSeconds(Took));
 }
 
+void PrometheusNodeMetrics::waited(const std::string &Place,
+                                   std::chrono::microseconds Time) {
+  Families_->WaitTime_.Add({{"place", Place}}, durationBounds())
+      .Observe(metricSeconds(Time));
+}
+
 void PrometheusNodeMetrics::eventLogged(const std::string &Event) {
   Families_->Events_.Add({{"event", Event}}).Increment();
 }
--- a/src/metrics/internal/prometheusnodemetrics.h
+++ b/src/metrics/internal/prometheusnodemetrics.h
@@ -19,6 +19,8 @@
   void called(const std::string &System, const std::string &Call,
               const std::string &Outcome,
               std::chrono::microseconds Took) override;
+  void waited(const std::string &Place,
+              std::chrono::microseconds Time) override;
   void eventLogged(const std::string &Event) override;
   void poolSeen(const PoolView &Pool) override;
   void poolLost(const std::string &Pool) override;
--- a/src/node/eventloop.h
+++ b/src/node/eventloop.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_NODE_EVENTLOOP_H
 
 #include "global/boundedring.h"
+#include "global/iwaitobserver.h"
 #include "global/signal.h"
 
 #include <atomic>
@@ -20,7 +21,10 @@
 
   /// \param RingCapacity functions that may wait.
   /// \param Interval longest time between two runs of the regular function.
-  EventLoop(std::size_t RingCapacity, std::chrono::milliseconds Interval);
+  /// \param Waits is told how long functions wait and how long the regular one
+  ///   takes; may be null, must outlive the loop.
+  EventLoop(std::size_t RingCapacity, std::chrono::milliseconds Interval,
+            IWaitObserver *Waits = nullptr);
   ~EventLoop();
   EventLoop(const EventLoop &) = delete;
   EventLoop &operator=(const EventLoop &) = delete;
@@ -35,11 +39,19 @@
   void stop();
 
 private:
+  using Clock = std::chrono::steady_clock;
+  struct Posted {
+    Work Work_;
+    Clock::time_point At_;
+  };
+
   void run();
+  void note(WaitPlace Place, Clock::time_point Since);
 
   Signal Wake_;
-  BoundedRing<Work> Ring_;
+  BoundedRing<Posted> Ring_;
   std::chrono::milliseconds Interval_;
+  IWaitObserver *Waits_;
   Work Regular_;
   std::atomic<bool> IsStopping_ = false;
   std::thread Thread_;
--- a/src/node/internal/eventloop.cpp
+++ b/src/node/internal/eventloop.cpp
@@ -3,8 +3,8 @@
 namespace dragonflylock {
 
 EventLoop::EventLoop(std::size_t RingCapacity,
-                     std::chrono::milliseconds Interval)
-    : Ring_(RingCapacity, Wake_), Interval_(Interval) {}
+                     std::chrono::milliseconds Interval, IWaitObserver *Waits)
+    : Ring_(RingCapacity, Wake_), Interval_(Interval), Waits_(Waits) {}
 
 EventLoop::~EventLoop() { stop(); }
 
@@ -13,7 +13,9 @@
   Thread_ = std::thread([this] { run(); });
 }
 
-bool EventLoop::post(Work Next) { return Ring_.tryPut(std::move(Next)); }
+bool EventLoop::post(Work Next) {
+  return Ring_.tryPut({std::move(Next), Clock::now()});
+}
 
 void EventLoop::stop() {
   IsStopping_ = true;
@@ -22,11 +24,22 @@
     Thread_.join();
 }
 
+void EventLoop::note(WaitPlace Place, Clock::time_point Since) {
+  if (Waits_ != nullptr)
+    Waits_->waited(Place, std::chrono::duration_cast<std::chrono::microseconds>(
+                              Clock::now() - Since));
+}
+
 void EventLoop::run() {
   while (!IsStopping_) {
     Wake_.waitFor(Interval_);
-    Ring_.drain([](const Work &Next) { Next(); });
+    Ring_.drain([this](const Posted &Next) {
+      note(WaitPlace::BeforeDeciding, Next.At_);
+      Next.Work_();
+    });
+    auto Begun = Clock::now();
     Regular_();
+    note(WaitPlace::Deciding, Begun);
   }
 }
 
--- a/src/scheduling/internal/ownershipkeeper.cpp
+++ b/src/scheduling/internal/ownershipkeeper.cpp
@@ -17,6 +17,10 @@
 constexpr std::uint64_t AttemptSpread = 400;
 constexpr std::chrono::milliseconds OwnedHandicap{400};
 
+std::chrono::microseconds microseconds(TimePoint::duration Time) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(Time);
+}
+
 } // namespace
 
 OwnershipKeeper::OwnershipKeeper(const SchedulingSettings &Settings,
@@ -179,6 +183,8 @@
   Next.Token_ = Lease.Token_;
   ++Next.Renewals_;
   Lease.IsBusy_ = true;
+  Lease.RenewalSent_ = Clock_.now();
+  Lease.RenewalOutcome_.reset();
   Store_.transact(writeOf(Pool, Lease, Next),
                   [Weak = weak_from_this(), Pool, Next,
                    Sent = Clock_.now()](const StoreTransactionEnd &End) {
@@ -192,6 +198,8 @@
                                 const StoreTransactionEnd &End) {
   PoolLease &Lease = Leases_[Pool];
   Lease.IsBusy_ = false;
+  Lease.RenewalOutcome_ = End.Outcome_;
+  logRenewal(Pool, Lease, End.Outcome_);
   if (!Lease.IsMine_)
     return;
   if (End.Outcome_ == StoreOutcome::Done) {
@@ -216,14 +224,35 @@
     Lease.NextRenewal_ = Clock_.now();
 }
 
+void OwnershipKeeper::logRenewal(const std::string &Pool,
+                                 const PoolLease &Lease, StoreOutcome Outcome) {
+  auto Took = Clock_.now() - Lease.RenewalSent_;
+  if (Outcome == StoreOutcome::Done && Took < Settings_.OwnerLease_ / 10)
+    return;
+  Logger_.write(
+      LogLevel::Warning,
+      LogEvent("pool.renewal-late")
+          .with("pool", Pool)
+          .with("token", Lease.Token_)
+          .with("outcome", nameOf(Outcome))
+          .with("took", microseconds(Took))
+          .with("lease-left", microseconds(Lease.LeaseEnd_ - Clock_.now())));
+}
+
 void OwnershipKeeper::lose(const std::string &Pool, PoolLease &Lease,
                            const char *Cause) {
   Lease.IsMine_ = false;
   Lease.NextAttempt_ = Clock_.now() + Settings_.OwnerLease_;
-  Logger_.write(LogLevel::Warning, LogEvent("pool.lost")
-                                       .with("pool", Pool)
-                                       .with("token", Lease.Token_)
-                                       .with("cause", Cause));
+  const char *Renewal =
+      Lease.RenewalOutcome_ ? nameOf(*Lease.RenewalOutcome_) : "under-way";
+  Logger_.write(LogLevel::Warning,
+                LogEvent("pool.lost")
+                    .with("pool", Pool)
+                    .with("token", Lease.Token_)
+                    .with("cause", Cause)
+                    .with("renewal", Renewal)
+                    .with("renewal-sent-before",
+                          microseconds(Clock_.now() - Lease.RenewalSent_)));
   OnLost_(Pool);
 }
 
--- a/src/scheduling/ownershipkeeper.h
+++ b/src/scheduling/ownershipkeeper.h
@@ -60,6 +60,10 @@
     FencingToken Token_ = 0;
     TimePoint LeaseEnd_;
     TimePoint NextRenewal_;
+    /// When the renewal was sent that is under way or has ended last.
+    TimePoint RenewalSent_;
+    /// How that renewal ended; nothing while it is under way.
+    std::optional<StoreOutcome> RenewalOutcome_;
     /// Since when the pool is known to be free; the clock's start otherwise.
     TimePoint FreeSince_;
     TimePoint NextAttempt_;
@@ -80,6 +84,8 @@
   void renew(const std::string &Pool, PoolLease &Lease);
   void onRenewal(const std::string &Pool, TimePoint Sent, const OwnerRow &Next,
                  const StoreTransactionEnd &End);
+  void logRenewal(const std::string &Pool, const PoolLease &Lease,
+                  StoreOutcome Outcome);
   void lose(const std::string &Pool, PoolLease &Lease, const char *Cause);
   StoreTransaction writeOf(const std::string &Pool, const PoolLease &Lease,
                            const OwnerRow &Row) const;
--- a/src/scheduling/storetypes.h
+++ b/src/scheduling/storetypes.h
@@ -68,6 +68,9 @@
   HistoryLost,
 };
 
+/// \returns the outcome's name in logs and metrics.
+const char *nameOf(StoreOutcome Outcome);
+
 /// The end of a transaction.
 struct StoreTransactionEnd {
   StoreOutcome Outcome_ = StoreOutcome::Unknown;
--- a/src/telemetry/internal/meteredstore.cpp
+++ b/src/telemetry/internal/meteredstore.cpp
@@ -5,22 +5,6 @@
 namespace dragonflylock {
 namespace {
 
-const char *nameOf(StoreOutcome Outcome) {
-  switch (Outcome) {
-  case StoreOutcome::Done:
-    return "done";
-  case StoreOutcome::ConditionFailed:
-    return "condition-failed";
-  case StoreOutcome::NotDone:
-    return "not-done";
-  case StoreOutcome::Unknown:
-    return "unknown";
-  case StoreOutcome::HistoryLost:
-    return "history-lost";
-  }
-  return "unknown";
-}
-
 /// \returns a callback that counts the call before it passes its end on.
 template <typename Done>
 auto metered(INodeMetrics &Metrics, const char *Call, Done Next) {
--- a/src/telemetry/tests/telemetry_test.cpp
+++ b/src/telemetry/tests/telemetry_test.cpp
@@ -11,6 +11,7 @@
 #include "telemetry/meteredstore.h"
 #include "telemetry/meteredworkercontrol.h"
 #include "telemetry/metricsport.h"
+#include "telemetry/waitmeter.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
@@ -104,6 +105,31 @@
   EXPECT_THAT(get("/metrics"), HasSubstr("event=\"run.ordered\""));
 }
 
+TEST_F(TelemetryTest, TellsWhereWorkWaitedForTheNodesOwnThreads) {
+  LineLogger Inner;
+  ManualClock Clock;
+  WaitMeter Waits(Metrics_, Inner, Clock);
+  Waits.waited(WaitPlace::BeforeSending, std::chrono::milliseconds(900));
+  Waits.waited(WaitPlace::BeforeSending, std::chrono::milliseconds(20));
+  Waits.waited(WaitPlace::BeforeDeciding, std::chrono::milliseconds(3));
+  Waits.tick();
+  ASSERT_EQ(Inner.Lines_.size(), 1U);
+  EXPECT_EQ(Inner.Lines_[0],
+            "event=node.late before-sending=900.000ms before-sending-count=2 "
+            "before-deciding=3.000ms before-deciding-count=1 "
+            "deciding=0.000ms deciding-count=0");
+  EXPECT_THAT(get("/metrics"), HasSubstr("place=\"before-sending\""));
+}
+
+TEST_F(TelemetryTest, OrdinaryWaitsAreNotLogged) {
+  LineLogger Inner;
+  ManualClock Clock;
+  WaitMeter Waits(Metrics_, Inner, Clock);
+  Waits.waited(WaitPlace::Deciding, std::chrono::milliseconds(20));
+  Waits.tick();
+  EXPECT_TRUE(Inner.Lines_.empty());
+}
+
 TEST_F(TelemetryTest, ServesNothingElse) { EXPECT_EQ(get("/"), "404"); }
 
 TEST(BoundedLoggerTest, TellsHowManyLinesWereLeftOut) {
