Starts that wait for an answer are bounded by the time that answers take

An owner now keeps at most as many starts without an answer as come back within a quarter of a second, so that nothing else in the node waits longer for them, whatever its size. Jobs' order is kept: the rest of a round is left for the next.

PoolOwnerTest.StartsWithoutAnswersAreBounded failed before (1,600 starts at once).

--- a/src/emulator/emulator.h
+++ b/src/emulator/emulator.h
@@ -1,6 +1,8 @@
 #ifndef DRAGONFLYLOCK_EMULATOR_EMULATOR_H
 #define DRAGONFLYLOCK_EMULATOR_EMULATOR_H
 
+#include "scheduling/schedulingtypes.h"
+
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -17,6 +19,7 @@
   std::uint32_t Pools_ = 2;
   std::uint32_t WorkersPerPool_ = 6;
   std::uint32_t SpareMachines_ = 4;
+  Resources WorkerCapacity_{16000, 32768, 0};
   /// Jobs that callers submit in each second of all pools.
   double JobsPerSecond_ = 6;
   /// Time in which jobs are submitted and faults begin.
@@ -27,11 +30,15 @@
   std::uint32_t Faults_ = 6;
   /// Whether a maintenance wave is announced.
   bool HasWave_ = true;
+  /// Whether the last pool's queue needs advice for its steps.
+  bool HasAdvice_ = true;
   /// Share of the tasks that fail.
   double FailShare_ = 0.02;
   /// Processor time of a node for each call that it makes and each answer that
   /// it reads, which it does one after the other; 0 plays without it.
   std::chrono::microseconds CallTime_{0};
+  /// Pause of a caller before it asks for its job's state again.
+  std::chrono::milliseconds PollInterval_{700};
   /// When all nodes lose power for a moment.
   std::optional<std::chrono::milliseconds> PowerLossAt_;
 };
--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -18,7 +18,6 @@
 
 constexpr milliseconds TrafficStart{4000};
 constexpr milliseconds CallerLimit{3000};
-constexpr milliseconds PollInterval{700};
 constexpr std::uint32_t CallerAttempts = 4;
 /// Time for which all nodes are down.
 constexpr milliseconds PowerLoss{1000};
@@ -55,7 +54,6 @@
 void Emulator::Parts::build() {
   Shared_.IsLogging_ = std::getenv("EMULATOR_LOG") != nullptr;
   Shared_.Configuration_.Version_ = 1;
-  constexpr Resources Capacity{16000, 32768, 0};
   for (std::uint32_t Number = 0; Number < Plan_.Pools_; ++Number) {
     std::string Pool = "pool" + std::to_string(Number);
     Shared_.Configuration_.Pools_.push_back({Pool, true, false});
@@ -65,14 +63,14 @@
     Queue.MostAttempts_ = Rules_.MostAttempts_;
     Queue.Stretch_ = 1.6;
     Queue.TargetLatency_ = milliseconds(600);
-    Queue.NeedsAdvice_ = Number + 1 == Plan_.Pools_;
+    Queue.NeedsAdvice_ = Plan_.HasAdvice_ && Number + 1 == Plan_.Pools_;
     Shared_.Configuration_.Queues_.push_back(Queue);
     for (std::uint32_t Worker = 0; Worker < Plan_.WorkersPerPool_; ++Worker)
-      Workers_.add(Pool, Capacity);
+      Workers_.add(Pool, Plan_.WorkerCapacity_);
   }
   Shared_.Configuration_.Pools_.push_back({"spare", true, true});
   for (std::uint32_t Worker = 0; Worker < Plan_.SpareMachines_; ++Worker)
-    Workers_.add("spare", Capacity);
+    Workers_.add("spare", Plan_.WorkerCapacity_);
   for (auto &[Id, Worker] : Workers_.all())
     Worker.FailShare_ = Plan_.FailShare_;
   for (std::uint32_t Number = 0; Number < Plan_.Nodes_; ++Number) {
@@ -185,7 +183,7 @@
   const JobRecord &Record = Rules_.job(Id);
   if (Record.IsShownCompleted_ || Record.IsShownFailed_)
     return;
-  World_.after(PollInterval, [=, this] { poll(Id, Queue); });
+  World_.after(Plan_.PollInterval_, [=, this] { poll(Id, Queue); });
   EmulatedNode *Node = anyNode();
   if (Node == nullptr)
     return;
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -81,6 +81,7 @@
 
 void Dispatcher::dispatch() {
   Pool_.NeedsDispatch_ = false;
+  IsHeldBack_ = false;
   Chooser_.beginRound();
   for (ActiveJob *Job : jobsByUrgency())
     if (!Pool_.mayAct() || !dispatchJob(*Job))
@@ -99,6 +100,8 @@
     }
     if (Name.Step_ == FullStep)
       continue;
+    if (!admits(1))
+      return false;
     WorkerSession *Session = workerFor(Job, Name);
     if (Session == nullptr) {
       FullStep = Name.Step_;
@@ -166,6 +169,8 @@
                      Now < Gang.WaitsSince_ + LongestKeeping;
     return !KeepsRoom || !Chooser_.mayFitLater(Job, Members, WaitsForRack);
   }
+  if (!admits(Members.size()))
+    return false;
   RunNumber Number = 0;
   for (const TaskName &Name : Members)
     Number = std::max(Number, nextRun(Job, Name));
@@ -204,6 +209,14 @@
   }
 }
 
+bool Dispatcher::admits(std::size_t Starts) {
+  if (Window_.admits(Starts))
+    return true;
+  Window_.onHeldBack();
+  IsHeldBack_ = true;
+  return false;
+}
+
 void Dispatcher::start(ActiveJob &Job, const TaskName &Name,
                        WorkerSession &Session, RunNumber Number) {
   const TimePoint Now = Pool_.Clock_.now();
@@ -241,16 +254,31 @@
   Order.Checkpoint_ = Job.progress().task(Name).Checkpoint_;
   if (Advice_.isNeededFor(Job))
     Order.Ticket_ = Advice_.ticketFor(Name, Session);
+  Window_.onSent();
   Pool_.Workers_.start(Session.target(), Order,
                        [Weak = weak_from_this(), Lifetime = Run.Worker_, Name,
-                        Number = Run.Run_](const OrderAnswer &Answer) {
+                        Number = Run.Run_, Now](const OrderAnswer &Answer) {
                          if (auto Self = Weak.lock())
-                           Self->onStarted(Lifetime, Name, Number, Answer);
+                           Self->onStarted(Lifetime, Name, Number, Now, Answer);
                        });
 }
 
+void Dispatcher::noteAnswered(TimePoint Sent, OrderOutcome Outcome) {
+  bool IsAnswer =
+      Outcome != OrderOutcome::Unknown && Outcome != OrderOutcome::NotSent;
+  if (IsAnswer)
+    Window_.onAnswered(std::chrono::duration_cast<std::chrono::milliseconds>(
+        Pool_.Clock_.now() - Sent));
+  else
+    Window_.onUnanswered();
+  if (IsHeldBack_ && Window_.isDrained())
+    Pool_.NeedsDispatch_ = true;
+}
+
 void Dispatcher::onStarted(const std::string &Lifetime, const TaskName &Name,
-                           RunNumber Run, const OrderAnswer &Answer) {
+                           RunNumber Run, TimePoint Sent,
+                           const OrderAnswer &Answer) {
+  noteAnswered(Sent, Answer.Outcome_);
   WorkerSession *Session = Pool_.session(Lifetime);
   if (Session == nullptr)
     return;
--- a/src/scheduling/internal/dispatcher.h
+++ b/src/scheduling/internal/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include "global/iclock.h"
 #include "scheduling/internal/workerchooser.h"
+#include "scheduling/startwindow.h"
 #include "scheduling/workercalls.h"
 
 #include <memory>
@@ -54,8 +55,13 @@
              RunNumber Number);
   /// \returns a number above those of all earlier runs of the task.
   RunNumber nextRun(const ActiveJob &Job, const TaskName &Name) const;
+  /// Takes the answer to a start that was sent at \p Sent.
   void onStarted(const std::string &Lifetime, const TaskName &Name,
-                 RunNumber Run, const OrderAnswer &Answer);
+                 RunNumber Run, TimePoint Sent, const OrderAnswer &Answer);
+  void noteAnswered(TimePoint Sent, OrderOutcome Outcome);
+  /// \returns whether \p Starts more may be sent now; the rest of the round
+  ///   is left for later otherwise.
+  bool admits(std::size_t Starts);
   void onStopped(const std::string &Lifetime, const TaskName &Name,
                  RunNumber Run, const OrderAnswer &Answer);
   void onStartRefused(WorkerSession &Session, const TaskName &Name,
@@ -66,6 +72,9 @@
   RunBook &Runs_;
   AdviceKeeper &Advice_;
   WorkerChooser Chooser_;
+  StartWindow Window_;
+  /// Whether the last round was left for want of answers.
+  bool IsHeldBack_ = false;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -57,6 +57,27 @@
   EXPECT_TRUE(Workers_.Stops_.empty());
 }
 
+TEST_F(PoolOwnerTest, StartsWithoutAnswersAreBounded) {
+  constexpr std::size_t Tasks = 1600;
+  storeJob(jobOf(Tasks));
+  std::vector<WorkerEntry> Fleet;
+  for (int Number = 0; Number < 100; ++Number)
+    Fleet.push_back(worker("w" + std::to_string(Number)));
+  own(0, Fleet);
+  while (!Workers_.Holds_.empty())
+    Workers_.takeHold().Done_(listing({}));
+  tickTwice();
+  EXPECT_GT(Workers_.Starts_.size(), 0U);
+  EXPECT_LE(Workers_.Starts_.size(), 256U);
+  std::size_t Started = 0;
+  for (int Round = 0; Round < 100 && Started < Tasks; ++Round) {
+    for (; !Workers_.Starts_.empty(); ++Started)
+      Workers_.takeStart().Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+    Owner_->tick();
+  }
+  EXPECT_EQ(Started, Tasks);
+}
+
 TEST_F(PoolOwnerTest, WaitsForRunsThatAnUnreachedWorkerMayHave) {
   storeJob(jobOf(1));
   own(1, {worker("w1"), worker("w2")});
