A lease that a node could not renew in time is left to others

So the pool went back to the one node that was known not to keep up.

A node now waits for the row of a lease that it let end like any other node, and one second longer for each such lease, until it has held the pool for ten renewals.

OwnershipKeeperTest.ANodeThatIsTooSlowToRenewLeavesThePoolToOthers failed before (won twice, the other never), and so did OwnershipKeeperTest.ANodeThatTheStoreRefusedTriesAgainAtOnce.

--- a/src/scheduling/internal/ownershipkeeper.cpp
+++ b/src/scheduling/internal/ownershipkeeper.cpp
@@ -16,6 +16,12 @@
 /// pool that it owns already, so that pools spread over the nodes.
 constexpr std::uint64_t AttemptSpread = 400;
 constexpr std::chrono::milliseconds OwnedHandicap{400};
+/// Handicap for each lease on the pool that this node could not renew in time:
+/// others are likely to have more processor time for it.
+constexpr std::chrono::milliseconds LateHandicap{1000};
+constexpr std::uint32_t MostLateHandicaps = 4;
+/// Renewals after which a node has shown that it can hold the pool.
+constexpr std::uint32_t ProvenRenewals = 10;
 
 std::chrono::microseconds microseconds(TimePoint::duration Time) {
   return std::chrono::duration_cast<std::chrono::microseconds>(Time);
@@ -64,11 +70,17 @@
     lose(Pool, Lease, "taken-over");
 }
 
+bool OwnershipKeeper::wasRefused(const PoolLease &Lease) {
+  return Lease.RenewalOutcome_ == StoreOutcome::NotDone;
+}
+
 bool OwnershipKeeper::isFree(const PoolLease &Lease) const {
   if (Lease.Version_ == 0)
     return IsLoaded_;
-  // An earlier process of this node is gone for certain.
-  bool IsOwn = Lease.Row_.Holder_ == Settings_.Node_ && !Lease.IsMine_;
+  // An earlier process of this node is gone for certain. A lease that this one
+  // lost by itself is left to others; one that the store refused is not.
+  bool IsOwn = Lease.Row_.Holder_ == Settings_.Node_ && !Lease.IsMine_ &&
+               (Lease.Row_.Process_ != Process_ || wasRefused(Lease));
   if (Lease.Row_.Holder_.empty() || IsOwn)
     return true;
   return Clock_.now() >=
@@ -76,10 +88,12 @@
 }
 
 std::chrono::milliseconds
-OwnershipKeeper::attemptDelay(const std::string &Pool) const {
+OwnershipKeeper::attemptDelay(const std::string &Pool,
+                              const PoolLease &Lease) const {
   std::uint64_t Hash = std::hash<std::string>()(Settings_.Node_ + "/" + Pool);
   return std::chrono::milliseconds(Hash % AttemptSpread) +
-         OwnedHandicap * static_cast<std::int64_t>(owned());
+         OwnedHandicap * static_cast<std::int64_t>(owned()) +
+         LateHandicap * std::min(Lease.LateRenewals_, MostLateHandicaps);
 }
 
 void OwnershipKeeper::tick() {
@@ -87,7 +101,7 @@
   for (const std::string &Pool : Pools_) {
     PoolLease &Lease = Leases_[Pool];
     if (Lease.IsMine_ && Now >= Lease.LeaseEnd_)
-      lose(Pool, Lease, "lease-ended");
+      endLease(Pool, Lease);
     if (Lease.IsBusy_ || IsReleasing_)
       continue;
     if (Lease.IsMine_) {
@@ -101,8 +115,8 @@
     }
     if (Lease.FreeSince_ == TimePoint())
       Lease.FreeSince_ = Now;
-    if (Now >=
-        std::max(Lease.NextAttempt_, Lease.FreeSince_ + attemptDelay(Pool)))
+    if (Now >= std::max(Lease.NextAttempt_,
+                        Lease.FreeSince_ + attemptDelay(Pool, Lease)))
       tryToWin(Pool, Lease);
   }
 }
@@ -166,6 +180,8 @@
                             TimePoint Sent, StoreVersion Token) {
   Lease.IsMine_ = true;
   Lease.Token_ = Token;
+  Lease.RenewalsMade_ = 0;
+  Lease.RenewalOutcome_.reset();
   Lease.SeenAt_ = Clock_.now();
   Lease.LeaseEnd_ = Sent + Settings_.OwnerLease_;
   Lease.NextRenewal_ = Sent + Settings_.OwnerLease_ / RenewalsPerLease;
@@ -184,7 +200,6 @@
   ++Next.Renewals_;
   Lease.IsBusy_ = true;
   Lease.RenewalSent_ = Clock_.now();
-  Lease.RenewalOutcome_.reset();
   Store_.transact(writeOf(Pool, Lease, Next),
                   [Weak = weak_from_this(), Pool, Next,
                    Sent = Clock_.now()](const StoreTransactionEnd &End) {
@@ -208,6 +223,8 @@
     Lease.SeenAt_ = Clock_.now();
     Lease.LeaseEnd_ = Sent + Settings_.OwnerLease_;
     Lease.NextRenewal_ = Sent + Settings_.OwnerLease_ / RenewalsPerLease;
+    if (++Lease.RenewalsMade_ >= ProvenRenewals)
+      Lease.LateRenewals_ = 0;
     OnRenewed_(Pool, Lease.LeaseEnd_);
     return;
   }
@@ -239,6 +256,13 @@
           .with("lease-left", microseconds(Lease.LeaseEnd_ - Clock_.now())));
 }
 
+void OwnershipKeeper::endLease(const std::string &Pool, PoolLease &Lease) {
+  if (!wasRefused(Lease))
+    ++Lease.LateRenewals_;
+  lose(Pool, Lease, "lease-ended");
+  Lease.NextAttempt_ = Clock_.now();
+}
+
 void OwnershipKeeper::lose(const std::string &Pool, PoolLease &Lease,
                            const char *Cause) {
   Lease.IsMine_ = false;
--- a/src/scheduling/ownershipkeeper.h
+++ b/src/scheduling/ownershipkeeper.h
@@ -62,20 +62,27 @@
     TimePoint NextRenewal_;
     /// When the renewal was sent that is under way or has ended last.
     TimePoint RenewalSent_;
-    /// How that renewal ended; nothing while it is under way.
+    /// How the last renewal of this tenure that has ended did.
     std::optional<StoreOutcome> RenewalOutcome_;
     /// Since when the pool is known to be free; the clock's start otherwise.
     TimePoint FreeSince_;
     TimePoint NextAttempt_;
+    /// Leases that have ended since this node held the pool for long.
+    std::uint32_t LateRenewals_ = 0;
+    /// Renewals of the present tenure.
+    std::uint32_t RenewalsMade_ = 0;
     /// End of the previous owner's acts, as of the last attempt to win.
     std::optional<TimePoint> PredecessorEnd_;
   };
 
+  /// \returns whether the store refused the last renewal.
+  static bool wasRefused(const PoolLease &Lease);
   bool isFree(const PoolLease &Lease) const;
   /// \returns when the present owner has stopped acting, if that is earlier
   /// than now for certain.
   std::optional<TimePoint> endOfOwner(const PoolLease &Lease) const;
-  std::chrono::milliseconds attemptDelay(const std::string &Pool) const;
+  std::chrono::milliseconds attemptDelay(const std::string &Pool,
+                                         const PoolLease &Lease) const;
   void tryToWin(const std::string &Pool, PoolLease &Lease);
   void onAttempt(const std::string &Pool, TimePoint Sent,
                  const OwnerRow &Sought, const StoreTransactionEnd &End);
@@ -86,6 +93,8 @@
                  const StoreTransactionEnd &End);
   void logRenewal(const std::string &Pool, const PoolLease &Lease,
                   StoreOutcome Outcome);
+  /// Drops a lease that was not renewed in time.
+  void endLease(const std::string &Pool, PoolLease &Lease);
   void lose(const std::string &Pool, PoolLease &Lease, const char *Cause);
   StoreTransaction writeOf(const std::string &Pool, const PoolLease &Lease,
                            const OwnerRow &Row) const;
--- /dev/null
+++ b/src/scheduling/tests/ownershipkeeper_test.cpp
@@ -0,0 +1,142 @@
+#include "scheduling/ownershipkeeper.h"
+#include "scheduling/tests/mocks/fakefleet.h"
+
+#include <gtest/gtest.h>
+
+namespace dragonflylock {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds TickInterval{40};
+
+/// A node's way to the store, on which calls may take long.
+class SlowStore : public IStore {
+public:
+  SlowStore(InstantStore &Inner, const IClock &Clock)
+      : Inner_(Inner), Clock_(Clock) {}
+
+  void transact(StoreTransaction Wanted, TransactionDone Done) override {
+    Waiting_.emplace_back(Clock_.now() + Delay_,
+                          [this, Wanted = std::move(Wanted), Done] {
+                            Inner_.transact(Wanted, Done);
+                          });
+  }
+  void readRange(const std::string &, const std::string &, const std::string &,
+                 const std::string &, RangeDone) override {}
+  void awaitChanges(const std::string &, StoreVersion, milliseconds,
+                    ChangesDone) override {}
+
+  /// Carries out what is due.
+  void tick() {
+    while (!Waiting_.empty() && Waiting_.front().first <= Clock_.now()) {
+      auto Call = std::move(Waiting_.front().second);
+      Waiting_.pop_front();
+      Call();
+    }
+  }
+
+  milliseconds Delay_{0};
+
+private:
+  InstantStore &Inner_;
+  const IClock &Clock_;
+  std::deque<std::pair<TimePoint, std::function<void()>>> Waiting_;
+};
+
+/// A keeper with what it has won and lost.
+struct KeeperNode {
+  KeeperNode(const std::string &Name, InstantStore &Shared, const IClock &Clock,
+             ILogger &Logger)
+      : Store_(Shared, Clock) {
+    Settings_.Node_ = Name;
+    Keeper_ = std::make_shared<OwnershipKeeper>(
+        Settings_, Name + "/1", Store_, Clock, Logger,
+        [this](const PoolTenure &Tenure) {
+          Owned_.insert(Tenure.Pool_);
+          ++Wins_;
+        },
+        [](const std::string &, TimePoint) {},
+        [this](const std::string &Pool) { Owned_.erase(Pool); });
+  }
+
+  SchedulingSettings Settings_;
+  SlowStore Store_;
+  std::shared_ptr<OwnershipKeeper> Keeper_;
+  std::set<std::string> Owned_;
+  int Wins_ = 0;
+};
+
+class OwnershipKeeperTest : public testing::Test {
+protected:
+  KeeperNode &add(const std::string &Name) {
+    Nodes_.push_back(
+        std::make_unique<KeeperNode>(Name, Shared_, Clock_, Logger_));
+    return *Nodes_.back();
+  }
+
+  void begin(const std::vector<std::string> &Pools) {
+    for (auto &Node : Nodes_) {
+      Node->Keeper_->setPools(Pools);
+      Node->Keeper_->setLoaded();
+    }
+  }
+
+  /// Lets the nodes act and read the rows for \p Length.
+  void play(milliseconds Length) {
+    for (auto End = Clock_.now() + Length; Clock_.now() < End;) {
+      Clock_.advance(TickInterval);
+      for (auto &Node : Nodes_) {
+        Node->Store_.tick();
+        Node->Keeper_->tick();
+        Node->Store_.tick();
+      }
+      for (auto &Node : Nodes_)
+        tellRows(*Node->Keeper_);
+    }
+  }
+
+  void tellRows(OwnershipKeeper &Keeper) {
+    const std::string Prefix = controlrows::OwnerPrefix;
+    for (const auto &[Name, Row] : Shared_.Rows_)
+      if (Name.Key_.starts_with(Prefix))
+        Keeper.onRow(Name.Key_.substr(Prefix.size()), Row);
+  }
+
+  ManualClock Clock_;
+  SilentLogger Logger_;
+  InstantStore Shared_;
+  std::vector<std::unique_ptr<KeeperNode>> Nodes_;
+};
+
+TEST_F(OwnershipKeeperTest, ANodeThatIsTooSlowToRenewLeavesThePoolToOthers) {
+  KeeperNode &Slow = add("slow");
+  begin({"pool"});
+  play(milliseconds(2000));
+  ASSERT_TRUE(Slow.Owned_.contains("pool"));
+  KeeperNode &Other = add("other");
+  begin({"pool"});
+  Slow.Store_.Delay_ = milliseconds(2300);
+  for (int Wait = 0; Wait < 100 && !Slow.Owned_.empty(); ++Wait)
+    play(milliseconds(100));
+  ASSERT_TRUE(Slow.Owned_.empty());
+  Slow.Store_.Delay_ = milliseconds(0);
+  play(milliseconds(6000));
+  EXPECT_TRUE(Other.Owned_.contains("pool"));
+  EXPECT_EQ(Slow.Wins_, 1);
+}
+
+TEST_F(OwnershipKeeperTest, ANodeThatTheStoreRefusedTriesAgainAtOnce) {
+  KeeperNode &Node = add("node");
+  begin({"pool"});
+  play(milliseconds(2000));
+  Shared_.Outcome_ = StoreOutcome::NotDone;
+  play(milliseconds(3200));
+  EXPECT_TRUE(Node.Owned_.empty());
+  Shared_.Outcome_ = StoreOutcome::Done;
+  play(milliseconds(600));
+  EXPECT_TRUE(Node.Owned_.contains("pool"));
+}
+
+} // namespace
+} // namespace dragonflylock
