Free pools go to the nodes with the most processor

Nodes tell their size in a row of the control table. One that is smaller than the largest known lets it go first by 300 ms for each multiple, at most 1.2 s, which is what a large node with three pools waits already; so pools still spread. Where all have one size nothing changes.

OwnershipKeeperTest.ASmallNodeLeavesAFreePoolToALargerOne fails with a handicap of 0, as pools were spread before.

--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -28,6 +28,14 @@
   std::uint64_t Renewals_ = 0;
 };
 
+/// What a node tells others of itself.
+struct NodeRow {
+  /// Processor cores that it may use.
+  double Cores_ = 0;
+
+  bool operator==(const NodeRow &) const = default;
+};
+
 /// Jobs that have not begun, by queue.
 struct PendingRow {
   /// Of the owner that counted; a count of an earlier owner may be written
@@ -76,6 +84,7 @@
 
 inline constexpr const char *Table = "dragonflylock-control";
 inline constexpr const char *OwnerPrefix = "owner/";
+inline constexpr const char *NodePrefix = "node/";
 inline constexpr const char *RosterPrefix = "roster/";
 inline constexpr const char *PendingPrefix = "pending/";
 inline constexpr const char *DemandPrefix = "demand/";
@@ -84,6 +93,7 @@
 inline constexpr const char *MachinePrefix = "machine/";
 
 StoreKey owner(const std::string &Pool);
+StoreKey node(const std::string &Node);
 StoreKey roster(const std::string &Pool);
 StoreKey pending(const std::string &Pool);
 StoreKey demand(const std::string &Pool);
@@ -91,12 +101,14 @@
 StoreKey machine(const std::string &Machine);
 
 std::string encode(const OwnerRow &Row);
+std::string encode(const NodeRow &Row);
 std::string encode(const PendingRow &Row);
 std::string encode(const DemandRow &Row);
 std::string encode(const WaveProgress &Row);
 std::string encode(const RosterRow &Row);
 /// Each is nothing where the text can't be read.
 std::optional<OwnerRow> decodeOwner(const std::string &Text);
+std::optional<NodeRow> decodeNode(const std::string &Text);
 std::optional<PendingRow> decodePending(const std::string &Text);
 std::optional<DemandRow> decodeDemand(const std::string &Text);
 std::optional<WaveProgress> decodeWave(const std::string &Text);
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -21,6 +21,7 @@
 } // namespace
 
 StoreKey owner(const std::string &Pool) { return row(OwnerPrefix + Pool); }
+StoreKey node(const std::string &Node) { return row(NodePrefix + Node); }
 StoreKey roster(const std::string &Pool) { return row(RosterPrefix + Pool); }
 StoreKey pending(const std::string &Pool) { return row(PendingPrefix + Pool); }
 StoreKey demand(const std::string &Pool) { return row(DemandPrefix + Pool); }
@@ -41,6 +42,10 @@
       .dump();
 }
 
+std::string encode(const NodeRow &Row) {
+  return json{{"cores", Row.Cores_}}.dump();
+}
+
 std::string encode(const PendingRow &Row) {
   return json{{"token", Row.Token_}, {"pending", Row.Pending_}}.dump();
 }
@@ -81,6 +86,12 @@
   });
 }
 
+std::optional<NodeRow> decodeNode(const std::string &Text) {
+  return read<NodeRow>(Text, [](const json &Source) {
+    return NodeRow{Source.at("cores").get<double>()};
+  });
+}
+
 std::optional<PendingRow> decodePending(const std::string &Text) {
   return read<PendingRow>(Text, [](const json &Source) {
     PendingRow Row;
--- a/src/scheduling/internal/ownershipkeeper.cpp
+++ b/src/scheduling/internal/ownershipkeeper.cpp
@@ -16,6 +16,10 @@
 /// pool that it owns already, so that pools spread over the nodes.
 constexpr std::uint64_t AttemptSpread = 400;
 constexpr std::chrono::milliseconds OwnedHandicap{400};
+/// Handicap of a node that has half of the processor of the largest one. It
+/// grows with the ratio, up to what a large node with three pools waits.
+constexpr std::chrono::milliseconds SizeHandicap{300};
+constexpr std::chrono::milliseconds MostSizeHandicap{1200};
 /// Handicap for each lease on the pool that this node could not renew in time:
 /// others are likely to have more processor time for it.
 constexpr std::chrono::milliseconds LateHandicap{1000};
@@ -92,12 +96,49 @@
                               const PoolLease &Lease) const {
   std::uint64_t Hash = std::hash<std::string>()(Settings_.Node_ + "/" + Pool);
   return std::chrono::milliseconds(Hash % AttemptSpread) +
-         OwnedHandicap * static_cast<std::int64_t>(owned()) +
+         OwnedHandicap * static_cast<std::int64_t>(owned()) + sizeHandicap() +
          LateHandicap * std::min(Lease.LateRenewals_, MostLateHandicaps);
 }
 
+std::chrono::milliseconds OwnershipKeeper::sizeHandicap() const {
+  double Largest = Settings_.Cores_;
+  for (const auto &[Node, Row] : Nodes_)
+    Largest = std::max(Largest, Row.Cores_);
+  if (Settings_.Cores_ <= 0)
+    return MostSizeHandicap;
+  double Ratio = Largest / Settings_.Cores_ - 1;
+  return std::min(MostSizeHandicap,
+                  std::chrono::duration_cast<std::chrono::milliseconds>(
+                      SizeHandicap * Ratio));
+}
+
+bool OwnershipKeeper::tellSize() {
+  const NodeRow Own{Settings_.Cores_};
+  auto Known = Nodes_.find(Settings_.Node_);
+  if (Known != Nodes_.end() && Known->second == Own)
+    return true;
+  if (!IsLoaded_ || IsTelling_ || Clock_.now() < NextTelling_)
+    return false;
+  IsTelling_ = true;
+  StoreTransaction Wanted;
+  Wanted.Puts_ = {
+      {controlrows::node(Settings_.Node_), controlrows::encode(Own)}};
+  Store_.transact(std::move(Wanted), [Weak = weak_from_this(),
+                                      Own](const StoreTransactionEnd &End) {
+    auto Self = Weak.lock();
+    if (!Self)
+      return;
+    Self->IsTelling_ = false;
+    Self->NextTelling_ = Self->Clock_.now() + RetryPause;
+    if (End.Outcome_ == StoreOutcome::Done)
+      Self->Nodes_[Self->Settings_.Node_] = Own;
+  });
+  return false;
+}
+
 void OwnershipKeeper::tick() {
   const TimePoint Now = Clock_.now();
+  const bool IsSizeKnown = tellSize();
   for (const std::string &Pool : Pools_) {
     PoolLease &Lease = Leases_[Pool];
     if (Lease.IsMine_ && Now >= Lease.LeaseEnd_)
@@ -109,7 +150,7 @@
         renew(Pool, Lease);
       continue;
     }
-    if (!isFree(Lease)) {
+    if (!IsSizeKnown || !isFree(Lease)) {
       Lease.FreeSince_ = TimePoint();
       continue;
     }
@@ -267,8 +308,11 @@
                            const char *Cause) {
   Lease.IsMine_ = false;
   Lease.NextAttempt_ = Clock_.now() + Settings_.OwnerLease_;
-  const char *Renewal =
-      Lease.RenewalOutcome_ ? nameOf(*Lease.RenewalOutcome_) : "under-way";
+  const char *Renewal = "none";
+  if (Lease.IsBusy_)
+    Renewal = "under-way";
+  else if (Lease.RenewalOutcome_)
+    Renewal = nameOf(*Lease.RenewalOutcome_);
   Logger_.write(LogLevel::Warning,
                 LogEvent("pool.lost")
                     .with("pool", Pool)
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -100,6 +100,7 @@
                                          bool IsWhole) {
   const std::string OwnerPrefix = controlrows::OwnerPrefix;
   const std::string MachinePrefix = controlrows::MachinePrefix;
+  const std::string NodePrefix = controlrows::NodePrefix;
   const std::string PendingPrefix = controlrows::PendingPrefix;
   const std::string DemandPrefix = controlrows::DemandPrefix;
   for (const StoreRow &Row : Rows) {
@@ -108,6 +109,9 @@
       continue;
     if (Key.starts_with(OwnerPrefix))
       Ownership_->onRow(Key.substr(OwnerPrefix.size()), Row);
+    if (Key.starts_with(NodePrefix))
+      if (auto Read = controlrows::decodeNode(Row.Value_))
+        Ownership_->onNode(Key.substr(NodePrefix.size()), *Read);
     if (Key.starts_with(MachinePrefix))
       Ledger_.onRow(Key.substr(MachinePrefix.size()), Row);
     if (Key.starts_with(DemandPrefix))
--- a/src/scheduling/ownershipkeeper.h
+++ b/src/scheduling/ownershipkeeper.h
@@ -36,6 +36,10 @@
   void setPools(const std::vector<std::string> &Pools);
   /// Takes in the row of a pool's owner.
   void onRow(const std::string &Pool, const StoreRow &Row);
+  /// Takes in what a node tells of itself.
+  void onNode(const std::string &Node, const NodeRow &Row) {
+    Nodes_[Node] = Row;
+  }
   /// Tells that the control table has been read, so that a pool without a row
   /// has no owner.
   void setLoaded() { IsLoaded_ = true; }
@@ -83,6 +87,11 @@
   std::optional<TimePoint> endOfOwner(const PoolLease &Lease) const;
   std::chrono::milliseconds attemptDelay(const std::string &Pool,
                                          const PoolLease &Lease) const;
+  /// \returns by how much this node lets larger ones go first.
+  std::chrono::milliseconds sizeHandicap() const;
+  /// Tells other nodes of this one's size.
+  /// \returns whether they know it.
+  bool tellSize();
   void tryToWin(const std::string &Pool, PoolLease &Lease);
   void onAttempt(const std::string &Pool, TimePoint Sent,
                  const OwnerRow &Sought, const StoreTransactionEnd &End);
@@ -111,6 +120,9 @@
   bool IsLoaded_ = false;
   bool IsReleasing_ = false;
   std::map<std::string, PoolLease> Leases_;
+  std::map<std::string, NodeRow> Nodes_;
+  bool IsTelling_ = false;
+  TimePoint NextTelling_;
   std::vector<std::string> Pools_;
 };
 
--- a/src/scheduling/schedulingsettings.h
+++ b/src/scheduling/schedulingsettings.h
@@ -11,6 +11,8 @@
   /// Name of this node, the holder of its leases.
   std::string Node_;
   std::string Zone_;
+  /// Processor cores that the node may use.
+  double Cores_ = 1.0;
   /// How long an owner keeps a pool without renewing.
   std::chrono::milliseconds OwnerLease_{3000};
   /// Time before the end of its lease at which an owner stops acting.
--- a/src/scheduling/tests/ownershipkeeper_test.cpp
+++ b/src/scheduling/tests/ownershipkeeper_test.cpp
@@ -46,10 +46,11 @@
 
 /// A keeper with what it has won and lost.
 struct KeeperNode {
-  KeeperNode(const std::string &Name, InstantStore &Shared, const IClock &Clock,
-             ILogger &Logger)
+  KeeperNode(const std::string &Name, double Cores, InstantStore &Shared,
+             const IClock &Clock, ILogger &Logger)
       : Store_(Shared, Clock) {
     Settings_.Node_ = Name;
+    Settings_.Cores_ = Cores;
     Keeper_ = std::make_shared<OwnershipKeeper>(
         Settings_, Name + "/1", Store_, Clock, Logger,
         [this](const PoolTenure &Tenure) {
@@ -69,9 +70,9 @@
 
 class OwnershipKeeperTest : public testing::Test {
 protected:
-  KeeperNode &add(const std::string &Name) {
+  KeeperNode &add(const std::string &Name, double Cores = 1) {
     Nodes_.push_back(
-        std::make_unique<KeeperNode>(Name, Shared_, Clock_, Logger_));
+        std::make_unique<KeeperNode>(Name, Cores, Shared_, Clock_, Logger_));
     return *Nodes_.back();
   }
 
@@ -97,10 +98,15 @@
   }
 
   void tellRows(OwnershipKeeper &Keeper) {
-    const std::string Prefix = controlrows::OwnerPrefix;
-    for (const auto &[Name, Row] : Shared_.Rows_)
-      if (Name.Key_.starts_with(Prefix))
-        Keeper.onRow(Name.Key_.substr(Prefix.size()), Row);
+    const std::string Owner = controlrows::OwnerPrefix;
+    const std::string Node = controlrows::NodePrefix;
+    for (const auto &[Name, Row] : Shared_.Rows_) {
+      if (Name.Key_.starts_with(Owner))
+        Keeper.onRow(Name.Key_.substr(Owner.size()), Row);
+      if (Name.Key_.starts_with(Node))
+        Keeper.onNode(Name.Key_.substr(Node.size()),
+                      *controlrows::decodeNode(Row.Value_));
+    }
   }
 
   ManualClock Clock_;
@@ -126,6 +132,30 @@
   EXPECT_EQ(Slow.Wins_, 1);
 }
 
+TEST_F(OwnershipKeeperTest, ASmallNodeLeavesAFreePoolToALargerOne) {
+  KeeperNode &Small = add("small", 0.12);
+  KeeperNode &Large = add("large", 0.5);
+  std::vector<std::string> Pools;
+  for (int Number = 0; Number < 20; ++Number) {
+    Pools.push_back("pool" + std::to_string(Number));
+    begin(Pools);
+    play(milliseconds(3000));
+    EXPECT_TRUE(Large.Owned_.contains(Pools.back()) || Number >= 2);
+  }
+  // What the large node has already counts against it.
+  EXPECT_FALSE(Small.Owned_.empty());
+  EXPECT_GT(Large.Owned_.size(), Small.Owned_.size());
+}
+
+TEST_F(OwnershipKeeperTest, PoolsSpreadOverNodesOfOneSize) {
+  add("node-1", 0.25);
+  add("node-2", 0.25);
+  begin({"pool0", "pool1", "pool2", "pool3"});
+  play(milliseconds(3000));
+  for (const auto &Node : Nodes_)
+    EXPECT_EQ(Node->Owned_.size(), 2U);
+}
+
 TEST_F(OwnershipKeeperTest, ANodeThatTheStoreRefusedTriesAgainAtOnce) {
   KeeperNode &Node = add("node");
   begin({"pool"});
