Lease calls go before all other work of a node

EventLoopTest.UrgentWorkOvertakesABacklog and EventLoopTest.TheRegularFunctionDoesNotWaitForABacklog.

--- a/src/app/schedulerdaemon.cpp
+++ b/src/app/schedulerdaemon.cpp
@@ -33,6 +33,7 @@
 
 constexpr std::size_t DecisionRing = 16384;
 constexpr std::size_t ExchangeRing = 8192;
+constexpr std::size_t LeaseRing = 64;
 constexpr std::chrono::milliseconds TickInterval{40};
 /// Bytes of a caller's request body.
 constexpr std::size_t LargestBody = 1U << 20U;
@@ -62,8 +63,15 @@
               return Loop_.post(std::move(Next));
             },
             ExchangeRing, &Waits_),
+        LeaseClient_(
+            [this](EventLoop::Work Next) {
+              return Loop_.postUrgent(std::move(Next));
+            },
+            LeaseRing, &Waits_),
         Table_(Client_, Settings_.Store_), Store_(Table_, Metrics_),
-        WorkerCalls_(Client_), Workers_(WorkerCalls_, Metrics_),
+        LeaseTable_(LeaseClient_, Settings_.Store_),
+        Leases_(LeaseTable_, Metrics_), WorkerCalls_(Client_),
+        Workers_(WorkerCalls_, Metrics_),
         Machines_(Client_, Settings_.Machines_, Store_),
         Advisor_(Client_, Settings_.Advice_),
         Node_(SchedulerNode::Builder()
@@ -71,6 +79,7 @@
                   .process(randomId(ProcessIdBytes))
                   .clock(Clock_)
                   .store(Store_)
+                  .leases(Leases_)
                   .workers(Workers_)
                   .machines(Machines_)
                   .advisor(Advisor_)
@@ -127,8 +136,12 @@
   WaitMeter Waits_;
   EventLoop Loop_;
   CurlAsyncClient Client_;
+  /// A client of its own, so that no lease is lost behind other calls.
+  CurlAsyncClient LeaseClient_;
   TableStore Table_;
   MeteredStore Store_;
+  TableStore LeaseTable_;
+  MeteredStore Leases_;
   WorkerClient WorkerCalls_;
   MeteredWorkerControl Workers_;
   MachineClient Machines_;
@@ -172,12 +185,14 @@
   if (Parts_->MetricsServer_)
     Parts_->MetricsServer_->stop();
   Parts_->Client_.stop();
+  Parts_->LeaseClient_.stop();
   Parts_->Loop_.stop();
 }
 
 Result<void> SchedulerDaemon::start() {
   Parts_->Loop_.start([this] { Parts_->tick(); });
   Parts_->Client_.start();
+  Parts_->LeaseClient_.start();
   if (auto Started = Parts_->ReadinessServer_.start(); !Started)
     return Started;
   if (auto Started = Parts_->CallerServer_.start(); !Started)
--- a/src/global/boundedring.h
+++ b/src/global/boundedring.h
@@ -50,6 +50,20 @@
     });
   }
 
+  /// Hands waiting entries to \p Handle while \p MayGoOn says so.
+  /// \returns whether none waits any more.
+  template <typename Handler, typename Condition>
+  bool drainWhile(Handler &&Handle, Condition &&MayGoOn) {
+    auto Take = [&](T *Raw) {
+      std::unique_ptr<T> Entry(Raw);
+      Handle(std::move(*Entry));
+    };
+    while (MayGoOn())
+      if (!Queue_.consume_one(Take))
+        return true;
+    return Queue_.read_available() == 0;
+  }
+
   ~BoundedRing() {
     drain([](T &&) {});
   }
--- a/src/node/eventloop.h
+++ b/src/node/eventloop.h
@@ -14,7 +14,9 @@
 namespace dragonflylock {
 
 /// A thread that runs the functions given to it, one at a time, and a regular
-/// function after each batch of them.
+/// function after each batch of them. Urgent functions go before all others
+/// that wait, and a batch is cut after a while, so that neither they nor the
+/// regular function wait for a backlog.
 class EventLoop {
 public:
   using Work = std::function<void()>;
@@ -35,6 +37,8 @@
   /// Has \p Next run on the thread; callable from any thread.
   /// \returns false, and drops it, where too many functions wait.
   bool post(Work Next);
+  /// As post(), for the few functions that others depend on.
+  bool postUrgent(Work Next);
   /// Ends the thread.
   void stop();
 
@@ -46,10 +50,13 @@
   };
 
   void run();
+  void runUrgent();
+  void runOne(const Posted &Next);
   void note(WaitPlace Place, Clock::time_point Since);
 
   Signal Wake_;
   BoundedRing<Posted> Ring_;
+  BoundedRing<Posted> Urgent_;
   std::chrono::milliseconds Interval_;
   IWaitObserver *Waits_;
   Work Regular_;
--- a/src/node/tests/eventloop_test.cpp
+++ b/src/node/tests/eventloop_test.cpp
@@ -2,7 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <future>
+#include <string>
+#include <thread>
 
 namespace dragonflylock {
 namespace {
@@ -22,6 +25,39 @@
     EXPECT_EQ(Seen[static_cast<std::size_t>(Number)], Number);
 }
 
+TEST(EventLoopTest, UrgentWorkOvertakesABacklog) {
+  EventLoop Loop(64, std::chrono::milliseconds(5));
+  std::vector<std::string> Seen;
+  std::promise<void> Ended;
+  for (int Number = 0; Number < 3; ++Number)
+    EXPECT_TRUE(Loop.post([&] { Seen.push_back("waiting"); }));
+  EXPECT_TRUE(Loop.postUrgent([&] { Seen.push_back("urgent"); }));
+  EXPECT_TRUE(Loop.post([&] { Ended.set_value(); }));
+  Loop.start([] {});
+  Ended.get_future().wait();
+  Loop.stop();
+  ASSERT_EQ(Seen.size(), 4U);
+  EXPECT_EQ(Seen[0], "urgent");
+}
+
+TEST(EventLoopTest, TheRegularFunctionDoesNotWaitForABacklog) {
+  EventLoop Loop(64, std::chrono::milliseconds(5));
+  std::atomic<int> Regular = 0;
+  int RegularBeforeTheLast = 0;
+  std::promise<void> Ended;
+  for (int Number = 0; Number < 8; ++Number)
+    EXPECT_TRUE(Loop.post(
+        [] { std::this_thread::sleep_for(std::chrono::milliseconds(30)); }));
+  EXPECT_TRUE(Loop.post([&] {
+    RegularBeforeTheLast = Regular;
+    Ended.set_value();
+  }));
+  Loop.start([&] { ++Regular; });
+  Ended.get_future().wait();
+  Loop.stop();
+  EXPECT_GE(RegularBeforeTheLast, 3);
+}
+
 TEST(EventLoopTest, RunsTheRegularFunctionWithoutWork) {
   EventLoop Loop(4, std::chrono::milliseconds(1));
   std::promise<void> Ran;
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -81,7 +81,8 @@
         return std::nullopt;
       });
   Ownership_ = std::make_shared<OwnershipKeeper>(
-      Settings_, Source.Process_, Store_, Clock_, Logger_,
+      Settings_, Source.Process_,
+      Source.Leases_ != nullptr ? *Source.Leases_ : Store_, Clock_, Logger_,
       [this](const PoolTenure &Tenure) { onWon(Tenure); },
       [this](const std::string &Pool, TimePoint End) {
         auto Found = Owners_.find(Pool);
@@ -197,6 +198,11 @@
   return *this;
 }
 
+SchedulerNode::Builder &SchedulerNode::Builder::leases(IStore &Value) {
+  Leases_ = &Value;
+  return *this;
+}
+
 SchedulerNode::Builder &SchedulerNode::Builder::workers(IWorkerControl &Value) {
   Workers_ = &Value;
   return *this;
--- a/src/scheduling/schedulernode.h
+++ b/src/scheduling/schedulernode.h
@@ -33,6 +33,9 @@
     Builder &process(std::string Value);
     Builder &clock(const IClock &Value);
     Builder &store(IStore &Value);
+    /// \param Value carries the few calls by which pools are won and kept,
+    ///   before all others; the store itself where it is not set.
+    Builder &leases(IStore &Value);
     Builder &workers(IWorkerControl &Value);
     Builder &machines(IMachineControl &Value);
     Builder &advisor(IAdvisor &Value);
@@ -45,6 +48,7 @@
     std::string Process_;
     const IClock *Clock_ = nullptr;
     IStore *Store_ = nullptr;
+    IStore *Leases_ = nullptr;
     IWorkerControl *Workers_ = nullptr;
     IMachineControl *Machines_ = nullptr;
     IAdvisor *Advisor_ = nullptr;
