A worker that has been maintained takes tasks again

When a machine was back its reservation was taken off, but until the store had answered the wave's row still named it as down, so that the next round put the reservation on again, and nothing took it off any more. With a store that answers at once, as in all unit tests, that can't be seen; with a real one it was so for nearly every maintained worker until its pool changed the owner.

Reservations are now derived from the waves in each round instead of being set and taken off; moves have a mark of their own.

--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -9,6 +9,7 @@
 #include "scheduling/machineledger.h"
 
 #include <algorithm>
+#include <set>
 
 namespace dragonflylock {
 namespace {
@@ -63,15 +64,27 @@
 }
 
 void MaintenanceKeeper::reserveMachines() {
-  auto Keep = [this](const std::string &Name) {
-    if (WorkerSession *Session = sessionOf(Name))
-      Session->IsReserved_ = true;
-  };
+  std::set<std::string> Names;
   for (const auto &[Number, Each] : Waves_) {
     if (!Each.Next_.empty())
-      Keep(Each.Next_);
+      Names.insert(Each.Next_);
     for (const auto &[Name, Holder] : Each.Row_.Down_)
-      Keep(Name);
+      Names.insert(Name);
+  }
+  std::set<std::string> Workers;
+  for (const std::string &Name : Names)
+    if (auto Found = List_.machines().find(Name);
+        Found != List_.machines().end())
+      Workers.insert(Found->second.Worker_);
+  for (auto &[Lifetime, Session] : Pool_.Sessions_) {
+    const WorkerEntry &Entry = Session->entry();
+    // The roster does not tell machines; the platform's list does.
+    bool IsReserved = Session->IsListed_ &&
+                      (Entry.Machine_.empty() ? Workers.contains(Entry.Id_)
+                                              : Names.contains(Entry.Machine_));
+    if (Session->IsReserved_ && !IsReserved)
+      Pool_.NeedsDispatch_ = true;
+    Session->IsReserved_ = IsReserved;
   }
 }
 
@@ -142,12 +155,6 @@
   return nullptr;
 }
 
-void MaintenanceKeeper::reserve(const std::string &Name, bool IsReserved) {
-  if (WorkerSession *Session = sessionOf(Name))
-    Session->IsReserved_ = IsReserved;
-  Pool_.NeedsDispatch_ = true;
-}
-
 void MaintenanceKeeper::chooseNext(Wave &Each) {
   std::string Best;
   std::size_t FewestRuns = SIZE_MAX;
@@ -168,7 +175,7 @@
     return;
   Each.Next_ = Best;
   Each.ReservedAt_ = Pool_.Clock_.now();
-  reserve(Best, true);
+  reserveMachines();
 }
 
 bool MaintenanceKeeper::isAtWork(const TaskRun &Run) const {
@@ -401,7 +408,6 @@
       continue;
     Next.Down_.erase(Name);
     Next.Done_.insert(Name);
-    reserve(Name, false);
   }
   if (Next.Down_.size() != Each.Row_.Down_.size())
     store(Each, Next, "", [](Wave &) {});
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -107,13 +107,11 @@
                 &IsCounted) const;
   bool keepsBudgets(const WorkerSession &Session);
   void evacuate(WorkerSession &Session);
-  /// Reserves the machine's worker.
   /// \returns whether the budgets allow to take it down now; where they do
   /// not, a task is moved away.
   bool readyForOrder(const std::string &Name);
   std::chrono::milliseconds patience(const Wave &Each) const;
   WorkerSession *sessionOf(const std::string &Name);
-  void reserve(const std::string &Name, bool IsReserved);
 
   PoolState &Pool_;
   Dispatcher &Starts_;
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -266,6 +266,48 @@
     EXPECT_EQ(Stop.Task_, Workers_.Stops_[0].Task_);
 }
 
+TEST_F(PoolOwnerTest, AMaintainedWorkerTakesTasksAgainThoughTheStoreIsSlow) {
+  storeJob(jobOf(1));
+  WorkerEntry Before = worker("w1");
+  Before.Capacity_.CpuMillis_ = 500; // Too small for the task.
+  own(0, {Before});
+  answerHold(listing({}));
+  Machine Listed;
+  Listed.Name_ = Before.Machine_;
+  Listed.Pool_ = "pool";
+  Listed.State_ = MachineState::Up;
+  Machines_.List_ = {true, {Listed}};
+  MaintenanceWave Wave;
+  Wave.Number_ = 1;
+  Wave.Machines_ = {Before.Machine_};
+  Wave.Duration_ = milliseconds(20000);
+  Wave.MostAtOnce_ = 1;
+  Owner_->onWaves({Wave});
+  for (int Round = 0; Round < 20 && Machines_.Orders_.empty(); ++Round) {
+    Clock_.advance(milliseconds(100));
+    Owner_->tick();
+  }
+  ASSERT_EQ(Machines_.Orders_.size(), 1U);
+  WorkerEntry After = worker("w1");
+  After.Born_ = milliseconds(6);
+  Owner_->onWorkers({After});
+  Store_.IsHolding_ = true;
+  for (int Round = 0; Round < 30; ++Round) {
+    Clock_.advance(milliseconds(100));
+    Owner_->tick();
+    while (!Workers_.Holds_.empty()) {
+      HoldAnswer Answer = listing({});
+      Answer.Born_ = After.Born_;
+      Workers_.takeHold().Done_(Answer);
+    }
+    if (Round % 5 == 4) { // Answers come some rounds after their calls.
+      Store_.release();
+      Store_.IsHolding_ = true;
+    }
+  }
+  EXPECT_EQ(Workers_.Starts_.size(), 1U);
+}
+
 TEST_F(PoolOwnerTest, DeclaresASilentWorkerAndWhatMayRunThere) {
   storeJob(jobOf(1));
   own(0, {worker("w1")});
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -73,6 +73,8 @@
   void settleEnd(std::uint64_t Sequence);
   /// \returns the end up to which the worker may forget.
   std::uint64_t acknowledgeable() const;
+  /// \returns whether the worker is to become empty.
+  bool isBeingEmptied() const { return IsReserved_ || IsMoving_; }
   bool hasUnsettledEnds() const { return !Unsettled_.empty(); }
   /// \returns the highest end the worker is known to have forgotten.
   std::uint64_t acknowledged() const { return Acknowledged_; }
@@ -94,8 +96,10 @@
   bool WasDeclaredSilent_ = false;
   /// Whether the registry still lists the worker.
   bool IsListed_ = true;
-  /// Whether the worker is being emptied for its maintenance or a move.
+  /// Whether the worker is being emptied for its maintenance.
   bool IsReserved_ = false;
+  /// Whether the worker is being emptied for a move.
+  bool IsMoving_ = false;
   bool IsHolding_ = false;
   TimePoint NextHold_;
   /// When the hold was sent whose lists came last, from this lifetime.
