--- a/tools/emulator/main.cpp
+++ b/tools/emulator/main.cpp
@@ -20,6 +20,9 @@
   --nodes=N      Nodes [default: 5].
   --faults=N     Faults of each day [default: 6].
   --jobs=N       Jobs a second [default: 6].
+  --pools=N      Pools [default: 2].
+  --workers=N    Workers of each pool [default: 6].
+  --spare=N      Machines that no pool has [default: 4].
   -h --help      Show this text.
 
 Set EMULATOR_LOG to print what the nodes log.
@@ -41,6 +44,11 @@
     Plan.Nodes_ = static_cast<std::uint32_t>(numberOf(Arguments.at("--nodes")));
     Plan.Faults_ =
         static_cast<std::uint32_t>(numberOf(Arguments.at("--faults")));
+    Plan.Pools_ = static_cast<std::uint32_t>(numberOf(Arguments.at("--pools")));
+    Plan.WorkersPerPool_ =
+        static_cast<std::uint32_t>(numberOf(Arguments.at("--workers")));
+    Plan.SpareMachines_ =
+        static_cast<std::uint32_t>(numberOf(Arguments.at("--spare")));
     Plan.JobsPerSecond_ = static_cast<double>(numberOf(Arguments.at("--jobs")));
     EmulatorReport Report = Emulator(Plan).run();
     if (Report.Broken_.empty())
