A machine back from its maintenance gets tasks again

Cause: when the platform lists a machine as up, its reservation was lifted and the wave's row stored; while that was under way the next tick reserved it again by the old row, and nothing lifted that. The same for a row that another owner changed. Change: the reservation for maintenance is its own flag and is derived in each tick from the rows of the open waves, so that it ends with what it stands for. Ruled out: gangs that keep room (no gang was in the way), advice that is not asked (no call was open).

--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -9,6 +9,7 @@
 #include "scheduling/machineledger.h"
 
 #include <algorithm>
+#include <set>
 
 namespace dragonflylock {
 namespace {
@@ -63,15 +64,21 @@
 }
 
 void MaintenanceKeeper::reserveMachines() {
-  auto Keep = [this](const std::string &Name) {
-    if (WorkerSession *Session = sessionOf(Name))
-      Session->IsReserved_ = true;
-  };
+  std::set<const WorkerSession *> Kept;
   for (const auto &[Number, Each] : Waves_) {
+    if (Each.IsCompleted_)
+      continue;
     if (!Each.Next_.empty())
-      Keep(Each.Next_);
+      Kept.insert(sessionOf(Each.Next_));
     for (const auto &[Name, Holder] : Each.Row_.Down_)
-      Keep(Name);
+      Kept.insert(sessionOf(Name));
+  }
+  // What a wave's row does not name any more, whoever wrote it, is released.
+  for (auto &[Lifetime, Session] : Pool_.Sessions_) {
+    bool WasKept = Session->IsForMaintenance_;
+    Session->IsForMaintenance_ = Kept.contains(Session.get());
+    Pool_.NeedsDispatch_ =
+        Pool_.NeedsDispatch_ || WasKept != Session->IsForMaintenance_;
   }
 }
 
@@ -142,12 +149,6 @@
   return nullptr;
 }
 
-void MaintenanceKeeper::reserve(const std::string &Name, bool IsReserved) {
-  if (WorkerSession *Session = sessionOf(Name))
-    Session->IsReserved_ = IsReserved;
-  Pool_.NeedsDispatch_ = true;
-}
-
 void MaintenanceKeeper::chooseNext(Wave &Each) {
   std::string Best;
   std::size_t FewestRuns = SIZE_MAX;
@@ -168,7 +169,8 @@
     return;
   Each.Next_ = Best;
   Each.ReservedAt_ = Pool_.Clock_.now();
-  reserve(Best, true);
+  if (WorkerSession *Session = sessionOf(Best))
+    Session->IsForMaintenance_ = true;
 }
 
 bool MaintenanceKeeper::isAtWork(const TaskRun &Run) const {
@@ -368,7 +370,6 @@
   WorkerSession *Session = sessionOf(Name);
   if (Session == nullptr)
     return true;
-  Session->IsReserved_ = true;
   if (keepsBudgets(*Session))
     return true;
   evacuate(*Session);
@@ -401,7 +402,6 @@
       continue;
     Next.Down_.erase(Name);
     Next.Done_.insert(Name);
-    reserve(Name, false);
   }
   if (Next.Down_.size() != Each.Row_.Down_.size())
     store(Each, Next, "", [](Wave &) {});
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -38,8 +38,9 @@
         Ledger_(Ledger) {}
 
   void onWaves(const std::vector<MaintenanceWave> &Waves);
-  /// Keeps starts off machines that are to go down or are down; to be called
-  /// before tasks are started, since workers appear at any time.
+  /// Keeps starts off machines that are to go down or are down, and off no
+  /// others; to be called before tasks are started, since workers appear at any
+  /// time.
   void reserveMachines();
   void tick();
 
@@ -107,13 +108,11 @@
                 &IsCounted) const;
   bool keepsBudgets(const WorkerSession &Session);
   void evacuate(WorkerSession &Session);
-  /// Reserves the machine's worker.
   /// \returns whether the budgets allow to take it down now; where they do
   /// not, a task is moved away.
   bool readyForOrder(const std::string &Name);
   std::chrono::milliseconds patience(const Wave &Each) const;
   WorkerSession *sessionOf(const std::string &Name);
-  void reserve(const std::string &Name, bool IsReserved);
 
   PoolState &Pool_;
   Dispatcher &Starts_;
--- a/src/scheduling/internal/movekeeper.cpp
+++ b/src/scheduling/internal/movekeeper.cpp
@@ -119,7 +119,7 @@
 }
 
 bool MoveKeeper::isIdle(const WorkerSession &Session) const {
-  return Session.IsListed_ && Session.IsFenced_ && !Session.IsReserved_ &&
+  return Session.IsListed_ && Session.IsFenced_ && !Session.isReserved() &&
          Session.entry().State_ == WorkerState::Ready &&
          Session.HoldFailures_ == 0 && Session.runs().empty() &&
          !Session.hasUnsettledEnds() &&
@@ -341,7 +341,7 @@
 void MoveKeeper::endMove(const std::string &Name, bool IsMoved) {
   if (WorkerSession *Session = Pool_.session(Moves_[Name].Lifetime_)) {
     Session->IsListed_ = Session->IsListed_ && !IsMoved;
-    Session->IsReserved_ = IsMoved;
+    Session->IsForMove_ = IsMoved;
   }
   Moves_.erase(Name);
   Ledger_.onOrdered(Name);
@@ -350,7 +350,7 @@
 
 void MoveKeeper::reserve(const std::string &Machine, bool IsReserved) {
   if (WorkerSession *Session = Pool_.sessionOn(Machine))
-    Session->IsReserved_ = IsReserved;
+    Session->IsForMove_ = IsReserved;
   Pool_.NeedsDispatch_ = true;
 }
 
--- a/src/scheduling/internal/workerchooser.cpp
+++ b/src/scheduling/internal/workerchooser.cpp
@@ -9,7 +9,7 @@
 
 bool WorkerChooser::isUsable(const WorkerSession &Session) const {
   return Session.IsFenced_ && Session.IsInRoster_ && Session.IsListed_ &&
-         !Session.IsReserved_ && !Session.IsDeclaredSilent_ &&
+         !Session.isReserved() && !Session.IsDeclaredSilent_ &&
          Session.knowsClock() && Session.HoldFailures_ == 0 &&
          Session.entry().State_ == WorkerState::Ready &&
          Session.AvoidUntil_ <= Pool_.Clock_.now();
--- a/src/scheduling/tests/machinemoves_test.cpp
+++ b/src/scheduling/tests/machinemoves_test.cpp
@@ -152,7 +152,7 @@
 }
 
 TEST_F(MachineMovesTest, KeepsAMachineThatIsReserved) {
-  addWorker("w1").IsReserved_ = true;
+  addWorker("w1").IsForMaintenance_ = true;
   addWorker("w2");
   pass(milliseconds(1500));
   addWorker("w3");
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -59,6 +59,8 @@
 
   std::map<TaskName, SessionRun> &runs() { return Runs_; }
   const std::map<TaskName, SessionRun> &runs() const { return Runs_; }
+  /// \returns whether nothing is to be started, since the machine is to leave.
+  bool isReserved() const { return IsForMaintenance_ || IsForMove_; }
   /// \returns room that is not taken by runs, counting those that are being
   /// started or stopped.
   Resources freeRoom() const;
@@ -94,8 +96,10 @@
   bool WasDeclaredSilent_ = false;
   /// Whether the registry still lists the worker.
   bool IsListed_ = true;
-  /// Whether the worker is being emptied for its maintenance or a move.
-  bool IsReserved_ = false;
+  /// Whether the machine is to go down for its maintenance, or is down.
+  bool IsForMaintenance_ = false;
+  /// Whether the machine is being moved to another pool.
+  bool IsForMove_ = false;
   bool IsHolding_ = false;
   TimePoint NextHold_;
   /// When the hold was sent whose lists came last, from this lifetime.
