A machine that has left the pool is not ordered down

The owner of the spare pool ordered m12 down, 5.6 s after it had given that machine to another pool; two serving tasks of one step ran there. Cause: the machine that a pool takes down next is chosen once and waits until the wave's limit allows it. Meanwhile it may be moved or be maintained by a predecessor's order; nothing looked again. Change: before each step the chosen machine must still be in the pool and not yet maintained, else another one is chosen. Ruled out: an order of a new owner before it knew the runs (n0 owned the pool all the time and did not order). Test: MaintenanceTest.AMachineThatHasLeftThePoolIsNotOrderedDown (before: one order, expected none).

--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -96,6 +96,9 @@
   releaseReturned(Each);
   if (Each.IsBusy_)
     return;
+  // Another pool may have got it since, whose owner decides on it now.
+  if (!Each.Next_.empty() && !isLeft(Each, Each.Next_))
+    Each.Next_.clear();
   if (Each.Next_.empty() && mayTakeNext(Each))
     chooseNext(Each);
   if (!Each.Next_.empty() && isReady(Each, Each.Next_) &&
@@ -149,14 +152,19 @@
   return nullptr;
 }
 
+bool MaintenanceKeeper::isLeft(const Wave &Each,
+                               const std::string &Name) const {
+  auto Found = List_.machines().find(Name);
+  return Found != List_.machines().end() &&
+         Found->second.Pool_ == Pool_.Pool_ && !Each.Row_.Done_.contains(Name);
+}
+
 void MaintenanceKeeper::chooseNext(Wave &Each) {
   std::string Best;
   std::size_t FewestRuns = SIZE_MAX;
   for (const std::string &Name : Each.Asked_.Machines_) {
-    auto Found = List_.machines().find(Name);
-    if (Found == List_.machines().end() || Found->second.Pool_ != Pool_.Pool_ ||
-        Found->second.State_ != MachineState::Up ||
-        Each.Row_.Done_.contains(Name) || Each.Row_.Down_.contains(Name))
+    if (!isLeft(Each, Name) || Each.Row_.Down_.contains(Name) ||
+        List_.machines().at(Name).State_ != MachineState::Up)
       continue;
     WorkerSession *Session = sessionOf(Name);
     std::size_t Runs = Session != nullptr ? Session->runs().size() : 0;
@@ -245,9 +253,7 @@
   std::int64_t Left = 0;
   std::int64_t Down = 0;
   for (const std::string &Name : Each.Asked_.Machines_) {
-    auto Found = List_.machines().find(Name);
-    if (Found == List_.machines().end() || Found->second.Pool_ != Pool_.Pool_ ||
-        Each.Row_.Done_.contains(Name))
+    if (!isLeft(Each, Name))
       continue;
     ++Left;
     Down += Each.Row_.Down_.contains(Name) ? 1 : 0;
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -83,6 +83,8 @@
   /// than needed to be done in time, and none while the pool lacks machines
   /// and time is left.
   bool mayTakeNext(const Wave &Each) const;
+  /// \returns whether the machine is in this pool and has not been maintained.
+  bool isLeft(const Wave &Each, const std::string &Name) const;
   void chooseNext(Wave &Each);
   void claim(Wave &Each, const std::string &Name, bool IsRepeat);
   /// \returns whether the order was sent.
--- a/src/scheduling/tests/maintenance_test.cpp
+++ b/src/scheduling/tests/maintenance_test.cpp
@@ -54,6 +54,12 @@
     }
   }
 
+  void storeWave(const WaveProgress &Progress) {
+    StoreKey Row = controlrows::wave(Wave_.Number_);
+    Store_.Rows_[Row] = {Row, controlrows::encode(Progress), ++Store_.Version_,
+                         false};
+  }
+
   MaintenanceWave Wave_;
 };
 
@@ -70,5 +76,28 @@
   EXPECT_EQ(Workers_.Starts_.size(), 1U);
 }
 
+TEST_F(MaintenanceTest, AMachineThatHasLeftThePoolIsNotOrderedDown) {
+  Machine Other;
+  Other.Name_ = "machine-of-w2";
+  Other.Pool_ = "other";
+  Other.State_ = MachineState::Up;
+  Machines_.List_.Machines_.push_back(Other);
+  Wave_.Machines_.push_back(Other.Name_);
+  // The other machine is down, so that this pool's waits for its turn.
+  WaveProgress Progress;
+  Progress.Down_[Other.Name_] = "node-0";
+  storeWave(Progress);
+  own(0, {});
+  Owner_->onWaves({Wave_});
+  play(milliseconds(1000), milliseconds(5));
+  Machines_.List_.Machines_.front().Pool_ = "other";
+  play(milliseconds(1000), milliseconds(5));
+  Progress.Down_.clear();
+  Progress.Done_ = {Other.Name_};
+  storeWave(Progress);
+  play(milliseconds(2000), milliseconds(5));
+  EXPECT_TRUE(Machines_.Orders_.empty());
+}
+
 } // namespace
 } // namespace dragonflylock
