A worker whose silence could not be declared is used again

Callers would see SHORT, and LOST where no other worker has room: found by reading, a worker that answers, is listed and gets no task until the pool changes its owner. Cause: before the roster is written a silent worker is marked as declared, since the row may be stored without an answer. If the write fails, as in an outage of the store, and the worker answers again before the next try, the rows seemed equal, so nothing was written and the mark stayed. Change: the roster is also written while a worker is marked as declared and is not to be, which takes the declaration back. Test: ReleaseTest.AWorkerIsUsedWhoseSilenceCouldNotBeDeclared (before: no start, expected one).

--- a/src/scheduling/internal/rosterkeeper.cpp
+++ b/src/scheduling/internal/rosterkeeper.cpp
@@ -105,10 +105,14 @@
     return true;
   if (Pool_.Sessions_.size() != Stored_.size())
     return true;
-  for (const auto &[Lifetime, Session] : Pool_.Sessions_)
+  for (const auto &[Lifetime, Session] : Pool_.Sessions_) {
+    // A declaration without an answer may be stored and must be taken back.
+    bool IsWanted = isToBeDeclared(*Session);
     if (!Stored_.contains(Lifetime) ||
-        isToBeDeclared(*Session) != StoredSilent_.contains(Lifetime))
+        IsWanted != StoredSilent_.contains(Lifetime) ||
+        IsWanted != Session->IsDeclaredSilent_)
       return true;
+  }
   return false;
 }
 
