Jobs end whose last task another owner noted

Callers would see LOST: found by reading, a job whose tasks are all done and that stays running for ever, also under later owners. Cause: whether a job has ended was decided only when a worker listed an end. An owner that merges what an earlier owner stored late can come to know the last missing end that way; no worker lists it, as it was acknowledged or its worker is gone. The row then says running with all tasks done, and each later owner loads it so. Change: it is decided after each merge and load as well. Tests: ReleaseTest.AJobEndsWhoseLastTaskWasStoredLateByAnEarlierOwner, ReleaseTest.AJobEndsOfWhichAllTasksAreStoredAsDone (before: state running, expected completed).

--- a/src/scheduling/internal/jobregister.cpp
+++ b/src/scheduling/internal/jobregister.cpp
@@ -57,6 +57,8 @@
   JobProgress Read(Job.stored().Spec_);
   if (Read.decode(Row.Value_)) {
     Job.adoptProgress(Read, Row.Version_);
+    // What two owners noted may together be the job's end.
+    Runs_.judge(Job);
     return;
   }
   Pool_.Logger_.write(LogLevel::Error,
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -41,7 +41,7 @@
         Advice_(std::make_shared<AdviceKeeper>(State_, *Source.Advisor_)),
         Starts_(std::make_shared<Dispatcher>(State_, Runs_, *Advice_)),
         Holds_(std::make_shared<HoldKeeper>(State_, Runs_, *Starts_)),
-        Writer_(std::make_shared<ProgressWriter>(State_)),
+        Writer_(std::make_shared<ProgressWriter>(State_, Runs_)),
         Roster_(std::make_shared<RosterKeeper>(State_)),
         Paces_(std::make_shared<PaceKeeper>(State_)),
         Machines_(
--- a/src/scheduling/internal/progresswriter.cpp
+++ b/src/scheduling/internal/progresswriter.cpp
@@ -2,6 +2,7 @@
 #include "global/ilogger.h"
 #include "global/logevent.h"
 #include "scheduling/internal/poolstate.h"
+#include "scheduling/internal/runbook.h"
 #include "scheduling/istore.h"
 #include "scheduling/jobrows.h"
 
@@ -120,10 +121,12 @@
       continue;
     }
     JobProgress Read(Job->stored().Spec_);
-    if (Read.decode(Found->second->Value_))
-      Job->adoptProgress(Read, Found->second->Version_);
-    else
+    if (!Read.decode(Found->second->Value_)) {
       Job->setProgressVersion(Found->second->Version_);
+      continue;
+    }
+    Job->adoptProgress(Read, Found->second->Version_);
+    Runs_.judge(*Job);
   }
 }
 
--- a/src/scheduling/internal/progresswriter.h
+++ b/src/scheduling/internal/progresswriter.h
@@ -13,6 +13,7 @@
 namespace dragonflylock {
 
 class ActiveJob;
+class RunBook;
 struct PoolState;
 
 /// Stores the progress of jobs, many in one transaction, one transaction of a
@@ -20,7 +21,7 @@
 /// changed are merged first.
 class ProgressWriter : public std::enable_shared_from_this<ProgressWriter> {
 public:
-  explicit ProgressWriter(PoolState &Pool) : Pool_(Pool) {}
+  ProgressWriter(PoolState &Pool, RunBook &Runs) : Pool_(Pool), Runs_(Runs) {}
 
   /// Starts transactions for jobs whose progress has changed.
   void flush();
@@ -41,6 +42,7 @@
   void settleEnds(const ActiveJob &Job);
 
   PoolState &Pool_;
+  RunBook &Runs_;
   std::map<std::string, PartState> Parts_;
 };
 
--- a/src/scheduling/tests/release_test.cpp
+++ b/src/scheduling/tests/release_test.cpp
@@ -27,6 +27,21 @@
     return workerOf(Id, {16000, 32000, 0});
   }
 
+  static StoreKey progressRow() {
+    return jobrows::name("queue", JobId, JobRowKind::Progress);
+  }
+
+  void storeProgress(const JobProgress &Progress) {
+    StoreKey Row = progressRow();
+    Store_.Rows_[Row] = {Row, Progress.encode(), ++Store_.Version_, false};
+  }
+
+  JobPhase storedState() {
+    JobProgress Read;
+    EXPECT_TRUE(Read.decode(Store_.Rows_[progressRow()].Value_));
+    return Read.state();
+  }
+
   /// Lets \p Length pass; workers answer by \p Answer.
   void play(milliseconds Length, const HoldAnswer &Answer) {
     constexpr milliseconds Round{50};
@@ -50,5 +65,35 @@
   EXPECT_EQ(Workers_.Starts_.size(), 1U);
 }
 
+TEST_F(ReleaseTest, AJobEndsWhoseLastTaskWasStoredLateByAnEarlierOwner) {
+  storeJob(jobOf(2));
+  own(0, {workerOf("w1", {1000, 1000, 0})});
+  play(milliseconds(100), listing({}));
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  Workers_.Starts_[0].Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+  JobProgress Late((jobOf(2)));
+  Late.setState(JobPhase::Running);
+  Late.task({JobId, 0, 0, 1}).IsDone_ = true;
+  storeProgress(Late);
+  ListedEnd End;
+  End.Task_ = Workers_.Starts_[0].Order_.Task_;
+  End.Run_ = Workers_.Starts_[0].Order_.Run_;
+  End.Kind_ = EndKind::Done;
+  End.Sequence_ = 1;
+  play(milliseconds(2000), listing({}, {End}));
+  EXPECT_EQ(storedState(), JobPhase::Completed);
+}
+
+TEST_F(ReleaseTest, AJobEndsOfWhichAllTasksAreStoredAsDone) {
+  storeJob(jobOf(1));
+  JobProgress Stored((jobOf(1)));
+  Stored.setState(JobPhase::Running);
+  Stored.task({JobId, 0, 0, 0}).IsDone_ = true;
+  storeProgress(Stored);
+  own(1, {});
+  play(milliseconds(500), listing({}));
+  EXPECT_EQ(storedState(), JobPhase::Completed);
+}
+
 } // namespace
 } // namespace dragonflylock
