The emulator's waves can be in time in large fleets

A fault of the plan; the limit now grows with the number of machines and stays 2 for fleets of the usual size.

--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -7,6 +7,7 @@
 #include "emulator/simulation.h"
 #include "scheduling/jobdesk.h"
 
+#include <algorithm>
 #include <cinttypes>
 #include <cstdio>
 #include <cstdlib>
@@ -20,6 +21,10 @@
 constexpr milliseconds CallerLimit{3000};
 constexpr milliseconds PollInterval{700};
 constexpr std::uint32_t CallerAttempts = 4;
+/// Machines of a wave that may be down together: one of so many, so that the
+/// wave can be in time in fleets of any size, and at least the second number.
+constexpr std::uint32_t MachinesForEachDown = 8;
+constexpr std::uint32_t FewestAtOnce = 2;
 
 } // namespace
 
@@ -220,7 +225,8 @@
   MaintenanceWave Wave;
   Wave.Number_ = 1;
   Wave.Duration_ = Plan_.Traffic_;
-  Wave.MostAtOnce_ = 2;
+  auto Machines = static_cast<std::uint32_t>(Workers_.all().size());
+  Wave.MostAtOnce_ = std::max(FewestAtOnce, Machines / MachinesForEachDown);
   Rules_.MostDown_ = Wave.MostAtOnce_;
   for (const auto &[Id, Worker] : Workers_.all())
     if (World_.happens(0.5))
