A queue is read from its beginning when the history is lost between pages

Callers would see LOST: found by reading, accepted jobs that their pool's owner never comes to know, until the pool changes its owner. Cause: when the store gives up its history while a page of a queue is on its way, the queue is to be read anew. The page's answer was then taken for the first page of the new reading, which went on behind it; what had changed in the pages before it was seen by nobody. Change: an answer of a reading that was given up is dropped. Test: JobFollowerTest.ReadsFromTheBeginningWhenHistoryIsLostBetweenPages (before: taken as loaded, no further read).

--- a/src/scheduling/internal/jobfollower.cpp
+++ b/src/scheduling/internal/jobfollower.cpp
@@ -50,9 +50,14 @@
     return;
   State.IsReading_ = true;
   Store_.readRange(Table, Unread->first, Unread->second.From_, "",
-                   [Weak = weak_from_this(), Table,
-                    Queue = Unread->first](const StoreRange &Read) {
-                     if (auto Self = Weak.lock())
+                   [Weak = weak_from_this(), Table, Queue = Unread->first,
+                    Pass = State.Pass_](const StoreRange &Read) {
+                     auto Self = Weak.lock();
+                     if (!Self)
+                       return;
+                     Self->Tables_[Table].IsReading_ = false;
+                     // A page of a pass that was given up begins no new one.
+                     if (Self->Tables_[Table].Pass_ == Pass)
                        Self->onRead(Table, Queue, Read);
                    });
 }
@@ -60,7 +65,6 @@
 void JobFollower::onRead(const std::string &Table, const std::string &Queue,
                          const StoreRange &Read) {
   FollowedTable &State = Tables_[Table];
-  State.IsReading_ = false;
   if (Read.Outcome_ != StoreOutcome::Done) {
     State.NextRead_ = Clock_.now() + RetryPause;
     return;
@@ -107,6 +111,7 @@
 
 void JobFollower::readAgain(FollowedTable &State) {
   State.Version_.reset();
+  ++State.Pass_;
   for (auto &[Queue, Part] : State.Parts_)
     Part = QueuePart();
 }
--- a/src/scheduling/internal/jobfollower.h
+++ b/src/scheduling/internal/jobfollower.h
@@ -4,6 +4,7 @@
 #include "global/iclock.h"
 #include "scheduling/storetypes.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -43,6 +44,8 @@
     std::map<std::string, QueuePart> Parts_;
     bool IsReading_ = false;
     bool IsAwaiting_ = false;
+    /// Counts how often the parts were begun anew.
+    std::uint64_t Pass_ = 0;
     TimePoint NextRead_;
     TimePoint NextAwait_;
     /// Up to which changes are known; absent before the first read.
