A change does not overtake the page of its job

Callers would see a cancelled job run on, and could see TWICE: found by reading, while a new owner reads a queue's pages it also follows the changes. A change of a job whose page is still on its way was dropped, as its job was not known; the page, read before the change, then came without it. So a cancellation, or an end that the earlier owner stored late, was lost. Change: changes of a queue wait until its last page has come. Test: JobFollowerTest.AChangeDoesNotOvertakeThePageOfItsJob (before: the cancellation came before its submission).

--- a/src/scheduling/internal/jobfollower.cpp
+++ b/src/scheduling/internal/jobfollower.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/jobrows.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dragonflylock {
 namespace {
@@ -81,6 +82,9 @@
   Part.IsRead_ = !Read.HasMore_ || Read.Rows_.empty();
   if (!Part.IsRead_)
     Part.From_ = Read.Rows_.back().Name_.Key_ + '\1';
+  else
+    for (const StoreRow &Row : std::exchange(Part.Early_, {}))
+      Sink_(Row);
   tick();
 }
 
@@ -106,6 +110,15 @@
   State.NextAwait_ = Clock_.now() + GatherPause;
   State.Version_ = std::max(*State.Version_, Changes.Version_);
   for (const StoreRow &Row : Changes.Rows_)
+    onChange(State, Row);
+}
+
+void JobFollower::onChange(FollowedTable &State, const StoreRow &Row) {
+  auto Part = State.Parts_.find(Row.Name_.Part_);
+  // A page that was read before the change may come after it.
+  if (Part != State.Parts_.end() && !Part->second.IsRead_)
+    Part->second.Early_.push_back(Row);
+  else
     Sink_(Row);
 }
 
--- a/src/scheduling/internal/jobfollower.h
+++ b/src/scheduling/internal/jobfollower.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace dragonflylock {
 
@@ -39,6 +40,8 @@
     std::string From_;
     /// The store's version at the first page.
     std::optional<StoreVersion> FirstVersion_;
+    /// Changes that came before the last page.
+    std::vector<StoreRow> Early_;
   };
   struct FollowedTable {
     std::map<std::string, QueuePart> Parts_;
@@ -56,6 +59,8 @@
   void onRead(const std::string &Table, const std::string &Queue,
               const StoreRange &Read);
   void await(const std::string &Table, FollowedTable &State);
+  /// Gives a changed row to the sink, once its queue has been read.
+  void onChange(FollowedTable &State, const StoreRow &Row);
   void onChanges(const std::string &Table, const StoreChanges &Changes);
   void readAgain(FollowedTable &State);
 
--- a/src/scheduling/tests/jobfollower_test.cpp
+++ b/src/scheduling/tests/jobfollower_test.cpp
@@ -81,6 +81,19 @@
       Store_, Clock_, [this](const StoreRow &Row) { Seen_.push_back(Row); });
 };
 
+TEST_F(JobFollowerTest, AChangeDoesNotOvertakeThePageOfItsJob) {
+  answerRead({rowOf("01", JobRowKind::Submission, 1)}, /*HasMore=*/true, 5);
+  StoreChanges Changes;
+  Changes.Outcome_ = StoreOutcome::Done;
+  Changes.Rows_ = {rowOf("02", JobRowKind::Cancellation, 6)};
+  Changes.Version_ = 6;
+  answerAwait(Changes);
+  answerRead({rowOf("02", JobRowKind::Submission, 2)}, /*HasMore=*/false, 5);
+  ASSERT_EQ(Seen_.size(), 3U);
+  EXPECT_EQ(jobrows::kindOf(Seen_[1].Name_), JobRowKind::Submission);
+  EXPECT_EQ(jobrows::kindOf(Seen_[2].Name_), JobRowKind::Cancellation);
+}
+
 TEST_F(JobFollowerTest, ReadsFromTheBeginningWhenHistoryIsLostBetweenPages) {
   answerRead({rowOf("01", JobRowKind::Submission, 1)}, /*HasMore=*/true, 5);
   StoreChanges Lost;
