--- a/src/emulator/internal/modelstore.cpp
+++ b/src/emulator/internal/modelstore.cpp
@@ -6,6 +6,8 @@
 
 using std::chrono::milliseconds;
 
+/// The platform gives 500; emulated queues are shorter.
+constexpr std::size_t RowsPerPage = 50;
 constexpr milliseconds OneWay{2};
 constexpr milliseconds CallLimit{1000};
 
@@ -116,6 +118,9 @@
                            (!To.empty() && Name.Key_ >= To);
           if (IsOutside)
             break;
+          Read.HasMore_ = Read.Rows_.size() >= RowsPerPage;
+          if (Read.HasMore_)
+            break;
           Read.Rows_.push_back(Each->second);
         }
         return Read;
