Advice is asked first for workers that have room

Callers would see SHORT, and LOST where it lasts: found by reading, a task of a queue with advice does not start though a worker has room and may run it. Cause: a call names 30 workers, in the order of their names, and tickets expire. In a pool of more than 60 workers the first ones' tickets may have expired when the third call is due, so that they are asked again and the last ones never, also where the first ones are full. Change: of the workers without a ticket, those with room are named first. Test: GangsAndAdviceTest.FullWorkersDoNotKeepTheOneWithRoomFromBeingAsked (before: nothing started).

--- a/src/scheduling/internal/workerchooser.cpp
+++ b/src/scheduling/internal/workerchooser.cpp
@@ -82,19 +82,23 @@
         Step.WantsOneRack_ && RacksOfStep.contains(Candidate.Rack_);
 }
 
-void WorkerChooser::keepAllowed(Choice &Among, const TaskName &Name) const {
+void WorkerChooser::keepAllowed(Choice &Among, const StepSpec &Step,
+                                const TaskName &Name) const {
   Choice Allowed;
+  std::vector<WorkerSession *> Full;
   for (std::size_t Index = 0; Index < Among.Sessions_.size(); ++Index) {
     WorkerSession *Session = Among.Sessions_[Index];
     if (Advice_.isForbidden(Name, *Session))
       continue;
     if (Advice_.ticketFor(Name, *Session).empty()) {
-      Allowed.Unasked_.push_back(Session);
+      bool HasRoom = Among.Candidates_[Index].Free_.holds(roomOf(Step));
+      (HasRoom ? Allowed.Unasked_ : Full).push_back(Session);
       continue;
     }
     Allowed.Candidates_.push_back(Among.Candidates_[Index]);
     Allowed.Sessions_.push_back(Session);
   }
+  Allowed.Unasked_.insert(Allowed.Unasked_.end(), Full.begin(), Full.end());
   Among = std::move(Allowed);
 }
 
@@ -129,7 +133,7 @@
   if (OnlyOnDataRack)
     keepRack(Among, Job.step(Name).DataRack_);
   if (NeedsAdvice)
-    keepAllowed(Among, Name);
+    keepAllowed(Among, Job.step(Name), Name);
   auto Chosen = choosePlacement(Job.step(Name), Among.Candidates_);
   if (Chosen)
     return Among.Sessions_[*Chosen];
@@ -173,10 +177,10 @@
 WorkerChooser::chooseAll(const ActiveJob &Job,
                          const std::vector<TaskName> &Names, bool OnOneRack) {
   fitTo(Job, Names.front());
+  const StepSpec &Step = Job.step(Names.front());
   Choice Among = Round_;
   if (Advice_.isNeededFor(Job))
-    keepAllowed(Among, Names.front());
-  const StepSpec &Step = Job.step(Names.front());
+    keepAllowed(Among, Step, Names.front());
   auto Chosen = OnOneRack ? placeOnOneRack(Step, Among, Names.size())
                           : placeAll(Step, Among, Names.size());
   if (Chosen.empty())
--- a/src/scheduling/internal/workerchooser.h
+++ b/src/scheduling/internal/workerchooser.h
@@ -59,8 +59,10 @@
   void noteLargest();
   /// Leaves only workers of a rack.
   static void keepRack(Choice &Among, const std::string &Rack);
-  /// Leaves only workers with a ticket.
-  void keepAllowed(Choice &Among, const TaskName &Name) const;
+  /// Leaves only workers with a ticket. Of the others, those with room come
+  /// first, since not all can be asked in one call.
+  void keepAllowed(Choice &Among, const StepSpec &Step,
+                   const TaskName &Name) const;
   std::vector<WorkerSession *> placeAll(const StepSpec &Step, Choice Among,
                                         std::size_t Tasks) const;
   std::vector<WorkerSession *> placeOnOneRack(const StepSpec &Step,
--- a/src/scheduling/tests/gangsandadvice_test.cpp
+++ b/src/scheduling/tests/gangsandadvice_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace dragonflylock {
 namespace {
@@ -232,6 +233,33 @@
   EXPECT_EQ(Workers_.Starts_[0].Order_.Ticket_, "ticket-2");
 }
 
+TEST_F(GangsAndAdviceTest, FullWorkersDoNotKeepTheOneWithRoomFromBeingAsked) {
+  Queue_.NeedsAdvice_ = true;
+  Step_.TaskCount_ = 1;
+  Step_.IsGang_ = false;
+  std::vector<WorkerEntry> Workers;
+  for (char Letter = 'a'; Letter <= 'z'; ++Letter)
+    for (const char *Number : {"1", "2", "3"})
+      Workers.push_back(
+          workerOf(std::string(1, Letter) + Number, {1000, 32000, 0}));
+  Workers.push_back(worker("z4", "r1-1"));
+  own(Workers);
+  constexpr milliseconds Validity{100};
+  for (int Round = 0; Round < 10; ++Round) {
+    for (RecordingAdvisor::Call &Call : std::exchange(Advisor_.Calls_, {})) {
+      Advice Given;
+      Given.IsValid_ = true;
+      Given.Validity_ = Validity;
+      for (const std::string &Id : Call.Workers_)
+        Given.Tickets_[Id] = "ticket";
+      pass(Validity / 2);
+      Call.Answer_(Given);
+    }
+    answerHolds();
+  }
+  EXPECT_EQ(startedOn(), std::set<std::string>{"z4"});
+}
+
 TEST_F(GangsAndAdviceTest, AsksAgainForARefusedTicket) {
   Queue_.NeedsAdvice_ = true;
   Step_.IsGang_ = false;
