An answer that is read late does not shorten leases

Callers would see SHORT and LOST at an owner that is behind: found by reading, runs lapse and starts are refused as too late though their worker answered at once. Cause: the worker's clock was taken from the last answer as if it had just been sent. An answer that waited 2 s to be read made every lease of the worker 2 s shorter, and a start's lease is 2.5 s long. Change: of all answers the one that tells most is kept, less what the worker's clock may fall behind since (2 percent), so that the estimate still is never ahead of the worker's clock. Clocks of other lifetimes are not taken in. Test: WorkerSessionTest.AnAnswerThatIsReadLateDoesNotShortenLeases (before: clock at 1500 ms instead of 3400 ms or more); ASlowClockIsNotTakenToBeAhead and LeasesFollowAnAnswerThatIsReadSooner hold both sides.

--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -255,7 +255,8 @@
   if (Session == nullptr)
     return;
   const TimePoint Now = Pool_.Clock_.now();
-  if (Answer.Clock_.count() > 0)
+  bool IsOther = Answer.Outcome_ == OrderOutcome::OtherLifetime;
+  if (Answer.Clock_.count() > 0 && !IsOther)
     Session->noteClock(Answer.Clock_, Now);
   auto Known = Session->runs().find(Name);
   if (Known == Session->runs().end() || Known->second.Run_ != Run)
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -3,9 +3,7 @@
 namespace dragonflylock {
 namespace {
 
-/// Percent by which a worker's clock may be slow, with the time that an order
-/// may take to arrive.
-constexpr int ClockDriftPercent = 2;
+/// Time that an order may take to arrive.
 constexpr std::chrono::milliseconds LapseMargin{100};
 constexpr int Percent = 100;
 /// Attempts of a task whose queue is no longer configured.
@@ -60,7 +58,8 @@
 
 TimePoint PoolState::surelyLapsed(TimePoint Now) const {
   return Now + Settings_.LongestHold_ +
-         Settings_.LongestHold_ * ClockDriftPercent / Percent + LapseMargin;
+         Settings_.LongestHold_ * WorkerSession::ClockDriftPercent / Percent +
+         LapseMargin;
 }
 
 std::chrono::milliseconds PoolState::wallTime() const {
--- a/src/scheduling/internal/workersession.cpp
+++ b/src/scheduling/internal/workersession.cpp
@@ -10,14 +10,27 @@
       Time.time_since_epoch());
 }
 
+/// \returns the most that a worker's clock falls behind in \p Passed.
+std::chrono::milliseconds driftOf(std::chrono::milliseconds Passed) {
+  constexpr int Percent = 100;
+  return (Passed * WorkerSession::ClockDriftPercent +
+          std::chrono::milliseconds(Percent - 1)) /
+         Percent;
+}
+
 } // namespace
 
 void WorkerSession::noteClock(WorkerClock Clock, TimePoint Received) {
+  if (knowsClock() && clockAt(Received) >= Clock)
+    return;
   Offset_ = Clock - sinceEpoch(Received);
+  OffsetAt_ = Received;
 }
 
 WorkerClock WorkerSession::clockAt(TimePoint Time) const {
-  return sinceEpoch(Time) + Offset_.value_or(std::chrono::milliseconds(0));
+  auto Passed = std::chrono::ceil<std::chrono::milliseconds>(Time - OffsetAt_);
+  return sinceEpoch(Time) + Offset_.value_or(std::chrono::milliseconds(0)) -
+         driftOf(std::max(Passed, std::chrono::milliseconds(0)));
 }
 
 void WorkerSession::noteLease(TimePoint End) {
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -45,7 +45,11 @@
   void setEntry(WorkerEntry Entry) { Entry_ = std::move(Entry); }
   WorkerTarget target() const { return {Entry_.Id_, Entry_.Address_}; }
 
-  /// Takes in the worker's clock from an answer that came at \p Received.
+  /// Percent by which a worker's clock may be slow.
+  static constexpr int ClockDriftPercent = 2;
+
+  /// Takes in the worker's clock from an answer that was read at \p Received.
+  /// Of an answer that waited to be read, an earlier one tells more.
   void noteClock(WorkerClock Clock, TimePoint Received);
   bool knowsClock() const { return Offset_.has_value(); }
   /// \returns the worker's clock at \p Time, or a little earlier: the way of
@@ -112,8 +116,10 @@
 
 private:
   WorkerEntry Entry_;
-  /// The worker's clock less this process's.
+  /// The worker's clock less this process's, by the answer that told most.
   std::optional<std::chrono::milliseconds> Offset_;
+  /// When that answer was read.
+  TimePoint OffsetAt_;
   TimePoint LapsesAt_;
   std::map<TaskName, SessionRun> Runs_;
   std::uint64_t HighestEnd_ = 0;
