--- a/src/scheduling/internal/jobfollower.cpp
+++ b/src/scheduling/internal/jobfollower.cpp
@@ -3,6 +3,7 @@
 #include "scheduling/jobrows.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dragonflylock {
 namespace {
@@ -50,9 +51,14 @@
     return;
   State.IsReading_ = true;
   Store_.readRange(Table, Unread->first, Unread->second.From_, "",
-                   [Weak = weak_from_this(), Table,
-                    Queue = Unread->first](const StoreRange &Read) {
-                     if (auto Self = Weak.lock())
+                   [Weak = weak_from_this(), Table, Queue = Unread->first,
+                    Pass = State.Pass_](const StoreRange &Read) {
+                     auto Self = Weak.lock();
+                     if (!Self)
+                       return;
+                     Self->Tables_[Table].IsReading_ = false;
+                     // A page of a pass that was given up begins no new one.
+                     if (Self->Tables_[Table].Pass_ == Pass)
                        Self->onRead(Table, Queue, Read);
                    });
 }
@@ -60,7 +66,6 @@
 void JobFollower::onRead(const std::string &Table, const std::string &Queue,
                          const StoreRange &Read) {
   FollowedTable &State = Tables_[Table];
-  State.IsReading_ = false;
   if (Read.Outcome_ != StoreOutcome::Done) {
     State.NextRead_ = Clock_.now() + RetryPause;
     return;
@@ -77,6 +82,9 @@
   Part.IsRead_ = !Read.HasMore_ || Read.Rows_.empty();
   if (!Part.IsRead_)
     Part.From_ = Read.Rows_.back().Name_.Key_ + '\1';
+  else
+    for (const StoreRow &Row : std::exchange(Part.Early_, {}))
+      Sink_(Row);
   tick();
 }
 
@@ -102,11 +110,21 @@
   State.NextAwait_ = Clock_.now() + GatherPause;
   State.Version_ = std::max(*State.Version_, Changes.Version_);
   for (const StoreRow &Row : Changes.Rows_)
+    onChange(State, Row);
+}
+
+void JobFollower::onChange(FollowedTable &State, const StoreRow &Row) {
+  auto Part = State.Parts_.find(Row.Name_.Part_);
+  // A page that was read before the change may come after it.
+  if (Part != State.Parts_.end() && !Part->second.IsRead_)
+    Part->second.Early_.push_back(Row);
+  else
     Sink_(Row);
 }
 
 void JobFollower::readAgain(FollowedTable &State) {
   State.Version_.reset();
+  ++State.Pass_;
   for (auto &[Queue, Part] : State.Parts_)
     Part = QueuePart();
 }
--- a/src/scheduling/internal/jobfollower.h
+++ b/src/scheduling/internal/jobfollower.h
@@ -4,12 +4,14 @@
 #include "global/iclock.h"
 #include "scheduling/storetypes.h"
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace dragonflylock {
 
@@ -38,11 +40,15 @@
     std::string From_;
     /// The store's version at the first page.
     std::optional<StoreVersion> FirstVersion_;
+    /// Changes that came before the last page.
+    std::vector<StoreRow> Early_;
   };
   struct FollowedTable {
     std::map<std::string, QueuePart> Parts_;
     bool IsReading_ = false;
     bool IsAwaiting_ = false;
+    /// Counts how often the parts were begun anew.
+    std::uint64_t Pass_ = 0;
     TimePoint NextRead_;
     TimePoint NextAwait_;
     /// Up to which changes are known; absent before the first read.
@@ -53,6 +59,8 @@
   void onRead(const std::string &Table, const std::string &Queue,
               const StoreRange &Read);
   void await(const std::string &Table, FollowedTable &State);
+  /// Gives a changed row to the sink, once its queue has been read.
+  void onChange(FollowedTable &State, const StoreRow &Row);
   void onChanges(const std::string &Table, const StoreChanges &Changes);
   void readAgain(FollowedTable &State);
 
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -38,8 +38,9 @@
         Ledger_(Ledger) {}
 
   void onWaves(const std::vector<MaintenanceWave> &Waves);
-  /// Keeps starts off machines that are to go down or are down; to be called
-  /// before tasks are started, since workers appear at any time.
+  /// Keeps starts off machines that are to go down or are down, and off no
+  /// others; to be called before tasks are started, since workers appear at any
+  /// time.
   void reserveMachines();
   void tick();
 
@@ -82,6 +83,8 @@
   /// than needed to be done in time, and none while the pool lacks machines
   /// and time is left.
   bool mayTakeNext(const Wave &Each) const;
+  /// \returns whether the machine is in this pool and has not been maintained.
+  bool isLeft(const Wave &Each, const std::string &Name) const;
   void chooseNext(Wave &Each);
   void claim(Wave &Each, const std::string &Name, bool IsRepeat);
   /// \returns whether the order was sent.
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -45,7 +45,11 @@
   void setEntry(WorkerEntry Entry) { Entry_ = std::move(Entry); }
   WorkerTarget target() const { return {Entry_.Id_, Entry_.Address_}; }
 
-  /// Takes in the worker's clock from an answer that came at \p Received.
+  /// Percent by which a worker's clock may be slow.
+  static constexpr int ClockDriftPercent = 2;
+
+  /// Takes in the worker's clock from an answer that was read at \p Received.
+  /// Of an answer that waited to be read, an earlier one tells more.
   void noteClock(WorkerClock Clock, TimePoint Received);
   bool knowsClock() const { return Offset_.has_value(); }
   /// \returns the worker's clock at \p Time, or a little earlier: the way of
@@ -59,6 +63,8 @@
 
   std::map<TaskName, SessionRun> &runs() { return Runs_; }
   const std::map<TaskName, SessionRun> &runs() const { return Runs_; }
+  /// \returns whether nothing is to be started, since the machine is to leave.
+  bool isReserved() const { return IsForMaintenance_ || IsForMove_; }
   /// \returns room that is not taken by runs, counting those that are being
   /// started or stopped.
   Resources freeRoom() const;
@@ -73,8 +79,6 @@
   void settleEnd(std::uint64_t Sequence);
   /// \returns the end up to which the worker may forget.
   std::uint64_t acknowledgeable() const;
-  /// \returns whether the worker is to become empty.
-  bool isBeingEmptied() const { return IsReserved_ || IsMoving_; }
   bool hasUnsettledEnds() const { return !Unsettled_.empty(); }
   /// \returns the highest end the worker is known to have forgotten.
   std::uint64_t acknowledged() const { return Acknowledged_; }
@@ -96,10 +100,10 @@
   bool WasDeclaredSilent_ = false;
   /// Whether the registry still lists the worker.
   bool IsListed_ = true;
-  /// Whether the worker is being emptied for its maintenance.
-  bool IsReserved_ = false;
-  /// Whether the worker is being emptied for a move.
-  bool IsMoving_ = false;
+  /// Whether the machine is to go down for its maintenance, or is down.
+  bool IsForMaintenance_ = false;
+  /// Whether the machine is being moved to another pool.
+  bool IsForMove_ = false;
   bool IsHolding_ = false;
   TimePoint NextHold_;
   /// When the hold was sent whose lists came last, from this lifetime.
@@ -112,8 +116,10 @@
 
 private:
   WorkerEntry Entry_;
-  /// The worker's clock less this process's.
+  /// The worker's clock less this process's, by the answer that told most.
   std::optional<std::chrono::milliseconds> Offset_;
+  /// When that answer was read.
+  TimePoint OffsetAt_;
   TimePoint LapsesAt_;
   std::map<TaskName, SessionRun> Runs_;
   std::uint64_t HighestEnd_ = 0;
