--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -30,6 +30,14 @@
 /// due or whose pause ends.
 constexpr std::chrono::milliseconds DispatchInterval{100};
 constexpr std::chrono::milliseconds StatusInterval{1000};
+/// Workers that a line of log names at most.
+constexpr std::uint64_t MostExamples = 5;
+
+std::uint64_t millisecondsBetween(TimePoint From, TimePoint To) {
+  auto Elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(To, From) - From);
+  return static_cast<std::uint64_t>(Elapsed.count());
+}
 
 } // namespace
 
@@ -71,6 +79,8 @@
   void removeGoneWorkers();
   /// Lets tasks start again that can't run under an earlier owner's orders.
   void settleInherited();
+  /// Tells now and then which workers keep inherited tasks from starting.
+  void logInheritedWait();
   /// Ends the sessions of workers that now live in another pool.
   void endLivesBeforeMoves();
   /// Ends the sessions of earlier lifetimes of the same worker.
@@ -102,6 +112,9 @@
   std::set<std::string> InheritedTasks_;
   TimePoint NextDispatch_;
   TimePoint NextStatus_;
+  /// When the jobs were loaded, from which the wait for workers counts.
+  TimePoint LoadedAt_;
+  TimePoint NextWaitLog_;
 };
 
 PoolOwner::Builder &
@@ -162,6 +175,8 @@
 
 void PoolOwner::Parts::onLoaded() {
   IsLoaded_ = true;
+  LoadedAt_ = State_.Clock_.now();
+  NextWaitLog_ = LoadedAt_ + StatusInterval;
   for (auto &[Id, Job] : State_.Jobs_) {
     if (!HasPredecessor_)
       continue;
@@ -233,19 +248,50 @@
           .with("coming-machines", View.ComingMachines_));
 }
 
+void PoolOwner::Parts::logInheritedWait() {
+  const TimePoint Now = State_.Clock_.now();
+  if (Now < NextWaitLog_)
+    return;
+  NextWaitLog_ = Now + StatusInterval;
+  std::uint64_t Unanswered = 0;
+  std::uint64_t Registered = 0;
+  std::uint64_t Elsewhere = 0;
+  std::string Examples;
+  for (const auto &[Lifetime, Session] : State_.Sessions_) {
+    if (Session->IsFenced_ || Session->WasDeclaredSilent_)
+      continue;
+    if (Unanswered++ < MostExamples)
+      Examples += (Examples.empty() ? "" : ",") + Lifetime;
+    Registered += Session->IsListed_ ? 1 : 0;
+    Elsewhere += Elsewhere_.contains(Session->entry().Id_) ? 1 : 0;
+  }
+  State_.Logger_.write(
+      LogLevel::Info,
+      LogEvent("pool.inherited-wait")
+          .with("pool", State_.Pool_)
+          .with("token", State_.Token_)
+          .with("waited-ms", millisecondsBetween(LoadedAt_, Now))
+          .with("unanswered", Unanswered)
+          .with("registered", Registered)
+          .with("registered-elsewhere", Elsewhere)
+          .with("workers", Examples));
+}
+
 void PoolOwner::Parts::settleInherited() {
   if (IsInheritedSettled_ && InheritedTasks_.empty())
     return;
-  bool HasLapsed =
-      !HasPredecessor_ || State_.Clock_.now() >= State_.InheritedLapse_;
+  const TimePoint Now = State_.Clock_.now();
+  bool HasLapsed = !HasPredecessor_ || Now >= State_.InheritedLapse_;
   // Of a worker that the earlier owner has declared silent it is known what
   // may run there.
   bool IsKnown = std::all_of(
       State_.Sessions_.begin(), State_.Sessions_.end(), [](const auto &Each) {
         return Each.second->IsFenced_ || Each.second->WasDeclaredSilent_;
       });
-  if (!HasLapsed && !IsKnown)
+  if (!HasLapsed && !IsKnown) {
+    logInheritedWait();
     return;
+  }
   std::set<std::string> Doubtful;
   for (const auto &[Lifetime, Session] : State_.Sessions_)
     if (!HasLapsed && !Session->IsFenced_)
@@ -253,6 +299,15 @@
                       Session->InheritedTasks_.end());
   if (IsInheritedSettled_ && Doubtful == InheritedTasks_)
     return;
+  if (!IsInheritedSettled_ && HasPredecessor_)
+    State_.Logger_.write(
+        LogLevel::Info,
+        LogEvent("pool.inherited-settled")
+            .with("pool", State_.Pool_)
+            .with("token", State_.Token_)
+            .with("cause", HasLapsed ? "leases-lapsed" : "workers-known")
+            .with("waited-ms", millisecondsBetween(LoadedAt_, Now))
+            .with("doubtful-tasks", std::uint64_t{Doubtful.size()}));
   IsInheritedSettled_ = true;
   InheritedTasks_ = std::move(Doubtful);
   State_.NeedsDispatch_ = true;
