Let a new owner start work without waiting for workers that are gone

Callers saw a pool stand still for about 6 s after nearly every change of its owner: a new owner starts none of the tasks that existed before while a worker of the roster has not answered, and in a pool of 70 to 180 workers some are always gone, since a move or a maintenance gives the machine a new worker.

Cause: only an answer, a declaration of the last owner or a later lifetime of the same id in another pool ended that wait. Slow answers of living workers were ruled out: those had all come within a second.

The roster now tells machines. A silent lifetime counts as ended when a later one is registered on its machine, or when its address answers for another lifetime; a later lifetime of the same id must have seen the token first, as late orders reach it. Workers outside the roster never had an order and are not waited for. Where the roster is missing, all are waited for as before.

TakeoverTest.DoesNotWaitForALifetimeWhoseMachineHasALaterWorker, .DoesNotWaitForALifetimeWhoseAddressAnswersForAnother, .DoesNotWaitForAWorkerThatNoOwnerCouldOrder and .WaitsUntilALaterLifetimeOfTheSameIdHasSeenItsToken failed before; .WaitsForASilentLifetimeThatMayStillBeThere and .WaitsForAllWorkersWhereTheRosterCanNotBeRead guard the wait itself.

--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -63,6 +63,7 @@
   for (const WorkerEntry &Worker : Row.Workers_)
     Workers.push_back({{"id", Worker.Id_},
                        {"address", Worker.Address_.text()},
+                       {"machine", Worker.Machine_},
                        {"born-ms", Worker.Born_.count()}});
   return json{
       {"workers", Workers}, {"silent", Row.Silent_}, {"queues", Row.Queues_}}
@@ -126,6 +127,8 @@
       if (!Address)
         continue;
       Worker.Address_ = Address.value();
+      // Rows of earlier versions do not tell it.
+      Worker.Machine_ = Each.value("machine", std::string());
       Worker.Born_ =
           std::chrono::milliseconds(Each.at("born-ms").get<std::int64_t>());
       Row.Workers_.push_back(Worker);
--- a/src/scheduling/internal/holdkeeper.cpp
+++ b/src/scheduling/internal/holdkeeper.cpp
@@ -40,6 +40,8 @@
   if (Session.IsHolding_ || Session.IsOver_ || !Session.IsInRoster_ ||
       Session.NextHold_ > Pool_.Clock_.now())
     return false;
+  if (Session.HasEnded_ && !Session.IsListed_ && Session.runs().empty())
+    return false;
   return !Session.IsFenced_ || !Session.runs().empty() ||
          Session.HoldFailures_ > 0 ||
          Session.acknowledgeable() > Session.acknowledged();
@@ -97,13 +99,18 @@
   auto Born = Session->entry().Born_;
   bool IsOther =
       Answer.Born_.count() > 0 && Born.count() > 0 && Answer.Born_ != Born;
-  if (IsOther)
+  if (IsOther) {
     onFailure(*Session, OrderOutcome::OtherLifetime);
-  else if (Answer.Outcome_ == OrderOutcome::Accepted) {
+    Session->HasEnded_ = Answer.Born_ > Born;
+  } else if (Answer.Outcome_ == OrderOutcome::Accepted) {
     Session->setAcknowledged(std::max(Session->acknowledged(), Acknowledged));
     onLists(*Session, Sent, Answer);
-  } else
+  } else {
     onFailure(*Session, Answer.Outcome_);
+    // An address has one worker at a time.
+    if (Answer.Outcome_ == OrderOutcome::OtherLifetime)
+      Session->HasEnded_ = true;
+  }
 }
 
 void HoldKeeper::onLists(WorkerSession &Session, TimePoint Sent,
@@ -118,6 +125,7 @@
     Session.noteLease(Pool_.surelyLapsed(Now));
   Session.IsFenced_ = true;
   Session.HoldFailures_ = 0;
+  Session.HasEnded_ = false;
   std::vector<ListedEnd> Ends = Answer.Ended_;
   std::sort(Ends.begin(), Ends.end(),
             [](const ListedEnd &Left, const ListedEnd &Right) {
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -39,6 +39,12 @@
   return static_cast<std::uint64_t>(Elapsed.count());
 }
 
+/// The worker that a machine has now.
+struct LaterWorker {
+  std::string Id_;
+  std::chrono::milliseconds Born_{0};
+};
+
 } // namespace
 
 struct PoolOwner::Parts {
@@ -83,6 +89,9 @@
   void logInheritedWait();
   /// Ends the sessions of workers that now live in another pool.
   void endLivesBeforeMoves();
+  /// Ends the sessions of silent workers whose machine has a later worker.
+  void endReplacedLives();
+  bool hasSeenToken(const LaterWorker &Worker);
   /// Ends the sessions of earlier lifetimes of the same worker.
   void endEarlierLives(WorkerSession &Latest);
 
@@ -102,6 +111,8 @@
   std::shared_ptr<JobFollower> Follower_;
   /// Registered workers of other pools: id and start of the lifetime.
   std::map<std::string, std::chrono::milliseconds> Elsewhere_;
+  /// By machine: the registered worker that was born last, of any pool.
+  std::map<std::string, LaterWorker> LatestOnMachine_;
   bool IsLoaded_ = false;
   /// Whether the registered workers have been told.
   bool AreWorkersKnown_ = false;
@@ -258,7 +269,7 @@
   std::uint64_t Elsewhere = 0;
   std::string Examples;
   for (const auto &[Lifetime, Session] : State_.Sessions_) {
-    if (Session->IsFenced_ || Session->WasDeclaredSilent_)
+    if (!State_.mayRunInherited(*Session) || Session->WasDeclaredSilent_)
       continue;
     if (Unanswered++ < MostExamples)
       Examples += (Examples.empty() ? "" : ",") + Lifetime;
@@ -284,17 +295,18 @@
   bool HasLapsed = !HasPredecessor_ || Now >= State_.InheritedLapse_;
   // Of a worker that the earlier owner has declared silent it is known what
   // may run there.
-  bool IsKnown = std::all_of(
-      State_.Sessions_.begin(), State_.Sessions_.end(), [](const auto &Each) {
-        return Each.second->IsFenced_ || Each.second->WasDeclaredSilent_;
-      });
+  bool IsKnown = std::all_of(State_.Sessions_.begin(), State_.Sessions_.end(),
+                             [this](const auto &Each) {
+                               return !State_.mayRunInherited(*Each.second) ||
+                                      Each.second->WasDeclaredSilent_;
+                             });
   if (!HasLapsed && !IsKnown) {
     logInheritedWait();
     return;
   }
   std::set<std::string> Doubtful;
   for (const auto &[Lifetime, Session] : State_.Sessions_)
-    if (!HasLapsed && !Session->IsFenced_)
+    if (!HasLapsed && State_.mayRunInherited(*Session))
       Doubtful.insert(Session->InheritedTasks_.begin(),
                       Session->InheritedTasks_.end());
   if (IsInheritedSettled_ && Doubtful == InheritedTasks_)
@@ -342,6 +354,37 @@
   }
 }
 
+bool PoolOwner::Parts::hasSeenToken(const LaterWorker &Worker) {
+  WorkerEntry Entry;
+  Entry.Id_ = Worker.Id_;
+  Entry.Born_ = Worker.Born_;
+  const WorkerSession *Session = State_.session(Entry.lifetime());
+  return Session != nullptr && Session->IsFenced_;
+}
+
+void PoolOwner::Parts::endReplacedLives() {
+  for (auto &[Lifetime, Session] : State_.Sessions_) {
+    const WorkerEntry &Entry = Session->entry();
+    if (Session->HasEnded_ || Session->HoldFailures_ == 0)
+      continue;
+    auto Found = LatestOnMachine_.find(Entry.Machine_);
+    if (Found == LatestOnMachine_.end() || Found->second.Born_ <= Entry.Born_)
+      continue;
+    // An order that is carried out late reaches a later lifetime of the same
+    // id, which refuses it only once it has seen this owner's token.
+    if (Found->second.Id_ == Entry.Id_ && !hasSeenToken(Found->second))
+      continue;
+    State_.Logger_.write(
+        LogLevel::Info,
+        LogEvent("worker.replaced")
+            .with("worker", Entry.Id_)
+            .with("machine", Entry.Machine_)
+            .with("by", Found->second.Id_)
+            .with("runs", std::uint64_t{Session->runs().size()}));
+    Session->HasEnded_ = true;
+  }
+}
+
 void PoolOwner::Parts::endEarlierLives(WorkerSession &Latest) {
   const WorkerEntry &Entry = Latest.entry();
   for (auto &[Lifetime, Session] : State_.Sessions_) {
@@ -368,9 +411,16 @@
 void PoolOwner::onWorkers(const std::vector<WorkerEntry> &Workers) {
   Parts_->AreWorkersKnown_ = true;
   Parts_->Elsewhere_.clear();
-  for (const WorkerEntry &Worker : Workers)
+  Parts_->LatestOnMachine_.clear();
+  for (const WorkerEntry &Worker : Workers) {
     if (Worker.Pool_ != pool())
       Parts_->Elsewhere_[Worker.Id_] = Worker.Born_;
+    if (Worker.Machine_.empty())
+      continue;
+    LaterWorker &Latest = Parts_->LatestOnMachine_[Worker.Machine_];
+    if (Worker.Born_ > Latest.Born_)
+      Latest = {Worker.Id_, Worker.Born_};
+  }
   Parts_->endLivesBeforeMoves();
   auto &Sessions = Parts_->State_.Sessions_;
   std::map<std::string, std::chrono::milliseconds> BornOfId;
@@ -412,6 +462,7 @@
   if (!Parts_->IsLoaded_)
     return;
   Parts_->Holds_->tick();
+  Parts_->endReplacedLives();
   Parts_->settleInherited();
   Parts_->Maintenance_->reserveMachines();
   Parts_->Starts_->stopUnwanted();
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -29,6 +29,11 @@
   return *Place->second;
 }
 
+bool PoolState::mayRunInherited(const WorkerSession &Session) const {
+  bool WasOrdered = Session.IsInherited_ || !IsRosterKnown_;
+  return WasOrdered && !Session.IsFenced_ && !Session.HasEnded_;
+}
+
 ActiveJob *PoolState::job(const std::string &Id) {
   auto Found = Jobs_.find(Id);
   return Found == Jobs_.end() ? nullptr : Found->second.get();
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -55,6 +55,9 @@
   std::map<std::string, std::unique_ptr<WorkerSession>> Sessions_;
   std::shared_ptr<const SchedulingConfiguration> Configuration_;
   std::vector<UnstoredEnd> UnstoredEnds_;
+  /// Whether the roster of the earlier owners has been read. Where it is
+  /// missing, each worker may have had their orders.
+  bool IsRosterKnown_ = false;
   /// Whether the pool's work needs more machines than it has.
   bool LacksMachines_ = false;
   /// Whether something has changed that may let a task start.
@@ -66,6 +69,9 @@
   /// \returns the session of the worker's lifetime, which is made where there
   /// is none.
   WorkerSession &meet(const WorkerEntry &Entry);
+  /// \returns whether something that an earlier owner started may run on the
+  /// worker without this owner knowing of it, until its lease has lapsed.
+  bool mayRunInherited(const WorkerSession &Session) const;
   ActiveJob *job(const std::string &Id);
   WorkerSession *session(const std::string &Lifetime);
   /// \returns the registered worker on the machine, or null.
--- a/src/scheduling/internal/rosterkeeper.cpp
+++ b/src/scheduling/internal/rosterkeeper.cpp
@@ -50,6 +50,7 @@
         LogEvent("roster.unreadable").with("pool", Pool_.Pool_));
     return;
   }
+  Pool_.IsRosterKnown_ = true;
   adopt(*Roster);
 }
 
@@ -62,6 +63,7 @@
     bool IsKnown = Pool_.session(Worker.lifetime()) != nullptr;
     WorkerSession &Session = Pool_.meet(Worker);
     Session.IsInRoster_ = true;
+    Session.IsInherited_ = true;
     if (!IsKnown)
       Session.IsListed_ = false;
     auto Silent = Roster.Silent_.find(Worker.lifetime());
@@ -79,7 +81,8 @@
 }
 
 bool RosterKeeper::isToBeDeclared(const WorkerSession &Session) const {
-  bool IsKnown = Session.IsFenced_ || Session.WasDeclaredSilent_ ||
+  bool IsKnown = !Pool_.mayRunInherited(Session) ||
+                 Session.WasDeclaredSilent_ ||
                  Pool_.Clock_.now() >= Pool_.InheritedLapse_;
   return IsKnown && Session.HoldFailures_ >= SilentAfter;
 }
@@ -93,7 +96,7 @@
     std::set<std::string> &Tasks = Silent[Lifetime];
     for (const auto &[Name, Run] : Session->runs())
       Tasks.insert(Name.text());
-    if (!Session->IsFenced_)
+    if (Pool_.mayRunInherited(*Session))
       Tasks.insert(Session->InheritedTasks_.begin(),
                    Session->InheritedTasks_.end());
   }
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -2,6 +2,8 @@
 #include "scheduling/tests/mocks/ownertest.h"
 
 #include <algorithm>
+#include <deque>
+#include <map>
 
 namespace dragonflylock {
 namespace {
@@ -311,6 +313,98 @@
     EXPECT_NE(Each.Target_.Id_, "w1");
 }
 
+/// Takes a pool over whose roster names the workers w1 and w2; w2 answers.
+class TakeoverTest : public PoolOwnerTest {
+protected:
+  TakeoverTest() {
+    storeJob(jobOf(1));
+    RosterRow Roster;
+    Roster.Workers_ = {worker("w1"), worker("w2")};
+    Roster.Queues_ = {"queue"};
+    storeRoster(controlrows::encode(Roster));
+  }
+
+  void storeRoster(const std::string &Value) {
+    StoreKey Row = controlrows::roster("pool");
+    Store_.Rows_[Row] = {Row, Value, ++Store_.Version_, false};
+  }
+
+  /// A worker that was born later than those of the roster.
+  static WorkerEntry laterWorker(const std::string &Id,
+                                 const std::string &Machine) {
+    WorkerEntry Entry = worker(Id);
+    Entry.Machine_ = Machine;
+    Entry.Born_ = milliseconds(50);
+    return Entry;
+  }
+
+  /// Answers the holds that wait, by worker's id; others get no answer.
+  void answer(const std::map<std::string, HoldAnswer> &Answers) {
+    std::deque<RecordingWorkers::Hold> Holds;
+    Holds.swap(Workers_.Holds_);
+    for (RecordingWorkers::Hold &Each : Holds) {
+      auto Found = Answers.find(Each.Target_.Id_);
+      Each.Done_(Found == Answers.end() ? HoldAnswer() : Found->second);
+    }
+    tickTwice();
+  }
+};
+
+TEST_F(TakeoverTest, DoesNotWaitForALifetimeWhoseMachineHasALaterWorker) {
+  WorkerEntry Later = laterWorker("w9", worker("w1").Machine_);
+  Later.Pool_ = "other";
+  own(1, {Later, worker("w2")});
+  answer({{"w2", listing({})}});
+  EXPECT_EQ(Workers_.Starts_.size(), 1U);
+}
+
+TEST_F(TakeoverTest, WaitsForASilentLifetimeThatMayStillBeThere) {
+  WorkerEntry Earlier = laterWorker("w9", worker("w1").Machine_);
+  Earlier.Born_ = milliseconds(2);
+  own(1, {Earlier, worker("w2")});
+  HoldAnswer Listed = listing({});
+  Listed.Born_ = Earlier.Born_;
+  answer({{"w2", listing({})}, {"w9", Listed}});
+  EXPECT_TRUE(Workers_.Starts_.empty());
+}
+
+TEST_F(TakeoverTest, WaitsUntilALaterLifetimeOfTheSameIdHasSeenItsToken) {
+  // An order of the last owner that is carried out late reaches that one.
+  WorkerEntry Later = laterWorker("w1", worker("w1").Machine_);
+  own(1, {Later, worker("w2")});
+  answer({{"w2", listing({})}});
+  EXPECT_TRUE(Workers_.Starts_.empty());
+  HoldAnswer Listed = listing({});
+  Listed.Born_ = Later.Born_;
+  for (int Round = 0; Round < 3; ++Round) {
+    Clock_.advance(milliseconds(200));
+    tickTwice();
+    answer({{"w1", Listed}, {"w2", listing({})}});
+  }
+  EXPECT_EQ(Workers_.Starts_.size(), 1U);
+}
+
+TEST_F(TakeoverTest, DoesNotWaitForALifetimeWhoseAddressAnswersForAnother) {
+  own(1, {worker("w2")});
+  HoldAnswer Misdirected;
+  Misdirected.Outcome_ = OrderOutcome::OtherLifetime;
+  answer({{"w1", Misdirected}, {"w2", listing({})}});
+  EXPECT_EQ(Workers_.Starts_.size(), 1U);
+}
+
+TEST_F(TakeoverTest, DoesNotWaitForAWorkerThatNoOwnerCouldOrder) {
+  own(1, {worker("w1"), worker("w2"), worker("w3")});
+  answer({{"w1", listing({})}, {"w2", listing({})}});
+  EXPECT_EQ(Workers_.Starts_.size(), 1U);
+}
+
+TEST_F(TakeoverTest, WaitsForAllWorkersWhereTheRosterCanNotBeRead) {
+  storeRoster("torn");
+  own(1, {worker("w1"), worker("w2")});
+  answer({{"w2", listing({})}});
+  EXPECT_TRUE(Workers_.Starts_.empty());
+}
+
 /// Two workers that each run one task of a serving step.
 class ServingPairTest : public PoolOwnerTest {
 protected:
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -83,6 +83,11 @@
   /// Whether a later lifetime of the worker is registered in another pool, so
   /// that this one is over and must not be asked: the other would answer.
   bool IsOver_ = false;
+  /// Whether an earlier owner could order the worker, by its roster.
+  bool IsInherited_ = false;
+  /// Whether the lifetime is known to have ended, so that nothing runs there
+  /// any more.
+  bool HasEnded_ = false;
   /// Whether the worker stands in the stored roster.
   bool IsInRoster_ = false;
   /// Whether the stored roster says, or may say, that the worker is silent; it
