Run tasks elsewhere once a silent worker's machine has a later one

A worker that crashed, or whose machine was moved or maintained by an order without an answer, kept its tasks until their lease must have lapsed, 6.2 s after its last hold. A lasting task has 6 s to run again.

Cause: only a later lifetime of the same id ended a silent lifetime; a machine that comes back has a worker of another id. Now a later worker registered on the machine, in any pool, frees what the silent one had confirmed. Starts that were not answered still wait for their own end, as an order may be carried out late.

PoolOwnerTest.RunsALastingTaskElsewhereOnceItsMachineHasALaterWorker failed before.

--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -382,6 +382,8 @@
             .with("by", Found->second.Id_)
             .with("runs", std::uint64_t{Session->runs().size()}));
     Session->HasEnded_ = true;
+    Runs_.releaseConfirmed(*Session);
+    State_.NeedsDispatch_ = true;
   }
 }
 
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -405,6 +405,31 @@
   EXPECT_TRUE(Workers_.Starts_.empty());
 }
 
+TEST_F(PoolOwnerTest, RunsALastingTaskElsewhereOnceItsMachineHasALaterWorker) {
+  JobSpec Spec = jobOf(1);
+  Spec.Steps_[0].IsLongRunning_ = true;
+  storeJob(Spec);
+  own(0, {worker("w1")});
+  answerHold(listing({}));
+  Workers_.takeStart().Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+  Owner_->tick();
+  Workers_.takeHold().Done_(HoldAnswer());
+  WorkerEntry Later = worker("w2");
+  Later.Machine_ = worker("w1").Machine_;
+  Later.Born_ = milliseconds(50);
+  Owner_->onWorkers({Later});
+  tickTwice();
+  HoldAnswer Listed = listing({});
+  Listed.Born_ = Later.Born_;
+  while (!Workers_.Holds_.empty()) {
+    RecordingWorkers::Hold Each = Workers_.takeHold();
+    Each.Done_(Each.Target_.Id_ == "w2" ? Listed : HoldAnswer());
+  }
+  tickTwice();
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  EXPECT_EQ(Workers_.Starts_[0].Target_.Id_, "w2");
+}
+
 /// Two workers that each run one task of a serving step.
 class ServingPairTest : public PoolOwnerTest {
 protected:
