An owner looks only at jobs that have changed or may start

Callers saw their tasks wait, or lost, in pools with a long backlog: a round of decisions walked over all jobs and runs several times, so that an owner with 0.12 of a core fell behind the more, the more work waited.

The jobs tell an index what changes. It keeps them in the order of urgency by the room that their next tasks need; a round walks only through jobs for whose need some worker has room, and those not looked at since they changed. Jobs to be stored, and those to be retired, are kept the same way. Unwanted runs are looked for when a job, a worker or an order has made one possible, and every 100 ms. Ends that wait to be stored are kept by job.

The starts are the same, in the same order, as those of the code before with ties of urgency broken by the job's id (batches of 1, 10 and 40); ties were in no fixed order before.

Ruled out: a cheaper sort of all jobs, since the walks for stops, stores and retirements cost as much as the dispatch.

--- a/src/scheduling/activejob.h
+++ b/src/scheduling/activejob.h
@@ -15,6 +15,8 @@
 
 namespace dragonflylock {
 
+class IJobObserver;
+
 /// What the owner of a pool knows of a task's current run.
 enum class TaskPhase {
   /// Not started, or to be started again.
@@ -71,30 +73,56 @@
   const StepSpec &step(const TaskName &Name) const {
     return Stored_.Spec_.Steps_[Name.Step_];
   }
-  JobProgress &progress() { return Progress_; }
   const JobProgress &progress() const { return Progress_; }
+  /// \returns the progress, to be changed at once.
+  JobProgress &changeProgress() {
+    noteChange();
+    return Progress_;
+  }
+  /// \returns whether no task may run any more.
+  bool isOver() const { return IsCancelled_ || isFinal(Progress_.state()); }
   /// \returns what the tasks of the task's step share.
   StepRun &stepRun(const TaskName &Name) {
     return StepRuns_[{Name.Occurrence_, Name.Step_}];
   }
-  TaskRun &run(const TaskName &Name);
   const TaskRun &run(const TaskName &Name) const;
+  /// \returns the task's run, to be changed at once.
+  TaskRun &changeRun(const TaskName &Name);
+
+  /// Calls \p Visit with the name and the run of every task, which it may
+  /// change.
+  template <typename Visitor> void changeEachTask(Visitor &&Visit) {
+    noteChange();
+    visitTasks(Runs_, Visit);
+  }
 
   /// Calls \p Visit with the name and the run of every task.
-  template <typename Visitor> void forEachTask(Visitor &&Visit) {
-    for (std::uint32_t K = 0; K < Runs_.size(); ++K)
-      for (std::uint32_t S = 0; S < Runs_[K].size(); ++S)
-        for (std::uint32_t I = 0; I < Runs_[K][S].size(); ++I)
-          Visit(TaskName{Id_, K, S, I}, Runs_[K][S][I]);
+  template <typename Visitor> void forEachTask(Visitor &&Visit) const {
+    visitTasks(Runs_, Visit);
   }
 
-  template <typename Visitor> void forEachTask(Visitor &&Visit) const {
-    for (std::uint32_t K = 0; K < Runs_.size(); ++K)
+  /// Calls \p Visit with the number and the runs of each step of which tasks
+  /// may start at \p Wall, and \p VisitDue with the due time of the next
+  /// occurrence.
+  template <typename Visitor, typename DueVisitor>
+  void forEachOpenStep(std::chrono::milliseconds Wall, Visitor &&Visit,
+                       DueVisitor &&VisitDue) const {
+    for (std::uint32_t K = 0; K < Runs_.size(); ++K) {
+      if (Wall < dueTime(K)) {
+        VisitDue(dueTime(K));
+        return;
+      }
       for (std::uint32_t S = 0; S < Runs_[K].size(); ++S)
-        for (std::uint32_t I = 0; I < Runs_[K][S].size(); ++I)
-          Visit(TaskName{Id_, K, S, I}, Runs_[K][S][I]);
+        if (isStepOpen(K, S, Wall))
+          Visit(S, Runs_[K][S]);
+    }
+  }
+  /// \returns when the occurrence is due; zero where there is no due time.
+  std::chrono::milliseconds dueTime(std::uint32_t Occurrence) const {
+    const JobSpec &Spec = Stored_.Spec_;
+    return Spec.Times_ > 0 ? Spec.FirstDue_ + Occurrence * Spec.Interval_
+                           : std::chrono::milliseconds(0);
   }
-
   /// \returns whether the step may start: what it follows has ended and its
   /// occurrence is due at \p Wall.
   bool isStepOpen(std::uint32_t Occurrence, std::uint32_t Step,
@@ -130,19 +158,49 @@
   std::optional<TimePoint> waitsSince() const { return WaitsSince_; }
 
   /// Notes that the progress must be stored.
-  void touch() { ++Changes_; }
+  void touch() {
+    noteChange();
+    ++Changes_;
+  }
   bool isDirty() const { return Changes_ > StoredChanges_; }
   std::uint64_t changes() const { return Changes_; }
   std::uint64_t storedChanges() const { return StoredChanges_; }
-  void setStoredChanges(std::uint64_t Changes) { StoredChanges_ = Changes; }
+  void setStoredChanges(std::uint64_t Changes) {
+    noteChange();
+    StoredChanges_ = Changes;
+  }
 
   StoreVersion progressVersion() const { return ProgressVersion_; }
   void setProgressVersion(StoreVersion Version) { ProgressVersion_ = Version; }
 
   bool isCancelled() const { return IsCancelled_; }
-  void cancel() { IsCancelled_ = true; }
+  void cancel() {
+    noteChange();
+    IsCancelled_ = true;
+  }
+
+  /// Has \p Value told of changes; it must outlive the job.
+  void observe(IJobObserver &Value) { Observer_ = &Value; }
 
 private:
+  template <typename Tasks, typename Visitor>
+  void visitTasks(Tasks &All, Visitor &Visit) const {
+    TaskName Name{Id_};
+    for (auto &Steps : All) {
+      Name.Step_ = 0;
+      for (auto &Runs : Steps) {
+        Name.Index_ = 0;
+        for (auto &Run : Runs) {
+          Visit(std::as_const(Name), Run);
+          ++Name.Index_;
+        }
+        ++Name.Step_;
+      }
+      ++Name.Occurrence_;
+    }
+  }
+  void noteChange();
+
   std::string Id_;
   SubmittedJob Stored_;
   JobProgress Progress_;
@@ -150,6 +208,7 @@
   std::uint64_t Changes_ = 0;
   std::uint64_t StoredChanges_ = 0;
   bool IsCancelled_ = false;
+  IJobObserver *Observer_ = nullptr;
   std::optional<TimePoint> WaitsSince_;
   /// By occurrence, step and index.
   std::vector<std::vector<std::vector<TaskRun>>> Runs_;
--- a/src/scheduling/internal/activejob.cpp
+++ b/src/scheduling/internal/activejob.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/activejob.h"
+#include "scheduling/internal/ijobobserver.h"
 
 #include <algorithm>
 
@@ -12,7 +13,13 @@
   Runs_.assign(Stored_.Spec_.occurrences(), Steps);
 }
 
-TaskRun &ActiveJob::run(const TaskName &Name) {
+void ActiveJob::noteChange() {
+  if (Observer_ != nullptr)
+    Observer_->onJobChanging(*this);
+}
+
+TaskRun &ActiveJob::changeRun(const TaskName &Name) {
+  noteChange();
   return Runs_[Name.Occurrence_][Name.Step_][Name.Index_];
 }
 
@@ -23,7 +30,7 @@
 bool ActiveJob::isStepOpen(std::uint32_t Occurrence, std::uint32_t Step,
                            std::chrono::milliseconds Wall) const {
   const JobSpec &Spec = Stored_.Spec_;
-  if (Spec.Times_ > 0 && Wall < Spec.FirstDue_ + Occurrence * Spec.Interval_)
+  if (Spec.Times_ > 0 && Wall < dueTime(Occurrence))
     return false;
   const std::vector<std::uint32_t> &After = Spec.Steps_[Step].After_;
   return std::all_of(After.begin(), After.end(), [&](std::uint32_t Earlier) {
@@ -41,7 +48,7 @@
 std::vector<TaskName>
 ActiveJob::startable(TimePoint Now, std::chrono::milliseconds Wall) const {
   std::vector<TaskName> Found;
-  if (IsCancelled_ || isFinal(Progress_.state()))
+  if (isOver())
     return Found;
   for (std::uint32_t K = 0; K < Runs_.size(); ++K) {
     for (std::uint32_t S = 0; S < Runs_[K].size(); ++S) {
@@ -117,7 +124,7 @@
 void ActiveJob::adoptProgress(const JobProgress &Read, StoreVersion Version) {
   Progress_.merge(Read);
   ProgressVersion_ = Version;
-  forEachTask([this](const TaskName &Name, TaskRun &Run) {
+  changeEachTask([this](const TaskName &Name, TaskRun &Run) {
     const TaskProgress &Known = Progress_.task(Name);
     if (Known.IsDone_ && Run.Worker_.empty())
       Run.Phase_ = TaskPhase::Done;
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <map>
-#include <tuple>
 #include <utility>
 
 namespace dragonflylock {
@@ -29,60 +28,18 @@
 /// Time from when a gang could start until it no longer keeps them from it;
 /// ordinary tasks end within it.
 constexpr std::chrono::milliseconds LongestKeeping{6000};
-/// Work, in core-milliseconds, that weighs as much as a millisecond of waiting.
-/// Less work goes first, but a large job gains on later ones while it waits.
-constexpr std::int64_t WorkPerWait = 8;
-
-std::int64_t urgencyOf(const ActiveJob &Job) {
-  return Job.stored().AcceptedAt_.count() + Job.remainingWork() / WorkPerWait;
-}
-
-/// \returns whether the job would miss its objective even if it started now.
-bool isLate(const ActiveJob &Job, const QueueSetting &Queue,
-            std::chrono::milliseconds Wall) {
-  auto Objective = std::chrono::duration_cast<std::chrono::milliseconds>(
-                       Queue.Stretch_ * Job.longestChain(/*OnlyLeft=*/false)) +
-                   Queue.TargetLatency_;
-  return Wall + Job.longestChain(/*OnlyLeft=*/true) >
-         Job.stored().AcceptedAt_ + Objective;
-}
+/// Longest time between two looks for unwanted runs.
+constexpr std::chrono::milliseconds StopLookInterval{100};
 
 } // namespace
 
-std::vector<ActiveJob *> Dispatcher::jobsByUrgency() {
-  struct Entry {
-    ActiveJob *Job_;
-    bool IsShort_;
-    std::uint32_t Priority_;
-    bool IsLate_;
-    std::int64_t Urgency_;
-  };
-  std::vector<Entry> Entries;
-  for (auto &[Id, Job] : Pool_.Jobs_) {
-    if (isFinal(Job->progress().state()) || Job->isCancelled())
-      continue;
-    QueueSetting Queue = Pool_.queueOf(*Job);
-    Entries.push_back({Job.get(), !Job->isLongRunning(), Queue.Priority_,
-                       isLate(*Job, Queue, Pool_.wallTime()), urgencyOf(*Job)});
-  }
-  std::sort(Entries.begin(), Entries.end(),
-            [](const Entry &Left, const Entry &Right) {
-              return std::tie(Left.IsShort_, Left.Priority_, Left.IsLate_,
-                              Left.Urgency_) <
-                     std::tie(Right.IsShort_, Right.Priority_, Right.IsLate_,
-                              Right.Urgency_);
-            });
-  std::vector<ActiveJob *> Jobs;
-  Jobs.reserve(Entries.size());
-  for (const Entry &Each : Entries)
-    Jobs.push_back(Each.Job_);
-  return Jobs;
-}
-
 void Dispatcher::dispatch() {
   Pool_.NeedsDispatch_ = false;
   Chooser_.beginRound();
-  for (ActiveJob *Job : jobsByUrgency())
+  JobIndex &Jobs = Pool_.Index_;
+  Jobs.beginWalk(
+      [this](const RoomNeed &Need) { return Chooser_.hasRoomFor(Need); });
+  while (ActiveJob *Job = Jobs.next())
     if (!Pool_.mayAct() || !dispatchJob(*Job))
       return;
 }
@@ -199,8 +156,10 @@
     if (Session == nullptr || Run.Phase_ != TaskPhase::Running)
       continue;
     auto Known = Session->runs().find(Name);
-    if (Known != Session->runs().end())
-      Known->second.MustStop_ = true;
+    if (Known == Session->runs().end())
+      continue;
+    Known->second.MustStop_ = true;
+    Pool_.NeedsStopLook_ = true;
   }
 }
 
@@ -210,7 +169,7 @@
   if (!Pool_.mayAct())
     return;
   const StepSpec &Step = Job.step(Name);
-  TaskRun &Run = Job.run(Name);
+  TaskRun &Run = Job.changeRun(Name);
   Run.Run_ = Number;
   Run.WasRefused_ = false;
   Job.noteRoom(/*IsMissing=*/false, Now);
@@ -261,7 +220,7 @@
   if (Known == Session->runs().end() || Known->second.Run_ != Run)
     return;
   ActiveJob *Job = Pool_.job(Name.Job_);
-  TaskRun *Task = Job != nullptr ? &Job->run(Name) : nullptr;
+  TaskRun *Task = Job != nullptr ? &Job->changeRun(Name) : nullptr;
   switch (Answer.Outcome_) {
   case OrderOutcome::Accepted:
     Known->second.ConfirmedAt_ = Now;
@@ -286,8 +245,9 @@
   const TimePoint Now = Pool_.Clock_.now();
   Runs_.release(Session, Name);
   if (ActiveJob *Job = Pool_.job(Name.Job_)) {
-    Job->run(Name).NotBefore_ = Now + RefusedPause;
-    Job->run(Name).WasRefused_ = true;
+    TaskRun &Run = Job->changeRun(Name);
+    Run.NotBefore_ = Now + RefusedPause;
+    Run.WasRefused_ = true;
   }
   if (Outcome == OrderOutcome::BadTicket)
     Advice_.drop(Name, Session.entry().lifetime());
@@ -314,7 +274,7 @@
 bool Dispatcher::isUnwanted(const WorkerSession &Session,
                             const TaskName &Name) {
   ActiveJob *Job = Pool_.job(Name.Job_);
-  if (Job == nullptr || Job->isCancelled() || isFinal(Job->progress().state()))
+  if (Job == nullptr || Job->isOver())
     return true;
   if (Job->progress().task(Name).IsDone_)
     return true;
@@ -328,15 +288,22 @@
   if (!Pool_.mayAct())
     return;
   const TimePoint Now = Pool_.Clock_.now();
+  Pool_.Index_.refresh();
+  if (!Pool_.NeedsStopLook_ && Now < NextStopLook_)
+    return;
+  Pool_.NeedsStopLook_ = false;
+  NextStopLook_ = Now + StopLookInterval;
   for (auto &[Lifetime, Session] : Pool_.Sessions_) {
     if (!Session->IsFenced_)
       continue;
     for (auto &[Name, Run] : Session->runs()) {
-      if (Run.NextStop_ > Now ||
-          (!Run.MustStop_ && !isUnwanted(*Session, Name)))
+      if (!Run.MustStop_ && !isUnwanted(*Session, Name))
         continue;
-      Run.NextStop_ = Now + StopRepeat;
-      stop(*Session, Name, Run.Run_);
+      if (Run.NextStop_ <= Now) {
+        Run.NextStop_ = Now + StopRepeat;
+        stop(*Session, Name, Run.Run_);
+      }
+      NextStopLook_ = std::min(NextStopLook_, Run.NextStop_);
     }
   }
 }
@@ -349,7 +316,7 @@
   if (Job != nullptr && Job->progress().contains(Name) &&
       Job->run(Name).Worker_ == Session.entry().lifetime() &&
       Job->run(Name).Phase_ == TaskPhase::Running)
-    Job->run(Name).Phase_ = TaskPhase::Stopping;
+    Job->changeRun(Name).Phase_ = TaskPhase::Stopping;
   Session.NextHold_ = std::min(Session.NextHold_, Pool_.Clock_.now());
   Pool_.Workers_.stop(
       Session.target(), Name, Run, Pool_.Token_,
--- a/src/scheduling/internal/dispatcher.h
+++ b/src/scheduling/internal/dispatcher.h
@@ -36,7 +36,6 @@
   void abandon(WorkerSession &Session);
 
 private:
-  std::vector<ActiveJob *> jobsByUrgency();
   /// \returns whether less urgent jobs may start tasks as well.
   bool dispatchJob(ActiveJob &Job);
   /// Starts a gang as a whole, or completes one of which a worker has refused
@@ -66,6 +65,7 @@
   RunBook &Runs_;
   AdviceKeeper &Advice_;
   WorkerChooser Chooser_;
+  TimePoint NextStopLook_;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/holdkeeper.cpp
+++ b/src/scheduling/internal/holdkeeper.cpp
@@ -113,6 +113,8 @@
   Session.LastLists_ = Now;
   if (!Session.IsFenced_ || Session.HoldFailures_ > 0)
     Pool_.NeedsDispatch_ = true;
+  if (!Session.IsFenced_)
+    Pool_.NeedsStopLook_ = true;
   // What an earlier owner started may hold a lease of full length.
   if (!Session.IsFenced_)
     Session.noteLease(Pool_.surelyLapsed(Now));
--- /dev/null
+++ b/src/scheduling/internal/jobindex.h
@@ -0,0 +1,122 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_INTERNAL_JOBINDEX_H
+#define DRAGONFLYLOCK_SCHEDULING_INTERNAL_JOBINDEX_H
+
+#include "scheduling/internal/ijobobserver.h"
+#include "scheduling/internal/jobrank.h"
+#include "scheduling/internal/roomneed.h"
+#include "scheduling/schedulingtypes.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace dragonflylock {
+
+struct PoolState;
+
+/// Sorts a pool's jobs by what is to be done about them, and keeps up with
+/// their changes, so that no round has to look at all of them.
+class JobIndex : public IJobObserver {
+public:
+  struct ById {
+    bool operator()(const ActiveJob *Left, const ActiveJob *Right) const;
+  };
+  using JobSet = std::set<ActiveJob *, ById>;
+  using RoomCheck = std::function<bool(const RoomNeed &)>;
+
+  explicit JobIndex(PoolState &Pool) : Pool_(Pool) {}
+  JobIndex(const JobIndex &) = delete;
+  JobIndex &operator=(const JobIndex &) = delete;
+
+  void add(ActiveJob &Job);
+  void remove(ActiveJob &Job);
+  ActiveJob *find(const std::string &Id);
+  void onJobChanging(ActiveJob &Job) override;
+
+  /// Takes in what has changed since the last call.
+  void refresh();
+  /// \returns jobs whose progress must be stored, by queue.
+  const std::map<std::string, JobSet> &dirty() const { return Dirty_; }
+  /// \returns jobs whose end is stored and which run nowhere.
+  const JobSet &retirable() const { return Retirable_; }
+
+  /// Begins a walk through jobs with startable tasks, the most urgent first.
+  /// Jobs for which there is no room are left out, unless they have not been
+  /// looked at since they changed.
+  /// \param HasRoom tells whether any worker has the room; it must not be
+  ///   found to have more while the walk goes on.
+  void beginWalk(RoomCheck HasRoom);
+  /// \returns the next job of the walk, or null after the last.
+  ActiveJob *next();
+  /// \returns the number of jobs that all walks have come by.
+  std::uint64_t visits() const { return Visits_; }
+
+private:
+  /// Where a job is entered.
+  struct Place {
+    JobRank Rank_;
+    std::vector<RoomNeed> Needs_;
+    /// Whether it is walked by although there may be no room.
+    bool IsUnconditional_ = false;
+    /// When it has to be looked at again though it has not changed.
+    std::optional<std::chrono::milliseconds> NextWall_;
+    std::optional<TimePoint> NextTime_;
+  };
+  struct Node {
+    ActiveJob *Job_ = nullptr;
+    bool IsChanged_ = false;
+    Place Place_;
+  };
+  using Ranks = std::set<JobRank>;
+  /// The next job of one of the sets that a walk merges.
+  struct Head {
+    Ranks *Of_ = nullptr;
+    Ranks::iterator At_;
+    /// Null where the set is walked in any case.
+    const RoomNeed *Need_ = nullptr;
+  };
+
+  static bool isLater(const Head &Left, const Head &Right) {
+    return *Right.At_ < *Left.At_;
+  }
+  void change(Node &Each);
+  void changeAll();
+  void changeDue();
+  void leave(Node &Each);
+  void enter(Node &Each);
+  void enterTasks(Node &Each);
+  Place placeOf(ActiveJob &Job) const;
+  void collectNeeds(const ActiveJob &Job, Place &Into) const;
+  void pushHead(Ranks &Of, const RoomNeed *Need);
+
+  PoolState &Pool_;
+  std::unordered_map<std::string, Node> Nodes_;
+  std::vector<Node *> Changed_;
+  std::map<std::string, JobSet> Dirty_;
+  JobSet Retirable_;
+  /// Jobs with startable tasks, by the room that one of these needs.
+  std::map<RoomNeed, Ranks> ByNeed_;
+  Ranks Unconditional_;
+  /// Jobs that have not been looked at since they changed.
+  Ranks Fresh_;
+  std::set<std::pair<std::chrono::milliseconds, ActiveJob *>> ByWall_;
+  std::set<std::pair<TimePoint, ActiveJob *>> ByTime_;
+  std::chrono::milliseconds LastWall_{0};
+  std::shared_ptr<const SchedulingConfiguration> LastConfiguration_;
+  RoomCheck HasRoom_;
+  std::vector<Head> Heads_;
+  const ActiveJob *Last_ = nullptr;
+  std::uint64_t Visits_ = 0;
+};
+
+} // namespace dragonflylock
+
+#endif
--- a/src/scheduling/internal/jobregister.cpp
+++ b/src/scheduling/internal/jobregister.cpp
@@ -46,8 +46,7 @@
   }
   if (Stored.value().Pool_ != Pool_.Pool_)
     return;
-  Pool_.Jobs_.emplace(
-      Id, std::make_unique<ActiveJob>(Id, std::move(Stored).value()));
+  Pool_.addJob(std::make_unique<ActiveJob>(Id, std::move(Stored).value()));
   Pool_.NeedsDispatch_ = true;
 }
 
@@ -72,18 +71,18 @@
   Pool_.NeedsDispatch_ = true;
 }
 
-void JobRegister::retireEnded() {
-  std::erase_if(Pool_.Jobs_, [this](const auto &Each) {
-    const ActiveJob &Job = *Each.second;
-    if (!isFinal(Job.progress().state()) || Job.isDirty() || Job.runCount() > 0)
-      return false;
-    EndedIds_.insert(Job.id());
-    Ended_.push_back({Job.id(), Job.stored().Queue_,
+bool JobRegister::retireEnded() {
+  Pool_.Index_.refresh();
+  const JobIndex::JobSet Retirable = Pool_.Index_.retirable();
+  for (ActiveJob *Job : Retirable) {
+    EndedIds_.insert(Job->id());
+    Ended_.push_back({Job->id(), Job->stored().Queue_,
                       Pool_.Clock_.now() + Pool_.Settings_.StatusRetention_ +
                           RetentionMargin});
-    return true;
-  });
+    Pool_.removeJob(*Job);
+  }
   removeOldRows();
+  return !Retirable.empty();
 }
 
 void JobRegister::removeOldRows() {
--- a/src/scheduling/internal/jobregister.h
+++ b/src/scheduling/internal/jobregister.h
@@ -24,7 +24,8 @@
   void onRow(const StoreRow &Row);
   /// Forgets jobs whose end is stored and which run nowhere, and removes the
   /// rows of those that ended long ago.
-  void retireEnded();
+  /// \returns whether a job was forgotten.
+  bool retireEnded();
 
 private:
   struct Ended {
--- a/src/scheduling/internal/loadmeter.cpp
+++ b/src/scheduling/internal/loadmeter.cpp
@@ -86,7 +86,7 @@
   const Resources Unit = countMachines(Load, Pool);
   const std::chrono::milliseconds Wall = Pool.wallTime();
   for (const auto &[Id, Job] : Pool.Jobs_) {
-    if (isFinal(Job->progress().state()) || Job->isCancelled())
+    if (Job->isOver())
       continue;
     addTasks(Load, *Job, Unit, Pool);
     if (auto Since = Job->waitsSince())
--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -361,7 +361,7 @@
 void MaintenanceKeeper::doubtRuns(const WorkerSession &Session) {
   for (const auto &[Name, Run] : Session.runs())
     if (ActiveJob *Job = Pool_.job(Name.Job_))
-      Job->run(Name).Percent_ = 0;
+      Job->changeRun(Name).Percent_ = 0;
 }
 
 bool MaintenanceKeeper::readyForOrder(const std::string &Name) {
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -165,7 +165,7 @@
   for (auto &[Id, Job] : State_.Jobs_) {
     if (!HasPredecessor_)
       continue;
-    Job->forEachTask([](const TaskName &, TaskRun &Run) {
+    Job->changeEachTask([](const TaskName &, TaskRun &Run) {
       Run.MayRunElsewhere_ = Run.Phase_ != TaskPhase::Done;
     });
   }
@@ -192,6 +192,7 @@
   View.LeaseLeft_ = std::chrono::duration_cast<std::chrono::milliseconds>(
       State_.LeaseEnd_ - Now);
   View.Jobs_ = State_.Jobs_.size();
+  View.JobVisits_ = State_.Index_.visits();
   View.Workers_ = State_.Sessions_.size();
   for (const auto &[Lifetime, Session] : State_.Sessions_) {
     View.Runs_ += Session->runs().size();
@@ -223,6 +224,7 @@
           .with("pool", View.Pool_)
           .with("token", View.Token_)
           .with("jobs", View.Jobs_)
+          .with("job-visits", View.JobVisits_)
           .with("runs", View.Runs_)
           .with("waiting-tasks", View.WaitingTasks_)
           .with("workers", View.Workers_)
@@ -257,7 +259,7 @@
   InheritedTasks_ = std::move(Doubtful);
   State_.NeedsDispatch_ = true;
   for (auto &[Id, Job] : State_.Jobs_)
-    Job->forEachTask([this](const TaskName &Name, TaskRun &Run) {
+    Job->changeEachTask([this](const TaskName &Name, TaskRun &Run) {
       Run.MayRunElsewhere_ =
           Run.MayRunElsewhere_ && InheritedTasks_.contains(Name.text());
     });
@@ -339,6 +341,7 @@
     Session.setEntry(Worker);
     Session.IsListed_ = true;
     Parts_->State_.NeedsDispatch_ = true;
+    Parts_->State_.NeedsStopLook_ = true;
   }
 }
 
@@ -373,8 +376,8 @@
     Parts_->Moves_->tick();
   }
   Parts_->Writer_->flush();
-  Parts_->Jobs_.retireEnded();
-  Parts_->Advice_->forgetEnded();
+  if (Parts_->Jobs_.retireEnded())
+    Parts_->Advice_->forgetEnded();
   Parts_->removeGoneWorkers();
 }
 
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -29,11 +29,19 @@
   return *Place->second;
 }
 
-ActiveJob *PoolState::job(const std::string &Id) {
-  auto Found = Jobs_.find(Id);
-  return Found == Jobs_.end() ? nullptr : Found->second.get();
+void PoolState::addJob(std::unique_ptr<ActiveJob> Job) {
+  Index_.add(*Job);
+  std::string Id = Job->id();
+  Jobs_.emplace(std::move(Id), std::move(Job));
 }
 
+void PoolState::removeJob(ActiveJob &Job) {
+  Index_.remove(Job);
+  Jobs_.erase(std::string(Job.id()));
+}
+
+ActiveJob *PoolState::job(const std::string &Id) { return Index_.find(Id); }
+
 WorkerSession *PoolState::session(const std::string &Lifetime) {
   auto Found = Sessions_.find(Lifetime);
   return Found == Sessions_.end() ? nullptr : Found->second.get();
@@ -46,16 +54,15 @@
   return nullptr;
 }
 
-QueueSetting PoolState::queueOf(const ActiveJob &Job) const {
+const QueueSetting &PoolState::queueOf(const ActiveJob &Job) const {
+  static const QueueSetting Removed = [] {
+    QueueSetting Setting;
+    Setting.MostAttempts_ = DefaultAttempts;
+    return Setting;
+  }();
   const QueueSetting *Found =
       Configuration_ ? Configuration_->queue(Job.stored().Queue_) : nullptr;
-  if (Found != nullptr)
-    return *Found;
-  QueueSetting Removed;
-  Removed.Name_ = Job.stored().Queue_;
-  Removed.Pool_ = Job.stored().Pool_;
-  Removed.MostAttempts_ = DefaultAttempts;
-  return Removed;
+  return Found != nullptr ? *Found : Removed;
 }
 
 TimePoint PoolState::surelyLapsed(TimePoint Now) const {
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_SCHEDULING_INTERNAL_POOLSTATE_H
 
 #include "scheduling/activejob.h"
+#include "scheduling/internal/jobindex.h"
 #include "scheduling/schedulingsettings.h"
 #include "scheduling/workersession.h"
 
@@ -22,7 +23,6 @@
 struct UnstoredEnd {
   std::string Worker_;
   std::uint64_t Sequence_ = 0;
-  std::string Job_;
   /// The job's change that holds the end's consequence.
   std::uint64_t Change_ = 0;
 };
@@ -33,7 +33,7 @@
             const IClock &Clock, IStore &Store, IWorkerControl &Workers,
             ILogger &Logger)
       : Pool_(std::move(Pool)), Settings_(Settings), Clock_(Clock),
-        Store_(Store), Workers_(Workers), Logger_(Logger) {}
+        Store_(Store), Workers_(Workers), Logger_(Logger), Index_(*this) {}
 
   std::string Pool_;
   const SchedulingSettings &Settings_;
@@ -49,16 +49,20 @@
   TimePoint InheritedLapse_;
   /// End of the owner's lease.
   TimePoint LeaseEnd_;
-  /// By job id.
+  /// By job id; to be changed by addJob and removeJob.
   std::map<std::string, std::unique_ptr<ActiveJob>> Jobs_;
+  JobIndex Index_;
   /// By lifetime.
   std::map<std::string, std::unique_ptr<WorkerSession>> Sessions_;
   std::shared_ptr<const SchedulingConfiguration> Configuration_;
-  std::vector<UnstoredEnd> UnstoredEnds_;
+  /// By job id.
+  std::map<std::string, std::vector<UnstoredEnd>> UnstoredEnds_;
   /// Whether the pool's work needs more machines than it has.
   bool LacksMachines_ = false;
   /// Whether something has changed that may let a task start.
   bool NeedsDispatch_ = false;
+  /// Whether something has changed that may make a run unwanted.
+  bool NeedsStopLook_ = false;
 
   /// \returns whether this process still owns the pool. To be asked right
   /// before each act, since the process may have been paused.
@@ -66,12 +70,14 @@
   /// \returns the session of the worker's lifetime, which is made where there
   /// is none.
   WorkerSession &meet(const WorkerEntry &Entry);
+  void addJob(std::unique_ptr<ActiveJob> Job);
+  void removeJob(ActiveJob &Job);
   ActiveJob *job(const std::string &Id);
   WorkerSession *session(const std::string &Lifetime);
   /// \returns the registered worker on the machine, or null.
   WorkerSession *sessionOn(const std::string &Machine);
   /// \returns the queue's setting, or defaults where it has been removed.
-  QueueSetting queueOf(const ActiveJob &Job) const;
+  const QueueSetting &queueOf(const ActiveJob &Job) const;
   /// \returns when a lease granted at \p Now has ended for certain.
   TimePoint surelyLapsed(TimePoint Now) const;
   std::chrono::milliseconds wallTime() const;
--- a/src/scheduling/internal/progresswriter.cpp
+++ b/src/scheduling/internal/progresswriter.cpp
@@ -5,6 +5,9 @@
 #include "scheduling/istore.h"
 #include "scheduling/jobrows.h"
 
+#include <algorithm>
+#include <iterator>
+
 namespace dragonflylock {
 namespace {
 
@@ -26,20 +29,18 @@
 void ProgressWriter::flush() {
   if (!Pool_.mayAct())
     return;
-  std::map<std::string, std::vector<ActiveJob *>> Dirty;
-  for (auto &[Id, Job] : Pool_.Jobs_) {
-    if (!Job->isDirty())
-      continue;
-    std::vector<ActiveJob *> &OfPart = Dirty[Job->stored().Queue_];
-    if (OfPart.size() < LargestBatch)
-      OfPart.push_back(Job.get());
-  }
-  for (auto &[Part, Jobs] : Dirty) {
+  Pool_.Index_.refresh();
+  std::map<std::string, std::vector<ActiveJob *>> Batches;
+  for (const auto &[Part, Jobs] : Pool_.Index_.dirty()) {
     const PartState &State = Parts_[Part];
-    if (!Jobs.empty() && !State.IsBusy_ &&
-        State.NotBefore_ <= Pool_.Clock_.now())
-      send(Part, Jobs);
+    if (Jobs.empty() || State.IsBusy_ || State.NotBefore_ > Pool_.Clock_.now())
+      continue;
+    auto End = std::next(Jobs.begin(), static_cast<std::ptrdiff_t>(std::min(
+                                           Jobs.size(), LargestBatch)));
+    Batches[Part].assign(Jobs.begin(), End);
   }
+  for (auto &[Part, Jobs] : Batches)
+    send(Part, Jobs);
 }
 
 void ProgressWriter::send(const std::string &Part,
@@ -128,8 +129,11 @@
 }
 
 void ProgressWriter::settleEnds(const ActiveJob &Job) {
-  std::erase_if(Pool_.UnstoredEnds_, [&](const UnstoredEnd &End) {
-    if (End.Job_ != Job.id() || End.Change_ > Job.storedChanges())
+  auto Ends = Pool_.UnstoredEnds_.find(Job.id());
+  if (Ends == Pool_.UnstoredEnds_.end())
+    return;
+  std::erase_if(Ends->second, [&](const UnstoredEnd &End) {
+    if (End.Change_ > Job.storedChanges())
       return false;
     if (WorkerSession *Session = Pool_.session(End.Worker_)) {
       Session->settleEnd(End.Sequence_);
@@ -138,6 +142,8 @@
     }
     return true;
   });
+  if (Ends->second.empty())
+    Pool_.UnstoredEnds_.erase(Ends);
 }
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/runbook.cpp
+++ b/src/scheduling/internal/runbook.cpp
@@ -57,7 +57,7 @@
                           .with("how", nameOf(End.Kind_))
                           .with("worker", Session.entry().Id_)
                           .with("sequence", End.Sequence_));
-  TaskRun &Run = Job->run(End.Task_);
+  TaskRun &Run = Job->changeRun(End.Task_);
   bool IsCurrent =
       Run.Worker_ == Session.entry().lifetime() && Run.Run_ <= End.Run_;
   if (IsCurrent) {
@@ -77,21 +77,25 @@
     noteFailure(Session, *Job, End);
   judge(*Job);
   if (Job->changes() > Before)
-    Pool_.UnstoredEnds_.push_back(
-        {Session.entry().lifetime(), End.Sequence_, Job->id(), Job->changes()});
+    Pool_.UnstoredEnds_[Job->id()].push_back(
+        {Session.entry().lifetime(), End.Sequence_, Job->changes()});
   else
     Session.settleEnd(End.Sequence_);
 }
 
 void RunBook::noteCheckpoint(ActiveJob &Job, const TaskName &Name,
                              const std::string &Checkpoint) {
+  auto Note = [&](const TaskName &Each) {
+    if (Job.progress().task(Each).Checkpoint_ != Checkpoint)
+      Job.changeProgress().task(Each).Checkpoint_ = Checkpoint;
+  };
   if (!Job.step(Name).IsGang_) {
-    Job.progress().task(Name).Checkpoint_ = Checkpoint;
+    Note(Name);
     return;
   }
   // All members of a gang resume from the same checkpoint.
   for (const TaskName &Member : Job.membersOf(Name))
-    Job.progress().task(Member).Checkpoint_ = Checkpoint;
+    Note(Member);
 }
 
 void RunBook::noteDone(ActiveJob &Job, const TaskName &Name) {
@@ -105,24 +109,24 @@
 }
 
 void RunBook::noteTaskDone(ActiveJob &Job, const TaskName &Name) {
-  TaskProgress &Progress = Job.progress().task(Name);
+  TaskProgress &Progress = Job.changeProgress().task(Name);
   if (Progress.IsDone_)
     return;
   Progress.IsDone_ = true;
   if (Job.run(Name).Worker_.empty())
-    Job.run(Name).Phase_ = TaskPhase::Done;
+    Job.changeRun(Name).Phase_ = TaskPhase::Done;
   if (Job.progress().state() == JobPhase::Queued)
-    Job.progress().setState(JobPhase::Running);
+    Job.changeProgress().setState(JobPhase::Running);
   Job.touch();
 }
 
 void RunBook::noteFailure(WorkerSession &Session, ActiveJob &Job,
                           const ListedEnd &End) {
   countFailure(Session, Job, End);
-  Job.run(End.Task_).FailedOn_ = Session.entry().lifetime();
+  Job.changeRun(End.Task_).FailedOn_ = Session.entry().lifetime();
   if (Job.step(End.Task_).IsLongRunning_)
     return;
-  Job.progress().task(End.Task_).noteFailure(End.Run_);
+  Job.changeProgress().task(End.Task_).noteFailure(End.Run_);
   Job.touch();
 }
 
@@ -144,13 +148,25 @@
           .with("failures", std::uint64_t{Session.FailuresInRow_}));
 }
 
+void RunBook::adopt(TaskRun &Run, const std::string &Lifetime,
+                    const ListedRun &Listed) const {
+  Run.Worker_ = Lifetime;
+  Run.Run_ = Listed.Run_;
+  if (Run.Phase_ != TaskPhase::Stopping)
+    Run.Phase_ = TaskPhase::Running;
+  constexpr std::uint32_t FullSpeed = 100;
+  if (Listed.Percent_ >= FullSpeed && Run.Percent_ < FullSpeed)
+    Run.AtWorkSince_ = Pool_.Clock_.now();
+  Run.Percent_ = Listed.Percent_;
+}
+
 bool RunBook::onListed(WorkerSession &Session, const ListedRun &Listed) {
   ActiveJob *Job = Pool_.job(Listed.Task_.Job_);
   if (Job == nullptr || !Job->progress().contains(Listed.Task_))
     return false;
-  if (Job->isCancelled() || isFinal(Job->progress().state()))
+  if (Job->isOver())
     return false;
-  TaskRun &Run = Job->run(Listed.Task_);
+  const TaskRun &Run = Job->run(Listed.Task_);
   if (Run.Phase_ == TaskPhase::Done ||
       Job->progress().task(Listed.Task_).IsDone_)
     return false;
@@ -158,16 +174,14 @@
   bool IsElsewhere = !Run.Worker_.empty() && Run.Worker_ != Lifetime;
   if (IsElsewhere || Listed.Run_ < Run.Run_)
     return IsElsewhere ? false : Run.Phase_ == TaskPhase::Starting;
-  Run.Worker_ = Lifetime;
-  Run.Run_ = Listed.Run_;
-  if (Run.Phase_ != TaskPhase::Stopping)
-    Run.Phase_ = TaskPhase::Running;
+  bool IsAsKnown =
+      Run.Worker_ == Lifetime && Run.Run_ == Listed.Run_ &&
+      Run.Percent_ == Listed.Percent_ &&
+      (Run.Phase_ == TaskPhase::Running || Run.Phase_ == TaskPhase::Stopping);
+  if (!IsAsKnown)
+    adopt(Job->changeRun(Listed.Task_), Lifetime, Listed);
   if (!Listed.Checkpoint_.empty())
     noteCheckpoint(*Job, Listed.Task_, Listed.Checkpoint_);
-  constexpr std::uint32_t FullSpeed = 100;
-  if (Listed.Percent_ >= FullSpeed && Run.Percent_ < FullSpeed)
-    Run.AtWorkSince_ = Pool_.Clock_.now();
-  Run.Percent_ = Listed.Percent_;
   const StepSpec &Step = Job->step(Listed.Task_);
   SessionRun &Known = Session.runs()[Listed.Task_];
   Known.Run_ = Listed.Run_;
@@ -189,7 +203,7 @@
   ActiveJob *Job = Pool_.job(Name.Job_);
   if (Job == nullptr || !Job->progress().contains(Name))
     return;
-  TaskRun &Run = Job->run(Name);
+  TaskRun &Run = Job->changeRun(Name);
   if (Run.Worker_ != Session.entry().lifetime())
     return;
   Run.Worker_.clear();
@@ -236,10 +250,12 @@
       continue;
     Doubtful.ConfirmedAt_.reset();
     Doubtful.MustStop_ = true;
+    Pool_.NeedsStopLook_ = true;
     Successor.runs()[Name] = Doubtful;
     Successor.noteLease(Pool_.surelyLapsed(Pool_.Clock_.now()));
-    Job->run(Name).Worker_ = Successor.entry().lifetime();
-    Job->run(Name).Phase_ = TaskPhase::Stopping;
+    TaskRun &Run = Job->changeRun(Name);
+    Run.Worker_ = Successor.entry().lifetime();
+    Run.Phase_ = TaskPhase::Stopping;
   }
 }
 
@@ -248,7 +264,7 @@
   // A gang fails as a whole, by whichever member.
   std::map<std::pair<std::uint32_t, std::uint32_t>, std::set<RunNumber>> Gangs;
   bool Failed = false;
-  Job.forEachTask([&](const TaskName &Name, TaskRun &) {
+  Job.forEachTask([&](const TaskName &Name, const TaskRun &) {
     const std::vector<RunNumber> &Runs = Job.progress().task(Name).FailedRuns_;
     Failed = Failed || Runs.size() >= Most;
     if (!Runs.empty() && Job.step(Name).IsGang_)
@@ -272,7 +288,7 @@
     Next = JobPhase::Failed;
   if (Next == Job.progress().state())
     return;
-  Job.progress().setState(Next);
+  Job.changeProgress().setState(Next);
   Job.touch();
   Pool_.NeedsDispatch_ = true;
 }
--- a/src/scheduling/internal/runbook.h
+++ b/src/scheduling/internal/runbook.h
@@ -11,6 +11,7 @@
 
 class ActiveJob;
 class WorkerSession;
+struct TaskRun;
 struct PoolState;
 struct SessionRun;
 
@@ -45,6 +46,9 @@
 private:
   void releaseIf(WorkerSession &Session,
                  const std::function<bool(const SessionRun &)> &IsOver);
+  /// Has the run be what a worker lists.
+  void adopt(TaskRun &Run, const std::string &Lifetime,
+             const ListedRun &Listed) const;
   void noteCheckpoint(ActiveJob &Job, const TaskName &Name,
                       const std::string &Checkpoint);
   void noteDone(ActiveJob &Job, const TaskName &Name);
--- a/src/scheduling/internal/workerchooser.cpp
+++ b/src/scheduling/internal/workerchooser.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/internal/workerchooser.h"
 #include "scheduling/internal/advicekeeper.h"
 #include "scheduling/internal/poolstate.h"
+#include "scheduling/internal/roomneed.h"
 
 #include <algorithm>
 #include <set>
@@ -47,6 +48,18 @@
   }
 }
 
+bool WorkerChooser::hasRoomFor(const RoomNeed &Need) const {
+  auto Offers = [&](const PlacementCandidate &Each) {
+    return Each.Free_.holds(Need.Room_) &&
+           (Need.Label_.empty() ||
+            std::find(Each.Labels_.begin(), Each.Labels_.end(), Need.Label_) !=
+                Each.Labels_.end());
+  };
+  return Largest_.holds(Need.Room_) &&
+         std::any_of(Round_.Candidates_.begin(), Round_.Candidates_.end(),
+                     Offers);
+}
+
 void WorkerChooser::onStarted(const WorkerSession &Session,
                               const StepSpec &Step) {
   auto Found =
--- a/src/scheduling/poolview.h
+++ b/src/scheduling/poolview.h
@@ -16,6 +16,8 @@
   /// Time until the owner's lease ends.
   std::chrono::milliseconds LeaseLeft_{0};
   std::uint64_t Jobs_ = 0;
+  /// How often the owner has looked for a start of a job's tasks.
+  std::uint64_t JobVisits_ = 0;
   std::uint64_t Runs_ = 0;
   /// Tasks that could start and have no room.
   std::uint64_t WaitingTasks_ = 0;
