A round looks at each worker without walking through its runs

A round of decisions summed up the runs of 160 workers, copied their racks and labels, searched each worker's runs for the task to be placed, and looked each worker up in the stored roster; ten times a second each task of each job was named and measured. A worker's session now keeps what its runs take until they change, the chooser keeps its candidates' memory, workers without room are passed over first, the roster is compared in order, and the load is measured a step at a time, with the same sums in the same order.

--- a/src/scheduling/activejob.h
+++ b/src/scheduling/activejob.h
@@ -51,6 +51,12 @@
   std::uint32_t Percent_ = 0;
   /// Since when the task has worked at full speed.
   TimePoint AtWorkSince_;
+
+  /// \returns whether the task may be started at \p Now, once its step may.
+  bool mayStart(TimePoint Now) const {
+    return Phase_ == TaskPhase::Waiting && !MayRunElsewhere_ &&
+           NotBefore_ <= Now;
+  }
 };
 
 /// What the tasks of one step of one occurrence share.
@@ -101,6 +107,13 @@
     visitTasks(Runs_, Visit);
   }
 
+  /// Calls \p Visit with the number and the runs of each step of each
+  /// occurrence.
+  template <typename Visitor> void forEachStep(Visitor &&Visit) const {
+    for (const auto &Steps : Runs_)
+      for (std::uint32_t S = 0; S < Steps.size(); ++S)
+        Visit(S, Steps[S]);
+  }
   /// Calls \p Visit with the number and the runs of each step of which tasks
   /// may start at \p Wall, and \p VisitDue with the due time of the next
   /// occurrence.
@@ -132,6 +145,9 @@
   /// \returns the tasks that may be started at \p Now.
   std::vector<TaskName> startable(TimePoint Now,
                                   std::chrono::milliseconds Wall) const;
+  /// \returns their number.
+  std::size_t countStartable(TimePoint Now,
+                             std::chrono::milliseconds Wall) const;
   /// \returns the number of runs that may exist on workers.
   std::size_t runCount() const;
   /// \returns whether any task has been started or has ended.
--- a/src/scheduling/internal/activejob.cpp
+++ b/src/scheduling/internal/activejob.cpp
@@ -55,9 +55,7 @@
       if (!isStepOpen(K, S, Wall))
         continue;
       for (std::uint32_t I = 0; I < Runs_[K][S].size(); ++I) {
-        const TaskRun &Run = Runs_[K][S][I];
-        if (Run.Phase_ == TaskPhase::Waiting && !Run.MayRunElsewhere_ &&
-            Run.NotBefore_ <= Now)
+        if (Runs_[K][S][I].mayStart(Now))
           Found.push_back({Id_, K, S, I});
       }
     }
@@ -65,6 +63,23 @@
   return Found;
 }
 
+std::size_t ActiveJob::countStartable(TimePoint Now,
+                                      std::chrono::milliseconds Wall) const {
+  std::size_t Count = 0;
+  if (isOver())
+    return Count;
+  forEachOpenStep(
+      Wall,
+      [&](std::uint32_t, const std::vector<TaskRun> &Runs) {
+        Count += static_cast<std::size_t>(
+            std::count_if(Runs.begin(), Runs.end(), [Now](const TaskRun &Run) {
+              return Run.mayStart(Now);
+            }));
+      },
+      [](std::chrono::milliseconds) {});
+  return Count;
+}
+
 std::size_t ActiveJob::runCount() const {
   std::size_t Count = 0;
   for (const auto &Steps : Runs_)
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -155,10 +155,10 @@
     WorkerSession *Session = Pool_.session(Run.Worker_);
     if (Session == nullptr || Run.Phase_ != TaskPhase::Running)
       continue;
-    auto Known = Session->runs().find(Name);
-    if (Known == Session->runs().end())
+    SessionRun *Known = Session->run(Name);
+    if (Known == nullptr)
       continue;
-    Known->second.MustStop_ = true;
+    Known->MustStop_ = true;
     Pool_.NeedsStopLook_ = true;
   }
 }
@@ -182,7 +182,7 @@
   Entry.IsFiller_ = Step.IsFiller_;
   Entry.LatencyTarget_ = Step.LatencyTarget_;
   Entry.OrderExpires_ = Now + StartLease + StartLease / 20;
-  Session.runs()[Name] = Entry;
+  Session.changeRuns()[Name] = Entry;
   Session.noteLease(Entry.OrderExpires_);
   Chooser_.onStarted(Session, Step);
 
@@ -216,14 +216,14 @@
   const TimePoint Now = Pool_.Clock_.now();
   if (Answer.Clock_.count() > 0)
     Session->noteClock(Answer.Clock_, Now);
-  auto Known = Session->runs().find(Name);
-  if (Known == Session->runs().end() || Known->second.Run_ != Run)
+  SessionRun *Known = Session->run(Name);
+  if (Known == nullptr || Known->Run_ != Run)
     return;
   ActiveJob *Job = Pool_.job(Name.Job_);
   TaskRun *Task = Job != nullptr ? &Job->changeRun(Name) : nullptr;
   switch (Answer.Outcome_) {
   case OrderOutcome::Accepted:
-    Known->second.ConfirmedAt_ = Now;
+    Known->ConfirmedAt_ = Now;
     if (Task != nullptr && Task->Phase_ == TaskPhase::Starting)
       Task->Phase_ = TaskPhase::Running;
     Session->NextHold_ = std::min(Session->NextHold_, Now);
@@ -296,11 +296,11 @@
   for (auto &[Lifetime, Session] : Pool_.Sessions_) {
     if (!Session->IsFenced_)
       continue;
-    for (auto &[Name, Run] : Session->runs()) {
+    for (const auto &[Name, Run] : Session->runs()) {
       if (!Run.MustStop_ && !isUnwanted(*Session, Name))
         continue;
       if (Run.NextStop_ <= Now) {
-        Run.NextStop_ = Now + StopRepeat;
+        Session->run(Name)->NextStop_ = Now + StopRepeat;
         stop(*Session, Name, Run.Run_);
       }
       NextStopLook_ = std::min(NextStopLook_, Run.NextStop_);
@@ -332,12 +332,11 @@
   WorkerSession *Session = Pool_.session(Lifetime);
   if (Session == nullptr || Answer.Outcome_ != OrderOutcome::Accepted)
     return;
-  auto Known = Session->runs().find(Name);
+  SessionRun *Known = Session->run(Name);
   // From now on the worker rejects the run, so that lists without it settle
   // that it does not exist.
-  if (Known != Session->runs().end() && Known->second.Run_ == Run &&
-      !Known->second.ConfirmedAt_)
-    Known->second.ConfirmedAt_ = Pool_.Clock_.now();
+  if (Known != nullptr && Known->Run_ == Run && !Known->ConfirmedAt_)
+    Known->ConfirmedAt_ = Pool_.Clock_.now();
 }
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/loadmeter.cpp
+++ b/src/scheduling/internal/loadmeter.cpp
@@ -67,16 +67,28 @@
 
 void addTasks(PoolLoad &Load, const ActiveJob &Job, const Resources &Unit,
               const PoolState &Pool) {
-  Job.forEachTask([&](const TaskName &Name, const TaskRun &Run) {
-    const StepSpec &Step = Job.step(Name);
-    if (Step.IsLongRunning_)
-      Load.Lasting_ += shareOf(Step, Unit);
-    else if (!Run.Worker_.empty())
-      Load.Running_ += shareOf(Step, Unit);
+  const std::vector<StepSpec> &Steps = Job.stored().Spec_.Steps_;
+  Job.forEachStep([&](std::uint32_t Number, const std::vector<TaskRun> &Runs) {
+    const StepSpec &Step = Steps[Number];
+    const double Share = shareOf(Step, Unit);
+    for (const TaskRun &Run : Runs) {
+      if (Step.IsLongRunning_)
+        Load.Lasting_ += Share;
+      else if (!Run.Worker_.empty())
+        Load.Running_ += Share;
+    }
   });
-  for (const TaskName &Name : Job.startable(Pool.Clock_.now(), Pool.wallTime()))
-    if (!Job.step(Name).IsLongRunning_)
-      Load.Waiting_ += waitingRoomOf(Job.step(Name), Unit);
+  const TimePoint Now = Pool.Clock_.now();
+  Job.forEachOpenStep(
+      Pool.wallTime(),
+      [&](std::uint32_t Number, const std::vector<TaskRun> &Runs) {
+        if (Steps[Number].IsLongRunning_)
+          return;
+        const double Room = waitingRoomOf(Steps[Number], Unit);
+        for (const TaskRun &Run : Runs)
+          Load.Waiting_ += Run.mayStart(Now) ? Room : 0;
+      },
+      [](std::chrono::milliseconds) {});
 }
 
 } // namespace
--- a/src/scheduling/internal/pacekeeper.cpp
+++ b/src/scheduling/internal/pacekeeper.cpp
@@ -53,7 +53,9 @@
   }
   Session.NextPace_ =
       Pool_.Clock_.now() + FigureWindow + Pool_.Settings_.PaceDelay_;
-  for (auto &[Name, Run] : Session.runs()) {
+  if (Session.fillers() == 0)
+    return;
+  for (auto &[Name, Run] : Session.changeRuns()) {
     if (!Run.IsFiller_ || !Run.ConfirmedAt_)
       continue;
     std::uint32_t Next =
@@ -61,29 +63,28 @@
     if (Next == Run.Percent_)
       continue;
     Run.Percent_ = Next;
-    order(Session, Name, Next);
+    order(Session, Name, Run.Run_, Next);
   }
 }
 
 void PaceKeeper::order(WorkerSession &Session, const TaskName &Name,
-                       std::uint32_t Share) {
-  RunNumber Run = Session.runs()[Name].Run_;
-  Pool_.Workers_.pace(
-      Session.target(), Name, Run, Share, Pool_.Token_,
-      [Weak = weak_from_this(), Lifetime = Session.entry().lifetime(), Name,
-       Run](const OrderAnswer &Answer) {
-        auto Self = Weak.lock();
-        if (!Self || Answer.Outcome_ == OrderOutcome::Accepted)
-          return;
-        WorkerSession *Session = Self->Pool_.session(Lifetime);
-        if (Session == nullptr)
-          return;
-        auto Found = Session->runs().find(Name);
-        // Taken as running at full speed, so that the next round repeats the
-        // order.
-        if (Found != Session->runs().end() && Found->second.Run_ == Run)
-          Found->second.Percent_ = FullShare;
-      });
+                       RunNumber Run, std::uint32_t Share) {
+  Pool_.Workers_.pace(Session.target(), Name, Run, Share, Pool_.Token_,
+                      [Weak = weak_from_this(),
+                       Lifetime = Session.entry().lifetime(), Name,
+                       Run](const OrderAnswer &Answer) {
+                        auto Self = Weak.lock();
+                        if (!Self || Answer.Outcome_ == OrderOutcome::Accepted)
+                          return;
+                        WorkerSession *Session = Self->Pool_.session(Lifetime);
+                        if (Session == nullptr)
+                          return;
+                        SessionRun *Found = Session->run(Name);
+                        // Taken as running at full speed, so that the next
+                        // round repeats the order.
+                        if (Found != nullptr && Found->Run_ == Run)
+                          Found->Percent_ = FullShare;
+                      });
 }
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/pacekeeper.h
+++ b/src/scheduling/internal/pacekeeper.h
@@ -28,7 +28,8 @@
 
 private:
   void adjust(WorkerSession &Session);
-  void order(WorkerSession &Session, const TaskName &Name, std::uint32_t Share);
+  void order(WorkerSession &Session, const TaskName &Name, RunNumber Run,
+             std::uint32_t Share);
 
   PoolState &Pool_;
 };
--- a/src/scheduling/internal/placement.cpp
+++ b/src/scheduling/internal/placement.cpp
@@ -53,11 +53,15 @@
 choosePlacement(const StepSpec &Step,
                 const std::vector<PlacementCandidate> &Candidates) {
   std::optional<std::size_t> Best;
+  std::optional<decltype(rank(Step, Candidates.front()))> BestRank;
   for (std::size_t Index = 0; Index < Candidates.size(); ++Index) {
     if (!isAllowed(Step, Candidates[Index]))
       continue;
-    if (!Best || rank(Step, Candidates[Index]) > rank(Step, Candidates[*Best]))
-      Best = Index;
+    auto Rank = rank(Step, Candidates[Index]);
+    if (BestRank && Rank <= *BestRank)
+      continue;
+    Best = Index;
+    BestRank = Rank;
   }
   return Best;
 }
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -202,7 +202,7 @@
     View.Total_ += Session->entry().Capacity_;
   }
   for (const auto &[Id, Job] : State_.Jobs_)
-    View.WaitingTasks_ += Job->startable(Now, State_.wallTime()).size();
+    View.WaitingTasks_ += Job->countStartable(Now, State_.wallTime());
   const DemandRow &Demand = Demands_.of(State_.Pool_).Row_;
   View.MissingMachines_ = Demand.Missing_;
   View.ComingMachines_ = Demand.Coming_.size();
--- a/src/scheduling/internal/rosterkeeper.cpp
+++ b/src/scheduling/internal/rosterkeeper.cpp
@@ -5,6 +5,8 @@
 #include "scheduling/internal/poolstate.h"
 #include "scheduling/istore.h"
 
+#include <algorithm>
+
 namespace dragonflylock {
 namespace {
 
@@ -81,7 +83,7 @@
 bool RosterKeeper::isToBeDeclared(const WorkerSession &Session) const {
   bool IsKnown = Session.IsFenced_ || Session.WasDeclaredSilent_ ||
                  Pool_.Clock_.now() >= Pool_.InheritedLapse_;
-  return IsKnown && Session.HoldFailures_ >= SilentAfter;
+  return Session.HoldFailures_ >= SilentAfter && IsKnown;
 }
 
 std::map<std::string, std::set<std::string>>
@@ -103,13 +105,17 @@
 bool RosterKeeper::needsWriting() const {
   if (Queues_ != StoredQueues_)
     return true;
-  if (Pool_.Sessions_.size() != Stored_.size())
-    return true;
-  for (const auto &[Lifetime, Session] : Pool_.Sessions_)
-    if (!Stored_.contains(Lifetime) ||
-        isToBeDeclared(*Session) != StoredSilent_.contains(Lifetime))
-      return true;
-  return false;
+  bool IsStored = std::equal(Pool_.Sessions_.begin(), Pool_.Sessions_.end(),
+                             Stored_.begin(), Stored_.end(),
+                             [](const auto &Session, const std::string &Each) {
+                               return Session.first == Each;
+                             });
+  return !IsStored ||
+         std::any_of(Pool_.Sessions_.begin(), Pool_.Sessions_.end(),
+                     [this](const auto &Each) {
+                       return isToBeDeclared(*Each.second) !=
+                              StoredSilent_.contains(Each.first);
+                     });
 }
 
 void RosterKeeper::write() {
--- a/src/scheduling/internal/runbook.cpp
+++ b/src/scheduling/internal/runbook.cpp
@@ -41,9 +41,9 @@
   if (!Session.takeEnd(End.Sequence_))
     return;
   Pool_.NeedsDispatch_ = true;
-  auto Known = Session.runs().find(End.Task_);
-  if (Known != Session.runs().end() && Known->second.Run_ <= End.Run_)
-    Session.runs().erase(Known);
+  const SessionRun *Known = Session.run(End.Task_);
+  if (Known != nullptr && Known->Run_ <= End.Run_)
+    Session.changeRuns().erase(End.Task_);
   ActiveJob *Job = Pool_.job(End.Task_.Job_);
   if (Job == nullptr || !Job->progress().contains(End.Task_)) {
     Session.settleEnd(End.Sequence_);
@@ -183,11 +183,15 @@
   if (!Listed.Checkpoint_.empty())
     noteCheckpoint(*Job, Listed.Task_, Listed.Checkpoint_);
   const StepSpec &Step = Job->step(Listed.Task_);
-  SessionRun &Known = Session.runs()[Listed.Task_];
+  SessionRun *Entered = Session.run(Listed.Task_);
+  if (Entered == nullptr) {
+    Entered = &Session.changeRuns()[Listed.Task_];
+    Entered->Resources_ = Step.PerTask_;
+    Entered->IsFiller_ = Step.IsFiller_;
+    Entered->LatencyTarget_ = Step.LatencyTarget_;
+  }
+  SessionRun &Known = *Entered;
   Known.Run_ = Listed.Run_;
-  Known.Resources_ = Step.PerTask_;
-  Known.IsFiller_ = Step.IsFiller_;
-  Known.LatencyTarget_ = Step.LatencyTarget_;
   Known.Figure_ = Listed.Figure_;
   if (!Known.ConfirmedAt_)
     Known.ConfirmedAt_ = Pool_.Clock_.now();
@@ -199,7 +203,7 @@
                       LogEvent("run.released")
                           .with("task", Name.text())
                           .with("worker", Session.entry().Id_));
-  Session.runs().erase(Name);
+  Session.changeRuns().erase(Name);
   ActiveJob *Job = Pool_.job(Name.Job_);
   if (Job == nullptr || !Job->progress().contains(Name))
     return;
@@ -243,7 +247,7 @@
     auto First = Session.runs().begin();
     TaskName Name = First->first;
     SessionRun Doubtful = First->second;
-    Session.runs().erase(First);
+    Session.changeRuns().erase(First);
     ActiveJob *Job = Pool_.job(Name.Job_);
     bool IsKnown = Job != nullptr && Job->progress().contains(Name);
     if (!IsKnown || Job->run(Name).Worker_ != Session.entry().lifetime())
@@ -251,7 +255,7 @@
     Doubtful.ConfirmedAt_.reset();
     Doubtful.MustStop_ = true;
     Pool_.NeedsStopLook_ = true;
-    Successor.runs()[Name] = Doubtful;
+    Successor.changeRuns()[Name] = Doubtful;
     Successor.noteLease(Pool_.surelyLapsed(Pool_.Clock_.now()));
     TaskRun &Run = Job->changeRun(Name);
     Run.Worker_ = Successor.entry().lifetime();
--- a/src/scheduling/internal/workerchooser.cpp
+++ b/src/scheduling/internal/workerchooser.cpp
@@ -16,26 +16,28 @@
          Session.AvoidUntil_ <= Pool_.Clock_.now();
 }
 
-PlacementCandidate WorkerChooser::candidateOf(const WorkerSession &Session) {
-  PlacementCandidate Candidate;
+void WorkerChooser::describe(const WorkerSession &Session,
+                             PlacementCandidate &Candidate) {
   Candidate.Rack_ = Session.entry().Rack_;
   Candidate.Labels_ = Session.entry().Labels_;
   Candidate.Free_ = Session.freeRoom();
-  for (const auto &[Other, Run] : Session.runs()) {
-    Candidate.Fillers_ += Run.IsFiller_ ? 1 : 0;
-    Candidate.Serving_ += Run.LatencyTarget_.count() > 0 ? 1 : 0;
-  }
-  return Candidate;
+  Candidate.Fillers_ = Session.fillers();
+  Candidate.Serving_ = Session.serving();
 }
 
 void WorkerChooser::beginRound() {
-  Round_ = Choice();
+  // Kept from round to round for the memory that their texts have.
+  std::vector<PlacementCandidate> &Candidates = Round_.Candidates_;
+  Round_.Sessions_.clear();
   for (auto &[Lifetime, Session] : Pool_.Sessions_) {
     if (!isUsable(*Session))
       continue;
-    Round_.Candidates_.push_back(candidateOf(*Session));
+    if (Candidates.size() == Round_.Sessions_.size())
+      Candidates.emplace_back();
+    describe(*Session, Candidates[Round_.Sessions_.size()]);
     Round_.Sessions_.push_back(Session.get());
   }
+  Candidates.resize(Round_.Sessions_.size());
   noteLargest();
 }
 
@@ -74,8 +76,10 @@
   noteLargest();
 }
 
-void WorkerChooser::fitTo(const ActiveJob &Job, const TaskName &Name) {
+void WorkerChooser::fitTo(const ActiveJob &Job, const TaskName &Name,
+                          bool MayEnd) {
   const StepSpec &Step = Job.step(Name);
+  const Resources Room = roomOf(Step);
   const std::string &FailedOn = Job.run(Name).FailedOn_;
   bool CountsStep = Step.MostPerWorker_ > 0 || Step.WantsOneRack_ ||
                     Step.DisruptionBudget_.has_value();
@@ -83,7 +87,8 @@
   for (std::size_t Index = 0; Index < Round_.Sessions_.size(); ++Index) {
     const WorkerSession &Session = *Round_.Sessions_[Index];
     PlacementCandidate &Candidate = Round_.Candidates_[Index];
-    Candidate.IsBarred_ = Session.runs().contains(Name);
+    Candidate.IsBarred_ = (!MayEnd && !Candidate.Free_.holds(Room)) ||
+                          Session.runs().contains(Name);
     Candidate.HasFailedTask_ =
         !FailedOn.empty() && Session.entry().lifetime() == FailedOn;
     Candidate.SameStep_ = CountsStep ? Session.countOf(Name) : 0;
@@ -200,7 +205,7 @@
 bool WorkerChooser::mayFitLater(const ActiveJob &Job,
                                 const std::vector<TaskName> &Names,
                                 bool OnOneRack) {
-  fitTo(Job, Names.front());
+  fitTo(Job, Names.front(), /*MayEnd=*/true);
   Choice Among = Round_;
   if (Advice_.isNeededFor(Job))
     for (std::size_t Index = 0; Index < Among.Sessions_.size(); ++Index)
--- a/src/scheduling/internal/workerchooser.h
+++ b/src/scheduling/internal/workerchooser.h
@@ -56,9 +56,12 @@
   };
 
   bool isUsable(const WorkerSession &Session) const;
-  static PlacementCandidate candidateOf(const WorkerSession &Session);
+  static void describe(const WorkerSession &Session,
+                       PlacementCandidate &Candidate);
   /// Fills in what the round's candidates are to this task.
-  void fitTo(const ActiveJob &Job, const TaskName &Name);
+  /// \param MayEnd whether room counts that runs may leave; without it, workers
+  ///   that have too little are barred.
+  void fitTo(const ActiveJob &Job, const TaskName &Name, bool MayEnd = false);
   void noteLargest();
   /// Leaves only workers of a rack.
   static void keepRack(Choice &Among, const std::string &Rack);
--- a/src/scheduling/internal/workersession.cpp
+++ b/src/scheduling/internal/workersession.cpp
@@ -24,14 +24,29 @@
   LapsesAt_ = std::max(LapsesAt_, End);
 }
 
-Resources WorkerSession::freeRoom() const {
-  Resources Free = Entry_.Capacity_;
+const WorkerSession::Use &WorkerSession::use() const {
+  if (Use_)
+    return *Use_;
+  Use_.emplace();
   for (const auto &[Name, Run] : Runs_) {
-    Resources Used = Run.Resources_;
+    Resources Taken = Run.Resources_;
     if (Run.IsFiller_)
-      Used.CpuMillis_ = 0;
-    Free -= Used;
+      Taken.CpuMillis_ = 0;
+    Use_->Taken_ += Taken;
+    Use_->Fillers_ += Run.IsFiller_ ? 1 : 0;
+    Use_->Serving_ += Run.LatencyTarget_.count() > 0 ? 1 : 0;
   }
+  return *Use_;
+}
+
+SessionRun *WorkerSession::run(const TaskName &Name) {
+  auto Found = Runs_.find(Name);
+  return Found == Runs_.end() ? nullptr : &Found->second;
+}
+
+Resources WorkerSession::freeRoom() const {
+  Resources Free = Entry_.Capacity_;
+  Free -= use().Taken_;
   return Free;
 }
 
--- a/src/scheduling/tests/machinemoves_test.cpp
+++ b/src/scheduling/tests/machinemoves_test.cpp
@@ -142,10 +142,10 @@
 
 TEST_F(MachineMovesTest, KeepsAMachineOnWhichSomethingRuns) {
   WorkerSession &Busy = addWorker("w1");
-  Busy.runs()[{JobId, 0, 0, 0}] = {};
+  Busy.changeRuns()[{JobId, 0, 0, 0}] = {};
   pass(milliseconds(1500));
   WorkerSession &Late = addWorker("w2");
-  Late.runs()[{JobId, 0, 0, 1}] = {};
+  Late.changeRuns()[{JobId, 0, 0, 1}] = {};
   otherAsksFor(3);
   pass(milliseconds(1000));
   EXPECT_TRUE(Machines_.Moves_.empty());
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -57,11 +57,22 @@
   /// \returns when everything on the worker has lapsed for certain.
   TimePoint lapsesAt() const { return LapsesAt_; }
 
-  std::map<TaskName, SessionRun> &runs() { return Runs_; }
   const std::map<TaskName, SessionRun> &runs() const { return Runs_; }
+  /// \returns the runs, to be changed at once.
+  std::map<TaskName, SessionRun> &changeRuns() {
+    Use_.reset();
+    return Runs_;
+  }
+  /// \returns the task's run or null; what it takes of the worker must not be
+  /// changed by it.
+  SessionRun *run(const TaskName &Name);
   /// \returns room that is not taken by runs, counting those that are being
   /// started or stopped.
   Resources freeRoom() const;
+  /// \returns the number of filling tasks on the worker.
+  std::uint32_t fillers() const { return use().Fillers_; }
+  /// \returns the number of tasks with a latency target on the worker.
+  std::uint32_t serving() const { return use().Serving_; }
   /// \returns the number of tasks of a job's step on the worker.
   std::uint32_t countOf(const TaskName &Like) const;
 
@@ -107,11 +118,21 @@
   std::uint32_t HoldFailures_ = 0;
 
 private:
+  /// What the runs take of the worker.
+  struct Use {
+    Resources Taken_;
+    std::uint32_t Fillers_ = 0;
+    std::uint32_t Serving_ = 0;
+  };
+  const Use &use() const;
+
   WorkerEntry Entry_;
   /// The worker's clock less this process's.
   std::optional<std::chrono::milliseconds> Offset_;
   TimePoint LapsesAt_;
   std::map<TaskName, SessionRun> Runs_;
+  /// Absent until it is asked for after a change of the runs.
+  mutable std::optional<Use> Use_;
   std::uint64_t HighestEnd_ = 0;
   std::uint64_t Acknowledged_ = 0;
   std::vector<std::uint64_t> Unsettled_;
