--- a/src/scheduling/internal/schedulingtypes.cpp
+++ b/src/scheduling/internal/schedulingtypes.cpp
@@ -1,20 +1,26 @@
 #include "scheduling/schedulingtypes.h"
-#include "global/splitlist.h"
-#include "global/units.h"
 
 #include <algorithm>
-#include <limits>
+#include <charconv>
+#include <string_view>
+#include <system_error>
 
 namespace dragonflylock {
 namespace {
 
-constexpr std::size_t TaskNameParts = 4;
-
-std::optional<std::uint32_t> smallNumber(const std::string &Text) {
-  auto Number = parseNumber(Text);
-  if (!Number || Number.value() > std::numeric_limits<std::uint32_t>::max())
+/// Takes the number after the last dot off \p Text.
+std::optional<std::uint32_t> takeLastNumber(std::string_view &Text) {
+  std::size_t Dot = Text.rfind('.');
+  if (Dot == std::string_view::npos)
+    return std::nullopt;
+  std::string_view Digits = Text.substr(Dot + 1);
+  Text.remove_suffix(Text.size() - Dot);
+  std::uint32_t Number = 0;
+  const char *End = Digits.data() + Digits.size();
+  auto Read = std::from_chars(Digits.data(), End, Number);
+  if (Read.ec != std::errc() || Read.ptr != End)
     return std::nullopt;
-  return static_cast<std::uint32_t>(Number.value());
+  return Number;
 }
 
 } // namespace
@@ -44,15 +50,14 @@
 }
 
 std::optional<TaskName> TaskName::parse(const std::string &Text) {
-  std::vector<std::string> Parts = splitList(Text, '.');
-  if (Parts.size() != TaskNameParts)
-    return std::nullopt;
-  auto Occurrence = smallNumber(Parts[1]);
-  auto Step = smallNumber(Parts[2]);
-  auto Index = smallNumber(Parts[3]);
-  if (!Occurrence || !Step || !Index)
+  std::string_view Job = Text;
+  auto Index = takeLastNumber(Job);
+  auto Step = takeLastNumber(Job);
+  auto Occurrence = takeLastNumber(Job);
+  if (!Occurrence || !Step || !Index || Job.empty() ||
+      Job.find('.') != std::string_view::npos)
     return std::nullopt;
-  return TaskName{Parts[0], *Occurrence, *Step, *Index};
+  return TaskName{std::string(Job), *Occurrence, *Step, *Index};
 }
 
 std::string WorkerEntry::lifetime() const {
