--- a/src/scheduling/internal/jobindex.cpp
+++ b/src/scheduling/internal/jobindex.cpp
@@ -222,6 +222,7 @@
   HasRoom_ = std::move(HasRoom);
   Heads_.clear();
   Last_ = nullptr;
+  Looked_.reset();
   pushHead(Unconditional_, nullptr);
   pushHead(Fresh_, nullptr);
   for (auto &[Need, Of] : ByNeed_)
@@ -229,6 +230,9 @@
 }
 
 ActiveJob *JobIndex::next() {
+  if (Looked_)
+    Fresh_.erase(*Looked_);
+  Looked_.reset();
   while (!Heads_.empty()) {
     std::pop_heap(Heads_.begin(), Heads_.end(), isLater);
     Head &First = Heads_.back();
@@ -236,19 +240,24 @@
       Heads_.pop_back();
       continue;
     }
-    ActiveJob *Job = First.At_->Job_;
-    First.At_ =
-        First.Of_ == &Fresh_ ? Fresh_.erase(First.At_) : std::next(First.At_);
+    const JobRank Rank = *First.At_;
+    const bool IsFresh = First.Of_ == &Fresh_;
+    ++First.At_;
     if (First.At_ == First.Of_->end())
       Heads_.pop_back();
     else
       std::push_heap(Heads_.begin(), Heads_.end(), isLater);
     // A job is in several sets.
-    if (Job == Last_)
+    if (Rank.Job_ == Last_) {
+      if (IsFresh)
+        Fresh_.erase(Rank);
       continue;
-    Last_ = Job;
+    }
+    if (IsFresh)
+      Looked_ = Rank;
+    Last_ = Rank.Job_;
     ++Visits_;
-    return Job;
+    return Rank.Job_;
   }
   return nullptr;
 }
--- a/src/scheduling/internal/jobindex.h
+++ b/src/scheduling/internal/jobindex.h
@@ -114,6 +114,9 @@
   RoomCheck HasRoom_;
   std::vector<Head> Heads_;
   const ActiveJob *Last_ = nullptr;
+  /// The fresh job that the walk came by last. It stays one where the walk is
+  /// given up there.
+  std::optional<JobRank> Looked_;
   std::uint64_t Visits_ = 0;
 };
 
--- a/tools/ownerload/modelpool.cpp
+++ b/tools/ownerload/modelpool.cpp
@@ -138,9 +138,12 @@
   for (std::size_t Count = Parts_->Workers_.Holds_.size(); Count > 0; --Count)
     Parts_->answerHold(/*HasEnd=*/false);
   Parts_->tickOwner();
-  while (!Parts_->Workers_.Starts_.empty())
+  while (!Parts_->Workers_.Starts_.empty()) {
     Parts_->answerStart();
-  Parts_->tickOwner();
+    // The next starts may have waited for these answers.
+    if (Parts_->Workers_.Starts_.empty())
+      Parts_->tickOwner();
+  }
 }
 
 void ModelPool::play(std::uint32_t Events, std::uint32_t Batch) {
