--- /dev/null
+++ b/src/scheduling/tests/jobindex_test.cpp
@@ -0,0 +1,187 @@
+#include "scheduling/internal/poolstate.h"
+#include "scheduling/tests/mocks/ownertest.h"
+
+#include <algorithm>
+#include <random>
+#include <tuple>
+
+namespace dragonflylock {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Jobs that change at random, and the walk that looking at all of them gives.
+class JobIndexTest : public testing::TestWithParam<std::uint32_t> {
+protected:
+  JobIndexTest()
+      : Random_(GetParam()),
+        Pool_("pool", Settings_, Clock_, Store_, Workers_, Logger_) {
+    configure();
+  }
+
+  std::uint32_t below(std::uint32_t Limit) {
+    return std::uniform_int_distribution<std::uint32_t>(0, Limit - 1)(Random_);
+  }
+
+  void configure() {
+    auto Configuration = std::make_shared<SchedulingConfiguration>();
+    for (const char *Name : {"a", "b"}) {
+      QueueSetting Queue;
+      Queue.Name_ = Name;
+      Queue.Priority_ = below(2);
+      Queue.TargetLatency_ = milliseconds(below(2000));
+      Queue.NeedsAdvice_ = below(4) == 0;
+      Configuration->Queues_.push_back(Queue);
+    }
+    Pool_.Configuration_ = Configuration;
+  }
+
+  void addJob() {
+    SubmittedJob Job;
+    Job.Queue_ = below(2) == 0 ? "a" : "b";
+    Job.AcceptedAt_ = Pool_.wallTime() - milliseconds(below(500));
+    for (std::uint32_t Number = 0; Number < 3; ++Number) {
+      StepSpec Step;
+      Step.TaskCount_ = 1 + below(3);
+      Step.PerTask_ = {1000 + 1000 * below(3), 1000, 0};
+      Step.Estimate_ = milliseconds(100 * below(10));
+      Step.IsGang_ = below(8) == 0;
+      Step.IsLongRunning_ = below(8) == 0;
+      if (Number > 0 && below(2) == 0)
+        Step.After_ = {Number - 1};
+      Job.Spec_.Steps_.push_back(Step);
+    }
+    if (below(4) == 0) {
+      Job.Spec_.Times_ = 3;
+      Job.Spec_.FirstDue_ = Pool_.wallTime() + milliseconds(below(400));
+      Job.Spec_.Interval_ = milliseconds(300);
+    }
+    std::string Id = "job-" + std::to_string(NextId_++ * 7919 % 1009);
+    Pool_.addJob(std::make_unique<ActiveJob>(Id, std::move(Job)));
+  }
+
+  void changeTask(ActiveJob &Job) {
+    std::vector<TaskName> Names;
+    Job.forEachTask(
+        [&](const TaskName &Name, const TaskRun &) { Names.push_back(Name); });
+    const TaskName &Name =
+        Names[below(static_cast<std::uint32_t>(Names.size()))];
+    TaskRun &Run = Job.changeRun(Name);
+    switch (below(5)) {
+    case 0:
+      Run.Phase_ = TaskPhase::Starting;
+      Run.Worker_ = "w/1";
+      return;
+    case 1:
+      Run.Phase_ = TaskPhase::Waiting;
+      Run.Worker_.clear();
+      Run.NotBefore_ = Clock_.now() + milliseconds(below(200));
+      return;
+    case 2:
+      Run.Phase_ = TaskPhase::Done;
+      Run.Worker_.clear();
+      Job.changeProgress().task(Name).IsDone_ = true;
+      Job.touch();
+      return;
+    case 3:
+      Run.MayRunElsewhere_ = below(2) == 0;
+      return;
+    default:
+      Job.setStoredChanges(Job.changes());
+    }
+  }
+
+  void changeSomething() {
+    if (Pool_.Jobs_.empty() || below(6) == 0) {
+      addJob();
+      return;
+    }
+    auto Each =
+        std::next(Pool_.Jobs_.begin(),
+                  below(static_cast<std::uint32_t>(Pool_.Jobs_.size())));
+    std::uint32_t Kind = below(30);
+    if (Kind == 0)
+      Each->second->cancel();
+    else if (Kind == 1)
+      Pool_.removeJob(*Each->second);
+    else if (Kind == 2)
+      configure();
+    else
+      changeTask(*Each->second);
+  }
+
+  /// \returns the jobs with startable tasks in the order of their urgency,
+  /// found by looking at all of them.
+  std::vector<std::string> expectedWalk() {
+    using Rank =
+        std::tuple<bool, std::uint32_t, bool, std::int64_t, std::string>;
+    std::vector<Rank> Ranks;
+    for (const auto &[Id, Job] : Pool_.Jobs_) {
+      if (Job->startable(Clock_.now(), Pool_.wallTime()).empty())
+        continue;
+      const QueueSetting &Queue = Pool_.queueOf(*Job);
+      auto Objective = std::chrono::duration_cast<milliseconds>(
+                           Queue.Stretch_ * Job->longestChain(false)) +
+                       Queue.TargetLatency_;
+      std::int64_t Accepted = Job->stored().AcceptedAt_.count();
+      Ranks.emplace_back(!Job->isLongRunning(), Queue.Priority_,
+                         Pool_.wallTime() + Job->longestChain(true) >
+                             Job->stored().AcceptedAt_ + Objective,
+                         Accepted + Job->remainingWork() / 8, Id);
+    }
+    std::sort(Ranks.begin(), Ranks.end());
+    std::vector<std::string> Ids;
+    for (const Rank &Each : Ranks)
+      Ids.push_back(std::get<std::string>(Each));
+    return Ids;
+  }
+
+  std::vector<std::string> walk() {
+    std::vector<std::string> Ids;
+    Pool_.Index_.beginWalk([](const RoomNeed &) { return true; });
+    while (const ActiveJob *Job = Pool_.Index_.next())
+      Ids.push_back(Job->id());
+    return Ids;
+  }
+
+  std::vector<std::string> expectedDirty() const {
+    std::vector<std::string> Ids;
+    for (const auto &[Id, Job] : Pool_.Jobs_)
+      if (Job->isDirty())
+        Ids.push_back(Id);
+    return Ids;
+  }
+
+  std::vector<std::string> dirty() const {
+    std::vector<std::string> Ids;
+    for (const auto &[Queue, Jobs] : Pool_.Index_.dirty())
+      for (const ActiveJob *Job : Jobs)
+        Ids.push_back(Job->id());
+    std::sort(Ids.begin(), Ids.end());
+    return Ids;
+  }
+
+  std::mt19937 Random_;
+  std::uint32_t NextId_ = 0;
+  ManualClock Clock_;
+  SilentLogger Logger_;
+  InstantStore Store_;
+  RecordingWorkers Workers_;
+  SchedulingSettings Settings_;
+  PoolState Pool_;
+};
+
+TEST_P(JobIndexTest, WalksThroughTheJobsThatLookingAtAllOfThemFinds) {
+  for (int Round = 0; Round < 600; ++Round) {
+    for (std::uint32_t Count = below(4); Count > 0; --Count)
+      changeSomething();
+    Clock_.advance(milliseconds(below(30)));
+    ASSERT_EQ(walk(), expectedWalk()) << "round " << Round;
+    ASSERT_EQ(dirty(), expectedDirty()) << "round " << Round;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, JobIndexTest, testing::Range(1U, 11U));
+
+} // namespace
+} // namespace dragonflylock
