--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <map>
-#include <tuple>
 #include <utility>
 
 namespace dragonflylock {
@@ -29,61 +28,19 @@
 /// Time from when a gang could start until it no longer keeps them from it;
 /// ordinary tasks end within it.
 constexpr std::chrono::milliseconds LongestKeeping{6000};
-/// Work, in core-milliseconds, that weighs as much as a millisecond of waiting.
-/// Less work goes first, but a large job gains on later ones while it waits.
-constexpr std::int64_t WorkPerWait = 8;
-
-std::int64_t urgencyOf(const ActiveJob &Job) {
-  return Job.stored().AcceptedAt_.count() + Job.remainingWork() / WorkPerWait;
-}
-
-/// \returns whether the job would miss its objective even if it started now.
-bool isLate(const ActiveJob &Job, const QueueSetting &Queue,
-            std::chrono::milliseconds Wall) {
-  auto Objective = std::chrono::duration_cast<std::chrono::milliseconds>(
-                       Queue.Stretch_ * Job.longestChain(/*OnlyLeft=*/false)) +
-                   Queue.TargetLatency_;
-  return Wall + Job.longestChain(/*OnlyLeft=*/true) >
-         Job.stored().AcceptedAt_ + Objective;
-}
+/// Longest time between two looks for unwanted runs.
+constexpr std::chrono::milliseconds StopLookInterval{100};
 
 } // namespace
 
-std::vector<ActiveJob *> Dispatcher::jobsByUrgency() {
-  struct Entry {
-    ActiveJob *Job_;
-    bool IsShort_;
-    std::uint32_t Priority_;
-    bool IsLate_;
-    std::int64_t Urgency_;
-  };
-  std::vector<Entry> Entries;
-  for (auto &[Id, Job] : Pool_.Jobs_) {
-    if (isFinal(Job->progress().state()) || Job->isCancelled())
-      continue;
-    QueueSetting Queue = Pool_.queueOf(*Job);
-    Entries.push_back({Job.get(), !Job->isLongRunning(), Queue.Priority_,
-                       isLate(*Job, Queue, Pool_.wallTime()), urgencyOf(*Job)});
-  }
-  std::sort(Entries.begin(), Entries.end(),
-            [](const Entry &Left, const Entry &Right) {
-              return std::tie(Left.IsShort_, Left.Priority_, Left.IsLate_,
-                              Left.Urgency_) <
-                     std::tie(Right.IsShort_, Right.Priority_, Right.IsLate_,
-                              Right.Urgency_);
-            });
-  std::vector<ActiveJob *> Jobs;
-  Jobs.reserve(Entries.size());
-  for (const Entry &Each : Entries)
-    Jobs.push_back(Each.Job_);
-  return Jobs;
-}
-
 void Dispatcher::dispatch() {
   Pool_.NeedsDispatch_ = false;
   IsHeldBack_ = false;
   Chooser_.beginRound();
-  for (ActiveJob *Job : jobsByUrgency())
+  JobIndex &Jobs = Pool_.Index_;
+  Jobs.beginWalk(
+      [this](const RoomNeed &Need) { return Chooser_.hasRoomFor(Need); });
+  while (ActiveJob *Job = Jobs.next())
     if (!Pool_.mayAct() || !dispatchJob(*Job))
       return;
 }
@@ -203,9 +160,11 @@
     WorkerSession *Session = Pool_.session(Run.Worker_);
     if (Session == nullptr || Run.Phase_ != TaskPhase::Running)
       continue;
-    auto Known = Session->runs().find(Name);
-    if (Known != Session->runs().end())
-      Known->second.MustStop_ = true;
+    SessionRun *Known = Session->run(Name);
+    if (Known == nullptr)
+      continue;
+    Known->MustStop_ = true;
+    Pool_.NeedsStopLook_ = true;
   }
 }
 
@@ -223,7 +182,7 @@
   if (!Pool_.mayAct())
     return;
   const StepSpec &Step = Job.step(Name);
-  TaskRun &Run = Job.run(Name);
+  TaskRun &Run = Job.changeRun(Name);
   Run.Run_ = Number;
   Run.WasRefused_ = false;
   Job.noteRoom(/*IsMissing=*/false, Now);
@@ -236,7 +195,7 @@
   Entry.IsFiller_ = Step.IsFiller_;
   Entry.LatencyTarget_ = Step.LatencyTarget_;
   Entry.OrderExpires_ = Now + StartLease + StartLease / 20;
-  Session.runs()[Name] = Entry;
+  Session.changeRuns()[Name] = Entry;
   Session.noteLease(Entry.OrderExpires_);
   Chooser_.onStarted(Session, Step);
 
@@ -286,14 +245,14 @@
   bool IsOther = Answer.Outcome_ == OrderOutcome::OtherLifetime;
   if (Answer.Clock_.count() > 0 && !IsOther)
     Session->noteClock(Answer.Clock_, Now);
-  auto Known = Session->runs().find(Name);
-  if (Known == Session->runs().end() || Known->second.Run_ != Run)
+  SessionRun *Known = Session->run(Name);
+  if (Known == nullptr || Known->Run_ != Run)
     return;
   ActiveJob *Job = Pool_.job(Name.Job_);
-  TaskRun *Task = Job != nullptr ? &Job->run(Name) : nullptr;
+  TaskRun *Task = Job != nullptr ? &Job->changeRun(Name) : nullptr;
   switch (Answer.Outcome_) {
   case OrderOutcome::Accepted:
-    Known->second.ConfirmedAt_ = Now;
+    Known->ConfirmedAt_ = Now;
     if (Task != nullptr && Task->Phase_ == TaskPhase::Starting)
       Task->Phase_ = TaskPhase::Running;
     Session->NextHold_ = std::min(Session->NextHold_, Now);
@@ -315,8 +274,9 @@
   const TimePoint Now = Pool_.Clock_.now();
   Runs_.release(Session, Name);
   if (ActiveJob *Job = Pool_.job(Name.Job_)) {
-    Job->run(Name).NotBefore_ = Now + RefusedPause;
-    Job->run(Name).WasRefused_ = true;
+    TaskRun &Run = Job->changeRun(Name);
+    Run.NotBefore_ = Now + RefusedPause;
+    Run.WasRefused_ = true;
   }
   if (Outcome == OrderOutcome::BadTicket)
     Advice_.drop(Name, Session.entry().lifetime());
@@ -343,7 +303,7 @@
 bool Dispatcher::isUnwanted(const WorkerSession &Session,
                             const TaskName &Name) {
   ActiveJob *Job = Pool_.job(Name.Job_);
-  if (Job == nullptr || Job->isCancelled() || isFinal(Job->progress().state()))
+  if (Job == nullptr || Job->isOver())
     return true;
   if (Job->progress().task(Name).IsDone_)
     return true;
@@ -357,15 +317,22 @@
   if (!Pool_.mayAct())
     return;
   const TimePoint Now = Pool_.Clock_.now();
+  Pool_.Index_.refresh();
+  if (!Pool_.NeedsStopLook_ && Now < NextStopLook_)
+    return;
+  Pool_.NeedsStopLook_ = false;
+  NextStopLook_ = Now + StopLookInterval;
   for (auto &[Lifetime, Session] : Pool_.Sessions_) {
     if (!Session->IsFenced_)
       continue;
-    for (auto &[Name, Run] : Session->runs()) {
-      if (Run.NextStop_ > Now ||
-          (!Run.MustStop_ && !isUnwanted(*Session, Name)))
+    for (const auto &[Name, Run] : Session->runs()) {
+      if (!Run.MustStop_ && !isUnwanted(*Session, Name))
         continue;
-      Run.NextStop_ = Now + StopRepeat;
-      stop(*Session, Name, Run.Run_);
+      if (Run.NextStop_ <= Now) {
+        Session->run(Name)->NextStop_ = Now + StopRepeat;
+        stop(*Session, Name, Run.Run_);
+      }
+      NextStopLook_ = std::min(NextStopLook_, Run.NextStop_);
     }
   }
 }
@@ -378,7 +345,7 @@
   if (Job != nullptr && Job->progress().contains(Name) &&
       Job->run(Name).Worker_ == Session.entry().lifetime() &&
       Job->run(Name).Phase_ == TaskPhase::Running)
-    Job->run(Name).Phase_ = TaskPhase::Stopping;
+    Job->changeRun(Name).Phase_ = TaskPhase::Stopping;
   Session.NextHold_ = std::min(Session.NextHold_, Pool_.Clock_.now());
   Pool_.Workers_.stop(
       Session.target(), Name, Run, Pool_.Token_,
@@ -394,12 +361,11 @@
   WorkerSession *Session = Pool_.session(Lifetime);
   if (Session == nullptr || Answer.Outcome_ != OrderOutcome::Accepted)
     return;
-  auto Known = Session->runs().find(Name);
+  SessionRun *Known = Session->run(Name);
   // From now on the worker rejects the run, so that lists without it settle
   // that it does not exist.
-  if (Known != Session->runs().end() && Known->second.Run_ == Run &&
-      !Known->second.ConfirmedAt_)
-    Known->second.ConfirmedAt_ = Pool_.Clock_.now();
+  if (Known != nullptr && Known->Run_ == Run && !Known->ConfirmedAt_)
+    Known->ConfirmedAt_ = Pool_.Clock_.now();
 }
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/rosterkeeper.cpp
+++ b/src/scheduling/internal/rosterkeeper.cpp
@@ -5,6 +5,8 @@
 #include "scheduling/internal/poolstate.h"
 #include "scheduling/istore.h"
 
+#include <algorithm>
+
 namespace dragonflylock {
 namespace {
 
@@ -84,7 +86,7 @@
   bool IsKnown = !Pool_.mayRunInherited(Session) ||
                  Session.WasDeclaredSilent_ ||
                  Pool_.Clock_.now() >= Pool_.InheritedLapse_;
-  return IsKnown && Session.HoldFailures_ >= SilentAfter;
+  return Session.HoldFailures_ >= SilentAfter && IsKnown;
 }
 
 std::map<std::string, std::set<std::string>>
@@ -106,13 +108,17 @@
 bool RosterKeeper::needsWriting() const {
   if (Queues_ != StoredQueues_)
     return true;
-  if (Pool_.Sessions_.size() != Stored_.size())
+  bool IsStored = std::equal(Pool_.Sessions_.begin(), Pool_.Sessions_.end(),
+                             Stored_.begin(), Stored_.end(),
+                             [](const auto &Session, const std::string &Each) {
+                               return Session.first == Each;
+                             });
+  if (!IsStored)
     return true;
   for (const auto &[Lifetime, Session] : Pool_.Sessions_) {
     // A declaration without an answer may be stored and must be taken back.
     bool IsWanted = isToBeDeclared(*Session);
-    if (!Stored_.contains(Lifetime) ||
-        IsWanted != StoredSilent_.contains(Lifetime) ||
+    if (IsWanted != StoredSilent_.contains(Lifetime) ||
         IsWanted != Session->IsDeclaredSilent_)
       return true;
   }
--- a/src/scheduling/internal/workerchooser.h
+++ b/src/scheduling/internal/workerchooser.h
@@ -13,6 +13,7 @@
 class AdviceKeeper;
 class WorkerSession;
 struct PoolState;
+struct RoomNeed;
 
 /// Finds workers of a pool for tasks that are to start. Works in rounds: the
 /// workers are looked through once, and what is started is taken off their
@@ -27,6 +28,8 @@
   void beginRound();
   /// Notes that a task was started.
   void onStarted(const WorkerSession &Session, const StepSpec &Step);
+  /// \returns whether any worker has such room left.
+  bool hasRoomFor(const RoomNeed &Need) const;
   /// \returns a worker for the task, or null where none may run it now.
   /// \param OnlyOnDataRack whether the worker must be where the data is.
   WorkerSession *choose(const ActiveJob &Job, const TaskName &Name,
@@ -53,9 +56,12 @@
   };
 
   bool isUsable(const WorkerSession &Session) const;
-  static PlacementCandidate candidateOf(const WorkerSession &Session);
+  static void describe(const WorkerSession &Session,
+                       PlacementCandidate &Candidate);
   /// Fills in what the round's candidates are to this task.
-  void fitTo(const ActiveJob &Job, const TaskName &Name);
+  /// \param MayEnd whether room counts that runs may leave; without it, workers
+  ///   that have too little are barred.
+  void fitTo(const ActiveJob &Job, const TaskName &Name, bool MayEnd = false);
   void noteLargest();
   /// Leaves only workers of a rack.
   static void keepRack(Choice &Among, const std::string &Rack);
