Logs tell which reads of the store gave no rows

A new owner on a small machine won its pool and never logged pool.loaded, and nothing told why: followers of rows and the roster's reader tried again without a line. Each now names the table, part and key, the outcome and the time that the read took (rows.unread, changes.unread).

--- a/src/scheduling/internal/jobfollower.cpp
+++ b/src/scheduling/internal/jobfollower.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/internal/jobfollower.h"
+#include "scheduling/internal/readlog.h"
 #include "scheduling/istore.h"
 #include "scheduling/jobrows.h"
 
@@ -16,8 +17,9 @@
 
 } // namespace
 
-JobFollower::JobFollower(IStore &Store, const IClock &Clock, RowSink Sink)
-    : Store_(Store), Clock_(Clock), Sink_(std::move(Sink)) {}
+JobFollower::JobFollower(IStore &Store, const IClock &Clock, ILogger &Logger,
+                         RowSink Sink)
+    : Store_(Store), Clock_(Clock), Logger_(Logger), Sink_(std::move(Sink)) {}
 
 void JobFollower::follow(const std::set<std::string> &Queues) {
   for (const std::string &Queue : Queues)
@@ -49,6 +51,7 @@
   if (Unread == State.Parts_.end())
     return;
   State.IsReading_ = true;
+  State.ReadBegun_ = Clock_.now();
   Store_.readRange(Table, Unread->first, Unread->second.From_, "",
                    [Weak = weak_from_this(), Table,
                     Queue = Unread->first](const StoreRange &Read) {
@@ -62,6 +65,8 @@
   FollowedTable &State = Tables_[Table];
   State.IsReading_ = false;
   if (Read.Outcome_ != StoreOutcome::Done) {
+    readlog::pageFailed(Logger_, {Table, Queue, State.Parts_[Queue].From_},
+                        Read.Outcome_, Clock_.now() - State.ReadBegun_);
     State.NextRead_ = Clock_.now() + RetryPause;
     return;
   }
@@ -82,6 +87,7 @@
 
 void JobFollower::await(const std::string &Table, FollowedTable &State) {
   State.IsAwaiting_ = true;
+  State.AwaitBegun_ = Clock_.now();
   Store_.awaitChanges(
       Table, *State.Version_, LongestWait,
       [Weak = weak_from_this(), Table](const StoreChanges &Changes) {
@@ -95,10 +101,14 @@
   FollowedTable &State = Tables_[Table];
   State.IsAwaiting_ = false;
   State.NextAwait_ = Clock_.now() + RetryPause;
+  const StoreVersion After = State.Version_.value_or(0);
   if (Changes.Outcome_ == StoreOutcome::HistoryLost)
     readAgain(State);
-  if (Changes.Outcome_ != StoreOutcome::Done)
+  if (Changes.Outcome_ != StoreOutcome::Done) {
+    readlog::changesFailed(Logger_, Table, After, Changes.Outcome_,
+                           Clock_.now() - State.AwaitBegun_);
     return;
+  }
   State.NextAwait_ = Clock_.now() + GatherPause;
   State.Version_ = std::max(*State.Version_, Changes.Version_);
   for (const StoreRow &Row : Changes.Rows_)
--- a/src/scheduling/internal/jobfollower.h
+++ b/src/scheduling/internal/jobfollower.h
@@ -13,6 +13,7 @@
 
 namespace dragonflylock {
 
+class ILogger;
 class IStore;
 
 /// Keeps up with the rows of some queues' jobs: reads each queue's part whole
@@ -22,7 +23,8 @@
   using RowSink = std::function<void(const StoreRow &)>;
 
   /// \param Sink receives every row, some more than once.
-  JobFollower(IStore &Store, const IClock &Clock, RowSink Sink);
+  JobFollower(IStore &Store, const IClock &Clock, ILogger &Logger,
+              RowSink Sink);
 
   /// Adds the queues that are not followed yet.
   void follow(const std::set<std::string> &Queues);
@@ -43,6 +45,8 @@
     std::map<std::string, QueuePart> Parts_;
     bool IsReading_ = false;
     bool IsAwaiting_ = false;
+    TimePoint ReadBegun_;
+    TimePoint AwaitBegun_;
     TimePoint NextRead_;
     TimePoint NextAwait_;
     /// Up to which changes are known; absent before the first read.
@@ -58,6 +62,7 @@
 
   IStore &Store_;
   const IClock &Clock_;
+  ILogger &Logger_;
   RowSink Sink_;
   std::map<std::string, FollowedTable> Tables_;
 };
--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -5,6 +5,7 @@
 #include "scheduling/internal/dispatcher.h"
 #include "scheduling/internal/machinelister.h"
 #include "scheduling/internal/poolstate.h"
+#include "scheduling/internal/readlog.h"
 #include "scheduling/istore.h"
 #include "scheduling/machineledger.h"
 
@@ -98,6 +99,7 @@
 
 void MaintenanceKeeper::load(Wave &Each) {
   Each.IsBusy_ = true;
+  Each.LoadBegun_ = Pool_.Clock_.now();
   StoreKey Row = controlrows::wave(Each.Asked_.Number_);
   Pool_.Store_.readRange(
       Row.Table_, Row.Part_, Row.Key_, Row.Key_ + '\1',
@@ -112,8 +114,11 @@
   Wave &Each = Waves_[Number];
   Each.IsBusy_ = false;
   Each.NextLoad_ = Pool_.Clock_.now() + RowInterval;
-  if (Read.Outcome_ != StoreOutcome::Done)
+  if (Read.Outcome_ != StoreOutcome::Done) {
+    readlog::pageFailed(Pool_.Logger_, controlrows::wave(Number), Read.Outcome_,
+                        Pool_.Clock_.now() - Each.LoadBegun_);
     return;
+  }
   Each.IsLoaded_ = true;
   if (Read.Rows_.empty())
     return;
@@ -411,6 +416,7 @@
                               const std::string &Announced,
                               const std::function<void(Wave &)> &Then) {
   Each.IsBusy_ = true;
+  Each.LoadBegun_ = Pool_.Clock_.now();
   StoreKey Row = controlrows::wave(Each.Asked_.Number_);
   WaveProgress Dated = Next;
   if (Dated.SeenAt_.count() == 0)
--- a/src/scheduling/internal/maintenancekeeper.h
+++ b/src/scheduling/internal/maintenancekeeper.h
@@ -62,6 +62,7 @@
     bool IsCompleted_ = false;
     bool IsReported_ = false;
     TimePoint FirstSeen_;
+    TimePoint LoadBegun_;
     TimePoint NextLoad_;
     /// Machine that is being emptied for its maintenance; empty for none.
     std::string Next_;
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -53,7 +53,7 @@
                                             *Source.Demands_)),
         Demands_(*Source.Demands_),
         Follower_(std::make_shared<JobFollower>(
-            State_.Store_, State_.Clock_,
+            State_.Store_, State_.Clock_, State_.Logger_,
             [this](const StoreRow &Row) { Jobs_.onRow(Row); })),
         HasPredecessor_(Tenure.Predecessors_ > 0) {
     State_.Token_ = Tenure.Token_;
--- /dev/null
+++ b/src/scheduling/internal/readlog.cpp
@@ -0,0 +1,34 @@
+#include "scheduling/internal/readlog.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
+
+namespace dragonflylock::readlog {
+namespace {
+
+std::chrono::microseconds rounded(std::chrono::nanoseconds Time) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(Time);
+}
+
+} // namespace
+
+void pageFailed(ILogger &Logger, const StoreKey &From, StoreOutcome Outcome,
+                std::chrono::nanoseconds Took) {
+  Logger.write(LogLevel::Warning, LogEvent("rows.unread")
+                                      .with("table", From.Table_)
+                                      .with("part", From.Part_)
+                                      .with("from", From.Key_)
+                                      .with("outcome", nameOf(Outcome))
+                                      .with("took", rounded(Took)));
+}
+
+void changesFailed(ILogger &Logger, const std::string &Table,
+                   StoreVersion After, StoreOutcome Outcome,
+                   std::chrono::nanoseconds Took) {
+  Logger.write(LogLevel::Warning, LogEvent("changes.unread")
+                                      .with("table", Table)
+                                      .with("after", After)
+                                      .with("outcome", nameOf(Outcome))
+                                      .with("took", rounded(Took)));
+}
+
+} // namespace dragonflylock::readlog
--- a/src/scheduling/internal/rosterkeeper.cpp
+++ b/src/scheduling/internal/rosterkeeper.cpp
@@ -3,6 +3,7 @@
 #include "global/logevent.h"
 #include "scheduling/controlrows.h"
 #include "scheduling/internal/poolstate.h"
+#include "scheduling/internal/readlog.h"
 #include "scheduling/istore.h"
 
 namespace dragonflylock {
@@ -25,6 +26,7 @@
 
 void RosterKeeper::load() {
   IsBusy_ = true;
+  LoadBegun_ = Pool_.Clock_.now();
   StoreKey Row = controlrows::roster(Pool_.Pool_);
   Pool_.Store_.readRange(Row.Table_, Row.Part_, Row.Key_, Row.Key_ + '\1',
                          [Weak = weak_from_this()](const StoreRange &Read) {
@@ -36,6 +38,8 @@
 void RosterKeeper::onLoaded(const StoreRange &Read) {
   IsBusy_ = false;
   if (Read.Outcome_ != StoreOutcome::Done) {
+    readlog::pageFailed(Pool_.Logger_, controlrows::roster(Pool_.Pool_),
+                        Read.Outcome_, Pool_.Clock_.now() - LoadBegun_);
     NotBefore_ = Pool_.Clock_.now() + RetryPause;
     return;
   }
--- a/src/scheduling/internal/rosterkeeper.h
+++ b/src/scheduling/internal/rosterkeeper.h
@@ -48,6 +48,7 @@
   PoolState &Pool_;
   bool IsLoaded_ = false;
   bool IsBusy_ = false;
+  TimePoint LoadBegun_;
   TimePoint NotBefore_;
   StoreVersion Version_ = 0;
   /// Lifetimes in the stored row.
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -90,7 +90,7 @@
       },
       [this](const std::string &Pool) { onLost(Pool); });
   Control_ = std::make_shared<TableFollower>(
-      Store_, Clock_, controlrows::Table, "", ControlPause,
+      Store_, Clock_, Logger_, controlrows::Table, "", ControlPause,
       [this](const std::vector<StoreRow> &Rows, bool IsWhole) {
         onControlRows(Rows, IsWhole);
       });
--- a/src/scheduling/internal/tablefollower.cpp
+++ b/src/scheduling/internal/tablefollower.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/tablefollower.h"
+#include "scheduling/internal/readlog.h"
 #include "scheduling/istore.h"
 
 namespace dragonflylock {
@@ -12,26 +13,29 @@
 } // namespace
 
 TableFollower::TableFollower(IStore &Store, const IClock &Clock,
-                             std::string Table, std::string Part,
-                             std::chrono::milliseconds Pause, RowSink Sink)
-    : Store_(Store), Clock_(Clock), Table_(std::move(Table)),
+                             ILogger &Logger, std::string Table,
+                             std::string Part, std::chrono::milliseconds Pause,
+                             RowSink Sink)
+    : Store_(Store), Clock_(Clock), Logger_(Logger), Table_(std::move(Table)),
       Part_(std::move(Part)), Pause_(Pause), Sink_(std::move(Sink)) {}
 
 void TableFollower::tick() {
   if (IsBusy_ || Clock_.now() < NotBefore_)
     return;
   IsBusy_ = true;
+  CallBegun_ = Clock_.now();
   if (NeedsRead_)
     read();
   else
     await();
 }
 
+std::string TableFollower::nextKey() const {
+  return Pages_.empty() ? std::string() : Pages_.back().Name_.Key_ + '\1';
+}
+
 void TableFollower::read() {
-  std::string From;
-  if (!Pages_.empty())
-    From = Pages_.back().Name_.Key_ + '\1';
-  Store_.readRange(Table_, Part_, From, "",
+  Store_.readRange(Table_, Part_, nextKey(), "",
                    [Weak = weak_from_this()](const StoreRange &Read) {
                      if (auto Self = Weak.lock())
                        Self->onRead(Read);
@@ -41,6 +45,8 @@
 void TableFollower::onRead(const StoreRange &Read) {
   IsBusy_ = false;
   if (Read.Outcome_ != StoreOutcome::Done) {
+    readlog::pageFailed(Logger_, {Table_, Part_, nextKey()}, Read.Outcome_,
+                        Clock_.now() - CallBegun_);
     NotBefore_ = Clock_.now() + RetryPause;
     return;
   }
@@ -75,6 +81,8 @@
   if (Changes.Outcome_ == StoreOutcome::HistoryLost)
     NeedsRead_ = true;
   if (Changes.Outcome_ != StoreOutcome::Done) {
+    readlog::changesFailed(Logger_, Table_, Version_, Changes.Outcome_,
+                           Clock_.now() - CallBegun_);
     NotBefore_ = Clock_.now() + (NeedsRead_ ? RetryPause * 0 : RetryPause);
     return;
   }
--- a/src/scheduling/tablefollower.h
+++ b/src/scheduling/tablefollower.h
@@ -11,6 +11,7 @@
 
 namespace dragonflylock {
 
+class ILogger;
 class IStore;
 
 /// Keeps up with one part of a table: reads it whole, then waits for changes;
@@ -23,9 +24,9 @@
 
   /// \param Part the part to read; changes of other parts are passed over.
   /// \param Pause time between two answers, in which changes gather.
-  TableFollower(IStore &Store, const IClock &Clock, std::string Table,
-                std::string Part, std::chrono::milliseconds Pause,
-                RowSink Sink);
+  TableFollower(IStore &Store, const IClock &Clock, ILogger &Logger,
+                std::string Table, std::string Part,
+                std::chrono::milliseconds Pause, RowSink Sink);
 
   /// Starts, or goes on with, what is due.
   void tick();
@@ -35,6 +36,8 @@
   bool isLoaded() const { return IsLoaded_; }
 
 private:
+  /// \returns where the next page starts.
+  std::string nextKey() const;
   void read();
   void onRead(const StoreRange &Read);
   void await();
@@ -42,6 +45,7 @@
 
   IStore &Store_;
   const IClock &Clock_;
+  ILogger &Logger_;
   std::string Table_;
   std::string Part_;
   std::chrono::milliseconds Pause_;
@@ -49,6 +53,7 @@
   bool IsBusy_ = false;
   bool IsLoaded_ = false;
   bool NeedsRead_ = true;
+  TimePoint CallBegun_;
   TimePoint NotBefore_;
   TimePoint LastAnswer_;
   StoreVersion Version_ = 0;
