--- a/src/emulator/internal/emulatednode.cpp
+++ b/src/emulator/internal/emulatednode.cpp
@@ -108,8 +108,8 @@
 
 void EmulatedNode::readRange(const std::string &Table, const std::string &Part,
                              const std::string &From, const std::string &To,
-                             RangeDone Done) {
-  Shared_.Store_.readRange(Name_, delivery(), {Table, Part, From}, To,
+                             std::size_t Most, RangeDone Done) {
+  Shared_.Store_.readRange(Name_, delivery(), {Table, Part, From}, To, Most,
                            std::move(Done));
 }
 
--- a/src/emulator/internal/emulatednode.h
+++ b/src/emulator/internal/emulatednode.h
@@ -53,7 +53,7 @@
   void transact(StoreTransaction Wanted, TransactionDone Done) override;
   void readRange(const std::string &Table, const std::string &Part,
                  const std::string &From, const std::string &To,
-                 RangeDone Done) override;
+                 std::size_t Most, RangeDone Done) override;
   void awaitChanges(const std::string &Table, StoreVersion After,
                     std::chrono::milliseconds Longest,
                     ChangesDone Done) override;
--- a/src/emulator/internal/modelstore.cpp
+++ b/src/emulator/internal/modelstore.cpp
@@ -102,10 +102,10 @@
 
 void ModelStore::readRange(const std::string &Node, const Deliver &Answer,
                            const StoreKey &From, const std::string &To,
-                           IStore::RangeDone Done) {
+                           std::size_t Most, IStore::RangeDone Done) {
   call<StoreRange>(
       Node, Answer, std::move(Done),
-      [this, From, To] {
+      [this, From, To, Most] {
         StoreRange Read;
         Read.Outcome_ = StoreOutcome::Done;
         Read.Version_ = Version_;
@@ -116,6 +116,9 @@
                            (!To.empty() && Name.Key_ >= To);
           if (IsOutside)
             break;
+          Read.HasMore_ = Read.Rows_.size() == Most;
+          if (Read.HasMore_)
+            break;
           Read.Rows_.push_back(Each->second);
         }
         return Read;
--- a/src/emulator/modelstore.h
+++ b/src/emulator/modelstore.h
@@ -47,7 +47,7 @@
   void transact(const std::string &Node, const Deliver &Answer,
                 StoreTransaction Wanted, IStore::TransactionDone Done);
   void readRange(const std::string &Node, const Deliver &Answer,
-                 const StoreKey &From, const std::string &To,
+                 const StoreKey &From, const std::string &To, std::size_t Most,
                  IStore::RangeDone Done);
   void awaitChanges(const std::string &Node, const Deliver &Answer,
                     const std::string &Table, StoreVersion After,
--- a/src/scheduling/internal/jobdesk.cpp
+++ b/src/scheduling/internal/jobdesk.cpp
@@ -145,7 +145,7 @@
 void JobDesk::tryRead(const std::shared_ptr<Call> &Each,
                       std::function<void(const StoreRange &)> Then) {
   Store_.readRange(jobrows::tableOf(Each->Queue_), Each->Queue_,
-                   Each->Job_ + "/", jobrows::endOf(Each->Job_),
+                   Each->Job_ + "/", jobrows::endOf(Each->Job_), LargestPage,
                    [Weak = weak_from_this(),
                     Then = std::move(Then)](const StoreRange &Read) {
                      if (Weak.lock())
--- a/src/scheduling/internal/jobfollower.cpp
+++ b/src/scheduling/internal/jobfollower.cpp
@@ -52,7 +52,7 @@
     return;
   State.IsReading_ = true;
   State.ReadBegun_ = Clock_.now();
-  Store_.readRange(Table, Unread->first, Unread->second.From_, "",
+  Store_.readRange(Table, Unread->first, Unread->second.From_, "", LargestPage,
                    [Weak = weak_from_this(), Table,
                     Queue = Unread->first](const StoreRange &Read) {
                      if (auto Self = Weak.lock())
--- a/src/scheduling/internal/tablefollower.cpp
+++ b/src/scheduling/internal/tablefollower.cpp
@@ -35,7 +35,7 @@
 }
 
 void TableFollower::read() {
-  Store_.readRange(Table_, Part_, nextKey(), "",
+  Store_.readRange(Table_, Part_, nextKey(), "", LargestPage,
                    [Weak = weak_from_this()](const StoreRange &Read) {
                      if (auto Self = Weak.lock())
                        Self->onRead(Read);
--- a/src/scheduling/istore.h
+++ b/src/scheduling/istore.h
@@ -22,9 +22,10 @@
   virtual void transact(StoreTransaction Wanted, TransactionDone Done) = 0;
   /// Reads rows of one part whose keys are at least \p From and, where \p To
   /// is not empty, less than \p To.
+  /// \param Most the number of rows to answer with at most, up to LargestPage.
   virtual void readRange(const std::string &Table, const std::string &Part,
                          const std::string &From, const std::string &To,
-                         RangeDone Done) = 0;
+                         std::size_t Most, RangeDone Done) = 0;
   /// Waits, for \p Longest at most, for changes of a table after a version.
   virtual void awaitChanges(const std::string &Table, StoreVersion After,
                             std::chrono::milliseconds Longest,
--- a/src/scheduling/storetypes.h
+++ b/src/scheduling/storetypes.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYLOCK_SCHEDULING_STORETYPES_H
 #define DRAGONFLYLOCK_SCHEDULING_STORETYPES_H
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <tuple>
@@ -12,6 +13,9 @@
 /// each row carries that of its last change.
 using StoreVersion = std::uint64_t;
 
+/// Rows that one read answers with at most.
+inline constexpr std::size_t LargestPage = 500;
+
 /// Names a row. Rows of one part can be changed together.
 struct StoreKey {
   std::string Table_;
--- a/src/scheduling/tests/mocks/fakefleet.h
+++ b/src/scheduling/tests/mocks/fakefleet.h
@@ -59,14 +59,18 @@
   }
   void readRange(const std::string &Table, const std::string &Part,
                  const std::string &From, const std::string &To,
-                 RangeDone Done) override {
+                 std::size_t Most, RangeDone Done) override {
     StoreRange Read;
     Read.Outcome_ = Outcome_;
     Read.Version_ = Version_;
     for (const auto &[Name, Row] : Rows_)
       if (Name.Table_ == Table && Name.Part_ == Part && Name.Key_ >= From &&
-          (To.empty() || Name.Key_ < To))
+          (To.empty() || Name.Key_ < To)) {
+        Read.HasMore_ = Read.Rows_.size() == Most;
+        if (Read.HasMore_)
+          break;
         Read.Rows_.push_back(Row);
+      }
     Done(Read);
   }
   void awaitChanges(const std::string &, StoreVersion,
--- a/src/telemetry/internal/meteredstore.cpp
+++ b/src/telemetry/internal/meteredstore.cpp
@@ -24,8 +24,8 @@
 
 void MeteredStore::readRange(const std::string &Table, const std::string &Part,
                              const std::string &From, const std::string &To,
-                             RangeDone Done) {
-  Inner_.readRange(Table, Part, From, To,
+                             std::size_t Most, RangeDone Done) {
+  Inner_.readRange(Table, Part, From, To, Most,
                    metered(Metrics_, "read", std::move(Done)));
 }
 
