--- a/src/emulator/emulator.h
+++ b/src/emulator/emulator.h
@@ -28,6 +28,10 @@
   bool HasWave_ = true;
   /// Share of the tasks that fail.
   double FailShare_ = 0.02;
+  /// What each node's link carries of the store's answers; 0 for no limit.
+  std::uint64_t LinkBytesPerSecond_ = 0;
+  /// Whether all nodes lose power when the traffic ends.
+  bool HasPowerLoss_ = false;
 };
 
 /// What came of an emulated day.
--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -19,6 +19,7 @@
 constexpr milliseconds TrafficStart{4000};
 constexpr milliseconds CallerLimit{3000};
 constexpr milliseconds PollInterval{700};
+constexpr milliseconds PowerLoss{1000};
 constexpr std::uint32_t CallerAttempts = 4;
 
 } // namespace
@@ -234,7 +235,9 @@
 
 EmulatorReport Emulator::run() {
   Parts &World = *Parts_;
-  World.Rules_.IsCalm_ = World.Plan_.Faults_ == 0 && !World.Plan_.HasWave_;
+  World.Rules_.IsCalm_ = World.Plan_.Faults_ == 0 && !World.Plan_.HasWave_ &&
+                         !World.Plan_.HasPowerLoss_;
+  World.Store_.setLink(World.Plan_.LinkBytesPerSecond_);
   World.build();
   World.planTraffic();
   World.Faults_ = std::make_unique<FaultPlayer>(World.World_, World.Store_,
@@ -242,6 +245,9 @@
   World.Faults_->plan(World.Plan_.Faults_, TrafficStart, World.Plan_.Traffic_);
   if (World.Plan_.HasWave_)
     World.World_.after(TrafficStart, [&World] { World.announceWave(); });
+  if (World.Plan_.HasPowerLoss_)
+    World.World_.after(TrafficStart + World.Plan_.Traffic_,
+                       [&World] { World.Faults_->losePower(PowerLoss); });
   World.World_.runUntil(TrafficStart + World.Plan_.Traffic_ +
                         World.Plan_.Finish_);
   World.Rules_.checkEnd();
--- a/src/emulator/internal/faultplayer.cpp
+++ b/src/emulator/internal/faultplayer.cpp
@@ -52,12 +52,16 @@
     Node.stopGracefully();
     World_.after(Length + milliseconds(3000), [&Node] { Node.start(); });
   } else {
-    note("kill all nodes", Length);
-    for (auto &Each : Nodes_) {
-      Each->kill();
-      World_.after(Length + milliseconds(World_.between(0, 500)),
-                   [Killed = Each.get()] { Killed->start(); });
-    }
+    losePower(Length);
+  }
+}
+
+void FaultPlayer::losePower(milliseconds Length) {
+  note("kill all nodes", Length);
+  for (auto &Each : Nodes_) {
+    Each->kill();
+    World_.after(Length + milliseconds(World_.between(0, 500)),
+                 [Killed = Each.get()] { Killed->start(); });
   }
 }
 
--- a/src/emulator/internal/faultplayer.h
+++ b/src/emulator/internal/faultplayer.h
@@ -26,6 +26,8 @@
   /// Plans \p Count faults between \p From and \p From + \p Length.
   void plan(std::uint32_t Count, std::chrono::milliseconds From,
             std::chrono::milliseconds Length);
+  /// Kills all nodes and starts them again after \p Length.
+  void losePower(std::chrono::milliseconds Length);
   /// \returns what was played.
   const std::vector<std::string> &played() const { return Played_; }
 
--- a/src/emulator/internal/modelstore.cpp
+++ b/src/emulator/internal/modelstore.cpp
@@ -1,13 +1,28 @@
 #include "emulator/modelstore.h"
 #include "emulator/simulation.h"
 
+#include <algorithm>
+
 namespace dragonflylock {
 namespace {
 
 using std::chrono::milliseconds;
 
 constexpr milliseconds OneWay{2};
-constexpr milliseconds CallLimit{1000};
+/// Bytes of a row on the wire besides its value.
+constexpr std::size_t RowFrame = 150;
+
+const std::vector<StoreRow> &rowsOf(const StoreTransactionEnd &End) {
+  return End.Current_;
+}
+
+const std::vector<StoreRow> &rowsOf(const StoreRange &Read) {
+  return Read.Rows_;
+}
+
+const std::vector<StoreRow> &rowsOf(const StoreChanges &Changes) {
+  return Changes.Rows_;
+}
 
 template <typename Result> Result failed(StoreOutcome Outcome) {
   Result Failed;
@@ -30,7 +45,8 @@
 template <typename Result>
 void ModelStore::call(const std::string &Node, const Deliver &Answer,
                       std::function<void(const Result &)> Done,
-                      std::function<Result()> Work, bool IsWrite) {
+                      std::function<Result()> Work, bool IsWrite,
+                      milliseconds Limit) {
   auto FailWith = [=, this](StoreOutcome Outcome, milliseconds Delay) {
     World_.after(Delay,
                  [=] { Answer([=] { Done(failed<Result>(Outcome)); }); });
@@ -55,11 +71,36 @@
       FailWith(StoreOutcome::Unknown, CallLimit);
       return;
     }
-    World_.after(OneWay * Faults_.Slowness_,
+    auto Transfer = carry(Node, rowsOf(Made), Limit);
+    if (!Transfer) {
+      FailWith(StoreOutcome::Unknown, Limit);
+      return;
+    }
+    World_.after(OneWay * Faults_.Slowness_ + *Transfer,
                  [=] { Answer([=] { Done(Made); }); });
   });
 }
 
+std::optional<std::chrono::microseconds>
+ModelStore::carry(const std::string &Node, const std::vector<StoreRow> &Rows,
+                  milliseconds Limit) {
+  if (LinkSpeed_ == 0)
+    return std::chrono::microseconds(0);
+  std::uint64_t Bytes = 0;
+  for (const StoreRow &Row : Rows)
+    Bytes += RowFrame + Row.Value_.size() * 4 / 3;
+  const TimePoint Now = World_.now();
+  TimePoint &Taken = LinkTaken_[Node];
+  Taken = std::max(Taken, Now) +
+          std::chrono::microseconds(Bytes * 1000000 / LinkSpeed_);
+  // An answer that is given up takes the link no longer.
+  bool IsLate = Taken > Now + Limit;
+  Taken = std::min<TimePoint>(Taken, Now + Limit);
+  if (IsLate)
+    return std::nullopt;
+  return std::chrono::ceil<std::chrono::microseconds>(Taken - Now);
+}
+
 void ModelStore::transact(const std::string &Node, const Deliver &Answer,
                           StoreTransaction Wanted,
                           IStore::TransactionDone Done) {
@@ -150,11 +191,11 @@
     call<StoreChanges>(
         Node, Answer, std::move(Done),
         [this, Table, After] { return changesAfter(Table, After); },
-        /*IsWrite=*/false);
+        /*IsWrite=*/false, Longest + CallLimit);
     return;
   }
   std::uint64_t Number = ++NextWaiter_;
-  Waiters_[Number] = {Table, After, Answer, std::move(Done)};
+  Waiters_[Number] = {Node, Table, After, Answer, std::move(Done)};
   World_.after(Longest, [this, Number] {
     auto Found = Waiters_.find(Number);
     if (Found == Waiters_.end())
@@ -176,7 +217,11 @@
     }
     Waiter Woken = std::move(Each->second);
     Each = Waiters_.erase(Each);
-    World_.after(OneWay, [=] { Woken.Answer_([=] { Woken.Done_(Changes); }); });
+    auto Transfer = carry(Woken.Node_, Changes.Rows_, CallLimit);
+    if (!Transfer)
+      Changes = failed<StoreChanges>(StoreOutcome::Unknown);
+    World_.after(OneWay + Transfer.value_or(CallLimit),
+                 [=] { Woken.Answer_([=] { Woken.Done_(Changes); }); });
   }
 }
 
--- a/src/emulator/modelstore.h
+++ b/src/emulator/modelstore.h
@@ -1,10 +1,13 @@
 #ifndef DRAGONFLYLOCK_EMULATOR_MODELSTORE_H
 #define DRAGONFLYLOCK_EMULATOR_MODELSTORE_H
 
+#include "global/iclock.h"
 #include "scheduling/istore.h"
 
+#include <chrono>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -38,6 +41,9 @@
   explicit ModelStore(Simulation &World) : World_(World) {}
 
   StoreFaults &faults() { return Faults_; }
+  /// Lets each node's answers pass a link of its own.
+  /// \param BytesPerSecond what it carries; 0 stands for a link without limit.
+  void setLink(std::uint64_t BytesPerSecond) { LinkSpeed_ = BytesPerSecond; }
   /// Drops the history, so that followers have to read everything again.
   void compact();
   /// \returns the value of a row, empty where there is none.
@@ -55,25 +61,38 @@
                     IStore::ChangesDone Done);
 
 private:
+  static constexpr std::chrono::milliseconds CallLimit{1000};
+
   struct Waiter {
+    std::string Node_;
     std::string Table_;
     StoreVersion After_ = 0;
     Deliver Answer_;
     IStore::ChangesDone Done_;
   };
 
+  /// \returns when rows sent to \p Node now have arrived there, or nothing
+  /// where that takes longer than \p Limit.
+  std::optional<std::chrono::microseconds>
+  carry(const std::string &Node, const std::vector<StoreRow> &Rows,
+        std::chrono::milliseconds Limit);
   /// Calls \p Work at the store and answers with its result, as far as the
-  /// faults in force let it.
+  /// faults in force and the node's link let it.
   template <typename Result>
   void call(const std::string &Node, const Deliver &Answer,
             std::function<void(const Result &)> Done,
-            std::function<Result()> Work, bool IsWrite);
+            std::function<Result()> Work, bool IsWrite,
+            std::chrono::milliseconds Limit = CallLimit);
   StoreTransactionEnd apply(const StoreTransaction &Wanted);
   StoreChanges changesAfter(const std::string &Table, StoreVersion After);
   void wakeWaiters();
 
   Simulation &World_;
   StoreFaults Faults_;
+  /// Bytes per second of each node's link; 0 stands for no limit.
+  std::uint64_t LinkSpeed_ = 0;
+  /// Until when a node's link is taken.
+  std::map<std::string, TimePoint> LinkTaken_;
   std::map<StoreKey, StoreRow> Rows_;
   std::vector<StoreRow> History_;
   StoreVersion Version_ = 0;
