A new owner reads its queues by pages that its link can carry

Callers saw accepted work that never ran again (LOST): a machine of 0.12 of a core and 10 Mbit/s won a pool after all nodes had lost power and never loaded it.

Cause: a queue's rows were read in pages of 500, each within 1 s. Ruled out: the roster (read before, no failed read), the store (other owners loaded within 0.5 s at that time), refusals (no outcome but unknown).

A window now bounds the rows that are on their way to one owner. It grows by what was answered quickly, and is halved when a page gets no answer, so the same page is not asked for in the same size again. Tables share it, as their pages share the link. What was read stays read.

Weighed: a limit that follows the bytes that arrive. It would let large pages pass, but each blocks the deciding thread while it is decoded, and a page that shares the link with 23 others still waits for its first byte.

Before, JobFollowerTest.LoadsAQueueWhoseLargestPageDoesNotPassTheLinkInTime and LoadsQueuesThatShareANarrowLink do not load within 2 minutes (0 of 500 and 0 of 400 rows), and in EmulatorTest.PoolsAreLoadedOverNarrowLinksAfterAPowerLoss accepted jobs do not end; all pass now.

--- a/src/emulator/tests/emulator_test.cpp
+++ b/src/emulator/tests/emulator_test.cpp
@@ -38,6 +38,19 @@
   EXPECT_EQ(First.Faults_, Second.Faults_);
 }
 
+TEST(EmulatorTest, PoolsAreLoadedOverNarrowLinksAfterAPowerLoss) {
+  EmulatorPlan Plan;
+  Plan.Faults_ = 0;
+  Plan.HasWave_ = false;
+  Plan.FailShare_ = 0;
+  Plan.JobsPerSecond_ = 20;
+  Plan.WorkersPerPool_ = 20;
+  Plan.LinkBytesPerSecond_ = 100000;
+  Plan.HasPowerLoss_ = true;
+  EmulatorReport Report = play(Plan);
+  EXPECT_EQ(Report.Accepted_, Report.Jobs_);
+}
+
 class MixedFaults : public testing::TestWithParam<int> {};
 
 TEST_P(MixedFaults, BreakNoRule) {
--- a/src/scheduling/internal/jobfollower.cpp
+++ b/src/scheduling/internal/jobfollower.cpp
@@ -44,15 +44,29 @@
   }
 }
 
+std::size_t JobFollower::unreadTables() const {
+  return static_cast<std::size_t>(
+      std::count_if(Tables_.begin(), Tables_.end(), [](const auto &Table) {
+        const auto &Parts = Table.second.Parts_;
+        return std::any_of(Parts.begin(), Parts.end(), [](const auto &Part) {
+          return !Part.second.IsRead_;
+        });
+      }));
+}
+
 void JobFollower::read(const std::string &Table, FollowedTable &State) {
   auto Unread =
       std::find_if(State.Parts_.begin(), State.Parts_.end(),
                    [](const auto &Part) { return !Part.second.IsRead_; });
   if (Unread == State.Parts_.end())
     return;
+  State.Asked_ = Window_.nextPage(unreadTables());
+  if (State.Asked_ == 0)
+    return;
+  Window_.begin(State.Asked_);
   State.IsReading_ = true;
   State.ReadBegun_ = Clock_.now();
-  Store_.readRange(Table, Unread->first, Unread->second.From_, "", LargestPage,
+  Store_.readRange(Table, Unread->first, Unread->second.From_, "", State.Asked_,
                    [Weak = weak_from_this(), Table,
                     Queue = Unread->first](const StoreRange &Read) {
                      if (auto Self = Weak.lock())
@@ -64,6 +78,7 @@
                          const StoreRange &Read) {
   FollowedTable &State = Tables_[Table];
   State.IsReading_ = false;
+  Window_.end(State.Asked_, Read, State.ReadBegun_, Clock_.now());
   if (Read.Outcome_ != StoreOutcome::Done) {
     readlog::pageFailed(Logger_, {Table, Queue, State.Parts_[Queue].From_},
                         Read.Outcome_, Clock_.now() - State.ReadBegun_);
--- a/src/scheduling/internal/jobfollower.h
+++ b/src/scheduling/internal/jobfollower.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_SCHEDULING_INTERNAL_JOBFOLLOWER_H
 
 #include "global/iclock.h"
+#include "scheduling/internal/readwindow.h"
 #include "scheduling/storetypes.h"
 
 #include <functional>
@@ -44,6 +45,8 @@
   struct FollowedTable {
     std::map<std::string, QueuePart> Parts_;
     bool IsReading_ = false;
+    /// Rows that the page under way asked for.
+    std::size_t Asked_ = 0;
     bool IsAwaiting_ = false;
     TimePoint ReadBegun_;
     TimePoint AwaitBegun_;
@@ -53,6 +56,8 @@
     std::optional<StoreVersion> Version_;
   };
 
+  /// \returns how many tables have queues that are not read yet.
+  std::size_t unreadTables() const;
   void read(const std::string &Table, FollowedTable &State);
   void onRead(const std::string &Table, const std::string &Queue,
               const StoreRange &Read);
@@ -65,6 +70,8 @@
   ILogger &Logger_;
   RowSink Sink_;
   std::map<std::string, FollowedTable> Tables_;
+  /// Shared by all tables, whose pages come by the same link.
+  ReadWindow Window_;
 };
 
 } // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/tests/followers_test.cpp
@@ -0,0 +1,93 @@
+#include "scheduling/internal/jobfollower.h"
+#include "scheduling/jobrows.h"
+#include "scheduling/tablefollower.h"
+#include "scheduling/tests/mocks/narrowstore.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace dragonflylock {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A pool's reader of its queues behind a link.
+class JobFollowerTest : public testing::Test {
+protected:
+  JobFollowerTest()
+      : Store_(Clock_),
+        Follower_(std::make_shared<JobFollower>(
+            Store_, Clock_, Logger_,
+            [this](const StoreRow &Row) { Seen_.insert(Row.Name_); })) {}
+
+  static StoreKey rowOf(const std::string &Queue, int Job) {
+    char Id[17];
+    std::snprintf(Id, sizeof(Id), "%016x", Job);
+    return jobrows::name(Queue, Id, JobRowKind::Submission);
+  }
+  void addJobs(const std::string &Queue, int Jobs) {
+    Queues_.insert(Queue);
+    for (int Job = 0; Job < Jobs; ++Job)
+      Store_.add(rowOf(Queue, Job));
+  }
+  /// \returns the time that the queues took to load; an hour where they do not.
+  milliseconds load() {
+    const TimePoint Begun = Clock_.now();
+    Follower_->follow(Queues_);
+    while (!Follower_->isLoaded() &&
+           Clock_.now() < Begun + std::chrono::minutes(2)) {
+      Follower_->tick();
+      Store_.settle();
+      Clock_.advance(milliseconds(10));
+    }
+    if (!Follower_->isLoaded())
+      return std::chrono::hours(1);
+    return std::chrono::duration_cast<milliseconds>(Clock_.now() - Begun);
+  }
+
+  ManualClock Clock_;
+  SilentLogger Logger_;
+  NarrowStore Store_;
+  std::set<std::string> Queues_;
+  std::set<StoreKey> Seen_;
+  std::shared_ptr<JobFollower> Follower_;
+};
+
+TEST_F(JobFollowerTest, LoadsAQueueWhoseLargestPageDoesNotPassTheLinkInTime) {
+  Store_.RowsPerCall_ = 60;
+  addJobs("queue", 500);
+  EXPECT_LT(load(), std::chrono::seconds(15));
+  EXPECT_EQ(Seen_.size(), 500U);
+}
+
+TEST_F(JobFollowerTest, LoadsQueuesThatShareANarrowLink) {
+  Store_.RowsPerCall_ = 20;
+  for (int Queue = 0; Queue < 40; ++Queue)
+    addJobs("queue-" + std::to_string(Queue), 10);
+  EXPECT_LT(load(), std::chrono::seconds(30));
+  EXPECT_EQ(Seen_.size(), 400U);
+}
+
+TEST_F(JobFollowerTest, LoadsByFewPagesWhereTheLinkIsWide) {
+  addJobs("queue", 5000);
+  load();
+  EXPECT_EQ(Seen_.size(), 5000U);
+  EXPECT_LT(Store_.Calls_, 16U);
+}
+
+TEST_F(JobFollowerTest, ReadsLargerPagesAgainAfterASilentStore) {
+  addJobs("queue", 5000);
+  Store_.RowsPerCall_ = 0;
+  Follower_->follow(Queues_);
+  for (int Round = 0; Round < 20; ++Round) {
+    Follower_->tick();
+    Store_.settle();
+    Clock_.advance(milliseconds(200));
+  }
+  Store_.RowsPerCall_ = 1000000;
+  EXPECT_LT(load(), std::chrono::seconds(6));
+}
+
+} // namespace
+} // namespace dragonflylock
--- /dev/null
+++ b/src/scheduling/tests/mocks/narrowstore.h
@@ -0,0 +1,101 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_TESTS_MOCKS_NARROWSTORE_H
+#define DRAGONFLYLOCK_SCHEDULING_TESTS_MOCKS_NARROWSTORE_H
+
+#include "global/tests/mocks/manualclock.h"
+#include "scheduling/tests/mocks/fakefleet.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace dragonflylock {
+
+/// A store behind a link that carries so many rows in the time of a call. The
+/// reads under way share it; those that are too large for it get no answer.
+class NarrowStore : public InstantStore {
+public:
+  struct Page {
+    StoreKey From_;
+    std::size_t Most_ = 0;
+    RangeDone Done_;
+  };
+  struct Wait {
+    std::string Table_;
+    StoreVersion After_ = 0;
+    std::chrono::milliseconds Longest_{0};
+    ChangesDone Done_;
+  };
+
+  explicit NarrowStore(ManualClock &Clock) : Clock_(Clock) {}
+
+  void readRange(const std::string &Table, const std::string &Part,
+                 const std::string &From, const std::string &, std::size_t Most,
+                 RangeDone Done) override {
+    Pages_.push_back({{Table, Part, From}, Most, std::move(Done)});
+  }
+  void awaitChanges(const std::string &Table, StoreVersion After,
+                    std::chrono::milliseconds Longest,
+                    ChangesDone Done) override {
+    Waits_.push_back({Table, After, Longest, std::move(Done)});
+  }
+  /// Adds a row with a value of no interest.
+  void add(const StoreKey &Name) {
+    Rows_[Name] = {Name, "value", ++Version_, false};
+  }
+  /// Ends the reads that are under way, after the time that their rows take.
+  void settle() {
+    std::vector<Page> Settled = std::exchange(Pages_, {});
+    std::vector<StoreRange> Answers;
+    std::chrono::milliseconds Time = OneAnswer;
+    for (const Page &Each : Settled) {
+      StoreRange Read = pageOf(Each);
+      std::size_t Share = Read.Rows_.size() * Settled.size();
+      if (Share > RowsPerCall_) {
+        Time = CallLimit;
+        Read = StoreRange();
+      } else if (Share > 0) {
+        Time = std::max<std::chrono::milliseconds>(
+            Time, CallLimit * static_cast<int>(Share) /
+                      static_cast<int>(RowsPerCall_));
+      }
+      Answers.push_back(std::move(Read));
+    }
+    Clock_.advance(Time);
+    for (std::size_t Number = 0; Number < Settled.size(); ++Number)
+      Settled[Number].Done_(Answers[Number]);
+    Calls_ += Settled.size();
+  }
+
+  std::size_t RowsPerCall_ = 1000000;
+  std::size_t Calls_ = 0;
+  std::vector<Page> Pages_;
+  std::vector<Wait> Waits_;
+
+private:
+  StoreRange pageOf(const Page &Wanted) const {
+    StoreRange Read;
+    Read.Outcome_ = StoreOutcome::Done;
+    Read.Version_ = Version_;
+    for (auto Each = Rows_.lower_bound(Wanted.From_); Each != Rows_.end();
+         ++Each) {
+      if (Each->first.Table_ != Wanted.From_.Table_ ||
+          Each->first.Part_ != Wanted.From_.Part_)
+        break;
+      if (Read.Rows_.size() == Wanted.Most_) {
+        Read.HasMore_ = true;
+        break;
+      }
+      Read.Rows_.push_back(Each->second);
+    }
+    return Read;
+  }
+
+  static constexpr std::chrono::milliseconds OneAnswer{10};
+  static constexpr std::chrono::milliseconds CallLimit{1000};
+
+  ManualClock &Clock_;
+};
+
+} // namespace dragonflylock
+
+#endif
