Followers of a table read it by pages that their link can carry

The same fault as with a pool's queues: the operators' documents, the workers' registry and the control rows were read in pages of 500 rows within 1 s, and a page that takes longer was asked for again in the same size. The window that owners use for their queues now bounds these pages too.

Before, TableFollowerTest.LoadsATableWhoseLargestPageDoesNotPassTheLinkInTime has read nothing of 800 rows after 30 s; it passes now. A single row has at most 65,536 bytes and can't be divided; it passes 10 Mbit/s in 0.07 s.

--- a/src/scheduling/internal/tablefollower.cpp
+++ b/src/scheduling/internal/tablefollower.cpp
@@ -1,5 +1,6 @@
 #include "scheduling/tablefollower.h"
 #include "scheduling/internal/readlog.h"
+#include "scheduling/internal/readwindow.h"
 #include "scheduling/istore.h"
 
 namespace dragonflylock {
@@ -17,7 +18,10 @@
                              std::string Part, std::chrono::milliseconds Pause,
                              RowSink Sink)
     : Store_(Store), Clock_(Clock), Logger_(Logger), Table_(std::move(Table)),
-      Part_(std::move(Part)), Pause_(Pause), Sink_(std::move(Sink)) {}
+      Part_(std::move(Part)), Pause_(Pause), Sink_(std::move(Sink)),
+      Window_(std::make_unique<ReadWindow>()) {}
+
+TableFollower::~TableFollower() = default;
 
 void TableFollower::tick() {
   if (IsBusy_ || Clock_.now() < NotBefore_)
@@ -35,7 +39,9 @@
 }
 
 void TableFollower::read() {
-  Store_.readRange(Table_, Part_, nextKey(), "", LargestPage,
+  Asked_ = Window_->nextPage(1);
+  Window_->begin(Asked_);
+  Store_.readRange(Table_, Part_, nextKey(), "", Asked_,
                    [Weak = weak_from_this()](const StoreRange &Read) {
                      if (auto Self = Weak.lock())
                        Self->onRead(Read);
@@ -44,6 +50,7 @@
 
 void TableFollower::onRead(const StoreRange &Read) {
   IsBusy_ = false;
+  Window_->end(Asked_, Read, CallBegun_, Clock_.now());
   if (Read.Outcome_ != StoreOutcome::Done) {
     readlog::pageFailed(Logger_, {Table_, Part_, nextKey()}, Read.Outcome_,
                         Clock_.now() - CallBegun_);
--- a/src/scheduling/tablefollower.h
+++ b/src/scheduling/tablefollower.h
@@ -13,6 +13,7 @@
 
 class ILogger;
 class IStore;
+class ReadWindow;
 
 /// Keeps up with one part of a table: reads it whole, then waits for changes;
 /// reads it whole again where the store's history is lost.
@@ -28,6 +29,8 @@
                 std::string Table, std::string Part,
                 std::chrono::milliseconds Pause, RowSink Sink);
 
+  ~TableFollower();
+
   /// Starts, or goes on with, what is due.
   void tick();
   /// \returns when the store last answered.
@@ -57,6 +60,9 @@
   TimePoint NotBefore_;
   TimePoint LastAnswer_;
   StoreVersion Version_ = 0;
+  std::unique_ptr<ReadWindow> Window_;
+  /// Rows that the page under way asked for.
+  std::size_t Asked_ = 0;
   /// Rows of the pages read so far.
   std::vector<StoreRow> Pages_;
   StoreVersion FirstPage_ = 0;
--- a/src/scheduling/tests/followers_test.cpp
+++ b/src/scheduling/tests/followers_test.cpp
@@ -89,5 +89,51 @@
   EXPECT_LT(load(), std::chrono::seconds(6));
 }
 
+/// A reader of one part of a table behind a link.
+class TableFollowerTest : public testing::Test {
+protected:
+  TableFollowerTest()
+      : Store_(Clock_),
+        Follower_(std::make_shared<TableFollower>(
+            Store_, Clock_, Logger_, "table", "", milliseconds(50),
+            [this](const std::vector<StoreRow> &Rows, bool IsWhole) {
+              if (IsWhole)
+                Whole_ = Rows.size();
+            })) {}
+
+  void addRows(int Rows) {
+    for (int Row = 0; Row < Rows; ++Row)
+      Store_.add({"table", "", std::to_string(1000000 + Row)});
+  }
+  void run(std::chrono::seconds Time) {
+    const TimePoint Begun = Clock_.now();
+    while (!Follower_->isLoaded() && Clock_.now() < Begun + Time) {
+      Follower_->tick();
+      Store_.settle();
+      Clock_.advance(milliseconds(10));
+    }
+  }
+
+  ManualClock Clock_;
+  SilentLogger Logger_;
+  NarrowStore Store_;
+  std::size_t Whole_ = 0;
+  std::shared_ptr<TableFollower> Follower_;
+};
+
+TEST_F(TableFollowerTest, LoadsATableWhoseLargestPageDoesNotPassTheLinkInTime) {
+  Store_.RowsPerCall_ = 60;
+  addRows(800);
+  run(std::chrono::seconds(30));
+  EXPECT_EQ(Whole_, 800U);
+}
+
+TEST_F(TableFollowerTest, LoadsByFewPagesWhereTheLinkIsWide) {
+  addRows(5000);
+  run(std::chrono::seconds(30));
+  EXPECT_EQ(Whole_, 5000U);
+  EXPECT_LT(Store_.Calls_, 16U);
+}
+
 } // namespace
 } // namespace dragonflylock
