A page that was under way when history was lost does not hide earlier rows

Found while reading the follower of a pool's queues; no caller is known to have seen it. When the store had discarded its history, the owner began to read a queue from its start again, but the answer to a page that was still under way put the reader behind that page: changes of earlier rows since the lost history were never seen, such as a job's cancellation. Such a page now moves nothing on.

Before, JobFollowerTest.MissesNoChangeWhenHistoryIsLostDuringAPage does not see the cancellation; it passes now.

--- a/src/scheduling/internal/jobfollower.cpp
+++ b/src/scheduling/internal/jobfollower.cpp
@@ -64,9 +64,10 @@
   if (State.Asked_ == 0)
     return;
   Window_.begin(State.Asked_);
+  State.AskedFrom_ = Unread->second.From_;
   State.IsReading_ = true;
   State.ReadBegun_ = Clock_.now();
-  Store_.readRange(Table, Unread->first, Unread->second.From_, "", State.Asked_,
+  Store_.readRange(Table, Unread->first, State.AskedFrom_, "", State.Asked_,
                    [Weak = weak_from_this(), Table,
                     Queue = Unread->first](const StoreRange &Read) {
                      if (auto Self = Weak.lock())
@@ -80,12 +81,18 @@
   State.IsReading_ = false;
   Window_.end(State.Asked_, Read, State.ReadBegun_, Clock_.now());
   if (Read.Outcome_ != StoreOutcome::Done) {
-    readlog::pageFailed(Logger_, {Table, Queue, State.Parts_[Queue].From_},
+    readlog::pageFailed(Logger_, {Table, Queue, State.AskedFrom_},
                         Read.Outcome_, Clock_.now() - State.ReadBegun_);
     State.NextRead_ = Clock_.now() + RetryPause;
     return;
   }
   QueuePart &Part = State.Parts_[Queue];
+  // Reading began again while this page was under way: what precedes it has
+  // to be read as well.
+  if (Part.From_ != State.AskedFrom_) {
+    tick();
+    return;
+  }
   if (!Part.FirstVersion_)
     Part.FirstVersion_ = Read.Version_;
   // Every change after the first read reaches the sink, also of parts that
--- a/src/scheduling/internal/jobfollower.h
+++ b/src/scheduling/internal/jobfollower.h
@@ -47,6 +47,8 @@
     bool IsReading_ = false;
     /// Rows that the page under way asked for.
     std::size_t Asked_ = 0;
+    /// Where that page starts.
+    std::string AskedFrom_;
     bool IsAwaiting_ = false;
     TimePoint ReadBegun_;
     TimePoint AwaitBegun_;
--- a/src/scheduling/tests/followers_test.cpp
+++ b/src/scheduling/tests/followers_test.cpp
@@ -89,6 +89,23 @@
   EXPECT_LT(load(), std::chrono::seconds(6));
 }
 
+TEST_F(JobFollowerTest, MissesNoChangeWhenHistoryIsLostDuringAPage) {
+  addJobs("queue", 500);
+  Follower_->follow(Queues_);
+  Follower_->tick();
+  Store_.settle();
+  ASSERT_EQ(Store_.Pages_.size(), 1U);
+  ASSERT_FALSE(Store_.Waits_.empty());
+  StoreKey Change =
+      jobrows::name("queue", "0000000000000001", JobRowKind::Cancellation);
+  Store_.add(Change);
+  StoreChanges Lost;
+  Lost.Outcome_ = StoreOutcome::HistoryLost;
+  Store_.Waits_[0].Done_(Lost);
+  load();
+  EXPECT_TRUE(Seen_.contains(Change));
+}
+
 /// A reader of one part of a table behind a link.
 class TableFollowerTest : public testing::Test {
 protected:
