An owner that loads slowly asks every worker before it starts anything

Cause: runs of an earlier owner count as over once its leases must have lapsed, whether or not the workers have been asked. Workers are asked only after the jobs are loaded; when loading outlasts the lapse, tasks are started before the ends that still wait at the workers are known. The owner now also waits until each worker of the roster has answered a hold, or has left one unanswered.

Before, PoolOwnerTest.AsksEveryWorkerThoughLoadingOutlastedAllLeases starts a task that had ended on the worker not yet asked; it passes now.

--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -69,6 +69,10 @@
   void logStatus();
   void followQueues();
   void removeGoneWorkers();
+  /// \returns whether each worker that an earlier owner may have used has
+  /// answered a hold or left one unanswered. Runs that have lapsed, or that
+  /// ended while the jobs were loaded, are still among its ends.
+  bool wereAllAsked() const;
   /// Lets tasks start again that can't run under an earlier owner's orders.
   void settleInherited();
   /// Ends the sessions of workers that now live in another pool.
@@ -233,6 +237,16 @@
           .with("coming-machines", View.ComingMachines_));
 }
 
+bool PoolOwner::Parts::wereAllAsked() const {
+  return std::all_of(State_.Sessions_.begin(), State_.Sessions_.end(),
+                     [](const auto &Each) {
+                       const WorkerSession &Session = *Each.second;
+                       return Session.IsFenced_ || Session.WasDeclaredSilent_ ||
+                              Session.HoldFailures_ > 0 || Session.IsOver_ ||
+                              !Session.IsInRoster_;
+                     });
+}
+
 void PoolOwner::Parts::settleInherited() {
   if (IsInheritedSettled_ && InheritedTasks_.empty())
     return;
@@ -244,7 +258,7 @@
       State_.Sessions_.begin(), State_.Sessions_.end(), [](const auto &Each) {
         return Each.second->IsFenced_ || Each.second->WasDeclaredSilent_;
       });
-  if (!HasLapsed && !IsKnown)
+  if (!IsKnown && (!HasLapsed || !wereAllAsked()))
     return;
   std::set<std::string> Doubtful;
   for (const auto &[Lifetime, Session] : State_.Sessions_)
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -74,6 +74,32 @@
   EXPECT_EQ(Workers_.Starts_.size(), 1U);
 }
 
+TEST_F(PoolOwnerTest, AsksEveryWorkerThoughLoadingOutlastedAllLeases) {
+  storeJob(jobOf(1));
+  RosterRow Roster;
+  Roster.Workers_ = {worker("w1"), worker("w2")};
+  Roster.Queues_ = {"queue"};
+  StoreKey Row = controlrows::roster("pool");
+  Store_.Rows_[Row] = {Row, controlrows::encode(Roster), ++Store_.Version_,
+                       false};
+  Store_.Outcome_ = StoreOutcome::Unknown;
+  own(1, {worker("w1"), worker("w2")});
+  Clock_.advance(Settings_.LongestHold_ + std::chrono::seconds(3));
+  Store_.Outcome_ = StoreOutcome::Done;
+  for (int Round = 0; Round < 5; ++Round)
+    Owner_->tick();
+  ASSERT_EQ(Workers_.Holds_.size(), 2U);
+  answerHold(listing({}));
+  EXPECT_TRUE(Workers_.Starts_.empty());
+  ListedEnd End;
+  End.Sequence_ = 1;
+  End.Task_ = {JobId, 0, 0, 0};
+  End.Run_ = 1;
+  End.Kind_ = EndKind::Done;
+  answerHold(listing({}, {End}));
+  EXPECT_TRUE(Workers_.Starts_.empty());
+}
+
 TEST_F(PoolOwnerTest, UsesRunNumbersAboveThoseOfItsPredecessors) {
   storeJob(jobOf(1));
   own(2, {worker("w1")});
