A backlog of changes gets the time that it takes to arrive

The store gives all changes of a table since a version in one answer, within 2.5 s at most. A backlog that needs longer over a node's link was asked for again and again while it grew, until the store had discarded that history (20 s on these sites) and the rows were read again by pages.

The store's adapter now tells when an answer had begun to arrive and did not end in time. Only then the next wait is twice as long, up to 12 s; one that was silent is given up as early as before, and an answer brings the usual wait back.

--- a/src/emulator/internal/modelstore.cpp
+++ b/src/emulator/internal/modelstore.cpp
@@ -2,6 +2,7 @@
 #include "emulator/simulation.h"
 
 #include <algorithm>
+#include <type_traits>
 
 namespace dragonflylock {
 namespace {
@@ -30,6 +31,14 @@
   return Failed;
 }
 
+/// \returns an answer whose end did not arrive in time.
+template <typename Result> Result begun() {
+  Result Begun = failed<Result>(StoreOutcome::Unknown);
+  if constexpr (std::is_same_v<Result, StoreChanges>)
+    Begun.HasBegun_ = true;
+  return Begun;
+}
+
 } // namespace
 
 void ModelStore::compact() {
@@ -73,7 +82,7 @@
     }
     auto Transfer = carry(Node, rowsOf(Made), Limit);
     if (!Transfer) {
-      FailWith(StoreOutcome::Unknown, Limit);
+      World_.after(Limit, [=] { Answer([=] { Done(begun<Result>()); }); });
       return;
     }
     World_.after(OneWay * Faults_.Slowness_ + *Transfer,
@@ -219,7 +228,7 @@
     Each = Waiters_.erase(Each);
     auto Transfer = carry(Woken.Node_, Changes.Rows_, CallLimit);
     if (!Transfer)
-      Changes = failed<StoreChanges>(StoreOutcome::Unknown);
+      Changes = begun<StoreChanges>();
     World_.after(OneWay + Transfer.value_or(CallLimit),
                  [=] { Woken.Answer_([=] { Woken.Done_(Changes); }); });
   }
--- a/src/scheduling/internal/jobfollower.cpp
+++ b/src/scheduling/internal/jobfollower.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds RetryPause{150};
-/// Short enough to notice a connection that has gone silent.
-constexpr std::chrono::milliseconds LongestWait{1500};
 /// Pause between two answers, in which changes gather. A job waits for it at
 /// most once before its first start.
 constexpr std::chrono::milliseconds GatherPause{15};
@@ -111,7 +109,7 @@
   State.IsAwaiting_ = true;
   State.AwaitBegun_ = Clock_.now();
   Store_.awaitChanges(
-      Table, *State.Version_, LongestWait,
+      Table, *State.Version_, State.Wait_.longest(),
       [Weak = weak_from_this(), Table](const StoreChanges &Changes) {
         if (auto Self = Weak.lock())
           Self->onChanges(Table, Changes);
@@ -122,6 +120,7 @@
                             const StoreChanges &Changes) {
   FollowedTable &State = Tables_[Table];
   State.IsAwaiting_ = false;
+  State.Wait_.onEnd(Changes);
   State.NextAwait_ = Clock_.now() + RetryPause;
   const StoreVersion After = State.Version_.value_or(0);
   if (Changes.Outcome_ == StoreOutcome::HistoryLost)
--- a/src/scheduling/internal/tablefollower.cpp
+++ b/src/scheduling/internal/tablefollower.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/tablefollower.h"
+#include "scheduling/internal/changeswait.h"
 #include "scheduling/internal/readlog.h"
 #include "scheduling/internal/readwindow.h"
 #include "scheduling/istore.h"
@@ -7,9 +8,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds RetryPause{150};
-/// Longest wait for a change. Shorter than what the store allows, so that a
-/// connection that has gone silent is noticed within seconds.
-constexpr std::chrono::milliseconds LongestWait{1500};
 
 } // namespace
 
@@ -19,7 +17,8 @@
                              RowSink Sink)
     : Store_(Store), Clock_(Clock), Logger_(Logger), Table_(std::move(Table)),
       Part_(std::move(Part)), Pause_(Pause), Sink_(std::move(Sink)),
-      Window_(std::make_unique<ReadWindow>()) {}
+      Window_(std::make_unique<ReadWindow>()),
+      Wait_(std::make_unique<ChangesWait>()) {}
 
 TableFollower::~TableFollower() = default;
 
@@ -76,7 +75,7 @@
 }
 
 void TableFollower::await() {
-  Store_.awaitChanges(Table_, Version_, LongestWait,
+  Store_.awaitChanges(Table_, Version_, Wait_->longest(),
                       [Weak = weak_from_this()](const StoreChanges &Changes) {
                         if (auto Self = Weak.lock())
                           Self->onChanges(Changes);
@@ -85,6 +84,7 @@
 
 void TableFollower::onChanges(const StoreChanges &Changes) {
   IsBusy_ = false;
+  Wait_->onEnd(Changes);
   if (Changes.Outcome_ == StoreOutcome::HistoryLost)
     NeedsRead_ = true;
   if (Changes.Outcome_ != StoreOutcome::Done) {
--- a/src/scheduling/storetypes.h
+++ b/src/scheduling/storetypes.h
@@ -99,6 +99,8 @@
   std::vector<StoreRow> Rows_;
   /// Where to go on from.
   StoreVersion Version_ = 0;
+  /// Whether an answer whose end did not come in time had begun to arrive.
+  bool HasBegun_ = false;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/tablefollower.h
+++ b/src/scheduling/tablefollower.h
@@ -11,6 +11,7 @@
 
 namespace dragonflylock {
 
+class ChangesWait;
 class ILogger;
 class IStore;
 class ReadWindow;
@@ -61,6 +62,7 @@
   TimePoint LastAnswer_;
   StoreVersion Version_ = 0;
   std::unique_ptr<ReadWindow> Window_;
+  std::unique_ptr<ChangesWait> Wait_;
   /// Rows that the page under way asked for.
   std::size_t Asked_ = 0;
   /// Rows of the pages read so far.
--- a/src/scheduling/tests/followers_test.cpp
+++ b/src/scheduling/tests/followers_test.cpp
@@ -46,7 +46,33 @@
     return std::chrono::duration_cast<milliseconds>(Clock_.now() - Begun);
   }
 
+  /// Ends waits for a backlog that takes \p Needed to arrive.
+  /// \returns whether the backlog arrived within some attempts.
+  bool receiveBacklog(milliseconds Needed, bool HasBegun) {
+    constexpr int Attempts = 6;
+    constexpr milliseconds CallLimit{1000};
+    for (int Attempt = 0; Attempt < Attempts; ++Attempt) {
+      Clock_.advance(milliseconds(200));
+      Follower_->tick();
+      if (Store_.Waits_.size() != 1)
+        return false;
+      NarrowStore::Wait Wait = std::move(Store_.Waits_[0]);
+      Store_.Waits_.clear();
+      Longest_ = Wait.Longest_;
+      StoreChanges Changes;
+      Changes.HasBegun_ = HasBegun;
+      if (Wait.Longest_ + CallLimit >= Needed)
+        Changes.Outcome_ = StoreOutcome::Done;
+      Clock_.advance(std::min(Needed, Wait.Longest_ + CallLimit));
+      Wait.Done_(Changes);
+      if (Changes.Outcome_ == StoreOutcome::Done)
+        return true;
+    }
+    return false;
+  }
+
   ManualClock Clock_;
+  milliseconds Longest_{0};
   SilentLogger Logger_;
   NarrowStore Store_;
   std::set<std::string> Queues_;
@@ -106,6 +132,19 @@
   EXPECT_TRUE(Seen_.contains(Change));
 }
 
+TEST_F(JobFollowerTest, GivesABacklogOfChangesTheTimeThatItTakes) {
+  addJobs("queue", 1);
+  load();
+  EXPECT_TRUE(receiveBacklog(milliseconds(8000), /*HasBegun=*/true));
+}
+
+TEST_F(JobFollowerTest, GivesASilentConnectionNoMoreTime) {
+  addJobs("queue", 1);
+  load();
+  EXPECT_FALSE(receiveBacklog(milliseconds(8000), /*HasBegun=*/false));
+  EXPECT_EQ(Longest_, milliseconds(1500));
+}
+
 /// A reader of one part of a table behind a link.
 class TableFollowerTest : public testing::Test {
 protected:
@@ -131,7 +170,33 @@
     }
   }
 
+  /// Ends waits for a backlog that takes \p Needed to arrive.
+  /// \returns whether the backlog arrived within some attempts.
+  bool receiveBacklog(milliseconds Needed, bool HasBegun) {
+    constexpr int Attempts = 6;
+    constexpr milliseconds CallLimit{1000};
+    for (int Attempt = 0; Attempt < Attempts; ++Attempt) {
+      Clock_.advance(milliseconds(200));
+      Follower_->tick();
+      if (Store_.Waits_.size() != 1)
+        return false;
+      NarrowStore::Wait Wait = std::move(Store_.Waits_[0]);
+      Store_.Waits_.clear();
+      Longest_ = Wait.Longest_;
+      StoreChanges Changes;
+      Changes.HasBegun_ = HasBegun;
+      if (Wait.Longest_ + CallLimit >= Needed)
+        Changes.Outcome_ = StoreOutcome::Done;
+      Clock_.advance(std::min(Needed, Wait.Longest_ + CallLimit));
+      Wait.Done_(Changes);
+      if (Changes.Outcome_ == StoreOutcome::Done)
+        return true;
+    }
+    return false;
+  }
+
   ManualClock Clock_;
+  milliseconds Longest_{0};
   SilentLogger Logger_;
   NarrowStore Store_;
   std::size_t Whole_ = 0;
@@ -152,5 +217,18 @@
   EXPECT_LT(Store_.Calls_, 16U);
 }
 
+TEST_F(TableFollowerTest, GivesABacklogOfChangesTheTimeThatItTakes) {
+  addRows(1);
+  run(std::chrono::seconds(1));
+  EXPECT_TRUE(receiveBacklog(milliseconds(8000), /*HasBegun=*/true));
+}
+
+TEST_F(TableFollowerTest, GivesASilentConnectionNoMoreTime) {
+  addRows(1);
+  run(std::chrono::seconds(1));
+  EXPECT_FALSE(receiveBacklog(milliseconds(8000), /*HasBegun=*/false));
+  EXPECT_EQ(Longest_, milliseconds(1500));
+}
+
 } // namespace
 } // namespace dragonflylock
