--- a/src/scheduling/internal/jobfollower.h
+++ b/src/scheduling/internal/jobfollower.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_SCHEDULING_INTERNAL_JOBFOLLOWER_H
 
 #include "global/iclock.h"
+#include "scheduling/internal/changeswait.h"
 #include "scheduling/internal/readwindow.h"
 #include "scheduling/storetypes.h"
 
@@ -47,11 +48,14 @@
     bool IsReading_ = false;
     /// Rows that the page under way asked for.
     std::size_t Asked_ = 0;
+    /// Where that page starts.
+    std::string AskedFrom_;
     bool IsAwaiting_ = false;
     TimePoint ReadBegun_;
     TimePoint AwaitBegun_;
     TimePoint NextRead_;
     TimePoint NextAwait_;
+    ChangesWait Wait_;
     /// Up to which changes are known; absent before the first read.
     std::optional<StoreVersion> Version_;
   };
--- a/src/scheduling/tests/followers_test.cpp
+++ b/src/scheduling/tests/followers_test.cpp
@@ -46,7 +46,33 @@
     return std::chrono::duration_cast<milliseconds>(Clock_.now() - Begun);
   }
 
+  /// Ends waits for a backlog that takes \p Needed to arrive.
+  /// \returns whether the backlog arrived within some attempts.
+  bool receiveBacklog(milliseconds Needed, bool HasBegun) {
+    constexpr int Attempts = 6;
+    constexpr milliseconds CallLimit{1000};
+    for (int Attempt = 0; Attempt < Attempts; ++Attempt) {
+      Clock_.advance(milliseconds(200));
+      Follower_->tick();
+      if (Store_.Waits_.size() != 1)
+        return false;
+      NarrowStore::Wait Wait = std::move(Store_.Waits_[0]);
+      Store_.Waits_.clear();
+      Longest_ = Wait.Longest_;
+      StoreChanges Changes;
+      Changes.HasBegun_ = HasBegun;
+      if (Wait.Longest_ + CallLimit >= Needed)
+        Changes.Outcome_ = StoreOutcome::Done;
+      Clock_.advance(std::min(Needed, Wait.Longest_ + CallLimit));
+      Wait.Done_(Changes);
+      if (Changes.Outcome_ == StoreOutcome::Done)
+        return true;
+    }
+    return false;
+  }
+
   ManualClock Clock_;
+  milliseconds Longest_{0};
   SilentLogger Logger_;
   NarrowStore Store_;
   std::set<std::string> Queues_;
@@ -89,5 +115,120 @@
   EXPECT_LT(load(), std::chrono::seconds(6));
 }
 
+TEST_F(JobFollowerTest, MissesNoChangeWhenHistoryIsLostDuringAPage) {
+  addJobs("queue", 500);
+  Follower_->follow(Queues_);
+  Follower_->tick();
+  Store_.settle();
+  ASSERT_EQ(Store_.Pages_.size(), 1U);
+  ASSERT_FALSE(Store_.Waits_.empty());
+  StoreKey Change =
+      jobrows::name("queue", "0000000000000001", JobRowKind::Cancellation);
+  Store_.add(Change);
+  StoreChanges Lost;
+  Lost.Outcome_ = StoreOutcome::HistoryLost;
+  Store_.Waits_[0].Done_(Lost);
+  load();
+  EXPECT_TRUE(Seen_.contains(Change));
+}
+
+TEST_F(JobFollowerTest, GivesABacklogOfChangesTheTimeThatItTakes) {
+  addJobs("queue", 1);
+  load();
+  EXPECT_TRUE(receiveBacklog(milliseconds(8000), /*HasBegun=*/true));
+}
+
+TEST_F(JobFollowerTest, GivesASilentConnectionNoMoreTime) {
+  addJobs("queue", 1);
+  load();
+  EXPECT_FALSE(receiveBacklog(milliseconds(8000), /*HasBegun=*/false));
+  EXPECT_EQ(Longest_, milliseconds(1500));
+}
+
+/// A reader of one part of a table behind a link.
+class TableFollowerTest : public testing::Test {
+protected:
+  TableFollowerTest()
+      : Store_(Clock_),
+        Follower_(std::make_shared<TableFollower>(
+            Store_, Clock_, Logger_, "table", "", milliseconds(50),
+            [this](const std::vector<StoreRow> &Rows, bool IsWhole) {
+              if (IsWhole)
+                Whole_ = Rows.size();
+            })) {}
+
+  void addRows(int Rows) {
+    for (int Row = 0; Row < Rows; ++Row)
+      Store_.add({"table", "", std::to_string(1000000 + Row)});
+  }
+  void run(std::chrono::seconds Time) {
+    const TimePoint Begun = Clock_.now();
+    while (!Follower_->isLoaded() && Clock_.now() < Begun + Time) {
+      Follower_->tick();
+      Store_.settle();
+      Clock_.advance(milliseconds(10));
+    }
+  }
+
+  /// Ends waits for a backlog that takes \p Needed to arrive.
+  /// \returns whether the backlog arrived within some attempts.
+  bool receiveBacklog(milliseconds Needed, bool HasBegun) {
+    constexpr int Attempts = 6;
+    constexpr milliseconds CallLimit{1000};
+    for (int Attempt = 0; Attempt < Attempts; ++Attempt) {
+      Clock_.advance(milliseconds(200));
+      Follower_->tick();
+      if (Store_.Waits_.size() != 1)
+        return false;
+      NarrowStore::Wait Wait = std::move(Store_.Waits_[0]);
+      Store_.Waits_.clear();
+      Longest_ = Wait.Longest_;
+      StoreChanges Changes;
+      Changes.HasBegun_ = HasBegun;
+      if (Wait.Longest_ + CallLimit >= Needed)
+        Changes.Outcome_ = StoreOutcome::Done;
+      Clock_.advance(std::min(Needed, Wait.Longest_ + CallLimit));
+      Wait.Done_(Changes);
+      if (Changes.Outcome_ == StoreOutcome::Done)
+        return true;
+    }
+    return false;
+  }
+
+  ManualClock Clock_;
+  milliseconds Longest_{0};
+  SilentLogger Logger_;
+  NarrowStore Store_;
+  std::size_t Whole_ = 0;
+  std::shared_ptr<TableFollower> Follower_;
+};
+
+TEST_F(TableFollowerTest, LoadsATableWhoseLargestPageDoesNotPassTheLinkInTime) {
+  Store_.RowsPerCall_ = 60;
+  addRows(800);
+  run(std::chrono::seconds(30));
+  EXPECT_EQ(Whole_, 800U);
+}
+
+TEST_F(TableFollowerTest, LoadsByFewPagesWhereTheLinkIsWide) {
+  addRows(5000);
+  run(std::chrono::seconds(30));
+  EXPECT_EQ(Whole_, 5000U);
+  EXPECT_LT(Store_.Calls_, 16U);
+}
+
+TEST_F(TableFollowerTest, GivesABacklogOfChangesTheTimeThatItTakes) {
+  addRows(1);
+  run(std::chrono::seconds(1));
+  EXPECT_TRUE(receiveBacklog(milliseconds(8000), /*HasBegun=*/true));
+}
+
+TEST_F(TableFollowerTest, GivesASilentConnectionNoMoreTime) {
+  addRows(1);
+  run(std::chrono::seconds(1));
+  EXPECT_FALSE(receiveBacklog(milliseconds(8000), /*HasBegun=*/false));
+  EXPECT_EQ(Longest_, milliseconds(1500));
+}
+
 } // namespace
 } // namespace dragonflylock
