Progress is stored by transactions that the store and the link can take

Progress of up to 50 jobs was put into one transaction, whatever its size, and after a failure the same rows were sent again. Rows have up to 65,536 bytes, so 50 of them can exceed the 1 MB that the store takes in a call; then ends were never stored, and on a narrow link the call can outlast its limit each time. A transaction now holds at most 200,000 bytes unless a single row has more, and half as many rows after one that got no answer; each one that is stored doubles the rows again.

Before, ProgressBatchTest.IsSmallerWhereALargeOneGetsNoAnswer stores 0 of 45 jobs' ends within 10 s and HoldsNoMoreBytesThanTheStoreTakes 0 of 8 within 3 s.

--- a/src/scheduling/internal/progresswriter.cpp
+++ b/src/scheduling/internal/progresswriter.cpp
@@ -5,12 +5,14 @@
 #include "scheduling/istore.h"
 #include "scheduling/jobrows.h"
 
+#include <algorithm>
+
 namespace dragonflylock {
 namespace {
 
-/// Rows of one transaction; the store takes 100 entries, and each row counts
-/// twice, as an expectation and as a new value.
-constexpr std::size_t LargestBatch = 50;
+/// Bytes of the values of one transaction, unless a single row has more. The
+/// store takes 1 MB, in which a value takes a third more.
+constexpr std::size_t LargestBytes = 200000;
 /// Pause after a transaction, in which ends gather. Callers ask for a job's
 /// state far less often.
 constexpr std::chrono::milliseconds GatherPause{40};
@@ -31,7 +33,7 @@
     if (!Job->isDirty())
       continue;
     std::vector<ActiveJob *> &OfPart = Dirty[Job->stored().Queue_];
-    if (OfPart.size() < LargestBatch)
+    if (OfPart.size() < Parts_[Job->stored().Queue_].MostRows_)
       OfPart.push_back(Job.get());
   }
   for (auto &[Part, Jobs] : Dirty) {
@@ -46,10 +48,15 @@
                           const std::vector<ActiveJob *> &Jobs) {
   StoreTransaction Wanted;
   Batch Sent;
+  std::size_t Bytes = 0;
   for (const ActiveJob *Job : Jobs) {
     StoreKey Row = progressRow(*Job);
+    std::string Value = Job->progress().encode();
+    Bytes += Value.size();
+    if (Bytes > LargestBytes && !Sent.empty())
+      break;
     Wanted.Expected_.push_back({Row, Job->progressVersion()});
-    Wanted.Puts_.push_back({Row, Job->progress().encode()});
+    Wanted.Puts_.push_back({Row, std::move(Value)});
     Sent.emplace_back(Job->id(), Job->changes());
   }
   Parts_[Part].IsBusy_ = true;
@@ -66,6 +73,11 @@
   PartState &State = Parts_[Part];
   State.IsBusy_ = false;
   State.NotBefore_ = Pool_.Clock_.now() + GatherPause;
+  // What is too large for the link must not be sent again in the same size.
+  if (End.Outcome_ == StoreOutcome::Unknown)
+    State.MostRows_ = std::max<std::size_t>(1, State.MostRows_ / 2);
+  if (End.Outcome_ == StoreOutcome::Done)
+    State.MostRows_ = std::min(State.MostRows_ * 2, LargestBatch);
   switch (End.Outcome_) {
   case StoreOutcome::Done:
     onStored(Sent, End.Version_);
--- a/src/scheduling/internal/progresswriter.h
+++ b/src/scheduling/internal/progresswriter.h
@@ -5,6 +5,7 @@
 
 #include "global/iclock.h"
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
@@ -26,10 +27,16 @@
   void flush();
 
 private:
+  /// Rows of one transaction; the store takes 100 entries, and each row counts
+  /// twice, as an expectation and as a new value.
+  static constexpr std::size_t LargestBatch = 50;
+
   /// Jobs of a transaction, with the change that it stores of each.
   using Batch = std::vector<std::pair<std::string, std::uint64_t>>;
   struct PartState {
     bool IsBusy_ = false;
+    /// Rows of the next transaction at most.
+    std::size_t MostRows_ = LargestBatch;
     TimePoint NotBefore_;
   };
 
--- a/src/scheduling/tests/mocks/fakefleet.h
+++ b/src/scheduling/tests/mocks/fakefleet.h
@@ -10,6 +10,7 @@
 
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <string>
 #include <utility>
@@ -30,6 +31,14 @@
       Done({Outcome_, 0, {}});
       return;
     }
+    std::size_t Bytes = 0;
+    for (const StorePut &Each : Wanted.Puts_)
+      Bytes += Each.Value_.size();
+    if (Wanted.Puts_.size() > MostPuts_ || Bytes > MostBytes_) {
+      bool IsRefused = Bytes > MostBytes_;
+      Done({IsRefused ? StoreOutcome::NotDone : StoreOutcome::Unknown, 0, {}});
+      return;
+    }
     StoreTransactionEnd End;
     bool Holds = true;
     for (const StoreExpectation &Each : Wanted.Expected_) {
@@ -79,6 +88,10 @@
   /// Whether answers to transactions are held back.
   bool IsHolding_ = false;
   std::vector<std::function<void()>> Held_;
+  /// Transactions of more rows get no answer.
+  std::size_t MostPuts_ = std::numeric_limits<std::size_t>::max();
+  /// Transactions with more bytes are refused.
+  std::size_t MostBytes_ = std::numeric_limits<std::size_t>::max();
   /// How every call ends.
   StoreOutcome Outcome_ = StoreOutcome::Done;
   StoreVersion Version_ = 0;
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -178,6 +178,62 @@
   EXPECT_EQ(Workers_.Holds_.front().Order_.AcknowledgedEnd_, 0U);
 }
 
+/// Jobs whose progress is to be stored at once.
+class ProgressBatchTest : public PoolOwnerTest {
+protected:
+  /// Stores a job that has been cancelled, the first of its tasks being done.
+  void addCancelledJob(int Number, std::uint32_t Tasks) {
+    char Id[17];
+    std::snprintf(Id, sizeof(Id), "%016x", Number);
+    storeJob(jobOf(Tasks), Id);
+    std::string Done = "1" + std::string(Tasks - 1, '0');
+    put(jobrows::name("queue", Id, JobRowKind::Progress),
+        R"({"state":"running","done":{"0.0":")" + Done + R"("}})");
+    put(jobrows::name("queue", Id, JobRowKind::Cancellation), "{}");
+  }
+  std::size_t storedCancellations() const {
+    std::size_t Stored = 0;
+    for (const auto &[Name, Row] : Store_.Rows_)
+      if (jobrows::kindOf(Name) == JobRowKind::Progress &&
+          Row.Value_.find("cancelled") != std::string::npos)
+        ++Stored;
+    return Stored;
+  }
+  void runFor(std::chrono::seconds Time) {
+    const TimePoint End = Clock_.now() + Time;
+    while (Clock_.now() < End) {
+      Clock_.advance(milliseconds(100));
+      Owner_->tick();
+    }
+  }
+
+private:
+  void put(const StoreKey &Name, const std::string &Value) {
+    Store_.Rows_[Name] = {Name, Value, ++Store_.Version_, false};
+  }
+};
+
+TEST_F(ProgressBatchTest, IsSmallerWhereALargeOneGetsNoAnswer) {
+  constexpr std::size_t Jobs = 45;
+  for (std::size_t Job = 0; Job < Jobs; ++Job)
+    addCancelledJob(static_cast<int>(Job), 2);
+  Store_.MostPuts_ = 5;
+  own(0, {});
+  runFor(std::chrono::seconds(10));
+  EXPECT_EQ(storedCancellations(), Jobs);
+}
+
+TEST_F(ProgressBatchTest, HoldsNoMoreBytesThanTheStoreTakes) {
+  constexpr std::size_t Jobs = 8;
+  constexpr std::uint32_t Tasks = 40000;
+  for (std::size_t Job = 0; Job < Jobs; ++Job)
+    addCancelledJob(static_cast<int>(Job), Tasks);
+  Store_.MostBytes_ = 250000;
+  own(0, {});
+  runFor(std::chrono::seconds(3));
+  EXPECT_EQ(storedCancellations(), Jobs);
+}
+
 TEST_F(PoolOwnerTest, RefusalForAHigherTokenDoesNotStopThePool) {
   storeJob(jobOf(1));
   own(0, {worker("w1"), worker("w2")});
