--- a/src/scheduling/internal/machinelister.cpp
+++ b/src/scheduling/internal/machinelister.cpp
@@ -1,4 +1,6 @@
 #include "scheduling/internal/machinelister.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
 #include "scheduling/imachinecontrol.h"
 
 namespace dragonflylock {
@@ -15,8 +17,15 @@
         if (!Self)
           return;
         Self->IsListing_ = false;
-        if (!Read.IsValid_)
+        if (!Read.IsValid_) {
+          Self->Logger_.write(
+              LogLevel::Warning,
+              LogEvent("machines.unread")
+                  .with("took",
+                        std::chrono::duration_cast<std::chrono::microseconds>(
+                            Self->Clock_.now() - Asked)));
           return;
+        }
         Self->ListedAt_ = Asked;
         Self->Machines_.clear();
         for (const Machine &Each : Read.Machines_)
--- a/src/scheduling/internal/machinelister.h
+++ b/src/scheduling/internal/machinelister.h
@@ -11,14 +11,15 @@
 
 namespace dragonflylock {
 
+class ILogger;
 class IMachineControl;
 
 /// Keeps the platform's list of machines for the keepers of a pool's owner.
 class MachineLister : public std::enable_shared_from_this<MachineLister> {
 public:
-  /// \param Control, Clock must outlive this object.
-  MachineLister(IMachineControl &Control, const IClock &Clock)
-      : Control_(Control), Clock_(Clock) {}
+  /// \param Control, Clock, Logger must outlive this object.
+  MachineLister(IMachineControl &Control, const IClock &Clock, ILogger &Logger)
+      : Control_(Control), Clock_(Clock), Logger_(Logger) {}
 
   /// Asks for the list, unless that was done within \p Interval.
   void refresh(std::chrono::milliseconds Interval);
@@ -30,6 +31,7 @@
 private:
   IMachineControl &Control_;
   const IClock &Clock_;
+  ILogger &Logger_;
   std::map<std::string, Machine> Machines_;
   bool IsListing_ = false;
   /// When a list was asked for last.
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -44,8 +44,8 @@
         Writer_(std::make_shared<ProgressWriter>(State_)),
         Roster_(std::make_shared<RosterKeeper>(State_)),
         Paces_(std::make_shared<PaceKeeper>(State_)),
-        Machines_(
-            std::make_shared<MachineLister>(*Source.Machines_, State_.Clock_)),
+        Machines_(std::make_shared<MachineLister>(
+            *Source.Machines_, State_.Clock_, State_.Logger_)),
         Maintenance_(std::make_shared<MaintenanceKeeper>(
             State_, *Starts_, *Source.Machines_, *Machines_, *Source.Ledger_)),
         Moves_(std::make_shared<MoveKeeper>(State_, *Source.Machines_,
--- a/src/scheduling/tests/machinemoves_test.cpp
+++ b/src/scheduling/tests/machinemoves_test.cpp
@@ -98,7 +98,7 @@
   PoolState Pool_;
   PoolState Spare_;
   std::shared_ptr<MachineLister> List_ =
-      std::make_shared<MachineLister>(Machines_, Clock_);
+      std::make_shared<MachineLister>(Machines_, Clock_, Logger_);
   MachineLedger Ledger_;
   DemandBoard Demands_;
   std::shared_ptr<MoveKeeper> Keeper_;
