--- a/src/scheduling/internal/jobfollower.cpp
+++ b/src/scheduling/internal/jobfollower.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/internal/jobfollower.h"
+#include "global/logevent.h"
 #include "scheduling/internal/readlog.h"
 #include "scheduling/istore.h"
 #include "scheduling/jobrows.h"
@@ -32,6 +33,13 @@
   });
 }
 
+void JobFollower::describe(LogEvent &Event) const {
+  Event.with("pages", Pages_)
+      .with("rows", Rows_)
+      .with("waited",
+            std::chrono::duration_cast<std::chrono::microseconds>(Waited_));
+}
+
 void JobFollower::tick() {
   const TimePoint Now = Clock_.now();
   for (auto &[Table, State] : Tables_) {
@@ -79,7 +87,7 @@
   State.IsReading_ = false;
   Window_.end(State.Asked_, Read, State.ReadBegun_, Clock_.now());
   if (Read.Outcome_ != StoreOutcome::Done) {
-    readlog::pageFailed(Logger_, {Table, Queue, State.AskedFrom_},
+    readlog::pageFailed(Logger_, {Table, Queue, State.AskedFrom_}, State.Asked_,
                         Read.Outcome_, Clock_.now() - State.ReadBegun_);
     State.NextRead_ = Clock_.now() + RetryPause;
     return;
@@ -97,6 +105,9 @@
   // are read later.
   if (!State.Version_)
     State.Version_ = Part.FirstVersion_;
+  ++Pages_;
+  Rows_ += Read.Rows_.size();
+  Waited_ += Clock_.now() - State.ReadBegun_;
   for (const StoreRow &Row : Read.Rows_)
     Sink_(Row);
   Part.IsRead_ = !Read.HasMore_ || Read.Rows_.empty();
--- a/src/scheduling/internal/jobfollower.h
+++ b/src/scheduling/internal/jobfollower.h
@@ -17,6 +17,7 @@
 
 class ILogger;
 class IStore;
+class LogEvent;
 
 /// Keeps up with the rows of some queues' jobs: reads each queue's part whole
 /// once, and waits for changes of the tables that hold them.
@@ -34,6 +35,8 @@
   void tick();
   /// \returns whether every queue that is followed has been read once.
   bool isLoaded() const;
+  /// Adds to \p Event what has been read and how long its pages took.
+  void describe(LogEvent &Event) const;
 
 private:
   struct QueuePart {
@@ -76,6 +79,10 @@
   std::map<std::string, FollowedTable> Tables_;
   /// Shared by all tables, whose pages come by the same link.
   ReadWindow Window_;
+  std::uint64_t Pages_ = 0;
+  std::uint64_t Rows_ = 0;
+  /// Sum of the times from the request for a page to its answer.
+  std::chrono::nanoseconds Waited_{0};
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -115,8 +115,8 @@
   Each.IsBusy_ = false;
   Each.NextLoad_ = Pool_.Clock_.now() + RowInterval;
   if (Read.Outcome_ != StoreOutcome::Done) {
-    readlog::pageFailed(Pool_.Logger_, controlrows::wave(Number), Read.Outcome_,
-                        Pool_.Clock_.now() - Each.LoadBegun_);
+    readlog::pageFailed(Pool_.Logger_, controlrows::wave(Number), 1,
+                        Read.Outcome_, Pool_.Clock_.now() - Each.LoadBegun_);
     return;
   }
   Each.IsLoaded_ = true;
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -174,11 +174,12 @@
     });
   }
   State_.NeedsDispatch_ = true;
-  State_.Logger_.write(LogLevel::Info,
-                       LogEvent("pool.loaded")
-                           .with("pool", State_.Pool_)
-                           .with("token", State_.Token_)
-                           .with("jobs", std::uint64_t{State_.Jobs_.size()}));
+  LogEvent Event("pool.loaded");
+  Event.with("pool", State_.Pool_)
+      .with("token", State_.Token_)
+      .with("jobs", std::uint64_t{State_.Jobs_.size()});
+  Follower_->describe(Event);
+  State_.Logger_.write(LogLevel::Info, Event);
 }
 
 void PoolOwner::Parts::followQueues() {
--- a/src/scheduling/internal/readlog.cpp
+++ b/src/scheduling/internal/readlog.cpp
@@ -11,12 +11,13 @@
 
 } // namespace
 
-void pageFailed(ILogger &Logger, const StoreKey &From, StoreOutcome Outcome,
-                std::chrono::nanoseconds Took) {
+void pageFailed(ILogger &Logger, const StoreKey &From, std::size_t Rows,
+                StoreOutcome Outcome, std::chrono::nanoseconds Took) {
   Logger.write(LogLevel::Warning, LogEvent("rows.unread")
                                       .with("table", From.Table_)
                                       .with("part", From.Part_)
                                       .with("from", From.Key_)
+                                      .with("rows", std::uint64_t{Rows})
                                       .with("outcome", nameOf(Outcome))
                                       .with("took", rounded(Took)));
 }
--- a/src/scheduling/internal/readlog.h
+++ b/src/scheduling/internal/readlog.h
@@ -14,9 +14,10 @@
 namespace readlog {
 
 /// \param From where the page starts.
+/// \param Rows how many rows were asked for.
 /// \param Took the time since the read was asked for.
-void pageFailed(ILogger &Logger, const StoreKey &From, StoreOutcome Outcome,
-                std::chrono::nanoseconds Took);
+void pageFailed(ILogger &Logger, const StoreKey &From, std::size_t Rows,
+                StoreOutcome Outcome, std::chrono::nanoseconds Took);
 /// \param After the version whose changes were asked for.
 /// \param Took the time since the changes were asked for.
 void changesFailed(ILogger &Logger, const std::string &Table,
--- a/src/scheduling/internal/rosterkeeper.cpp
+++ b/src/scheduling/internal/rosterkeeper.cpp
@@ -39,7 +39,7 @@
 void RosterKeeper::onLoaded(const StoreRange &Read) {
   IsBusy_ = false;
   if (Read.Outcome_ != StoreOutcome::Done) {
-    readlog::pageFailed(Pool_.Logger_, controlrows::roster(Pool_.Pool_),
+    readlog::pageFailed(Pool_.Logger_, controlrows::roster(Pool_.Pool_), 1,
                         Read.Outcome_, Pool_.Clock_.now() - LoadBegun_);
     NotBefore_ = Pool_.Clock_.now() + RetryPause;
     return;
--- a/src/scheduling/internal/tablefollower.cpp
+++ b/src/scheduling/internal/tablefollower.cpp
@@ -51,8 +51,8 @@
   IsBusy_ = false;
   Window_->end(Asked_, Read, CallBegun_, Clock_.now());
   if (Read.Outcome_ != StoreOutcome::Done) {
-    readlog::pageFailed(Logger_, {Table_, Part_, nextKey()}, Read.Outcome_,
-                        Clock_.now() - CallBegun_);
+    readlog::pageFailed(Logger_, {Table_, Part_, nextKey()}, Asked_,
+                        Read.Outcome_, Clock_.now() - CallBegun_);
     NotBefore_ = Clock_.now() + RetryPause;
     return;
   }
