Pages grow no further where answers are not quick

From 100 rows on it now grows only after quick answers.

Before, JobFollowerTest.AsksForNoMoreThanAPageThatPassesTheLinkInTime has 2 unanswered pages and takes 12.4 s; it passes now.

--- a/src/scheduling/internal/readwindow.cpp
+++ b/src/scheduling/internal/readwindow.cpp
@@ -11,6 +11,9 @@
 /// An answer within this time leaves room for twice as many rows in the time
 /// of a call.
 constexpr std::chrono::milliseconds QuickAnswer{400};
+/// Up to so many rows the window grows also when answers are not quick: a slow
+/// store answers large pages as fast as small ones.
+constexpr std::size_t EnoughRows = 100;
 /// Rows of answers that were not quick for which the window grows by one.
 constexpr std::size_t GentleGrowth = 8;
 
@@ -44,6 +47,10 @@
     Rows_ = std::min(Rows_ + Asked, MostRows);
     return;
   }
+  // Larger pages would sooner or later get no answer, which costs more time
+  // than they save.
+  if (Rows_ >= EnoughRows)
+    return;
   Answered_ += Asked;
   Rows_ = std::min(Rows_ + Answered_ / GentleGrowth, MostRows);
   Answered_ %= GentleGrowth;
--- a/src/scheduling/tests/followers_test.cpp
+++ b/src/scheduling/tests/followers_test.cpp
@@ -95,6 +95,13 @@
   EXPECT_EQ(Seen_.size(), 400U);
 }
 
+TEST_F(JobFollowerTest, AsksForNoMoreThanAPageThatPassesTheLinkInTime) {
+  Store_.RowsPerCall_ = 300;
+  addJobs("queue", 3000);
+  EXPECT_LT(load(), std::chrono::seconds(12));
+  EXPECT_EQ(Store_.Unanswered_, 0U);
+}
+
 TEST_F(JobFollowerTest, LoadsByFewPagesWhereTheLinkIsWide) {
   addJobs("queue", 5000);
   load();
--- a/src/scheduling/tests/mocks/narrowstore.h
+++ b/src/scheduling/tests/mocks/narrowstore.h
@@ -52,6 +52,7 @@
       std::size_t Share = Read.Rows_.size() * Settled.size();
       if (Share > RowsPerCall_) {
         Time = CallLimit;
+        ++Unanswered_;
         Read = StoreRange();
       } else if (Share > 0) {
         Time = std::max<std::chrono::milliseconds>(
@@ -68,6 +69,7 @@
 
   std::size_t RowsPerCall_ = 1000000;
   std::size_t Calls_ = 0;
+  std::size_t Unanswered_ = 0;
   std::vector<Page> Pages_;
   std::vector<Wait> Waits_;
 
