--- a/src/scheduling/internal/jobfollower.cpp
+++ b/src/scheduling/internal/jobfollower.cpp
@@ -14,6 +14,13 @@
 /// most once before its first start.
 constexpr std::chrono::milliseconds GatherPause{15};
 
+std::uint64_t bytesOf(const std::vector<StoreRow> &Rows) {
+  std::uint64_t Bytes = 0;
+  for (const StoreRow &Row : Rows)
+    Bytes += Row.Value_.size();
+  return Bytes;
+}
+
 } // namespace
 
 JobFollower::JobFollower(IStore &Store, const IClock &Clock, ILogger &Logger,
@@ -36,6 +43,9 @@
 void JobFollower::describe(LogEvent &Event) const {
   Event.with("pages", Pages_)
       .with("rows", Rows_)
+      .with("bytes", Bytes_)
+      .with("changed-rows", ChangedRows_)
+      .with("changed-bytes", ChangedBytes_)
       .with("waited",
             std::chrono::duration_cast<std::chrono::microseconds>(Waited_));
 }
@@ -107,6 +117,7 @@
     State.Version_ = Part.FirstVersion_;
   ++Pages_;
   Rows_ += Read.Rows_.size();
+  Bytes_ += bytesOf(Read.Rows_);
   Waited_ += Clock_.now() - State.ReadBegun_;
   for (const StoreRow &Row : Read.Rows_)
     Sink_(Row);
@@ -143,6 +154,8 @@
   }
   State.NextAwait_ = Clock_.now() + GatherPause;
   State.Version_ = std::max(*State.Version_, Changes.Version_);
+  ChangedRows_ += Changes.Rows_.size();
+  ChangedBytes_ += bytesOf(Changes.Rows_);
   for (const StoreRow &Row : Changes.Rows_)
     Sink_(Row);
 }
--- a/src/scheduling/internal/jobfollower.h
+++ b/src/scheduling/internal/jobfollower.h
@@ -81,6 +81,10 @@
   ReadWindow Window_;
   std::uint64_t Pages_ = 0;
   std::uint64_t Rows_ = 0;
+  /// Bytes of the values of these rows.
+  std::uint64_t Bytes_ = 0;
+  std::uint64_t ChangedRows_ = 0;
+  std::uint64_t ChangedBytes_ = 0;
   /// Sum of the times from the request for a page to its answer.
   std::chrono::nanoseconds Waited_{0};
 };
