--- a/src/emulator/emulator.h
+++ b/src/emulator/emulator.h
@@ -41,6 +41,8 @@
   std::chrono::milliseconds PollInterval_{700};
   /// When all nodes lose power for a moment.
   std::optional<std::chrono::milliseconds> PowerLossAt_;
+  /// What each node's link carries of the store's answers; 0 for no limit.
+  std::uint64_t LinkBytesPerSecond_ = 0;
 };
 
 /// What came of an emulated day.
--- a/src/emulator/internal/emulatednode.cpp
+++ b/src/emulator/internal/emulatednode.cpp
@@ -142,9 +142,10 @@
 
 void EmulatedNode::readRange(const std::string &Table, const std::string &Part,
                              const std::string &From, const std::string &To,
-                             RangeDone Done) {
+                             std::size_t Most, RangeDone Done) {
   spend(Life_, [=, this, Answer = delivery()] {
-    Shared_.Store_.readRange(Name_, Answer, {Table, Part, From}, To, Done);
+    Shared_.Store_.readRange(Name_, Answer, {Table, Part, From}, To, Most,
+                             Done);
   });
 }
 
--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -240,7 +240,9 @@
 
 EmulatorReport Emulator::run() {
   Parts &World = *Parts_;
-  World.Rules_.IsCalm_ = World.Plan_.Faults_ == 0 && !World.Plan_.HasWave_;
+  World.Rules_.IsCalm_ = World.Plan_.Faults_ == 0 && !World.Plan_.HasWave_ &&
+                         !World.Plan_.PowerLossAt_;
+  World.Store_.setLink(World.Plan_.LinkBytesPerSecond_);
   World.build();
   World.planTraffic();
   World.Faults_ = std::make_unique<FaultPlayer>(World.World_, World.Store_,
--- a/src/emulator/tests/emulator_test.cpp
+++ b/src/emulator/tests/emulator_test.cpp
@@ -65,6 +65,19 @@
   EXPECT_EQ(Report.LeasesEnded_, 0U);
 }
 
+TEST(EmulatorTest, PoolsAreLoadedOverNarrowLinksAfterAPowerLoss) {
+  EmulatorPlan Plan;
+  Plan.Faults_ = 0;
+  Plan.HasWave_ = false;
+  Plan.FailShare_ = 0;
+  Plan.JobsPerSecond_ = 20;
+  Plan.WorkersPerPool_ = 20;
+  Plan.LinkBytesPerSecond_ = 100000;
+  Plan.PowerLossAt_ = std::chrono::seconds(4) + Plan.Traffic_;
+  EmulatorReport Report = play(Plan);
+  EXPECT_EQ(Report.Accepted_, Report.Jobs_);
+}
+
 class MixedFaults : public testing::TestWithParam<int> {};
 
 TEST_P(MixedFaults, BreakNoRule) {
--- a/src/scheduling/internal/jobfollower.h
+++ b/src/scheduling/internal/jobfollower.h
@@ -2,6 +2,8 @@
 #define DRAGONFLYLOCK_SCHEDULING_INTERNAL_JOBFOLLOWER_H
 
 #include "global/iclock.h"
+#include "scheduling/internal/changeswait.h"
+#include "scheduling/internal/readwindow.h"
 #include "scheduling/storetypes.h"
 
 #include <cstdint>
@@ -15,7 +17,9 @@
 
 namespace dragonflylock {
 
+class ILogger;
 class IStore;
+class LogEvent;
 
 /// Keeps up with the rows of some queues' jobs: reads each queue's part whole
 /// once, and waits for changes of the tables that hold them.
@@ -24,7 +28,8 @@
   using RowSink = std::function<void(const StoreRow &)>;
 
   /// \param Sink receives every row, some more than once.
-  JobFollower(IStore &Store, const IClock &Clock, RowSink Sink);
+  JobFollower(IStore &Store, const IClock &Clock, ILogger &Logger,
+              RowSink Sink);
 
   /// Adds the queues that are not followed yet.
   void follow(const std::set<std::string> &Queues);
@@ -32,6 +37,8 @@
   void tick();
   /// \returns whether every queue that is followed has been read once.
   bool isLoaded() const;
+  /// Adds to \p Event what has been read and how long its pages took.
+  void describe(LogEvent &Event) const;
 
 private:
   struct QueuePart {
@@ -46,15 +53,24 @@
   struct FollowedTable {
     std::map<std::string, QueuePart> Parts_;
     bool IsReading_ = false;
+    /// Rows that the page under way asked for.
+    std::size_t Asked_ = 0;
+    /// Where that page starts.
+    std::string AskedFrom_;
     bool IsAwaiting_ = false;
     /// Counts how often the parts were begun anew.
     std::uint64_t Pass_ = 0;
+    TimePoint ReadBegun_;
+    TimePoint AwaitBegun_;
     TimePoint NextRead_;
     TimePoint NextAwait_;
+    ChangesWait Wait_;
     /// Up to which changes are known; absent before the first read.
     std::optional<StoreVersion> Version_;
   };
 
+  /// \returns how many tables have queues that are not read yet.
+  std::size_t unreadTables() const;
   void read(const std::string &Table, FollowedTable &State);
   void onRead(const std::string &Table, const std::string &Queue,
               const StoreRange &Read);
@@ -66,8 +82,19 @@
 
   IStore &Store_;
   const IClock &Clock_;
+  ILogger &Logger_;
   RowSink Sink_;
   std::map<std::string, FollowedTable> Tables_;
+  /// Shared by all tables, whose pages come by the same link.
+  ReadWindow Window_;
+  std::uint64_t Pages_ = 0;
+  std::uint64_t Rows_ = 0;
+  /// Bytes of the values of these rows.
+  std::uint64_t Bytes_ = 0;
+  std::uint64_t ChangedRows_ = 0;
+  std::uint64_t ChangedBytes_ = 0;
+  /// Sum of the times from the request for a page to its answer.
+  std::chrono::nanoseconds Waited_{0};
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -58,8 +58,8 @@
         Writer_(std::make_shared<ProgressWriter>(State_, Runs_)),
         Roster_(std::make_shared<RosterKeeper>(State_)),
         Paces_(std::make_shared<PaceKeeper>(State_)),
-        Machines_(
-            std::make_shared<MachineLister>(*Source.Machines_, State_.Clock_)),
+        Machines_(std::make_shared<MachineLister>(
+            *Source.Machines_, State_.Clock_, State_.Logger_)),
         Maintenance_(std::make_shared<MaintenanceKeeper>(
             State_, *Starts_, *Source.Machines_, *Machines_, *Source.Ledger_)),
         Moves_(std::make_shared<MoveKeeper>(State_, *Source.Machines_,
@@ -67,7 +67,7 @@
                                             *Source.Demands_)),
         Demands_(*Source.Demands_),
         Follower_(std::make_shared<JobFollower>(
-            State_.Store_, State_.Clock_,
+            State_.Store_, State_.Clock_, State_.Logger_,
             [this](const StoreRow &Row) { Jobs_.onRow(Row); })),
         HasPredecessor_(Tenure.Predecessors_ > 0) {
     State_.Token_ = Tenure.Token_;
@@ -83,6 +83,10 @@
   void logStatus();
   void followQueues();
   void removeGoneWorkers();
+  /// \returns whether each worker that an earlier owner may have used has
+  /// answered a hold or left one unanswered. Runs that have lapsed, or that
+  /// ended while the jobs were loaded, are still among its ends.
+  bool wereAllAsked() const;
   /// Lets tasks start again that can't run under an earlier owner's orders.
   void settleInherited();
   /// Tells now and then which workers keep inherited tasks from starting.
@@ -196,11 +200,12 @@
     });
   }
   State_.NeedsDispatch_ = true;
-  State_.Logger_.write(LogLevel::Info,
-                       LogEvent("pool.loaded")
-                           .with("pool", State_.Pool_)
-                           .with("token", State_.Token_)
-                           .with("jobs", std::uint64_t{State_.Jobs_.size()}));
+  LogEvent Event("pool.loaded");
+  Event.with("pool", State_.Pool_)
+      .with("token", State_.Token_)
+      .with("jobs", std::uint64_t{State_.Jobs_.size()});
+  Follower_->describe(Event);
+  State_.Logger_.write(LogLevel::Info, Event);
 }
 
 void PoolOwner::Parts::followQueues() {
@@ -290,6 +295,17 @@
           .with("workers", Examples));
 }
 
+bool PoolOwner::Parts::wereAllAsked() const {
+  return std::all_of(State_.Sessions_.begin(), State_.Sessions_.end(),
+                     [this](const auto &Each) {
+                       const WorkerSession &Session = *Each.second;
+                       return !State_.mayRunInherited(Session) ||
+                              Session.WasDeclaredSilent_ ||
+                              Session.HoldFailures_ > 0 || Session.IsOver_ ||
+                              !Session.IsInRoster_;
+                     });
+}
+
 void PoolOwner::Parts::settleInherited() {
   if (IsInheritedSettled_ && InheritedTasks_.empty())
     return;
@@ -302,7 +318,7 @@
                                return !State_.mayRunInherited(*Each.second) ||
                                       Each.second->WasDeclaredSilent_;
                              });
-  if (!HasLapsed && !IsKnown) {
+  if (!IsKnown && (!HasLapsed || !wereAllAsked())) {
     logInheritedWait();
     return;
   }
--- a/src/scheduling/internal/rosterkeeper.cpp
+++ b/src/scheduling/internal/rosterkeeper.cpp
@@ -3,6 +3,7 @@
 #include "global/logevent.h"
 #include "scheduling/controlrows.h"
 #include "scheduling/internal/poolstate.h"
+#include "scheduling/internal/readlog.h"
 #include "scheduling/istore.h"
 
 #include <algorithm>
@@ -27,8 +28,10 @@
 
 void RosterKeeper::load() {
   IsBusy_ = true;
+  LoadBegun_ = Pool_.Clock_.now();
   StoreKey Row = controlrows::roster(Pool_.Pool_);
   Pool_.Store_.readRange(Row.Table_, Row.Part_, Row.Key_, Row.Key_ + '\1',
+                         /*Most=*/1,
                          [Weak = weak_from_this()](const StoreRange &Read) {
                            if (auto Self = Weak.lock())
                              Self->onLoaded(Read);
@@ -38,6 +41,8 @@
 void RosterKeeper::onLoaded(const StoreRange &Read) {
   IsBusy_ = false;
   if (Read.Outcome_ != StoreOutcome::Done) {
+    readlog::pageFailed(Pool_.Logger_, controlrows::roster(Pool_.Pool_), 1,
+                        Read.Outcome_, Pool_.Clock_.now() - LoadBegun_);
     NotBefore_ = Pool_.Clock_.now() + RetryPause;
     return;
   }
--- a/src/scheduling/internal/tablefollower.cpp
+++ b/src/scheduling/internal/tablefollower.cpp
@@ -1,37 +1,46 @@
 #include "scheduling/tablefollower.h"
+#include "scheduling/internal/changeswait.h"
+#include "scheduling/internal/readlog.h"
+#include "scheduling/internal/readwindow.h"
 #include "scheduling/istore.h"
 
 namespace dragonflylock {
 namespace {
 
 constexpr std::chrono::milliseconds RetryPause{150};
-/// Longest wait for a change. Shorter than what the store allows, so that a
-/// connection that has gone silent is noticed within seconds.
-constexpr std::chrono::milliseconds LongestWait{1500};
 
 } // namespace
 
 TableFollower::TableFollower(IStore &Store, const IClock &Clock,
-                             std::string Table, std::string Part,
-                             std::chrono::milliseconds Pause, RowSink Sink)
-    : Store_(Store), Clock_(Clock), Table_(std::move(Table)),
-      Part_(std::move(Part)), Pause_(Pause), Sink_(std::move(Sink)) {}
+                             ILogger &Logger, std::string Table,
+                             std::string Part, std::chrono::milliseconds Pause,
+                             RowSink Sink)
+    : Store_(Store), Clock_(Clock), Logger_(Logger), Table_(std::move(Table)),
+      Part_(std::move(Part)), Pause_(Pause), Sink_(std::move(Sink)),
+      Window_(std::make_unique<ReadWindow>()),
+      Wait_(std::make_unique<ChangesWait>()) {}
+
+TableFollower::~TableFollower() = default;
 
 void TableFollower::tick() {
   if (IsBusy_ || Clock_.now() < NotBefore_)
     return;
   IsBusy_ = true;
+  CallBegun_ = Clock_.now();
   if (NeedsRead_)
     read();
   else
     await();
 }
 
+std::string TableFollower::nextKey() const {
+  return Pages_.empty() ? std::string() : Pages_.back().Name_.Key_ + '\1';
+}
+
 void TableFollower::read() {
-  std::string From;
-  if (!Pages_.empty())
-    From = Pages_.back().Name_.Key_ + '\1';
-  Store_.readRange(Table_, Part_, From, "",
+  Asked_ = Window_->nextPage(1);
+  Window_->begin(Asked_);
+  Store_.readRange(Table_, Part_, nextKey(), "", Asked_,
                    [Weak = weak_from_this()](const StoreRange &Read) {
                      if (auto Self = Weak.lock())
                        Self->onRead(Read);
@@ -40,7 +49,10 @@
 
 void TableFollower::onRead(const StoreRange &Read) {
   IsBusy_ = false;
+  Window_->end(Asked_, Read, CallBegun_, Clock_.now());
   if (Read.Outcome_ != StoreOutcome::Done) {
+    readlog::pageFailed(Logger_, {Table_, Part_, nextKey()}, Asked_,
+                        Read.Outcome_, Clock_.now() - CallBegun_);
     NotBefore_ = Clock_.now() + RetryPause;
     return;
   }
@@ -63,7 +75,7 @@
 }
 
 void TableFollower::await() {
-  Store_.awaitChanges(Table_, Version_, LongestWait,
+  Store_.awaitChanges(Table_, Version_, Wait_->longest(),
                       [Weak = weak_from_this()](const StoreChanges &Changes) {
                         if (auto Self = Weak.lock())
                           Self->onChanges(Changes);
@@ -72,9 +84,12 @@
 
 void TableFollower::onChanges(const StoreChanges &Changes) {
   IsBusy_ = false;
+  Wait_->onEnd(Changes);
   if (Changes.Outcome_ == StoreOutcome::HistoryLost)
     NeedsRead_ = true;
   if (Changes.Outcome_ != StoreOutcome::Done) {
+    readlog::changesFailed(Logger_, Table_, Version_, Changes.Outcome_,
+                           Clock_.now() - CallBegun_);
     NotBefore_ = Clock_.now() + (NeedsRead_ ? RetryPause * 0 : RetryPause);
     return;
   }
--- a/src/scheduling/tablefollower.h
+++ b/src/scheduling/tablefollower.h
@@ -11,7 +11,10 @@
 
 namespace dragonflylock {
 
+class ChangesWait;
+class ILogger;
 class IStore;
+class ReadWindow;
 
 /// Keeps up with one part of a table: reads it whole, then waits for changes;
 /// reads it whole again where the store's history is lost.
@@ -23,9 +26,11 @@
 
   /// \param Part the part to read; changes of other parts are passed over.
   /// \param Pause time between two answers, in which changes gather.
-  TableFollower(IStore &Store, const IClock &Clock, std::string Table,
-                std::string Part, std::chrono::milliseconds Pause,
-                RowSink Sink);
+  TableFollower(IStore &Store, const IClock &Clock, ILogger &Logger,
+                std::string Table, std::string Part,
+                std::chrono::milliseconds Pause, RowSink Sink);
+
+  ~TableFollower();
 
   /// Starts, or goes on with, what is due.
   void tick();
@@ -35,6 +40,8 @@
   bool isLoaded() const { return IsLoaded_; }
 
 private:
+  /// \returns where the next page starts.
+  std::string nextKey() const;
   void read();
   void onRead(const StoreRange &Read);
   void await();
@@ -42,6 +49,7 @@
 
   IStore &Store_;
   const IClock &Clock_;
+  ILogger &Logger_;
   std::string Table_;
   std::string Part_;
   std::chrono::milliseconds Pause_;
@@ -49,9 +57,14 @@
   bool IsBusy_ = false;
   bool IsLoaded_ = false;
   bool NeedsRead_ = true;
+  TimePoint CallBegun_;
   TimePoint NotBefore_;
   TimePoint LastAnswer_;
   StoreVersion Version_ = 0;
+  std::unique_ptr<ReadWindow> Window_;
+  std::unique_ptr<ChangesWait> Wait_;
+  /// Rows that the page under way asked for.
+  std::size_t Asked_ = 0;
   /// Rows of the pages read so far.
   std::vector<StoreRow> Pages_;
   StoreVersion FirstPage_ = 0;
--- a/src/scheduling/tests/jobfollower_test.cpp
+++ b/src/scheduling/tests/jobfollower_test.cpp
@@ -2,6 +2,7 @@
 #include "scheduling/internal/jobfollower.h"
 #include "scheduling/istore.h"
 #include "scheduling/jobrows.h"
+#include "scheduling/tests/mocks/fakefleet.h"
 
 #include <gtest/gtest.h>
 
@@ -23,7 +24,7 @@
 
   void transact(StoreTransaction, TransactionDone) override {}
   void readRange(const std::string &, const std::string &,
-                 const std::string &From, const std::string &,
+                 const std::string &From, const std::string &, std::size_t,
                  RangeDone Done) override {
     Reads_.push_back({From, std::move(Done)});
   }
@@ -75,10 +76,12 @@
   }
 
   ManualClock Clock_;
+  SilentLogger Logger_;
   RecordingStore Store_;
   std::vector<StoreRow> Seen_;
   std::shared_ptr<JobFollower> Follower_ = std::make_shared<JobFollower>(
-      Store_, Clock_, [this](const StoreRow &Row) { Seen_.push_back(Row); });
+      Store_, Clock_, Logger_,
+      [this](const StoreRow &Row) { Seen_.push_back(Row); });
 };
 
 TEST_F(JobFollowerTest, AChangeDoesNotOvertakeThePageOfItsJob) {
--- a/src/scheduling/tests/ownershipkeeper_test.cpp
+++ b/src/scheduling/tests/ownershipkeeper_test.cpp
@@ -23,7 +23,7 @@
                           });
   }
   void readRange(const std::string &, const std::string &, const std::string &,
-                 const std::string &, RangeDone) override {}
+                 const std::string &, std::size_t, RangeDone) override {}
   void awaitChanges(const std::string &, StoreVersion, milliseconds,
                     ChangesDone) override {}
 
