Changes are not held up while a queue is read again

Change: a change is given at once and, if its queue was being read, again after the last page; taking in a row twice does nothing.

--- a/src/scheduling/internal/jobfollower.cpp
+++ b/src/scheduling/internal/jobfollower.cpp
@@ -118,8 +118,7 @@
   // A page that was read before the change may come after it.
   if (Part != State.Parts_.end() && !Part->second.IsRead_)
     Part->second.Early_.push_back(Row);
-  else
-    Sink_(Row);
+  Sink_(Row);
 }
 
 void JobFollower::readAgain(FollowedTable &State) {
--- a/src/scheduling/internal/jobfollower.h
+++ b/src/scheduling/internal/jobfollower.h
@@ -40,7 +40,7 @@
     std::string From_;
     /// The store's version at the first page.
     std::optional<StoreVersion> FirstVersion_;
-    /// Changes that came before the last page.
+    /// Changes that came before the last page, to be given again after it.
     std::vector<StoreRow> Early_;
   };
   struct FollowedTable {
@@ -59,7 +59,7 @@
   void onRead(const std::string &Table, const std::string &Queue,
               const StoreRange &Read);
   void await(const std::string &Table, FollowedTable &State);
-  /// Gives a changed row to the sink, once its queue has been read.
+  /// Gives a changed row to the sink, and again once its queue has been read.
   void onChange(FollowedTable &State, const StoreRow &Row);
   void onChanges(const std::string &Table, const StoreChanges &Changes);
   void readAgain(FollowedTable &State);
