--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -64,21 +64,29 @@
 }
 
 void MaintenanceKeeper::reserveMachines() {
-  std::set<const WorkerSession *> Kept;
+  std::set<std::string> Names;
   for (const auto &[Number, Each] : Waves_) {
     if (Each.IsCompleted_)
       continue;
     if (!Each.Next_.empty())
-      Kept.insert(sessionOf(Each.Next_));
+      Names.insert(Each.Next_);
     for (const auto &[Name, Holder] : Each.Row_.Down_)
-      Kept.insert(sessionOf(Name));
+      Names.insert(Name);
   }
-  // What a wave's row does not name any more, whoever wrote it, is released.
+  std::set<std::string> Workers;
+  for (const std::string &Name : Names)
+    if (auto Found = List_.machines().find(Name);
+        Found != List_.machines().end())
+      Workers.insert(Found->second.Worker_);
   for (auto &[Lifetime, Session] : Pool_.Sessions_) {
-    bool WasKept = Session->IsForMaintenance_;
-    Session->IsForMaintenance_ = Kept.contains(Session.get());
-    Pool_.NeedsDispatch_ =
-        Pool_.NeedsDispatch_ || WasKept != Session->IsForMaintenance_;
+    const WorkerEntry &Entry = Session->entry();
+    // The roster does not tell machines; the platform's list does.
+    bool IsReserved = Session->IsListed_ &&
+                      (Entry.Machine_.empty() ? Workers.contains(Entry.Id_)
+                                              : Names.contains(Entry.Machine_));
+    if (Session->IsReserved_ && !IsReserved)
+      Pool_.NeedsDispatch_ = true;
+    Session->IsReserved_ = IsReserved;
   }
 }
 
@@ -177,8 +185,7 @@
     return;
   Each.Next_ = Best;
   Each.ReservedAt_ = Pool_.Clock_.now();
-  if (WorkerSession *Session = sessionOf(Best))
-    Session->IsForMaintenance_ = true;
+  reserveMachines();
 }
 
 bool MaintenanceKeeper::isAtWork(const TaskRun &Run) const {
@@ -376,6 +383,7 @@
   WorkerSession *Session = sessionOf(Name);
   if (Session == nullptr)
     return true;
+  Session->IsReserved_ = true;
   if (keepsBudgets(*Session))
     return true;
   evacuate(*Session);
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -63,8 +63,6 @@
 
   std::map<TaskName, SessionRun> &runs() { return Runs_; }
   const std::map<TaskName, SessionRun> &runs() const { return Runs_; }
-  /// \returns whether nothing is to be started, since the machine is to leave.
-  bool isReserved() const { return IsForMaintenance_ || IsForMove_; }
   /// \returns room that is not taken by runs, counting those that are being
   /// started or stopped.
   Resources freeRoom() const;
@@ -79,6 +77,8 @@
   void settleEnd(std::uint64_t Sequence);
   /// \returns the end up to which the worker may forget.
   std::uint64_t acknowledgeable() const;
+  /// \returns whether the worker is to become empty.
+  bool isBeingEmptied() const { return IsReserved_ || IsMoving_; }
   bool hasUnsettledEnds() const { return !Unsettled_.empty(); }
   /// \returns the highest end the worker is known to have forgotten.
   std::uint64_t acknowledged() const { return Acknowledged_; }
@@ -100,10 +100,10 @@
   bool WasDeclaredSilent_ = false;
   /// Whether the registry still lists the worker.
   bool IsListed_ = true;
-  /// Whether the machine is to go down for its maintenance, or is down.
-  bool IsForMaintenance_ = false;
-  /// Whether the machine is being moved to another pool.
-  bool IsForMove_ = false;
+  /// Whether the worker is being emptied for its maintenance.
+  bool IsReserved_ = false;
+  /// Whether the worker is being emptied for a move.
+  bool IsMoving_ = false;
   bool IsHolding_ = false;
   TimePoint NextHold_;
   /// When the hold was sent whose lists came last, from this lifetime.
