--- a/src/scheduling/internal/maintenancekeeper.cpp
+++ b/src/scheduling/internal/maintenancekeeper.cpp
@@ -85,9 +85,9 @@
     bool IsReserved = Session->IsListed_ &&
                       (Entry.Machine_.empty() ? Workers.contains(Entry.Id_)
                                               : Names.contains(Entry.Machine_));
-    if (Session->IsForMaintenance_ && !IsReserved)
+    if (Session->IsReserved_ && !IsReserved)
       Pool_.NeedsDispatch_ = true;
-    Session->IsForMaintenance_ = IsReserved;
+    Session->IsReserved_ = IsReserved;
   }
 }
 
@@ -388,6 +388,7 @@
   WorkerSession *Session = sessionOf(Name);
   if (Session == nullptr)
     return true;
+  Session->IsReserved_ = true;
   if (keepsBudgets(*Session))
     return true;
   evacuate(*Session);
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -62,8 +62,8 @@
   TimePoint lapsesAt() const { return LapsesAt_; }
 
   const std::map<TaskName, SessionRun> &runs() const { return Runs_; }
-  /// \returns whether nothing is to be started, since the machine is to leave.
-  bool isReserved() const { return IsForMaintenance_ || IsForMove_; }
+  /// \returns whether the worker is to become empty.
+  bool isBeingEmptied() const { return IsReserved_ || IsMoving_; }
   /// \returns the runs, to be changed at once.
   std::map<TaskName, SessionRun> &changeRuns() {
     Use_.reset();
@@ -116,10 +116,10 @@
   bool WasDeclaredSilent_ = false;
   /// Whether the registry still lists the worker.
   bool IsListed_ = true;
-  /// Whether the machine is to go down for its maintenance, or is down.
-  bool IsForMaintenance_ = false;
-  /// Whether the machine is being moved to another pool.
-  bool IsForMove_ = false;
+  /// Whether the worker is being emptied for its maintenance.
+  bool IsReserved_ = false;
+  /// Whether the worker is being emptied for a move.
+  bool IsMoving_ = false;
   bool IsHolding_ = false;
   TimePoint NextHold_;
   /// When the hold was sent whose lists came last, from this lifetime.
