--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -81,7 +81,8 @@
         return std::nullopt;
       });
   Ownership_ = std::make_shared<OwnershipKeeper>(
-      Settings_, Source.Process_, Store_, Clock_, Logger_,
+      Settings_, Source.Process_,
+      Source.Leases_ != nullptr ? *Source.Leases_ : Store_, Clock_, Logger_,
       [this](const PoolTenure &Tenure) { onWon(Tenure); },
       [this](const std::string &Pool, TimePoint End) {
         auto Found = Owners_.find(Pool);
@@ -100,6 +101,7 @@
                                          bool IsWhole) {
   const std::string OwnerPrefix = controlrows::OwnerPrefix;
   const std::string MachinePrefix = controlrows::MachinePrefix;
+  const std::string NodePrefix = controlrows::NodePrefix;
   const std::string PendingPrefix = controlrows::PendingPrefix;
   const std::string DemandPrefix = controlrows::DemandPrefix;
   for (const StoreRow &Row : Rows) {
@@ -108,6 +110,9 @@
       continue;
     if (Key.starts_with(OwnerPrefix))
       Ownership_->onRow(Key.substr(OwnerPrefix.size()), Row);
+    if (Key.starts_with(NodePrefix))
+      if (auto Read = controlrows::decodeNode(Row.Value_))
+        Ownership_->onNode(Key.substr(NodePrefix.size()), *Read);
     if (Key.starts_with(MachinePrefix))
       Ledger_.onRow(Key.substr(MachinePrefix.size()), Row);
     if (Key.starts_with(DemandPrefix))
@@ -193,6 +198,11 @@
   return *this;
 }
 
+SchedulerNode::Builder &SchedulerNode::Builder::leases(IStore &Value) {
+  Leases_ = &Value;
+  return *this;
+}
+
 SchedulerNode::Builder &SchedulerNode::Builder::workers(IWorkerControl &Value) {
   Workers_ = &Value;
   return *this;
