--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -18,17 +18,17 @@
 
 constexpr milliseconds TrafficStart{4000};
 constexpr milliseconds CallerLimit{3000};
-constexpr milliseconds PollInterval{700};
-constexpr milliseconds PowerLoss{1000};
 constexpr std::uint32_t CallerAttempts = 4;
+/// Time for which all nodes are down.
+constexpr milliseconds PowerLoss{1000};
 
 } // namespace
 
 struct Emulator::Parts {
   explicit Parts(EmulatorPlan Chosen)
       : Plan_(Chosen), World_(Chosen.Seed_), Store_(World_), Rules_(World_),
-        Workers_(World_, Rules_), Shared_{World_, Store_, Workers_,
-                                          {},     {},     false} {}
+        Workers_(World_, Rules_), Shared_{World_, Store_, Workers_,        {},
+                                          {},     false,  Chosen.CallTime_} {}
 
   void build();
   void planTraffic();
@@ -54,7 +54,6 @@
 void Emulator::Parts::build() {
   Shared_.IsLogging_ = std::getenv("EMULATOR_LOG") != nullptr;
   Shared_.Configuration_.Version_ = 1;
-  constexpr Resources Capacity{16000, 32768, 0};
   for (std::uint32_t Number = 0; Number < Plan_.Pools_; ++Number) {
     std::string Pool = "pool" + std::to_string(Number);
     Shared_.Configuration_.Pools_.push_back({Pool, true, false});
@@ -64,14 +63,14 @@
     Queue.MostAttempts_ = Rules_.MostAttempts_;
     Queue.Stretch_ = 1.6;
     Queue.TargetLatency_ = milliseconds(600);
-    Queue.NeedsAdvice_ = Number + 1 == Plan_.Pools_;
+    Queue.NeedsAdvice_ = Plan_.HasAdvice_ && Number + 1 == Plan_.Pools_;
     Shared_.Configuration_.Queues_.push_back(Queue);
     for (std::uint32_t Worker = 0; Worker < Plan_.WorkersPerPool_; ++Worker)
-      Workers_.add(Pool, Capacity);
+      Workers_.add(Pool, Plan_.WorkerCapacity_);
   }
   Shared_.Configuration_.Pools_.push_back({"spare", true, true});
   for (std::uint32_t Worker = 0; Worker < Plan_.SpareMachines_; ++Worker)
-    Workers_.add("spare", Capacity);
+    Workers_.add("spare", Plan_.WorkerCapacity_);
   for (auto &[Id, Worker] : Workers_.all())
     Worker.FailShare_ = Plan_.FailShare_;
   for (std::uint32_t Number = 0; Number < Plan_.Nodes_; ++Number) {
@@ -184,7 +183,7 @@
   const JobRecord &Record = Rules_.job(Id);
   if (Record.IsShownCompleted_ || Record.IsShownFailed_)
     return;
-  World_.after(PollInterval, [=, this] { poll(Id, Queue); });
+  World_.after(Plan_.PollInterval_, [=, this] { poll(Id, Queue); });
   EmulatedNode *Node = anyNode();
   if (Node == nullptr)
     return;
@@ -235,19 +234,18 @@
 
 EmulatorReport Emulator::run() {
   Parts &World = *Parts_;
-  World.Rules_.IsCalm_ = World.Plan_.Faults_ == 0 && !World.Plan_.HasWave_ &&
-                         !World.Plan_.HasPowerLoss_;
+  World.Rules_.IsCalm_ = World.Plan_.Faults_ == 0 && !World.Plan_.HasWave_;
   World.Store_.setLink(World.Plan_.LinkBytesPerSecond_);
   World.build();
   World.planTraffic();
   World.Faults_ = std::make_unique<FaultPlayer>(World.World_, World.Store_,
                                                 World.Workers_, World.Nodes_);
   World.Faults_->plan(World.Plan_.Faults_, TrafficStart, World.Plan_.Traffic_);
+  if (World.Plan_.PowerLossAt_)
+    World.World_.after(*World.Plan_.PowerLossAt_,
+                       [&World] { World.Faults_->killAll(PowerLoss); });
   if (World.Plan_.HasWave_)
     World.World_.after(TrafficStart, [&World] { World.announceWave(); });
-  if (World.Plan_.HasPowerLoss_)
-    World.World_.after(TrafficStart + World.Plan_.Traffic_,
-                       [&World] { World.Faults_->losePower(PowerLoss); });
   World.World_.runUntil(TrafficStart + World.Plan_.Traffic_ +
                         World.Plan_.Finish_);
   World.Rules_.checkEnd();
@@ -255,6 +253,7 @@
   Report.Broken_ = World.World_.broken();
   Report.Faults_ = World.Faults_->played();
   Report.Completed_ = World.Rules_.completed();
+  Report.LeasesEnded_ = World.Shared_.LeasesEnded_;
   for (const auto &[Id, Job] : World.Rules_.jobs()) {
     ++Report.Jobs_;
     Report.Accepted_ += Job.IsAccepted_ ? 1 : 0;
--- a/src/emulator/internal/faultplayer.cpp
+++ b/src/emulator/internal/faultplayer.cpp
@@ -52,11 +52,11 @@
     Node.stopGracefully();
     World_.after(Length + milliseconds(3000), [&Node] { Node.start(); });
   } else {
-    losePower(Length);
+    killAll(Length);
   }
 }
 
-void FaultPlayer::losePower(milliseconds Length) {
+void FaultPlayer::killAll(milliseconds Length) {
   note("kill all nodes", Length);
   for (auto &Each : Nodes_) {
     Each->kill();
