--- a/src/emulator/tests/emulator_test.cpp
+++ b/src/emulator/tests/emulator_test.cpp
@@ -46,11 +46,38 @@
   Plan.JobsPerSecond_ = 20;
   Plan.WorkersPerPool_ = 20;
   Plan.LinkBytesPerSecond_ = 100000;
-  Plan.HasPowerLoss_ = true;
+  Plan.PowerLossAt_ = std::chrono::seconds(34);
   EmulatorReport Report = play(Plan);
   EXPECT_EQ(Report.Accepted_, Report.Jobs_);
 }
 
+/// Nodes that need a millisecond for each call, and a pool with room for more
+/// tasks than they can start within a lease.
+EmulatorPlan backlogOnSlowNodes() {
+  EmulatorPlan Plan;
+  Plan.Nodes_ = 3;
+  Plan.Pools_ = 1;
+  Plan.WorkersPerPool_ = 30;
+  Plan.WorkerCapacity_ = {106000, 218000, 0};
+  Plan.SpareMachines_ = 0;
+  Plan.HasWave_ = false;
+  Plan.HasAdvice_ = false;
+  Plan.Faults_ = 0;
+  Plan.FailShare_ = 0;
+  Plan.JobsPerSecond_ = 120;
+  Plan.Traffic_ = std::chrono::seconds(8);
+  Plan.Finish_ = std::chrono::seconds(50);
+  Plan.PollInterval_ = std::chrono::seconds(5);
+  Plan.CallTime_ = std::chrono::milliseconds(1);
+  Plan.PowerLossAt_ = std::chrono::seconds(10);
+  return Plan;
+}
+
+TEST(EmulatorTest, ABacklogDoesNotCostAnOwnerItsLease) {
+  EmulatorReport Report = play(backlogOnSlowNodes());
+  EXPECT_EQ(Report.LeasesEnded_, 0U);
+}
+
 class MixedFaults : public testing::TestWithParam<int> {};
 
 TEST_P(MixedFaults, BreakNoRule) {
