A worker gets tasks again though its declaration as silent was not stored

A worker that answered two holds late was marked as declared silent before the roster was written. Where that write failed, or its answer was lost, and the worker was back before the next attempt, nothing differed from the stored roster any more: no write followed, and the mark, which only a write takes off, kept the worker without tasks until something else changed the roster.

The roster is now written also where a mark differs from what is to be declared.

PoolOwnerTest.AWorkerTakesTasksAgainThoughItsDeclarationWasNotStored failed before (no start).

--- a/src/scheduling/internal/rosterkeeper.cpp
+++ b/src/scheduling/internal/rosterkeeper.cpp
@@ -105,10 +105,14 @@
     return true;
   if (Pool_.Sessions_.size() != Stored_.size())
     return true;
-  for (const auto &[Lifetime, Session] : Pool_.Sessions_)
+  for (const auto &[Lifetime, Session] : Pool_.Sessions_) {
+    bool IsToBe = isToBeDeclared(*Session);
+    // A declaration whose write has failed may stand in the store all the same.
     if (!Stored_.contains(Lifetime) ||
-        isToBeDeclared(*Session) != StoredSilent_.contains(Lifetime))
+        IsToBe != StoredSilent_.contains(Lifetime) ||
+        IsToBe != Session->IsDeclaredSilent_)
       return true;
+  }
   return false;
 }
 
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -328,6 +328,32 @@
             std::set<std::string>{std::string(JobId) + ".0.0.0"});
 }
 
+TEST_F(PoolOwnerTest, AWorkerTakesTasksAgainThoughItsDeclarationWasNotStored) {
+  storeJob(jobOf(2));
+  WorkerEntry Small = worker("w1");
+  Small.Capacity_.CpuMillis_ = 1000; // Room for one task.
+  own(0, {Small});
+  answerHold(listing({}));
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  TaskName First = Workers_.Starts_[0].Order_.Task_;
+  Workers_.takeStart().Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+  Store_.Outcome_ = StoreOutcome::Unknown;
+  for (int Round = 0; Round < 30; ++Round) {
+    while (!Workers_.Holds_.empty()) {
+      bool IsSilent = Round < 5;
+      Workers_.takeHold().Done_(
+          IsSilent ? HoldAnswer()
+                   : listing({}, {{1, First, 1, EndKind::Done, ""}}));
+      if (!IsSilent)
+        Store_.Outcome_ = StoreOutcome::Done;
+    }
+    Clock_.advance(milliseconds(150));
+    Owner_->tick();
+  }
+  ASSERT_FALSE(Workers_.Starts_.empty());
+  EXPECT_NE(Workers_.Starts_[0].Order_.Task_, First);
+}
+
 TEST_F(PoolOwnerTest, StartsWhatASilentWorkerCanNotRun) {
   storeJob(jobOf(2));
   RosterRow Roster;
