Stops are bounded and not repeated before they are answered

All unwanted runs of a pool were told to stop in one round, and again each 400 ms whether the earlier orders had been answered or not. A node that needs longer than that for a round's stops gathers them without end; once its ring is full, its holds and store calls are dropped as not sent.

Stops now have a window like starts, one of their own, and each run one stop at a time. Workers that answer no hold are told when they do.

PoolOwnerTest.StopsWithoutAnswersAreNotRepeated (320 stops of 40 runs in 3 s) and PoolOwnerTest.StopsWithoutAnswersAreBounded (800 in one round) failed before. Found by review.

--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -357,12 +357,15 @@
     return;
   const TimePoint Now = Pool_.Clock_.now();
   for (auto &[Lifetime, Session] : Pool_.Sessions_) {
-    if (!Session->IsFenced_)
+    // A worker that answers no hold is told once it does, or its runs lapse.
+    if (!Session->IsFenced_ || Session->HoldFailures_ > 0)
       continue;
     for (auto &[Name, Run] : Session->runs()) {
-      if (Run.NextStop_ > Now ||
+      if (Run.IsStopAsked_ || Run.NextStop_ > Now ||
           (!Run.MustStop_ && !isUnwanted(*Session, Name)))
         continue;
+      if (!StopWindow_.admits())
+        return; // The next round goes on.
       Run.NextStop_ = Now + StopRepeat;
       stop(*Session, Name, Run.Run_);
     }
@@ -379,6 +382,10 @@
       Job->run(Name).Phase_ == TaskPhase::Running)
     Job->run(Name).Phase_ = TaskPhase::Stopping;
   Session.NextHold_ = std::min(Session.NextHold_, Pool_.Clock_.now());
+  auto Known = Session.runs().find(Name);
+  if (Known != Session.runs().end())
+    Known->second.IsStopAsked_ = true;
+  StopWindow_.onSent();
   Pool_.Workers_.stop(
       Session.target(), Name, Run, Pool_.Token_,
       [Weak = weak_from_this(), Name, Run,
@@ -390,10 +397,16 @@
 
 void Dispatcher::onStopped(const std::string &Lifetime, const TaskName &Name,
                            RunNumber Run, const OrderAnswer &Answer) {
+  // The time may be that of the run's end, so that it tells nothing.
+  StopWindow_.onUnanswered();
   WorkerSession *Session = Pool_.session(Lifetime);
-  if (Session == nullptr || Answer.Outcome_ != OrderOutcome::Accepted)
+  if (Session == nullptr)
     return;
   auto Known = Session->runs().find(Name);
+  if (Known != Session->runs().end())
+    Known->second.IsStopAsked_ = false;
+  if (Answer.Outcome_ != OrderOutcome::Accepted)
+    return;
   // From now on the worker rejects the run, so that lists without it settle
   // that it does not exist.
   if (Known != Session->runs().end() && Known->second.Run_ == Run &&
--- a/src/scheduling/internal/dispatcher.h
+++ b/src/scheduling/internal/dispatcher.h
@@ -73,6 +73,8 @@
   AdviceKeeper &Advice_;
   WorkerChooser Chooser_;
   StartWindow Window_;
+  /// Stops have one of their own, so that neither waits for the other.
+  StartWindow StopWindow_;
   /// Whether the last round was left for want of answers.
   bool IsHeldBack_ = false;
 };
--- a/src/scheduling/internal/runbook.cpp
+++ b/src/scheduling/internal/runbook.cpp
@@ -236,6 +236,7 @@
       continue;
     Doubtful.ConfirmedAt_.reset();
     Doubtful.MustStop_ = true;
+    Doubtful.IsStopAsked_ = false;
     Successor.runs()[Name] = Doubtful;
     Successor.noteLease(Pool_.surelyLapsed(Pool_.Clock_.now()));
     Job->run(Name).Worker_ = Successor.entry().lifetime();
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -354,6 +354,67 @@
   EXPECT_NE(Workers_.Starts_[0].Order_.Task_, First);
 }
 
+TEST_F(PoolOwnerTest, StopsWithoutAnswersAreNotRepeated) {
+  constexpr std::size_t Tasks = 40;
+  JobSpec Spec = jobOf(Tasks);
+  Spec.Steps_[0].IsLongRunning_ = true;
+  storeJob(Spec);
+  std::vector<WorkerEntry> Fleet;
+  for (int Number = 0; Number < 4; ++Number)
+    Fleet.push_back(worker("w" + std::to_string(Number)));
+  own(0, Fleet);
+  while (!Workers_.Holds_.empty())
+    Workers_.takeHold().Done_(listing({}));
+  tickTwice();
+  ASSERT_EQ(Workers_.Starts_.size(), Tasks);
+  while (!Workers_.Starts_.empty())
+    Workers_.takeStart().Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+  for (WorkerEntry &Each : Fleet)
+    Each.State_ = WorkerState::Draining;
+  Owner_->onWorkers(Fleet);
+  for (int Round = 0; Round < 30; ++Round) {
+    Clock_.advance(milliseconds(100));
+    Owner_->tick();
+  }
+  EXPECT_EQ(Workers_.Stops_.size(), Tasks);
+}
+
+TEST_F(PoolOwnerTest, StopsWithoutAnswersAreBounded) {
+  constexpr std::size_t Tasks = 800;
+  JobSpec Spec = jobOf(Tasks);
+  Spec.Steps_[0].IsLongRunning_ = true;
+  storeJob(Spec);
+  std::vector<WorkerEntry> Fleet;
+  for (int Number = 0; Number < 50; ++Number)
+    Fleet.push_back(worker("w" + std::to_string(Number)));
+  own(0, Fleet);
+  while (!Workers_.Holds_.empty())
+    Workers_.takeHold().Done_(listing({}));
+  std::size_t Started = 0;
+  for (int Round = 0; Round < 100 && Started < Tasks; ++Round) {
+    Owner_->tick();
+    for (; !Workers_.Starts_.empty(); ++Started)
+      Workers_.takeStart().Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+  }
+  ASSERT_EQ(Started, Tasks);
+  for (WorkerEntry &Each : Fleet)
+    Each.State_ = WorkerState::Draining;
+  Owner_->onWorkers(Fleet);
+  Owner_->tick();
+  EXPECT_GT(Workers_.Stops_.size(), 0U);
+  EXPECT_LE(Workers_.Stops_.size(), 512U);
+  std::size_t Stopped = 0;
+  for (int Round = 0; Round < 100 && Stopped < Tasks; ++Round) {
+    for (; !Workers_.Stops_.empty(); ++Stopped) {
+      Workers_.Stops_.front().Done_(
+          {OrderOutcome::Accepted, WorkerClock(1000)});
+      Workers_.Stops_.pop_front();
+    }
+    Owner_->tick();
+  }
+  EXPECT_GE(Stopped, Tasks);
+}
+
 TEST_F(PoolOwnerTest, StartsWhatASilentWorkerCanNotRun) {
   storeJob(jobOf(2));
   RosterRow Roster;
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -33,6 +33,8 @@
   bool MustStop_ = false;
   /// Earliest time of the next order to stop the run.
   TimePoint NextStop_;
+  /// Whether an order to stop it waits for its answer.
+  bool IsStopAsked_ = false;
 };
 
 /// What the owner of a pool knows of one lifetime of a worker: its clock, the
