A pool won without an answer is taken soon, and not for too long

Since a node leaves its own row to others, a node that has won a pool without hearing of it, and then reads its row in the feed, waited for the end of the lease like all others: the pool had no owner for 3.3 s. And where its next attempt told it that it had won, it counted the lease from that attempt, while others count from the row: two owners could act at a time where no renewal came through.

The node now remembers since when an attempt may have won, counts the lease from there, and tries at once again.

OwnershipKeeperTest.APoolWonWithoutAnAnswerIsTakenSoon and OwnershipKeeperTest.ALeaseCountsFromTheAttemptThatMayHaveWonIt failed before. Found by review.

--- a/src/scheduling/internal/ownershipkeeper.cpp
+++ b/src/scheduling/internal/ownershipkeeper.cpp
@@ -82,9 +82,11 @@
   if (Lease.Version_ == 0)
     return IsLoaded_;
   // An earlier process of this node is gone for certain. A lease that this one
-  // lost by itself is left to others; one that the store refused is not.
+  // lost by itself is left to others; one that the store refused is not, nor
+  // one that it has won without knowing.
   bool IsOwn = Lease.Row_.Holder_ == Settings_.Node_ && !Lease.IsMine_ &&
-               (Lease.Row_.Process_ != Process_ || wasRefused(Lease));
+               (Lease.Row_.Process_ != Process_ || wasRefused(Lease) ||
+                Lease.UnansweredSince_);
   if (Lease.Row_.Holder_.empty() || IsOwn)
     return true;
   return Clock_.now() >=
@@ -208,13 +210,18 @@
     begin(Pool, Lease, Sent, End.Version_);
     return;
   }
+  if (End.Outcome_ == StoreOutcome::Unknown && !Lease.UnansweredSince_)
+    Lease.UnansweredSince_ = Sent;
   if (End.Outcome_ != StoreOutcome::ConditionFailed || End.Current_.empty())
     return;
   adopt(Lease, End.Current_.front());
-  // An earlier attempt of this process, whose answer was lost, has won.
-  bool HasWon = Lease.Row_.Process_ == Process_ && Lease.Row_.Renewals_ == 0;
+  // An earlier attempt of this process, whose answer was lost, has won. Others
+  // count its lease from then; where that is over, the next attempt wins anew.
+  bool HasWon = Lease.Row_.Process_ == Process_ && Lease.Row_.Renewals_ == 0 &&
+                Lease.UnansweredSince_ &&
+                Clock_.now() < *Lease.UnansweredSince_ + Settings_.OwnerLease_;
   if (HasWon)
-    begin(Pool, Lease, Sent, Lease.Version_);
+    begin(Pool, Lease, *Lease.UnansweredSince_, Lease.Version_);
 }
 
 void OwnershipKeeper::begin(const std::string &Pool, PoolLease &Lease,
@@ -223,6 +230,7 @@
   Lease.Token_ = Token;
   Lease.RenewalsMade_ = 0;
   Lease.RenewalOutcome_.reset();
+  Lease.UnansweredSince_.reset();
   Lease.SeenAt_ = Clock_.now();
   Lease.LeaseEnd_ = Sent + Settings_.OwnerLease_;
   Lease.NextRenewal_ = Sent + Settings_.OwnerLease_ / RenewalsPerLease;
--- a/src/scheduling/ownershipkeeper.h
+++ b/src/scheduling/ownershipkeeper.h
@@ -75,6 +75,9 @@
     std::uint32_t LateRenewals_ = 0;
     /// Renewals of the present tenure.
     std::uint32_t RenewalsMade_ = 0;
+    /// When the first attempt was sent that may have won the pool although
+    /// its answer is lost.
+    std::optional<TimePoint> UnansweredSince_;
     /// End of the previous owner's acts, as of the last attempt to win.
     std::optional<TimePoint> PredecessorEnd_;
   };
--- a/src/scheduling/tests/ownershipkeeper_test.cpp
+++ b/src/scheduling/tests/ownershipkeeper_test.cpp
@@ -19,7 +19,7 @@
   void transact(StoreTransaction Wanted, TransactionDone Done) override {
     Waiting_.emplace_back(Clock_.now() + Delay_,
                           [this, Wanted = std::move(Wanted), Done] {
-                            Inner_.transact(Wanted, Done);
+                            carryOut(Wanted, Done);
                           });
   }
   void readRange(const std::string &, const std::string &, const std::string &,
@@ -37,8 +37,17 @@
   }
 
   milliseconds Delay_{0};
+  /// Whether calls are carried out but get no answer.
+  bool LosesAnswers_ = false;
 
 private:
+  void carryOut(const StoreTransaction &Wanted, const TransactionDone &Done) {
+    Inner_.transact(Wanted, [this, Done](const StoreTransactionEnd &End) {
+      Done(LosesAnswers_ ? StoreTransactionEnd{StoreOutcome::Unknown, 0, {}}
+                         : End);
+    });
+  }
+
   InstantStore &Inner_;
   const IClock &Clock_;
   std::deque<std::pair<TimePoint, std::function<void()>>> Waiting_;
@@ -55,6 +64,7 @@
         Settings_, Name + "/1", Store_, Clock, Logger,
         [this](const PoolTenure &Tenure) {
           Owned_.insert(Tenure.Pool_);
+          LeaseEnd_ = Tenure.LeaseEnd_;
           ++Wins_;
         },
         [](const std::string &, TimePoint) {},
@@ -66,6 +76,8 @@
   std::shared_ptr<OwnershipKeeper> Keeper_;
   std::set<std::string> Owned_;
   int Wins_ = 0;
+  /// End of the lease that was won last.
+  TimePoint LeaseEnd_;
 };
 
 class OwnershipKeeperTest : public testing::Test {
@@ -168,5 +180,45 @@
   EXPECT_TRUE(Node.Owned_.contains("pool"));
 }
 
+TEST_F(OwnershipKeeperTest, APoolWonWithoutAnAnswerIsTakenSoon) {
+  KeeperNode &Node = add("node");
+  begin({});
+  play(milliseconds(400));
+  Node.Store_.LosesAnswers_ = true;
+  begin({"pool"});
+  StoreKey Row = controlrows::owner("pool");
+  for (int Wait = 0; Wait < 50 && !Shared_.Rows_.contains(Row); ++Wait)
+    play(TickInterval);
+  ASSERT_TRUE(Shared_.Rows_.contains(Row));
+  ASSERT_TRUE(Node.Owned_.empty());
+  Node.Store_.LosesAnswers_ = false;
+  play(milliseconds(1000));
+  EXPECT_TRUE(Node.Owned_.contains("pool"));
+}
+
+TEST_F(OwnershipKeeperTest, ALeaseCountsFromTheAttemptThatMayHaveWonIt) {
+  KeeperNode &Node = add("node");
+  begin({});
+  play(milliseconds(400));
+  Node.Store_.LosesAnswers_ = true;
+  begin({"pool"});
+  StoreKey Row = controlrows::owner("pool");
+  auto Step = [&] {
+    Clock_.advance(TickInterval);
+    Node.Keeper_->tick();
+    Node.Store_.tick();
+  };
+  for (int Wait = 0; Wait < 50 && !Shared_.Rows_.contains(Row); ++Wait)
+    Step();
+  ASSERT_TRUE(Shared_.Rows_.contains(Row));
+  const TimePoint Written = Clock_.now();
+  Clock_.advance(milliseconds(1000));
+  Node.Store_.LosesAnswers_ = false;
+  for (int Wait = 0; Wait < 50 && Node.Owned_.empty(); ++Wait)
+    Step();
+  ASSERT_TRUE(Node.Owned_.contains("pool"));
+  EXPECT_LE(Node.LeaseEnd_, Written + Node.Settings_.OwnerLease_);
+}
+
 } // namespace
 } // namespace dragonflylock
