A worker that was unlisted during a grant takes tasks again

The mark of a worker that is emptied for a move was taken off by its machine's name, by way of the registered worker. A worker that the registry did not list for a moment while the grant or the order was under way kept the mark, and got no tasks any more until its pool changed the owner.

The mark is now taken off by the lifetime that it was put on.

MachineMovesTest.AWorkerThatWasUnlistedDuringAGrantTakesTasksAgain failed before.

--- a/src/scheduling/internal/movekeeper.cpp
+++ b/src/scheduling/internal/movekeeper.cpp
@@ -226,7 +226,7 @@
   }
   for (const std::string &Name : Names) {
     Ledger_.announce(Name, Wanted);
-    reserve(Name, true);
+    reserve(Name);
   }
   IsGranting_ = true;
   Pool_.Store_.transact(std::move(Wanted), [Weak = weak_from_this(), To, Row,
@@ -241,7 +241,7 @@
                            const std::vector<std::string> &Names,
                            const StoreTransactionEnd &End) {
   for (const std::string &Name : Names) {
-    reserve(Name, false);
+    release(Name);
     Ledger_.onNotOrdered(Name);
   }
   for (const StoreRow &Current : End.Current_) {
@@ -273,11 +273,11 @@
                           .with("token", End.Version_));
   for (const std::string &Name : Names) {
     Ledger_.onAnnounced(Name, End.Version_);
-    WorkerSession *Session = Pool_.sessionOn(Name);
     Move &Each = Moves_[Name];
     Each.To_ = To;
-    Each.Lifetime_ =
-        Session != nullptr ? Session->entry().lifetime() : std::string();
+    // The registry may not list the worker just now.
+    Each.Lifetime_ = Reserved_[Name];
+    Reserved_.erase(Name);
     Each.Token_ = End.Version_;
     Each.AnnouncedAt_ = Sent;
     send(Name, Each);
@@ -348,9 +348,21 @@
   Pool_.NeedsDispatch_ = true;
 }
 
-void MoveKeeper::reserve(const std::string &Machine, bool IsReserved) {
-  if (WorkerSession *Session = Pool_.sessionOn(Machine))
-    Session->IsMoving_ = IsReserved;
+void MoveKeeper::reserve(const std::string &Machine) {
+  WorkerSession *Session = Pool_.sessionOn(Machine);
+  if (Session == nullptr)
+    return;
+  Session->IsMoving_ = true;
+  Reserved_[Machine] = Session->entry().lifetime();
+}
+
+void MoveKeeper::release(const std::string &Machine) {
+  auto Found = Reserved_.find(Machine);
+  if (Found == Reserved_.end())
+    return;
+  if (WorkerSession *Session = Pool_.session(Found->second))
+    Session->IsMoving_ = false;
+  Reserved_.erase(Found);
   Pool_.NeedsDispatch_ = true;
 }
 
--- a/src/scheduling/internal/movekeeper.h
+++ b/src/scheduling/internal/movekeeper.h
@@ -74,7 +74,10 @@
   /// \returns machines on which nothing has run for at least \p Least.
   std::vector<std::string> idleMachines(std::chrono::milliseconds Least) const;
   bool isIdle(const WorkerSession &Session) const;
-  void reserve(const std::string &Machine, bool IsReserved);
+  /// Has the machine's worker become empty.
+  void reserve(const std::string &Machine);
+  /// Lets the worker that was to become empty take tasks again.
+  void release(const std::string &Machine);
   /// \returns the configuration's spare pool; empty for none.
   std::string sparePool() const;
 
@@ -100,6 +103,8 @@
   std::map<std::string, TimePoint> ComingSince_;
   /// By machine.
   std::map<std::string, Move> Moves_;
+  /// Lifetimes that are to become empty for a grant, by machine.
+  std::map<std::string, std::string> Reserved_;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/tests/machinemoves_test.cpp
+++ b/src/scheduling/tests/machinemoves_test.cpp
@@ -8,6 +8,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace dragonflylock {
 namespace {
 
@@ -223,6 +225,26 @@
             Machines_.Moves_.front().Order_.Token_);
 }
 
+TEST_F(MachineMovesTest, AWorkerThatWasUnlistedDuringAGrantTakesTasksAgain) {
+  addWorker("w1");
+  pass(milliseconds(1500));
+  addWorker("w2");
+  Machines_.MoveOutcome_ = MachineOutcome::Refused;
+  Store_.IsHolding_ = true;
+  otherAsksFor(1);
+  pass(milliseconds(600));
+  auto IsEmptied = [](const auto &Each) {
+    return Each.second->isBeingEmptied();
+  };
+  auto &Sessions = Pool_.Sessions_;
+  auto Granted = std::find_if(Sessions.begin(), Sessions.end(), IsEmptied);
+  ASSERT_NE(Granted, Sessions.end());
+  Granted->second->IsListed_ = false;
+  Store_.release();
+  Granted->second->IsListed_ = true;
+  EXPECT_TRUE(std::none_of(Sessions.begin(), Sessions.end(), IsEmptied));
+}
+
 TEST_F(MachineMovesTest, AsksAgainForAMachineThatDoesNotArrive) {
   addWorker("w1");
   addJob(16);
