--- a/src/scheduling/tests/ownershipkeeper_test.cpp
+++ b/src/scheduling/tests/ownershipkeeper_test.cpp
@@ -17,10 +17,9 @@
       : Inner_(Inner), Clock_(Clock) {}
 
   void transact(StoreTransaction Wanted, TransactionDone Done) override {
-    Waiting_.emplace_back(Clock_.now() + Delay_,
-                          [this, Wanted = std::move(Wanted), Done] {
-                            carryOut(Wanted, Done);
-                          });
+    Waiting_.emplace_back(
+        Clock_.now() + Delay_,
+        [this, Wanted = std::move(Wanted), Done] { carryOut(Wanted, Done); });
   }
   void readRange(const std::string &, const std::string &, const std::string &,
                  const std::string &, RangeDone) override {}
