Starts that time out narrow the window

Answers that take long narrow the bound of starts, but those that came not at all within the 800 ms of a call left it as it was: where a node is so slow that its calls time out, it went on with as many.

A start without an answer for half a second counts as a slow answer now. One that is cut off sooner still says nothing: the worker may be gone.

PoolOwnerTest.StartsThatTimeOutOnAllWorkersGetFewer failed before (128 and 128).

--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -22,6 +22,9 @@
 constexpr std::chrono::milliseconds UnhealthyPause{1000};
 /// Pause before a task whose start was refused is tried again.
 constexpr std::chrono::milliseconds RefusedPause{50};
+/// An order that gets no answer for so long may have waited in this node; one
+/// that ends sooner was cut off on its way.
+constexpr std::chrono::milliseconds LongWait{500};
 /// Pause between two orders to stop the same run.
 constexpr std::chrono::milliseconds StopRepeat{400};
 /// Time for which a gang that does not fit lets less urgent tasks start.
@@ -264,11 +267,12 @@
 }
 
 void Dispatcher::noteAnswered(TimePoint Sent, OrderOutcome Outcome) {
+  auto Took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Pool_.Clock_.now() - Sent);
   bool IsAnswer =
       Outcome != OrderOutcome::Unknown && Outcome != OrderOutcome::NotSent;
-  if (IsAnswer)
-    Window_.onAnswered(std::chrono::duration_cast<std::chrono::milliseconds>(
-        Pool_.Clock_.now() - Sent));
+  if (IsAnswer || Took >= LongWait)
+    Window_.onAnswered(Took);
   else
     Window_.onUnanswered();
   if (IsHeldBack_ && Window_.isDrained())
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -415,6 +415,30 @@
   EXPECT_GE(Stopped, Tasks);
 }
 
+TEST_F(PoolOwnerTest, StartsThatTimeOutOnAllWorkersGetFewer) {
+  storeJob(jobOf(1600));
+  std::vector<WorkerEntry> Fleet;
+  for (int Number = 0; Number < 100; ++Number)
+    Fleet.push_back(worker("w" + std::to_string(Number)));
+  own(0, Fleet);
+  std::size_t First = 0;
+  std::size_t Last = 0;
+  for (int Round = 0; Round < 20; ++Round) {
+    while (!Workers_.Holds_.empty())
+      Workers_.takeHold().Done_(listing({}));
+    tickTwice();
+    Last = Workers_.Starts_.size();
+    First = First == 0 ? Last : First;
+    Clock_.advance(milliseconds(900));
+    while (!Workers_.Starts_.empty())
+      Workers_.takeStart().Done_({OrderOutcome::Unknown, WorkerClock(0)});
+    Clock_.advance(milliseconds(1100));
+    Owner_->tick();
+  }
+  ASSERT_GT(First, 0U);
+  EXPECT_LT(Last, First);
+}
+
 TEST_F(PoolOwnerTest, StartsWhatASilentWorkerCanNotRun) {
   storeJob(jobOf(2));
   RosterRow Roster;
