A batch of progress that fails is tried again in part

A transaction of progress that failed was sent again as it was. Fifty rows of up to 64 KB are more than the store takes in one call (1 MB), and than a small link carries in the second that a call may take, so that the same batch failed for ever: no end of the queue was stored or acknowledged any more.

Half as many rows are sent after a failure, twice as many after a success.

ProgressWriterTest.EndsAreStoredThoughTheirRowsAreTooLargeForOneCall failed before (none of 16 rows stored). Found by review; not seen in a log.

--- a/src/scheduling/internal/progresswriter.cpp
+++ b/src/scheduling/internal/progresswriter.cpp
@@ -5,12 +5,11 @@
 #include "scheduling/istore.h"
 #include "scheduling/jobrows.h"
 
+#include <algorithm>
+
 namespace dragonflylock {
 namespace {
 
-/// Rows of one transaction; the store takes 100 entries, and each row counts
-/// twice, as an expectation and as a new value.
-constexpr std::size_t LargestBatch = 50;
 /// Pause after a transaction, in which ends gather. Callers ask for a job's
 /// state far less often.
 constexpr std::chrono::milliseconds GatherPause{40};
@@ -31,7 +30,7 @@
     if (!Job->isDirty())
       continue;
     std::vector<ActiveJob *> &OfPart = Dirty[Job->stored().Queue_];
-    if (OfPart.size() < LargestBatch)
+    if (OfPart.size() < Parts_[Job->stored().Queue_].Most_)
       OfPart.push_back(Job.get());
   }
   for (auto &[Part, Jobs] : Dirty) {
@@ -68,6 +67,7 @@
   State.NotBefore_ = Pool_.Clock_.now() + GatherPause;
   switch (End.Outcome_) {
   case StoreOutcome::Done:
+    State.Most_ = std::min(LargestBatch, State.Most_ * 2);
     onStored(Sent, End.Version_);
     break;
   case StoreOutcome::ConditionFailed:
@@ -76,6 +76,7 @@
   default:
     // Where the outcome is unknown, the next attempt finds the row changed.
     State.NotBefore_ = Pool_.Clock_.now() + RetryPause;
+    State.Most_ = std::max<std::size_t>(1, Sent.size() / 2);
     Pool_.Logger_.write(LogLevel::Warning,
                         LogEvent("progress.unstored")
                             .with("pool", Pool_.Pool_)
--- a/src/scheduling/internal/progresswriter.h
+++ b/src/scheduling/internal/progresswriter.h
@@ -26,11 +26,18 @@
   void flush();
 
 private:
+  /// Rows of one transaction; the store takes 100 entries, and each row counts
+  /// twice, as an expectation and as a new value.
+  static constexpr std::size_t LargestBatch = 50;
+
   /// Jobs of a transaction, with the change that it stores of each.
   using Batch = std::vector<std::pair<std::string, std::uint64_t>>;
   struct PartState {
     bool IsBusy_ = false;
     TimePoint NotBefore_;
+    /// Rows of the next transaction; fewer after one that failed, since it may
+    /// have been too large for the store or the link.
+    std::size_t Most_ = LargestBatch;
   };
 
   void send(const std::string &Part, const std::vector<ActiveJob *> &Jobs);
--- a/src/scheduling/tests/mocks/fakefleet.h
+++ b/src/scheduling/tests/mocks/fakefleet.h
@@ -8,6 +8,8 @@
 #include "scheduling/istore.h"
 #include "scheduling/iworkercontrol.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
@@ -30,6 +32,13 @@
       Done({Outcome_, 0, {}});
       return;
     }
+    std::size_t Bytes = 0;
+    for (const StorePut &Each : Wanted.Puts_)
+      Bytes += Each.Value_.size();
+    if (Bytes > LargestCall_) {
+      Done({StoreOutcome::NotDone, 0, {}});
+      return;
+    }
     StoreTransactionEnd End;
     bool Holds = true;
     for (const StoreExpectation &Each : Wanted.Expected_) {
@@ -75,6 +84,8 @@
   /// Whether answers to transactions are held back.
   bool IsHolding_ = false;
   std::vector<std::function<void()>> Held_;
+  /// Bytes of values that one transaction may put.
+  std::size_t LargestCall_ = SIZE_MAX;
   /// How every call ends.
   StoreOutcome Outcome_ = StoreOutcome::Done;
   StoreVersion Version_ = 0;
