A new owner speeds up what an earlier one has slowed

An owner that took over a filling task took it to run at full speed, although the earlier owner had slowed it: it never ordered full speed, and the task went on at a few percent until its end.

The share that the worker lists first is taken over now.

PaceKeeperTest.WhatAnEarlierOwnerHasSlowedSpeedsUpAgain failed before (no order).

--- a/src/scheduling/internal/runbook.cpp
+++ b/src/scheduling/internal/runbook.cpp
@@ -175,8 +175,12 @@
   Known.IsFiller_ = Step.IsFiller_;
   Known.LatencyTarget_ = Step.LatencyTarget_;
   Known.Figure_ = Listed.Figure_;
-  if (!Known.ConfirmedAt_)
-    Known.ConfirmedAt_ = Pool_.Clock_.now();
+  if (Known.ConfirmedAt_)
+    return true;
+  Known.ConfirmedAt_ = Pool_.Clock_.now();
+  // An earlier owner may have slowed it; 0 tells that it does not work yet.
+  if (Listed.Percent_ > 0)
+    Known.Percent_ = Listed.Percent_;
   return true;
 }
 
--- a/src/scheduling/tests/mocks/fakefleet.h
+++ b/src/scheduling/tests/mocks/fakefleet.h
@@ -105,6 +105,10 @@
     TaskName Task_;
     OrderDone Done_;
   };
+  struct Pace {
+    std::uint32_t Percent_;
+    OrderDone Done_;
+  };
   struct Hold {
     WorkerTarget Target_;
     HoldOrder Order_;
@@ -123,8 +127,10 @@
             HoldDone Done) override {
     Holds_.push_back({Target, Order, std::move(Done)});
   }
-  void pace(const WorkerTarget &, const TaskName &, RunNumber, std::uint32_t,
-            FencingToken, OrderDone) override {}
+  void pace(const WorkerTarget &, const TaskName &, RunNumber,
+            std::uint32_t Percent, FencingToken, OrderDone Done) override {
+    Paces_.push_back({Percent, std::move(Done)});
+  }
 
   /// Takes the oldest hold that waits.
   Hold takeHold() {
@@ -140,6 +146,7 @@
 
   std::deque<Start> Starts_;
   std::deque<Stop> Stops_;
+  std::deque<Pace> Paces_;
   std::deque<Hold> Holds_;
 };
 
--- /dev/null
+++ b/src/scheduling/tests/pacekeeper_test.cpp
@@ -0,0 +1,40 @@
+#include "scheduling/tests/mocks/ownertest.h"
+
+namespace dragonflylock {
+namespace {
+
+using std::chrono::milliseconds;
+
+class PaceKeeperTest : public OwnerTest {
+protected:
+  PaceKeeperTest() {
+    StepSpec Step;
+    Step.PerTask_ = {1000, 1000, 0};
+    Step.IsLongRunning_ = true;
+    Step.IsFiller_ = true;
+    JobSpec Spec;
+    Spec.Steps_ = {Step};
+    storeJob(Spec);
+  }
+
+  /// Owns the pool after an earlier owner that has slowed the filling task.
+  void ownSlowed() {
+    own(1, {workerOf("w1", {16000, 32000, 0})});
+    ListedRun Run;
+    Run.Task_ = {JobId, 0, 0, 0};
+    Run.Run_ = 1;
+    Run.Percent_ = 10;
+    ASSERT_FALSE(Workers_.Holds_.empty());
+    Workers_.takeHold().Done_(listing({Run}));
+    tickTwice();
+  }
+};
+
+TEST_F(PaceKeeperTest, WhatAnEarlierOwnerHasSlowedSpeedsUpAgain) {
+  ownSlowed();
+  ASSERT_EQ(Workers_.Paces_.size(), 1U);
+  EXPECT_EQ(Workers_.Paces_[0].Percent_, 100U);
+}
+
+} // namespace
+} // namespace dragonflylock
