An order to speed up that got no answer is repeated

Where an order of a share got no answer, the task was taken to run at full speed, so that the next round repeated the order. For an order to full speed itself that meant that it was not repeated: the task stayed slowed until its end.

PaceKeeperTest.AnOrderToSpeedUpWithoutAnAnswerIsRepeated failed before (one order). Found by review.

--- a/src/scheduling/internal/pacekeeper.cpp
+++ b/src/scheduling/internal/pacekeeper.cpp
@@ -60,18 +60,22 @@
         HasServing ? nextFillerShare(Run.Percent_, Worst) : FullShare;
     if (Next == Run.Percent_)
       continue;
-    Run.Percent_ = Next;
     order(Session, Name, Next);
   }
 }
 
 void PaceKeeper::order(WorkerSession &Session, const TaskName &Name,
                        std::uint32_t Share) {
-  RunNumber Run = Session.runs()[Name].Run_;
+  SessionRun &Paced = Session.runs()[Name];
+  RunNumber Run = Paced.Run_;
+  // Without an answer it is taken to have the higher share for being slowed and
+  // the lower one for being sped up, so that the next round repeats the order.
+  std::uint32_t Failed = Share > Paced.Percent_ ? Paced.Percent_ : FullShare;
+  Paced.Percent_ = Share;
   Pool_.Workers_.pace(
       Session.target(), Name, Run, Share, Pool_.Token_,
       [Weak = weak_from_this(), Lifetime = Session.entry().lifetime(), Name,
-       Run](const OrderAnswer &Answer) {
+       Run, Failed](const OrderAnswer &Answer) {
         auto Self = Weak.lock();
         if (!Self || Answer.Outcome_ == OrderOutcome::Accepted)
           return;
@@ -79,10 +83,8 @@
         if (Session == nullptr)
           return;
         auto Found = Session->runs().find(Name);
-        // Taken as running at full speed, so that the next round repeats the
-        // order.
         if (Found != Session->runs().end() && Found->second.Run_ == Run)
-          Found->second.Percent_ = FullShare;
+          Found->second.Percent_ = Failed;
       });
 }
 
--- a/src/scheduling/tests/pacekeeper_test.cpp
+++ b/src/scheduling/tests/pacekeeper_test.cpp
@@ -36,5 +36,15 @@
   EXPECT_EQ(Workers_.Paces_[0].Percent_, 100U);
 }
 
+TEST_F(PaceKeeperTest, AnOrderToSpeedUpWithoutAnAnswerIsRepeated) {
+  ownSlowed();
+  ASSERT_EQ(Workers_.Paces_.size(), 1U);
+  Workers_.Paces_[0].Done_({OrderOutcome::Unknown, WorkerClock(0)});
+  Clock_.advance(milliseconds(1000));
+  Owner_->tick();
+  ASSERT_EQ(Workers_.Paces_.size(), 2U);
+  EXPECT_EQ(Workers_.Paces_[1].Percent_, 100U);
+}
+
 } // namespace
 } // namespace dragonflylock
