A pool given up during a renewal is free at once

A node that stops gives its pools up by a write on the version that it knew. A pool won while the node stops was kept without renewals.

The row is given up when the answer to the call under way has come.

OwnershipKeeperTest.APoolGivenUpDuringARenewalIsFreeAtOnce failed before.

--- a/src/scheduling/internal/ownershipkeeper.cpp
+++ b/src/scheduling/internal/ownershipkeeper.cpp
@@ -207,6 +207,10 @@
   if (End.Outcome_ == StoreOutcome::Done) {
     Lease.Row_ = Sought;
     Lease.Version_ = End.Version_;
+    if (IsReleasing_) {
+      release(Pool, Lease);
+      return;
+    }
     begin(Pool, Lease, Sent, End.Version_);
     return;
   }
@@ -217,8 +221,8 @@
   adopt(Lease, End.Current_.front());
   // An earlier attempt of this process, whose answer was lost, has won. Others
   // count its lease from then; where that is over, the next attempt wins anew.
-  bool HasWon = Lease.Row_.Process_ == Process_ && Lease.Row_.Renewals_ == 0 &&
-                Lease.UnansweredSince_ &&
+  bool HasWon = !IsReleasing_ && Lease.Row_.Process_ == Process_ &&
+                Lease.Row_.Renewals_ == 0 && Lease.UnansweredSince_ &&
                 Clock_.now() < *Lease.UnansweredSince_ + Settings_.OwnerLease_;
   if (HasWon)
     begin(Pool, Lease, *Lease.UnansweredSince_, Lease.Version_);
@@ -264,8 +268,15 @@
   Lease.IsBusy_ = false;
   Lease.RenewalOutcome_ = End.Outcome_;
   logRenewal(Pool, Lease, End.Outcome_);
-  if (!Lease.IsMine_)
+  if (!Lease.IsMine_) {
+    if (IsReleasing_ && End.Outcome_ == StoreOutcome::Done) {
+      Lease.Row_ = Next;
+      Lease.Version_ = End.Version_;
+    }
+    if (IsReleasing_)
+      release(Pool, Lease);
     return;
+  }
   if (End.Outcome_ == StoreOutcome::Done) {
     Lease.Row_ = Next;
     Lease.Version_ = End.Version_;
@@ -338,15 +349,21 @@
     if (!Lease.IsMine_)
       continue;
     lose(Pool, Lease, "released");
-    OwnerRow Next = Lease.Row_;
-    Next.Holder_.clear();
-    ++Next.Renewals_;
-    // A row that stays as it is is taken over when its lease has ended.
-    Store_.transact(writeOf(Pool, Lease, Next),
-                    [](const StoreTransactionEnd &) {});
+    // A renewal that is under way changes the row first.
+    if (!Lease.IsBusy_)
+      release(Pool, Lease);
   }
 }
 
+void OwnershipKeeper::release(const std::string &Pool, const PoolLease &Lease) {
+  OwnerRow Next = Lease.Row_;
+  Next.Holder_.clear();
+  ++Next.Renewals_;
+  // A row that stays as it is is taken over when its lease has ended.
+  Store_.transact(writeOf(Pool, Lease, Next),
+                  [](const StoreTransactionEnd &) {});
+}
+
 std::optional<FencingToken>
 OwnershipKeeper::liveToken(const std::string &Pool) const {
   auto Found = Leases_.find(Pool);
--- a/src/scheduling/ownershipkeeper.h
+++ b/src/scheduling/ownershipkeeper.h
@@ -105,6 +105,8 @@
                  const StoreTransactionEnd &End);
   void logRenewal(const std::string &Pool, const PoolLease &Lease,
                   StoreOutcome Outcome);
+  /// Tells others that the pool is free.
+  void release(const std::string &Pool, const PoolLease &Lease);
   /// Drops a lease that was not renewed in time.
   void endLease(const std::string &Pool, PoolLease &Lease);
   void lose(const std::string &Pool, PoolLease &Lease, const char *Cause);
--- a/src/scheduling/tests/ownershipkeeper_test.cpp
+++ b/src/scheduling/tests/ownershipkeeper_test.cpp
@@ -35,6 +35,8 @@
     }
   }
 
+  bool isBusy() const { return !Waiting_.empty(); }
+
   milliseconds Delay_{0};
   /// Whether calls are carried out but get no answer.
   bool LosesAnswers_ = false;
@@ -219,5 +221,30 @@
   EXPECT_LE(Node.LeaseEnd_, Written + Node.Settings_.OwnerLease_);
 }
 
+TEST_F(OwnershipKeeperTest, APoolGivenUpDuringARenewalIsFreeAtOnce) {
+  KeeperNode &Node = add("node");
+  begin({"pool"});
+  play(milliseconds(1000));
+  ASSERT_TRUE(Node.Owned_.contains("pool"));
+  const StoreKey Row = controlrows::owner("pool");
+  auto Stored = [&] {
+    return controlrows::decodeOwner(Shared_.Rows_[Row].Value_).value();
+  };
+  const auto Renewals = Stored().Renewals_;
+  Node.Store_.Delay_ = milliseconds(200);
+  // The renewal is under way, and not yet carried out, for most of a while.
+  for (int Wait = 0; Wait < 50 && !Node.Store_.isBusy(); ++Wait) {
+    Clock_.advance(TickInterval);
+    Node.Keeper_->tick();
+  }
+  ASSERT_EQ(Stored().Renewals_, Renewals);
+  Node.Keeper_->releaseAll();
+  for (int Wait = 0; Wait < 20; ++Wait) {
+    Clock_.advance(TickInterval);
+    Node.Store_.tick();
+  }
+  EXPECT_EQ(Stored().Holder_, "");
+}
+
 } // namespace
 } // namespace dragonflylock
