--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -21,6 +21,9 @@
 constexpr std::chrono::milliseconds UnhealthyPause{1000};
 /// Pause before a task whose start was refused is tried again.
 constexpr std::chrono::milliseconds RefusedPause{50};
+/// An order that gets no answer for so long may have waited in this node; one
+/// that ends sooner was cut off on its way.
+constexpr std::chrono::milliseconds LongWait{500};
 /// Pause between two orders to stop the same run.
 constexpr std::chrono::milliseconds StopRepeat{400};
 /// Time for which a gang that does not fit lets less urgent tasks start.
@@ -223,11 +226,12 @@
 }
 
 void Dispatcher::noteAnswered(TimePoint Sent, OrderOutcome Outcome) {
+  auto Took = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Pool_.Clock_.now() - Sent);
   bool IsAnswer =
       Outcome != OrderOutcome::Unknown && Outcome != OrderOutcome::NotSent;
-  if (IsAnswer)
-    Window_.onAnswered(std::chrono::duration_cast<std::chrono::milliseconds>(
-        Pool_.Clock_.now() - Sent));
+  if (IsAnswer || Took >= LongWait)
+    Window_.onAnswered(Took);
   else
     Window_.onUnanswered();
   if (IsHeldBack_ && Window_.isDrained())
@@ -323,12 +327,17 @@
   Pool_.NeedsStopLook_ = false;
   NextStopLook_ = Now + StopLookInterval;
   for (auto &[Lifetime, Session] : Pool_.Sessions_) {
-    if (!Session->IsFenced_)
+    // A worker that answers no hold is told once it does, or its runs lapse.
+    if (!Session->IsFenced_ || Session->HoldFailures_ > 0)
       continue;
     for (const auto &[Name, Run] : Session->runs()) {
       if (!Run.MustStop_ && !isUnwanted(*Session, Name))
         continue;
-      if (Run.NextStop_ <= Now) {
+      if (!Run.IsStopAsked_ && Run.NextStop_ <= Now) {
+        if (!StopWindow_.admits()) {
+          Pool_.NeedsStopLook_ = true; // The next round goes on.
+          return;
+        }
         Session->run(Name)->NextStop_ = Now + StopRepeat;
         stop(*Session, Name, Run.Run_);
       }
@@ -347,6 +356,9 @@
       Job->run(Name).Phase_ == TaskPhase::Running)
     Job->changeRun(Name).Phase_ = TaskPhase::Stopping;
   Session.NextHold_ = std::min(Session.NextHold_, Pool_.Clock_.now());
+  if (SessionRun *Known = Session.run(Name))
+    Known->IsStopAsked_ = true;
+  StopWindow_.onSent();
   Pool_.Workers_.stop(
       Session.target(), Name, Run, Pool_.Token_,
       [Weak = weak_from_this(), Name, Run,
@@ -358,10 +370,16 @@
 
 void Dispatcher::onStopped(const std::string &Lifetime, const TaskName &Name,
                            RunNumber Run, const OrderAnswer &Answer) {
+  // The time may be that of the run's end, so that it tells nothing.
+  StopWindow_.onUnanswered();
   WorkerSession *Session = Pool_.session(Lifetime);
-  if (Session == nullptr || Answer.Outcome_ != OrderOutcome::Accepted)
+  if (Session == nullptr)
     return;
   SessionRun *Known = Session->run(Name);
+  if (Known != nullptr)
+    Known->IsStopAsked_ = false;
+  if (Answer.Outcome_ != OrderOutcome::Accepted)
+    return;
   // From now on the worker rejects the run, so that lists without it settle
   // that it does not exist.
   if (Known != nullptr && Known->Run_ == Run && !Known->ConfirmedAt_)
--- a/src/scheduling/internal/pacekeeper.cpp
+++ b/src/scheduling/internal/pacekeeper.cpp
@@ -62,29 +62,32 @@
         HasServing ? nextFillerShare(Run.Percent_, Worst) : FullShare;
     if (Next == Run.Percent_)
       continue;
-    Run.Percent_ = Next;
-    order(Session, Name, Run.Run_, Next);
+    order(Session, Name, Run, Next);
   }
 }
 
 void PaceKeeper::order(WorkerSession &Session, const TaskName &Name,
-                       RunNumber Run, std::uint32_t Share) {
-  Pool_.Workers_.pace(Session.target(), Name, Run, Share, Pool_.Token_,
-                      [Weak = weak_from_this(),
-                       Lifetime = Session.entry().lifetime(), Name,
-                       Run](const OrderAnswer &Answer) {
-                        auto Self = Weak.lock();
-                        if (!Self || Answer.Outcome_ == OrderOutcome::Accepted)
-                          return;
-                        WorkerSession *Session = Self->Pool_.session(Lifetime);
-                        if (Session == nullptr)
-                          return;
-                        SessionRun *Found = Session->run(Name);
-                        // Taken as running at full speed, so that the next
-                        // round repeats the order.
-                        if (Found != nullptr && Found->Run_ == Run)
-                          Found->Percent_ = FullShare;
-                      });
+                       SessionRun &Paced, std::uint32_t Share) {
+  const RunNumber Run = Paced.Run_;
+  // Without an answer it is taken to have the higher share for being slowed and
+  // the lower one for being sped up, so that the next round repeats the order.
+  const std::uint32_t Failed =
+      Share > Paced.Percent_ ? Paced.Percent_ : FullShare;
+  Paced.Percent_ = Share;
+  Pool_.Workers_.pace(
+      Session.target(), Name, Run, Share, Pool_.Token_,
+      [Weak = weak_from_this(), Lifetime = Session.entry().lifetime(), Name,
+       Run, Failed](const OrderAnswer &Answer) {
+        auto Self = Weak.lock();
+        if (!Self || Answer.Outcome_ == OrderOutcome::Accepted)
+          return;
+        WorkerSession *Session = Self->Pool_.session(Lifetime);
+        if (Session == nullptr)
+          return;
+        SessionRun *Found = Session->run(Name);
+        if (Found != nullptr && Found->Run_ == Run)
+          Found->Percent_ = Failed;
+      });
 }
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/pacekeeper.h
+++ b/src/scheduling/internal/pacekeeper.h
@@ -11,6 +11,7 @@
 
 class WorkerSession;
 struct PoolState;
+struct SessionRun;
 
 /// \returns the share at which filling tasks may work beside serving ones.
 /// \param Current the share in force, 0 to 100.
@@ -28,7 +29,7 @@
 
 private:
   void adjust(WorkerSession &Session);
-  void order(WorkerSession &Session, const TaskName &Name, RunNumber Run,
+  void order(WorkerSession &Session, const TaskName &Name, SessionRun &Paced,
              std::uint32_t Share);
 
   PoolState &Pool_;
--- a/src/scheduling/internal/progresswriter.cpp
+++ b/src/scheduling/internal/progresswriter.cpp
@@ -73,13 +73,9 @@
   PartState &State = Parts_[Part];
   State.IsBusy_ = false;
   State.NotBefore_ = Pool_.Clock_.now() + GatherPause;
-  // What is too large for the link must not be sent again in the same size.
-  if (End.Outcome_ == StoreOutcome::Unknown)
-    State.MostRows_ = std::max<std::size_t>(1, State.MostRows_ / 2);
-  if (End.Outcome_ == StoreOutcome::Done)
-    State.MostRows_ = std::min(State.MostRows_ * 2, LargestBatch);
   switch (End.Outcome_) {
   case StoreOutcome::Done:
+    State.MostRows_ = std::min(LargestBatch, State.MostRows_ * 2);
     onStored(Sent, End.Version_);
     break;
   case StoreOutcome::ConditionFailed:
@@ -88,6 +84,9 @@
   default:
     // Where the outcome is unknown, the next attempt finds the row changed.
     State.NotBefore_ = Pool_.Clock_.now() + RetryPause;
+    // What is too large for the store or the link must not be sent again in the
+    // same size.
+    State.MostRows_ = std::max<std::size_t>(1, Sent.size() / 2);
     Pool_.Logger_.write(LogLevel::Warning,
                         LogEvent("progress.unstored")
                             .with("pool", Pool_.Pool_)
--- a/src/scheduling/internal/progresswriter.h
+++ b/src/scheduling/internal/progresswriter.h
@@ -36,7 +36,8 @@
   using Batch = std::vector<std::pair<std::string, std::uint64_t>>;
   struct PartState {
     bool IsBusy_ = false;
-    /// Rows of the next transaction at most.
+    /// Rows of the next transaction at most; fewer after one that failed, since
+    /// it may have been too large for the store or the link.
     std::size_t MostRows_ = LargestBatch;
     TimePoint NotBefore_;
   };
--- a/src/scheduling/internal/runbook.cpp
+++ b/src/scheduling/internal/runbook.cpp
@@ -193,8 +193,12 @@
   SessionRun &Known = *Entered;
   Known.Run_ = Listed.Run_;
   Known.Figure_ = Listed.Figure_;
-  if (!Known.ConfirmedAt_)
-    Known.ConfirmedAt_ = Pool_.Clock_.now();
+  if (Known.ConfirmedAt_)
+    return true;
+  Known.ConfirmedAt_ = Pool_.Clock_.now();
+  // An earlier owner may have slowed it; 0 tells that it does not work yet.
+  if (Listed.Percent_ > 0)
+    Known.Percent_ = Listed.Percent_;
   return true;
 }
 
@@ -254,6 +258,7 @@
       continue;
     Doubtful.ConfirmedAt_.reset();
     Doubtful.MustStop_ = true;
+    Doubtful.IsStopAsked_ = false;
     Pool_.NeedsStopLook_ = true;
     Successor.changeRuns()[Name] = Doubtful;
     Successor.noteLease(Pool_.surelyLapsed(Pool_.Clock_.now()));
