Run tasks elsewhere once the platform lists a machine without its worker

Tasks of a worker that crashed, or whose machine was taken down, ran again only when their lease must have lapsed, 6.2 s after the last hold.

Cause: nothing but the registry told that a worker is gone, and its entry lingers. So an owner asks for the list while a worker that it has heard before leaves two holds unanswered, and frees what the worker had confirmed once a list that is newer than its last answer shows it gone. Not used for what an earlier owner left behind: its unanswered starts are not known, and may reach a later lifetime of the same id.

The model workers' list shows no worker on a machine that is not up, as the platform's does.

SilentMachineTest.RunsALastingTaskElsewhereOnceTheMachineIsDown failed before; .KeepsATaskOnAWorkerThatIsOnlyCutOff guards the workers that live on.

--- a/src/emulator/internal/modelworkers.cpp
+++ b/src/emulator/internal/modelworkers.cpp
@@ -379,7 +379,8 @@
     Each.Pool_ = Worker.Entry_.Pool_;
     Each.State_ = Worker.IsUp_ ? MachineState::Up : MachineState::Maintained;
     Each.Capacity_ = Worker.Entry_.Capacity_;
-    Each.Worker_ = Id;
+    if (Worker.IsUp_)
+      Each.Worker_ = Id;
     List.Machines_.push_back(Each);
   }
   return List;
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -30,6 +30,11 @@
 /// due or whose pause ends.
 constexpr std::chrono::milliseconds DispatchInterval{100};
 constexpr std::chrono::milliseconds StatusInterval{1000};
+/// Holds without an answer after which the platform is asked for the state of
+/// a worker's machine.
+constexpr std::uint32_t DoubtfulAfter = 2;
+/// Interval of reading the list of machines while a worker is silent.
+constexpr std::chrono::milliseconds MachineListInterval{1000};
 /// Workers that a line of log names at most.
 constexpr std::uint64_t MostExamples = 5;
 
@@ -92,6 +97,10 @@
   /// Ends the sessions of silent workers whose machine has a later worker.
   void endReplacedLives();
   bool hasSeenToken(const LaterWorker &Worker);
+  /// Gives up the runs of silent workers that the platform no longer lists on
+  /// their machine.
+  void releaseOnStoppedMachines();
+  bool hasLeftItsMachine(const WorkerSession &Session) const;
   /// Ends the sessions of earlier lifetimes of the same worker.
   void endEarlierLives(WorkerSession &Latest);
 
@@ -387,6 +396,41 @@
   }
 }
 
+bool PoolOwner::Parts::hasLeftItsMachine(const WorkerSession &Session) const {
+  auto Found = Machines_->machines().find(Session.entry().Machine_);
+  // A list that was asked for before the worker's last sign of life may be of
+  // the time before its start.
+  if (Found == Machines_->machines().end() ||
+      Machines_->listedAt() <= Session.LastLists_)
+    return false;
+  const Machine &Listed = Found->second;
+  return Listed.Worker_.empty() ? Listed.State_ != MachineState::Up
+                                : Listed.Worker_ != Session.entry().Id_;
+}
+
+void PoolOwner::Parts::releaseOnStoppedMachines() {
+  for (auto &[Lifetime, Session] : State_.Sessions_) {
+    bool MayHoldRuns =
+        Session->IsFenced_ && Session->HoldFailures_ >= DoubtfulAfter &&
+        std::any_of(Session->runs().begin(), Session->runs().end(),
+                    [](const auto &Each) { return Each.second.ConfirmedAt_; });
+    if (!MayHoldRuns || Session->entry().Machine_.empty())
+      continue;
+    Machines_->refresh(MachineListInterval);
+    if (!hasLeftItsMachine(*Session))
+      continue;
+    State_.Logger_.write(
+        LogLevel::Info,
+        LogEvent("worker.stopped")
+            .with("worker", Session->entry().Id_)
+            .with("machine", Session->entry().Machine_)
+            .with("runs", std::uint64_t{Session->runs().size()}));
+    // An order without an answer may reach a later lifetime of the same id.
+    Runs_.releaseConfirmed(*Session);
+    State_.NeedsDispatch_ = true;
+  }
+}
+
 void PoolOwner::Parts::endEarlierLives(WorkerSession &Latest) {
   const WorkerEntry &Entry = Latest.entry();
   for (auto &[Lifetime, Session] : State_.Sessions_) {
@@ -465,6 +509,7 @@
     return;
   Parts_->Holds_->tick();
   Parts_->endReplacedLives();
+  Parts_->releaseOnStoppedMachines();
   Parts_->settleInherited();
   Parts_->Maintenance_->reserveMachines();
   Parts_->Starts_->stopUnwanted();
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -430,6 +430,50 @@
   EXPECT_EQ(Workers_.Starts_[0].Target_.Id_, "w2");
 }
 
+/// A lasting task runs on w1, which falls silent; w2 has room.
+class SilentMachineTest : public PoolOwnerTest {
+protected:
+  SilentMachineTest() {
+    JobSpec Spec = jobOf(1);
+    Spec.Steps_[0].IsLongRunning_ = true;
+    storeJob(Spec);
+    Listed_.Name_ = "machine-of-w1";
+    Listed_.Pool_ = "pool";
+    own(0, {worker("w1")});
+    answerHold(listing({}));
+    Workers_.takeStart().Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+    Owner_->onWorkers({worker("w1"), worker("w2")});
+  }
+
+  void playTwoSeconds() {
+    Machines_.List_ = {true, {Listed_}};
+    for (int Round = 0; Round < 20; ++Round) {
+      Clock_.advance(milliseconds(100));
+      Owner_->tick();
+      std::deque<RecordingWorkers::Hold> Holds;
+      Holds.swap(Workers_.Holds_);
+      for (RecordingWorkers::Hold &Each : Holds)
+        Each.Done_(Each.Target_.Id_ == "w2" ? listing({}) : HoldAnswer());
+    }
+  }
+
+  Machine Listed_;
+};
+
+TEST_F(SilentMachineTest, RunsALastingTaskElsewhereOnceTheMachineIsDown) {
+  Listed_.State_ = MachineState::Down;
+  playTwoSeconds();
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  EXPECT_EQ(Workers_.Starts_[0].Target_.Id_, "w2");
+}
+
+TEST_F(SilentMachineTest, KeepsATaskOnAWorkerThatIsOnlyCutOff) {
+  Listed_.State_ = MachineState::Up;
+  Listed_.Worker_ = "w1";
+  playTwoSeconds();
+  EXPECT_TRUE(Workers_.Starts_.empty());
+}
+
 /// Two workers that each run one task of a serving step.
 class ServingPairTest : public PoolOwnerTest {
 protected:
