A client's exchange costs no more the more others wait for their answers

An owner of 160 workers keeps a long call open to each. Each start or answer had libcurl run all transfers and poll all sockets, so that a call cost the more, the more workers the pool has. The transfers are driven by the sockets that are ready (curl_multi_socket_action, epoll).

--- a/src/http/internal/curlloop.h
+++ b/src/http/internal/curlloop.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_HTTP_INTERNAL_CURLLOOP_H
 
 #include "global/boundedring.h"
+#include "http/internal/curlpoller.h"
 #include "http/internal/curltransfer.h"
 
 #include <atomic>
@@ -45,11 +46,8 @@
 
   CurlLoop(CurlLoopLimits Limits, Prepare OnPrepare, Ended OnEnded)
       : Limits_(Limits), OnPrepare_(std::move(OnPrepare)),
-        OnEnded_(std::move(OnEnded)), Multi_(curl_multi_init()),
-        Waker_(Multi_.get()), Waiting_(Limits.RingCapacity_, Waker_) {
-    curl_multi_setopt(Multi_.get(), CURLMOPT_MAXCONNECTS,
-                      Limits_.KeptConnections_);
-  }
+        OnEnded_(std::move(OnEnded)), Poller_(Limits.KeptConnections_),
+        Waiting_(Limits.RingCapacity_, Poller_) {}
   ~CurlLoop() { stop(); }
   CurlLoop(const CurlLoop &) = delete;
   CurlLoop &operator=(const CurlLoop &) = delete;
@@ -61,11 +59,11 @@
   /// Ends the thread; transfers under way are given up without an end.
   void stop() {
     IsStopping_ = true;
-    Waker_.wake();
+    Poller_.wake();
     if (Thread_.joinable())
       Thread_.join();
     for (auto &[Transfer, Each] : Active_)
-      curl_multi_remove_handle(Multi_.get(), Transfer->handle());
+      Poller_.remove(Transfer->handle());
     Active_.clear();
   }
 
@@ -73,28 +71,14 @@
   bool tryPut(Wanted Next) { return Waiting_.tryPut(std::move(Next)); }
 
 private:
-  struct MultiDeleter {
-    void operator()(CURLM *Handle) const { curl_multi_cleanup(Handle); }
-  };
-  class MultiWaker : public IWaker {
-  public:
-    explicit MultiWaker(CURLM *Multi) : Multi_(Multi) {}
-    void wake() override { curl_multi_wakeup(Multi_); }
-
-  private:
-    CURLM *Multi_;
-  };
-
   /// Longest sleep; new requests wake the loop.
-  static constexpr int PollMilliseconds = 1000;
+  static constexpr std::chrono::milliseconds LongestSleep{1000};
 
   void run() {
     while (!IsStopping_) {
       Waiting_.drain([this](Wanted Next) { begin(std::move(Next)); });
-      int Running = 0;
-      curl_multi_perform(Multi_.get(), &Running);
+      Poller_.drive(LongestSleep);
       collectEnded();
-      curl_multi_poll(Multi_.get(), nullptr, 0, PollMilliseconds, nullptr);
     }
   }
 
@@ -114,22 +98,18 @@
     CurlTransfer &Transfer = Started->Transfer_;
     curl_easy_setopt(Transfer.handle(), CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(Limits_.Connect_.count()));
-    curl_multi_add_handle(Multi_.get(), Transfer.handle());
+    Poller_.add(Transfer.handle());
     Active_.emplace(&Transfer, std::move(Started));
   }
 
   void collectEnded() {
-    int Left = 0;
-    while (CURLMsg *Message = curl_multi_info_read(Multi_.get(), &Left)) {
-      if (Message->msg != CURLMSG_DONE)
-        continue;
-      CURL *Handle = Message->easy_handle;
-      CURLcode Code = Message->data.result;
+    CURLcode Code = CURLE_OK;
+    while (CURL *Handle = Poller_.takeEnded(Code)) {
       char *Private = nullptr;
       curl_easy_getinfo(Handle, CURLINFO_PRIVATE, &Private);
       auto *Transfer = reinterpret_cast<CurlTransfer *>(Private);
       Transfer->finish(Code);
-      curl_multi_remove_handle(Multi_.get(), Handle);
+      Poller_.remove(Handle);
       auto Found = Active_.find(Transfer);
       std::unique_ptr<Exchange> Over = std::move(Found->second);
       Active_.erase(Found);
@@ -147,8 +127,7 @@
   CurlLoopLimits Limits_;
   Prepare OnPrepare_;
   Ended OnEnded_;
-  std::unique_ptr<CURLM, MultiDeleter> Multi_;
-  MultiWaker Waker_;
+  CurlPoller Poller_;
   BoundedRing<Wanted> Waiting_;
   std::map<CurlTransfer *, std::unique_ptr<Exchange>> Active_;
   std::vector<std::unique_ptr<Exchange>> Idle_;
--- /dev/null
+++ b/src/http/internal/curlpoller.h
@@ -0,0 +1,56 @@
+#ifndef DRAGONFLYLOCK_HTTP_INTERNAL_CURLPOLLER_H
+#define DRAGONFLYLOCK_HTTP_INTERNAL_CURLPOLLER_H
+
+#include "global/iwaker.h"
+
+#include <curl/curl.h>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+
+namespace dragonflylock {
+
+/// Drives the transfers of a multi handle whose sockets or timers are ready.
+/// What a round costs does not grow with the transfers that merely wait for
+/// their answers.
+class CurlPoller : public IWaker {
+public:
+  /// \param KeptConnections connections kept open between transfers, those in
+  ///   use included.
+  explicit CurlPoller(long KeptConnections);
+  ~CurlPoller() override;
+  CurlPoller(const CurlPoller &) = delete;
+  CurlPoller &operator=(const CurlPoller &) = delete;
+
+  void add(CURL *Transfer);
+  void remove(CURL *Transfer);
+  /// Waits until transfers can go on, at most \p Longest, and drives them.
+  void drive(std::chrono::milliseconds Longest);
+  /// \returns a transfer that has ended, or null.
+  /// \param Code how it ended.
+  CURL *takeEnded(CURLcode &Code);
+  void wake() override;
+
+private:
+  using Clock = std::chrono::steady_clock;
+  struct MultiDeleter {
+    void operator()(CURLM *Handle) const { curl_multi_cleanup(Handle); }
+  };
+
+  static int onSocket(CURL *Transfer, curl_socket_t Socket, int What,
+                      void *Self, void *Known);
+  static int onTimer(CURLM *Multi, long Milliseconds, void *Self);
+  void watch(curl_socket_t Socket, int What) const;
+  int waitTime(std::chrono::milliseconds Longest) const;
+  void act(curl_socket_t Socket, int Flags);
+
+  int Epoll_;
+  int Wakeup_;
+  std::unique_ptr<CURLM, MultiDeleter> Multi_;
+  std::optional<Clock::time_point> TimerAt_;
+};
+
+} // namespace dragonflylock
+
+#endif
