Orders to a pool of 160 workers reuse their connections

Nearly each start was sent on a new connection once a pool had more than some 120 workers: a long call and an order to each take two connections a worker, more than the 256 that the client kept, so that an idle one was closed for each new one. The cache holds 1,024, and is filled only as far as calls need it.

OrdersReuseConnectionsBesideLongCalls fails on the code before: 480 connections where 320 were open already.

Ruled out: idle limits of the workers, as the counting server closes nothing.

--- a/src/http/internal/curlasyncclient.cpp
+++ b/src/http/internal/curlasyncclient.cpp
@@ -4,7 +4,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds ConnectLimit{700};
-constexpr long KeptConnections = 256;
+/// Covers a long call and an order at a time for each of 500 workers. Beyond it
+/// a new connection is made for nearly every order.
+constexpr long KeptConnections = 1024;
 constexpr std::size_t KeptExchanges = 64;
 constexpr std::size_t LargestAnswer = 16U << 20U;
 
--- a/src/http/internal/curlpoller.cpp
+++ b/src/http/internal/curlpoller.cpp
@@ -95,6 +95,7 @@
   epoll_event Wanted{};
   Wanted.events = eventsOf(What);
   Wanted.data.fd = Socket;
+  // Where neither works, the transfer ends by its own time limit.
   if (epoll_ctl(Epoll_, EPOLL_CTL_MOD, Socket, &Wanted) != 0)
     epoll_ctl(Epoll_, EPOLL_CTL_ADD, Socket, &Wanted);
 }
--- a/src/http/tests/curlasyncclient_test.cpp
+++ b/src/http/tests/curlasyncclient_test.cpp
@@ -2,6 +2,7 @@
 #include "http/ihttpresponder.h"
 #include "http/internal/curlasyncclient.h"
 #include "http/internal/restinioserver.h"
+#include "http/tests/mocks/countingserver.h"
 
 #include <gtest/gtest.h>
 
@@ -77,5 +78,56 @@
   EXPECT_EQ(exchange(Port, "/echo").Outcome_, ExchangeOutcome::NotSent);
 }
 
+/// A client that calls many workers, each on an address of its own.
+class CallsToManyWorkersTest : public testing::Test {
+protected:
+  /// The workers of a large pool.
+  static constexpr std::size_t Workers = 160;
+
+  CallsToManyWorkersTest()
+      : Client_(
+            [](const std::function<void()> &Next) {
+              Next();
+              return true;
+            },
+            2 * Workers) {
+    Client_.start();
+  }
+  ~CallsToManyWorkersTest() override { Client_.stop(); }
+
+  void send(std::size_t Worker, const std::string &Path,
+            IAsyncHttpClient::Done Ended) {
+    HttpRequest Request;
+    Request.Method_ = "GET";
+    Request.Target_ = Path;
+    Client_.send({"127.0.1." + std::to_string(1 + Worker), Server_.port()},
+                 Request, std::chrono::seconds(30), std::move(Ended));
+  }
+
+  /// Calls every worker once, one after the other.
+  void callEach() {
+    for (std::size_t Worker = 0; Worker < Workers; ++Worker) {
+      std::promise<ExchangeOutcome> Ended;
+      send(Worker, "/order",
+           [&](const ExchangeEnd &End) { Ended.set_value(End.Outcome_); });
+      ASSERT_EQ(Ended.get_future().get(), ExchangeOutcome::Answered);
+    }
+  }
+
+  CountingServer Server_;
+  CurlAsyncClient Client_;
+};
+
+TEST_F(CallsToManyWorkersTest, OrdersReuseConnectionsBesideLongCalls) {
+  for (std::size_t Worker = 0; Worker < Workers; ++Worker)
+    send(Worker, "/held", [](const ExchangeEnd &) {});
+  while (Server_.held() < Workers)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  callEach();
+  std::uint64_t Before = Server_.connections();
+  callEach();
+  EXPECT_EQ(Server_.connections(), Before);
+}
+
 } // namespace
 } // namespace dragonflylock
--- /dev/null
+++ b/src/http/tests/mocks/countingserver.h
@@ -0,0 +1,97 @@
+#ifndef DRAGONFLYLOCK_HTTP_TESTS_MOCKS_COUNTINGSERVER_H
+#define DRAGONFLYLOCK_HTTP_TESTS_MOCKS_COUNTINGSERVER_H
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+namespace dragonflylock {
+
+/// Answers requests without a body on all loopback addresses, except for those
+/// to "/held", and counts the connections that are made to it.
+class CountingServer {
+public:
+  CountingServer() : Listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in Any{};
+    Any.sin_family = AF_INET;
+    Any.sin_addr.s_addr = htonl(INADDR_ANY);
+    socklen_t Length = sizeof(Any);
+    auto *Name = reinterpret_cast<sockaddr *>(&Any);
+    if (bind(Listener_, Name, Length) != 0 || listen(Listener_, SOMAXCONN) != 0)
+      throw std::runtime_error("no port to listen on");
+    getsockname(Listener_, Name, &Length);
+    Port_ = ntohs(Any.sin_port);
+    Thread_ = std::thread([this] { run(); });
+  }
+  ~CountingServer() {
+    IsStopping_ = true;
+    Thread_.join();
+    for (const pollfd &Each : Open_)
+      close(Each.fd);
+  }
+  CountingServer(const CountingServer &) = delete;
+  CountingServer &operator=(const CountingServer &) = delete;
+
+  std::uint16_t port() const { return Port_; }
+  std::uint64_t connections() const { return Connections_; }
+  /// \returns the requests that are kept waiting.
+  std::uint64_t held() const { return Held_; }
+
+private:
+  static constexpr int PollMilliseconds = 20;
+
+  void run() {
+    Open_.push_back({Listener_, POLLIN, 0});
+    while (!IsStopping_) {
+      poll(Open_.data(), Open_.size(), PollMilliseconds);
+      if ((Open_.front().revents & POLLIN) != 0) {
+        Open_.push_back({accept(Listener_, nullptr, nullptr), POLLIN, 0});
+        ++Connections_;
+      }
+      for (std::size_t Index = 1; Index < Open_.size(); ++Index)
+        if (Open_[Index].revents != 0)
+          serve(Open_[Index]);
+      std::erase_if(Open_, [](const pollfd &Each) { return Each.fd < 0; });
+    }
+  }
+
+  void serve(pollfd &Each) {
+    constexpr std::string_view Answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    std::array<char, 4096> Read{};
+    ssize_t Length = recv(Each.fd, Read.data(), Read.size(), 0);
+    if (Length <= 0) {
+      close(Each.fd);
+      Each.fd = -1;
+      return;
+    }
+    std::string_view Request(Read.data(), static_cast<std::size_t>(Length));
+    if (Request.starts_with("GET /held"))
+      ++Held_;
+    else
+      send(Each.fd, Answer.data(), Answer.size(), MSG_NOSIGNAL);
+  }
+
+  int Listener_;
+  std::uint16_t Port_ = 0;
+  std::vector<pollfd> Open_;
+  std::atomic<std::uint64_t> Connections_ = 0;
+  std::atomic<std::uint64_t> Held_ = 0;
+  std::atomic<bool> IsStopping_ = false;
+  std::thread Thread_;
+};
+
+} // namespace dragonflylock
+
+#endif
