--- a/src/scheduling/internal/pacekeeper.cpp
+++ b/src/scheduling/internal/pacekeeper.cpp
@@ -74,20 +74,20 @@
   const std::uint32_t Failed =
       Share > Paced.Percent_ ? Paced.Percent_ : FullShare;
   Paced.Percent_ = Share;
-  Pool_.Workers_.pace(
-      Session.target(), Name, Run, Share, Pool_.Token_,
-      [Weak = weak_from_this(), Lifetime = Session.entry().lifetime(), Name,
-       Run, Failed](const OrderAnswer &Answer) {
-        auto Self = Weak.lock();
-        if (!Self || Answer.Outcome_ == OrderOutcome::Accepted)
-          return;
-        WorkerSession *Session = Self->Pool_.session(Lifetime);
-        if (Session == nullptr)
-          return;
-        SessionRun *Found = Session->run(Name);
-        if (Found != nullptr && Found->Run_ == Run)
-          Found->Percent_ = Failed;
-      });
+  Pool_.Workers_.pace(Session.target(), Name, Run, Share, Pool_.Token_,
+                      [Weak = weak_from_this(),
+                       Lifetime = Session.entry().lifetime(), Name, Run,
+                       Failed](const OrderAnswer &Answer) {
+                        auto Self = Weak.lock();
+                        if (!Self || Answer.Outcome_ == OrderOutcome::Accepted)
+                          return;
+                        WorkerSession *Session = Self->Pool_.session(Lifetime);
+                        if (Session == nullptr)
+                          return;
+                        SessionRun *Found = Session->run(Name);
+                        if (Found != nullptr && Found->Run_ == Run)
+                          Found->Percent_ = Failed;
+                      });
 }
 
 } // namespace dragonflylock
--- a/src/scheduling/tests/jobfollower_test.cpp
+++ b/src/scheduling/tests/jobfollower_test.cpp
@@ -43,9 +43,9 @@
   std::deque<ChangesDone> Awaited_;
 };
 
-class JobFollowerTest : public testing::Test {
+class JobFollowerChangesTest : public testing::Test {
 protected:
-  JobFollowerTest() {
+  JobFollowerChangesTest() {
     Follower_->follow({"queue"});
     Follower_->tick();
   }
@@ -84,7 +84,7 @@
       [this](const StoreRow &Row) { Seen_.push_back(Row); });
 };
 
-TEST_F(JobFollowerTest, AChangeIsNotLostThatOvertakesThePageOfItsJob) {
+TEST_F(JobFollowerChangesTest, AChangeIsNotLostThatOvertakesThePageOfItsJob) {
   answerRead({rowOf("01", JobRowKind::Submission, 1)}, /*HasMore=*/true, 5);
   StoreChanges Changes;
   Changes.Outcome_ = StoreOutcome::Done;
@@ -98,7 +98,7 @@
   EXPECT_EQ(jobrows::kindOf(Seen_.back().Name_), JobRowKind::Submission);
 }
 
-TEST_F(JobFollowerTest, AChangeIsGivenAtOnceWhileAQueueIsRead) {
+TEST_F(JobFollowerChangesTest, AChangeIsGivenAtOnceWhileAQueueIsRead) {
   answerRead({rowOf("01", JobRowKind::Submission, 1)}, /*HasMore=*/true, 5);
   StoreChanges Changes;
   Changes.Outcome_ = StoreOutcome::Done;
@@ -108,7 +108,8 @@
   EXPECT_EQ(jobrows::kindOf(Seen_.back().Name_), JobRowKind::Cancellation);
 }
 
-TEST_F(JobFollowerTest, ReadsFromTheBeginningWhenHistoryIsLostBetweenPages) {
+TEST_F(JobFollowerChangesTest,
+       ReadsFromTheBeginningWhenHistoryIsLostBetweenPages) {
   answerRead({rowOf("01", JobRowKind::Submission, 1)}, /*HasMore=*/true, 5);
   StoreChanges Lost;
   Lost.Outcome_ = StoreOutcome::HistoryLost;
