--- a/src/scheduling/internal/workersession.cpp
+++ b/src/scheduling/internal/workersession.cpp
@@ -37,7 +37,7 @@
   LapsesAt_ = std::max(LapsesAt_, End);
 }
 
-const WorkerSession::Use &WorkerSession::use() const {
+const SessionUse &WorkerSession::use() const {
   if (Use_)
     return *Use_;
   Use_.emplace();
--- a/src/scheduling/tests/jobindex_test.cpp
+++ b/src/scheduling/tests/jobindex_test.cpp
@@ -131,6 +131,7 @@
     }
     std::sort(Ranks.begin(), Ranks.end());
     std::vector<std::string> Ids;
+    Ids.reserve(Ranks.size());
     for (const Rank &Each : Ranks)
       Ids.push_back(std::get<std::string>(Each));
     return Ids;
--- /dev/null
+++ b/src/scheduling/tests/mocks/poolownertest.h
@@ -0,0 +1,39 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_TESTS_MOCKS_POOLOWNERTEST_H
+#define DRAGONFLYLOCK_SCHEDULING_TESTS_MOCKS_POOLOWNERTEST_H
+
+#include "scheduling/tests/mocks/ownertest.h"
+
+namespace dragonflylock {
+
+/// An owner whose jobs have one step, and workers on machines of their own.
+class PoolOwnerTest : public OwnerTest {
+protected:
+  PoolOwnerTest() { Queue_.MostAttempts_ = 3; }
+
+  static JobSpec jobOf(std::uint32_t Tasks) {
+    JobSpec Spec;
+    Spec.Payload_ = "payload";
+    StepSpec Step;
+    Step.TaskCount_ = Tasks;
+    Step.PerTask_ = {1000, 1000, 0};
+    Step.Estimate_ = std::chrono::milliseconds(500);
+    Spec.Steps_ = {Step};
+    return Spec;
+  }
+
+  static WorkerEntry worker(const std::string &Id) {
+    WorkerEntry Entry = workerOf(Id, {16000, 32000, 0});
+    Entry.Machine_ = "machine-of-" + Id;
+    return Entry;
+  }
+
+  void answerHold(const HoldAnswer &Answer) {
+    ASSERT_FALSE(Workers_.Holds_.empty());
+    Workers_.takeHold().Done_(Answer);
+    Owner_->tick();
+  }
+};
+
+} // namespace dragonflylock
+
+#endif
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -37,6 +37,13 @@
   bool IsStopAsked_ = false;
 };
 
+/// What the runs take of the worker.
+struct SessionUse {
+  Resources Taken_;
+  std::uint32_t Fillers_ = 0;
+  std::uint32_t Serving_ = 0;
+};
+
 /// What the owner of a pool knows of one lifetime of a worker: its clock, the
 /// lease of what runs there, its runs and the ends it has listed.
 class WorkerSession {
@@ -133,13 +140,7 @@
   std::uint32_t HoldFailures_ = 0;
 
 private:
-  /// What the runs take of the worker.
-  struct Use {
-    Resources Taken_;
-    std::uint32_t Fillers_ = 0;
-    std::uint32_t Serving_ = 0;
-  };
-  const Use &use() const;
+  const SessionUse &use() const;
 
   WorkerEntry Entry_;
   /// The worker's clock less this process's, by the answer that told most.
@@ -149,7 +150,7 @@
   TimePoint LapsesAt_;
   std::map<TaskName, SessionRun> Runs_;
   /// Absent until it is asked for after a change of the runs.
-  mutable std::optional<Use> Use_;
+  mutable std::optional<SessionUse> Use_;
   std::uint64_t HighestEnd_ = 0;
   std::uint64_t Acknowledged_ = 0;
   std::vector<std::uint64_t> Unsettled_;
