A small node does not overtake larger ones when the store is back, nor take two pools at a time

After 4.5 s without the store all five pools were free, and all nodes tried for them every 150 ms: the time for which larger nodes go first had passed while nobody could try. front-santa-fe-4, 0.12 of a core, won two pools within 0.1 ms, since pools that it tried for did not count as a handicap; it took 11.6 s of waiting to load one of them, and later its tasks waited.

A node now tries only while it reads the control rows as they are now, and the handicap counts from then; a pool that it tries for counts as one that it owns.

OwnershipKeeperTest.ASmallNodeDoesNotOvertakeWhenTheStoreIsBack and OwnershipKeeperTest.APoolThatIsSoughtCountsAsOneThatIsOwned failed before.

--- a/src/scheduling/internal/ownershipkeeper.cpp
+++ b/src/scheduling/internal/ownershipkeeper.cpp
@@ -98,7 +98,7 @@
                               const PoolLease &Lease) const {
   std::uint64_t Hash = std::hash<std::string>()(Settings_.Node_ + "/" + Pool);
   return std::chrono::milliseconds(Hash % AttemptSpread) +
-         OwnedHandicap * static_cast<std::int64_t>(owned()) + sizeHandicap() +
+         OwnedHandicap * static_cast<std::int64_t>(engaged()) + sizeHandicap() +
          LateHandicap * std::min(Lease.LateRenewals_, MostLateHandicaps);
 }
 
@@ -152,7 +152,7 @@
         renew(Pool, Lease);
       continue;
     }
-    if (!IsSizeKnown || !isFree(Lease)) {
+    if (!IsCurrent_ || !IsSizeKnown || !isFree(Lease)) {
       Lease.FreeSince_ = TimePoint();
       continue;
     }
@@ -377,10 +377,11 @@
   return Lease.Row_.Token_ > 0 ? Lease.Row_.Token_ : Lease.Version_;
 }
 
-std::size_t OwnershipKeeper::owned() const {
+std::size_t OwnershipKeeper::engaged() const {
   return static_cast<std::size_t>(
-      std::count_if(Leases_.begin(), Leases_.end(),
-                    [](const auto &Each) { return Each.second.IsMine_; }));
+      std::count_if(Leases_.begin(), Leases_.end(), [](const auto &Each) {
+        return Each.second.IsMine_ || Each.second.IsBusy_;
+      }));
 }
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -34,6 +34,11 @@
   void onLost(const std::string &Pool);
   void giveWorkers();
   void reportPending();
+  /// \returns whether the control rows are read as they are now.
+  bool isViewCurrent() const {
+    return Clock_.now() < Control_->lastAnswer() + SilentStore;
+  }
+  void tickOwnership();
 
   SchedulingSettings Settings_;
   const IClock &Clock_;
@@ -177,6 +182,11 @@
   }
 }
 
+void SchedulerNode::Parts::tickOwnership() {
+  Ownership_->setCurrent(isViewCurrent());
+  Ownership_->tick();
+}
+
 SchedulerNode::Builder &
 SchedulerNode::Builder::settings(SchedulingSettings Value) {
   Settings_ = std::move(Value);
@@ -290,7 +300,7 @@
   Parts_->Control_->tick();
   Parts_->Desk_->tick();
   if (!Parts_->IsReleased_)
-    Parts_->Ownership_->tick();
+    Parts_->tickOwnership();
   if (Parts_->HaveWorkersChanged_ && Parts_->AreWorkersKnown_)
     Parts_->giveWorkers();
   for (auto &[Pool, Owner] : Parts_->Owners_)
@@ -309,8 +319,7 @@
 
 bool SchedulerNode::isReady() const {
   return Parts_->Configuration_ && !Parts_->IsReleased_ &&
-         Parts_->Control_->isLoaded() &&
-         Parts_->Clock_.now() < Parts_->Control_->lastAnswer() + SilentStore;
+         Parts_->Control_->isLoaded() && Parts_->isViewCurrent();
 }
 
 bool SchedulerNode::needsWorkers() const { return !Parts_->Owners_.empty(); }
--- a/src/scheduling/ownershipkeeper.h
+++ b/src/scheduling/ownershipkeeper.h
@@ -43,6 +43,10 @@
   /// Tells that the control table has been read, so that a pool without a row
   /// has no owner.
   void setLoaded() { IsLoaded_ = true; }
+  /// Tells whether the rows are read as they are now. While they are not, this
+  /// node does not try for pools, and the time for which others go first does
+  /// not pass.
+  void setCurrent(bool IsCurrent) { IsCurrent_ = IsCurrent; }
   /// Wins and renews what is due, and drops leases that have ended.
   void tick();
   /// Gives all pools up, so that others can take them at once.
@@ -50,8 +54,8 @@
   /// \returns the token of the pool's owner, or nothing where the pool is not
   /// known to have one now.
   std::optional<FencingToken> liveToken(const std::string &Pool) const;
-  /// \returns the number of pools owned.
-  std::size_t owned() const;
+  /// \returns the number of pools that this node owns or tries for.
+  std::size_t engaged() const;
 
 private:
   struct PoolLease {
@@ -123,6 +127,7 @@
   Renewed OnRenewed_;
   Lost OnLost_;
   bool IsLoaded_ = false;
+  bool IsCurrent_ = true;
   bool IsReleasing_ = false;
   std::map<std::string, PoolLease> Leases_;
   std::map<std::string, NodeRow> Nodes_;
--- a/src/scheduling/tests/ownershipkeeper_test.cpp
+++ b/src/scheduling/tests/ownershipkeeper_test.cpp
@@ -37,6 +37,8 @@
 
   bool isBusy() const { return !Waiting_.empty(); }
 
+  std::size_t waiting() const { return Waiting_.size(); }
+
   milliseconds Delay_{0};
   /// Whether calls are carried out but get no answer.
   bool LosesAnswers_ = false;
@@ -102,6 +104,7 @@
       Clock_.advance(TickInterval);
       for (auto &Node : Nodes_) {
         Node->Store_.tick();
+        Node->Keeper_->setCurrent(Shared_.Outcome_ == StoreOutcome::Done);
         Node->Keeper_->tick();
         Node->Store_.tick();
       }
@@ -160,6 +163,34 @@
   EXPECT_GT(Large.Owned_.size(), Small.Owned_.size());
 }
 
+TEST_F(OwnershipKeeperTest, ASmallNodeDoesNotOvertakeWhenTheStoreIsBack) {
+  KeeperNode &Owner = add("owner", 0.5);
+  begin({"pool"});
+  play(milliseconds(2000));
+  ASSERT_TRUE(Owner.Owned_.contains("pool"));
+  Nodes_.clear();
+  KeeperNode &Small = add("small", 0.12);
+  KeeperNode &Large = add("large", 0.5);
+  begin({"pool"});
+  play(milliseconds(1000));
+  Shared_.Outcome_ = StoreOutcome::NotDone;
+  play(milliseconds(8000));
+  Shared_.Outcome_ = StoreOutcome::Done;
+  play(milliseconds(2000));
+  EXPECT_TRUE(Large.Owned_.contains("pool"));
+  EXPECT_FALSE(Small.Owned_.contains("pool"));
+}
+
+TEST_F(OwnershipKeeperTest, APoolThatIsSoughtCountsAsOneThatIsOwned) {
+  KeeperNode &Node = add("node");
+  begin({});
+  play(milliseconds(200));
+  Node.Store_.Delay_ = milliseconds(900);
+  begin({"pool0", "pool1"});
+  play(milliseconds(400));
+  EXPECT_EQ(Node.Store_.waiting(), 1U);
+}
+
 TEST_F(OwnershipKeeperTest, PoolsSpreadOverNodesOfOneSize) {
   add("node-1", 0.25);
   add("node-2", 0.25);
