When the store is back, pools go one by one to larger nodes

The store refused writes for 6 s while reads went on, so that the view stayed current and all handicaps had passed; at 37.12 to 37.16 s the five pools fell to whoever's attempt came first: two to nodes of 0.12 of a core, two within 10 ms to one other.

A node now tries for one pool at a time, leaves the next one to others for the handicap of an owned pool after it has won, and a small node that the store has not answered tries again after four times its handicap instead of after 150 ms.

OwnershipKeeperTest.ASmallNodeTriesSeldomWhileTheStoreRefuses, OwnershipKeeperTest.ANodeTriesForOnePoolAtATime and OwnershipKeeperTest.AWinnerLeavesTheNextPoolToOthersForAWhile failed before (44 calls for at most 4; 3 attempts for 1; 3 and 1 pools for 2 and 2).

--- a/src/scheduling/internal/ownershipkeeper.cpp
+++ b/src/scheduling/internal/ownershipkeeper.cpp
@@ -20,6 +20,9 @@
 /// grows with the ratio, up to what a large node with three pools waits.
 constexpr std::chrono::milliseconds SizeHandicap{300};
 constexpr std::chrono::milliseconds MostSizeHandicap{1200};
+/// Size handicaps between two attempts that the store has not carried out. All
+/// nodes try again while it is away, and the first one after it wins.
+constexpr int HandicapsOfRetry = 4;
 /// Handicap for each lease on the pool that this node could not renew in time:
 /// others are likely to have more processor time for it.
 constexpr std::chrono::milliseconds LateHandicap{1000};
@@ -158,8 +161,9 @@
     }
     if (Lease.FreeSince_ == TimePoint())
       Lease.FreeSince_ = Now;
-    if (Now >= std::max(Lease.NextAttempt_,
-                        Lease.FreeSince_ + attemptDelay(Pool, Lease)))
+    const TimePoint Due = std::max(
+        Lease.NextAttempt_, Lease.FreeSince_ + attemptDelay(Pool, Lease));
+    if (Now >= Due && !isTrying())
       tryToWin(Pool, Lease);
   }
 }
@@ -214,6 +218,8 @@
     begin(Pool, Lease, Sent, End.Version_);
     return;
   }
+  if (End.Outcome_ != StoreOutcome::ConditionFailed)
+    Lease.NextAttempt_ += sizeHandicap() * HandicapsOfRetry;
   if (End.Outcome_ == StoreOutcome::Unknown && !Lease.UnansweredSince_)
     Lease.UnansweredSince_ = Sent;
   if (End.Outcome_ != StoreOutcome::ConditionFailed || End.Current_.empty())
@@ -243,6 +249,11 @@
                     .with("pool", Pool)
                     .with("token", Token)
                     .with("predecessors", Lease.Row_.Predecessors_));
+  // Others that have tried as long have their turn first.
+  for (auto &[Other, Each] : Leases_)
+    if (!Each.IsMine_)
+      Each.NextAttempt_ =
+          std::max(Each.NextAttempt_, Clock_.now() + OwnedHandicap);
   OnWon_({Pool, Token, Lease.Row_.Predecessors_, Lease.LeaseEnd_,
           Lease.PredecessorEnd_});
 }
@@ -377,6 +388,12 @@
   return Lease.Row_.Token_ > 0 ? Lease.Row_.Token_ : Lease.Version_;
 }
 
+bool OwnershipKeeper::isTrying() const {
+  return std::any_of(Leases_.begin(), Leases_.end(), [](const auto &Each) {
+    return Each.second.IsBusy_ && !Each.second.IsMine_;
+  });
+}
+
 std::size_t OwnershipKeeper::engaged() const {
   return static_cast<std::size_t>(
       std::count_if(Leases_.begin(), Leases_.end(), [](const auto &Each) {
--- a/src/scheduling/ownershipkeeper.h
+++ b/src/scheduling/ownershipkeeper.h
@@ -94,6 +94,8 @@
   std::optional<TimePoint> endOfOwner(const PoolLease &Lease) const;
   std::chrono::milliseconds attemptDelay(const std::string &Pool,
                                          const PoolLease &Lease) const;
+  /// \returns whether an attempt to win a pool is under way.
+  bool isTrying() const;
   /// \returns by how much this node lets larger ones go first.
   std::chrono::milliseconds sizeHandicap() const;
   /// Tells other nodes of this one's size.
--- a/src/scheduling/tests/ownershipkeeper_test.cpp
+++ b/src/scheduling/tests/ownershipkeeper_test.cpp
@@ -17,6 +17,7 @@
       : Inner_(Inner), Clock_(Clock) {}
 
   void transact(StoreTransaction Wanted, TransactionDone Done) override {
+    ++Calls_;
     Waiting_.emplace_back(
         Clock_.now() + Delay_,
         [this, Wanted = std::move(Wanted), Done] { carryOut(Wanted, Done); });
@@ -37,6 +38,8 @@
 
   bool isBusy() const { return !Waiting_.empty(); }
 
+  /// \returns the calls so far.
+  std::size_t calls() const { return Calls_; }
   std::size_t waiting() const { return Waiting_.size(); }
 
   milliseconds Delay_{0};
@@ -53,6 +56,7 @@
 
   InstantStore &Inner_;
   const IClock &Clock_;
+  std::size_t Calls_ = 0;
   std::deque<std::pair<TimePoint, std::function<void()>>> Waiting_;
 };
 
@@ -104,7 +108,8 @@
       Clock_.advance(TickInterval);
       for (auto &Node : Nodes_) {
         Node->Store_.tick();
-        Node->Keeper_->setCurrent(Shared_.Outcome_ == StoreOutcome::Done);
+        Node->Keeper_->setCurrent(IsViewCurrent_ ||
+                                  Shared_.Outcome_ == StoreOutcome::Done);
         Node->Keeper_->tick();
         Node->Store_.tick();
       }
@@ -125,6 +130,8 @@
     }
   }
 
+  /// Whether rows are read although writes are refused.
+  bool IsViewCurrent_ = false;
   ManualClock Clock_;
   SilentLogger Logger_;
   InstantStore Shared_;
@@ -191,6 +198,47 @@
   EXPECT_EQ(Node.Store_.waiting(), 1U);
 }
 
+TEST_F(OwnershipKeeperTest, ASmallNodeTriesSeldomWhileTheStoreRefuses) {
+  KeeperNode &Small = add("small", 0.12);
+  KeeperNode &Large = add("large", 0.5);
+  begin({});
+  play(milliseconds(200));
+  Shared_.Outcome_ = StoreOutcome::NotDone;
+  IsViewCurrent_ = true;
+  begin({"pool"});
+  play(milliseconds(8000));
+  EXPECT_GE(Large.Store_.calls(), 20U);
+  EXPECT_LE(Small.Store_.calls(), 4U);
+}
+
+TEST_F(OwnershipKeeperTest, ANodeTriesForOnePoolAtATime) {
+  KeeperNode &Node = add("node");
+  begin({});
+  play(milliseconds(200));
+  Shared_.Outcome_ = StoreOutcome::NotDone;
+  IsViewCurrent_ = true;
+  begin({"pool0", "pool1", "pool2"});
+  play(milliseconds(3000));
+  Node.Store_.Delay_ = milliseconds(900);
+  play(milliseconds(400));
+  EXPECT_EQ(Node.Store_.waiting(), 1U);
+}
+
+TEST_F(OwnershipKeeperTest, AWinnerLeavesTheNextPoolToOthersForAWhile) {
+  KeeperNode &First = add("node-1");
+  KeeperNode &Second = add("node-2");
+  begin({});
+  play(milliseconds(200));
+  Shared_.Outcome_ = StoreOutcome::NotDone;
+  IsViewCurrent_ = true;
+  begin({"pool0", "pool1", "pool2", "pool3"});
+  play(milliseconds(5000));
+  Shared_.Outcome_ = StoreOutcome::Done;
+  play(milliseconds(3000));
+  EXPECT_EQ(First.Owned_.size(), 2U);
+  EXPECT_EQ(Second.Owned_.size(), 2U);
+}
+
 TEST_F(OwnershipKeeperTest, PoolsSpreadOverNodesOfOneSize) {
   add("node-1", 0.25);
   add("node-2", 0.25);
