--- a/src/scheduling/tests/followers_test.cpp
+++ b/src/scheduling/tests/followers_test.cpp
@@ -12,9 +12,35 @@
 
 using std::chrono::milliseconds;
 
+/// Ends \p Reader's waits for a backlog that takes \p Needed to arrive.
+/// \returns whether the backlog arrived within some attempts.
+template <typename Test>
+bool receiveBacklog(Test &Reader, milliseconds Needed, bool HasBegun) {
+  constexpr int Attempts = 6;
+  constexpr milliseconds CallLimit{1000};
+  for (int Attempt = 0; Attempt < Attempts; ++Attempt) {
+    Reader.Clock_.advance(milliseconds(200));
+    Reader.Follower_->tick();
+    if (Reader.Store_.Waits_.size() != 1)
+      return false;
+    NarrowStore::Wait Wait = std::move(Reader.Store_.Waits_[0]);
+    Reader.Store_.Waits_.clear();
+    Reader.Longest_ = Wait.Longest_;
+    StoreChanges Changes;
+    Changes.HasBegun_ = HasBegun;
+    if (Wait.Longest_ + CallLimit >= Needed)
+      Changes.Outcome_ = StoreOutcome::Done;
+    Reader.Clock_.advance(std::min(Needed, Wait.Longest_ + CallLimit));
+    Wait.Done_(Changes);
+    if (Changes.Outcome_ == StoreOutcome::Done)
+      return true;
+  }
+  return false;
+}
+
 /// A pool's reader of its queues behind a link.
 class JobFollowerTest : public testing::Test {
-protected:
+public:
   JobFollowerTest()
       : Store_(Clock_),
         Follower_(std::make_shared<JobFollower>(
@@ -46,31 +72,6 @@
     return std::chrono::duration_cast<milliseconds>(Clock_.now() - Begun);
   }
 
-  /// Ends waits for a backlog that takes \p Needed to arrive.
-  /// \returns whether the backlog arrived within some attempts.
-  bool receiveBacklog(milliseconds Needed, bool HasBegun) {
-    constexpr int Attempts = 6;
-    constexpr milliseconds CallLimit{1000};
-    for (int Attempt = 0; Attempt < Attempts; ++Attempt) {
-      Clock_.advance(milliseconds(200));
-      Follower_->tick();
-      if (Store_.Waits_.size() != 1)
-        return false;
-      NarrowStore::Wait Wait = std::move(Store_.Waits_[0]);
-      Store_.Waits_.clear();
-      Longest_ = Wait.Longest_;
-      StoreChanges Changes;
-      Changes.HasBegun_ = HasBegun;
-      if (Wait.Longest_ + CallLimit >= Needed)
-        Changes.Outcome_ = StoreOutcome::Done;
-      Clock_.advance(std::min(Needed, Wait.Longest_ + CallLimit));
-      Wait.Done_(Changes);
-      if (Changes.Outcome_ == StoreOutcome::Done)
-        return true;
-    }
-    return false;
-  }
-
   ManualClock Clock_;
   milliseconds Longest_{0};
   SilentLogger Logger_;
@@ -142,19 +143,19 @@
 TEST_F(JobFollowerTest, GivesABacklogOfChangesTheTimeThatItTakes) {
   addJobs("queue", 1);
   load();
-  EXPECT_TRUE(receiveBacklog(milliseconds(8000), /*HasBegun=*/true));
+  EXPECT_TRUE(receiveBacklog(*this, milliseconds(8000), /*HasBegun=*/true));
 }
 
 TEST_F(JobFollowerTest, GivesASilentConnectionNoMoreTime) {
   addJobs("queue", 1);
   load();
-  EXPECT_FALSE(receiveBacklog(milliseconds(8000), /*HasBegun=*/false));
+  EXPECT_FALSE(receiveBacklog(*this, milliseconds(8000), /*HasBegun=*/false));
   EXPECT_EQ(Longest_, milliseconds(1500));
 }
 
 /// A reader of one part of a table behind a link.
 class TableFollowerTest : public testing::Test {
-protected:
+public:
   TableFollowerTest()
       : Store_(Clock_),
         Follower_(std::make_shared<TableFollower>(
@@ -177,31 +178,6 @@
     }
   }
 
-  /// Ends waits for a backlog that takes \p Needed to arrive.
-  /// \returns whether the backlog arrived within some attempts.
-  bool receiveBacklog(milliseconds Needed, bool HasBegun) {
-    constexpr int Attempts = 6;
-    constexpr milliseconds CallLimit{1000};
-    for (int Attempt = 0; Attempt < Attempts; ++Attempt) {
-      Clock_.advance(milliseconds(200));
-      Follower_->tick();
-      if (Store_.Waits_.size() != 1)
-        return false;
-      NarrowStore::Wait Wait = std::move(Store_.Waits_[0]);
-      Store_.Waits_.clear();
-      Longest_ = Wait.Longest_;
-      StoreChanges Changes;
-      Changes.HasBegun_ = HasBegun;
-      if (Wait.Longest_ + CallLimit >= Needed)
-        Changes.Outcome_ = StoreOutcome::Done;
-      Clock_.advance(std::min(Needed, Wait.Longest_ + CallLimit));
-      Wait.Done_(Changes);
-      if (Changes.Outcome_ == StoreOutcome::Done)
-        return true;
-    }
-    return false;
-  }
-
   ManualClock Clock_;
   milliseconds Longest_{0};
   SilentLogger Logger_;
@@ -227,13 +203,13 @@
 TEST_F(TableFollowerTest, GivesABacklogOfChangesTheTimeThatItTakes) {
   addRows(1);
   run(std::chrono::seconds(1));
-  EXPECT_TRUE(receiveBacklog(milliseconds(8000), /*HasBegun=*/true));
+  EXPECT_TRUE(receiveBacklog(*this, milliseconds(8000), /*HasBegun=*/true));
 }
 
 TEST_F(TableFollowerTest, GivesASilentConnectionNoMoreTime) {
   addRows(1);
   run(std::chrono::seconds(1));
-  EXPECT_FALSE(receiveBacklog(milliseconds(8000), /*HasBegun=*/false));
+  EXPECT_FALSE(receiveBacklog(*this, milliseconds(8000), /*HasBegun=*/false));
   EXPECT_EQ(Longest_, milliseconds(1500));
 }
 
--- a/src/scheduling/tests/mocks/poolownertest.h
+++ b/src/scheduling/tests/mocks/poolownertest.h
@@ -3,6 +3,10 @@
 
 #include "scheduling/tests/mocks/ownertest.h"
 
+#include <cstddef>
+#include <string>
+#include <vector>
+
 namespace dragonflylock {
 
 /// An owner whose jobs have one step, and workers on machines of their own.
@@ -27,6 +31,19 @@
     return Entry;
   }
 
+  /// Has the owner take over \p Count workers, which have seen its token.
+  /// \returns the workers.
+  std::vector<WorkerEntry> ownFleet(std::size_t Count) {
+    std::vector<WorkerEntry> Fleet;
+    Fleet.reserve(Count);
+    for (std::size_t Number = 0; Number < Count; ++Number)
+      Fleet.push_back(worker("w" + std::to_string(Number)));
+    own(0, Fleet);
+    while (!Workers_.Holds_.empty())
+      Workers_.takeHold().Done_(listing({}));
+    return Fleet;
+  }
+
   void answerHold(const HoldAnswer &Answer) {
     ASSERT_FALSE(Workers_.Holds_.empty());
     Workers_.takeHold().Done_(Answer);
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -34,13 +34,7 @@
 TEST_F(PoolOwnerTest, StartsWithoutAnswersAreBounded) {
   constexpr std::size_t Tasks = 1600;
   storeJob(jobOf(Tasks));
-  std::vector<WorkerEntry> Fleet;
-  Fleet.reserve(100);
-  for (int Number = 0; Number < 100; ++Number)
-    Fleet.push_back(worker("w" + std::to_string(Number)));
-  own(0, Fleet);
-  while (!Workers_.Holds_.empty())
-    Workers_.takeHold().Done_(listing({}));
+  ownFleet(100);
   tickTwice();
   EXPECT_GT(Workers_.Starts_.size(), 0U);
   EXPECT_LE(Workers_.Starts_.size(), 256U);
@@ -416,13 +410,7 @@
   JobSpec Spec = jobOf(Tasks);
   Spec.Steps_[0].IsLongRunning_ = true;
   storeJob(Spec);
-  std::vector<WorkerEntry> Fleet;
-  Fleet.reserve(4);
-  for (int Number = 0; Number < 4; ++Number)
-    Fleet.push_back(worker("w" + std::to_string(Number)));
-  own(0, Fleet);
-  while (!Workers_.Holds_.empty())
-    Workers_.takeHold().Done_(listing({}));
+  std::vector<WorkerEntry> Fleet = ownFleet(4);
   tickTwice();
   ASSERT_EQ(Workers_.Starts_.size(), Tasks);
   while (!Workers_.Starts_.empty())
@@ -442,13 +430,7 @@
   JobSpec Spec = jobOf(Tasks);
   Spec.Steps_[0].IsLongRunning_ = true;
   storeJob(Spec);
-  std::vector<WorkerEntry> Fleet;
-  Fleet.reserve(50);
-  for (int Number = 0; Number < 50; ++Number)
-    Fleet.push_back(worker("w" + std::to_string(Number)));
-  own(0, Fleet);
-  while (!Workers_.Holds_.empty())
-    Workers_.takeHold().Done_(listing({}));
+  std::vector<WorkerEntry> Fleet = ownFleet(50);
   std::size_t Started = 0;
   for (int Round = 0; Round < 100 && Started < Tasks; ++Round) {
     Owner_->tick();
@@ -476,11 +458,7 @@
 
 TEST_F(PoolOwnerTest, StartsThatTimeOutOnAllWorkersGetFewer) {
   storeJob(jobOf(1600));
-  std::vector<WorkerEntry> Fleet;
-  Fleet.reserve(100);
-  for (int Number = 0; Number < 100; ++Number)
-    Fleet.push_back(worker("w" + std::to_string(Number)));
-  own(0, Fleet);
+  ownFleet(100);
   std::size_t First = 0;
   std::size_t Last = 0;
   for (int Round = 0; Round < 20; ++Round) {
