Log what keeps jobs and workers waiting, and what a planned stop cuts off

- pool.status counts the registered workers that may get starts and what keeps the others from it, the starts without a response and their limit, and the age of the last changes of the jobs' tables.
- job.waiting names, each second, the three oldest jobs without a run.
- node.stopped says how many requests had no answer and how many connections were open.

The reports of a pool move to a class of their own. No decision changes.

--- a/src/app/schedulerdaemon.cpp
+++ b/src/app/schedulerdaemon.cpp
@@ -234,7 +234,12 @@
           Parts_->CallerServer_.openConnections() > 0) &&
          std::chrono::steady_clock::now() < GiveUpAt)
     std::this_thread::sleep_for(DrainPoll);
-  Parts_->Logger_.write(LogLevel::Info, LogEvent("node.stopped"));
+  const RestinioServer &Callers = Parts_->CallerServer_;
+  Parts_->Logger_.write(
+      LogLevel::Info,
+      LogEvent("node.stopped")
+          .with("pending-answers", std::uint64_t{Callers.pendingAnswers()})
+          .with("open-connections", std::uint64_t{Callers.openConnections()}));
 }
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/dispatcher.h
+++ b/src/scheduling/internal/dispatcher.h
@@ -34,6 +34,10 @@
   void stopUnwanted();
   /// Sends a stop order for a run.
   void stop(WorkerSession &Session, const TaskName &Name, RunNumber Run);
+  /// \returns the number of start orders without a response.
+  std::size_t outstandingStarts() const { return StartLimiter_.inFlight(); }
+  /// \returns the maximum number of start orders without a response.
+  std::size_t startLimit() const { return StartLimiter_.limit(); }
   /// Treats all runs of a worker that has gone down as ended.
   void releaseAllRuns(WorkerSession &Session);
 
--- a/src/scheduling/internal/jobfollower.cpp
+++ b/src/scheduling/internal/jobfollower.cpp
@@ -29,8 +29,12 @@
     : Store_(Store), Clock_(Clock), Logger_(Logger), Sink_(std::move(Sink)) {}
 
 void JobFollower::follow(const std::set<std::string> &Queues) {
-  for (const std::string &Queue : Queues)
-    Tables_[jobrows::tableOf(Queue)].Parts_.try_emplace(Queue);
+  for (const std::string &Queue : Queues) {
+    FollowedTable &State = Tables_[jobrows::tableOf(Queue)];
+    if (State.Parts_.empty())
+      State.ChangesReceivedAt_ = Clock_.now();
+    State.Parts_.try_emplace(Queue);
+  }
 }
 
 bool JobFollower::isLoaded() const {
@@ -41,6 +45,14 @@
   });
 }
 
+std::chrono::nanoseconds JobFollower::changesAge() const {
+  std::chrono::nanoseconds Oldest{0};
+  for (const auto &[Table, State] : Tables_)
+    Oldest = std::max<std::chrono::nanoseconds>(
+        Oldest, Clock_.now() - State.ChangesReceivedAt_);
+  return Oldest;
+}
+
 void JobFollower::describe(LogEvent &Event) const {
   Event.with("pages", Pages_)
       .with("rows", Rows_)
@@ -161,6 +173,7 @@
     return;
   }
   State.NextPoll_ = Clock_.now() + BatchDelay;
+  State.ChangesReceivedAt_ = Clock_.now();
   State.Version_ = std::max(*State.Version_, Changes.Version_);
   ChangedRows_ += Changes.Rows_.size();
   ChangedBytes_ += bytesOf(Changes.Rows_);
--- a/src/scheduling/internal/jobfollower.h
+++ b/src/scheduling/internal/jobfollower.h
@@ -37,6 +37,9 @@
   void tick();
   /// \returns whether all rows of every followed queue have been read.
   bool isLoaded() const;
+  /// \returns the time since the store last reported the changes of the table
+  /// for which that was longest ago.
+  std::chrono::nanoseconds changesAge() const;
   /// Adds to \p Event how much has been read and how long the pages took.
   void describe(LogEvent &Event) const;
 
@@ -62,6 +65,8 @@
     std::uint64_t LoadGeneration_ = 0;
     TimePoint ReadStart_;
     TimePoint PollStart_;
+    /// When changes were last received, or the table was first followed.
+    TimePoint ChangesReceivedAt_;
     TimePoint NextRead_;
     TimePoint NextPoll_;
     ChangesTimeout ChangesTimeout_;
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -11,6 +11,7 @@
 #include "scheduling/internal/machinelistcache.h"
 #include "scheduling/internal/machinemovemanager.h"
 #include "scheduling/internal/maintenancemanager.h"
+#include "scheduling/internal/poolreporter.h"
 #include "scheduling/internal/poolstate.h"
 #include "scheduling/internal/progresswriter.h"
 #include "scheduling/internal/rostermanager.h"
@@ -29,7 +30,7 @@
 /// Maximum interval between dispatch passes, for tasks that become due or whose
 /// start delay ends.
 constexpr std::chrono::milliseconds DispatchInterval{100};
-constexpr std::chrono::milliseconds StatusInterval{1000};
+constexpr std::chrono::milliseconds InheritedWaitLogInterval{1000};
 /// Consecutive failed hold orders after which the platform is asked for the
 /// state of the worker's machine.
 constexpr std::uint32_t FailedHoldsBeforeMachineCheck = 2;
@@ -76,6 +77,7 @@
         Follower_(std::make_shared<JobFollower>(
             State_.Store_, State_.Clock_, State_.Logger_,
             [this](const StoreRow &Row) { Jobs_.onRow(Row); })),
+        Reporter_(State_, Demands_, *Dispatcher_, *Follower_),
         HasPredecessor_(Ownership.Predecessors_ > 0) {
     State_.Token_ = Ownership.Token_;
     State_.RunNumberBase_ = Ownership.Predecessors_ * RunNumbersPerOwner;
@@ -86,8 +88,6 @@
   }
 
   void onLoaded();
-  PoolView view() const;
-  void logStatus();
   void followQueues();
   void removeExpiredSessions();
   /// \returns whether every worker that a previous owner may have used has
@@ -126,6 +126,7 @@
   std::shared_ptr<MachineMoveManager> Moves_;
   const DemandTracker &Demands_;
   std::shared_ptr<JobFollower> Follower_;
+  PoolReporter Reporter_;
   /// Registered workers of other pools: start of the lifetime by worker id.
   std::map<std::string, std::chrono::milliseconds> WorkersInOtherPools_;
   /// By machine: the registered worker, of any pool, that was started last.
@@ -139,7 +140,6 @@
   /// Tasks of a previous owner that may still run on unresponsive workers.
   std::set<std::string> InheritedTasks_;
   TimePoint NextDispatch_;
-  TimePoint NextStatus_;
   /// Time at which the jobs were loaded and the wait for workers began.
   TimePoint LoadedAt_;
   TimePoint NextInheritedWaitLog_;
@@ -205,7 +205,7 @@
 void PoolOwner::Parts::onLoaded() {
   IsLoaded_ = true;
   LoadedAt_ = State_.Clock_.now();
-  NextInheritedWaitLog_ = LoadedAt_ + StatusInterval;
+  NextInheritedWaitLog_ = LoadedAt_ + InheritedWaitLogInterval;
   for (auto &[Id, Job] : State_.Jobs_) {
     if (!HasPredecessor_)
       continue;
@@ -229,62 +229,11 @@
     onLoaded();
 }
 
-PoolView PoolOwner::Parts::view() const {
-  const TimePoint Now = State_.Clock_.now();
-  PoolView View;
-  View.Pool_ = State_.Pool_;
-  View.Token_ = State_.Token_;
-  View.LeaseLeft_ = std::chrono::duration_cast<std::chrono::milliseconds>(
-      State_.LeaseEnd_ - Now);
-  View.Jobs_ = State_.Jobs_.size();
-  View.JobVisits_ = State_.Index_.visitCount();
-  View.Workers_ = State_.Sessions_.size();
-  for (const auto &[Lifetime, Session] : State_.Sessions_) {
-    View.Runs_ += Session->runs().size();
-    if (!Session->IsListed_)
-      continue;
-    View.Free_ += Session->freeResources();
-    View.Total_ += Session->entry().Capacity_;
-  }
-  for (const auto &[Id, Job] : State_.Jobs_)
-    View.WaitingTasks_ += Job->countStartableTasks(Now, State_.wallTime());
-  const DemandRow &Demand = Demands_.demandOf(State_.Pool_).Row_;
-  View.MissingMachines_ = Demand.Missing_;
-  View.IncomingMachines_ = Demand.Coming_.size();
-  return View;
-}
-
-void PoolOwner::Parts::logStatus() {
-  const TimePoint Now = State_.Clock_.now();
-  if (Now < NextStatus_)
-    return;
-  NextStatus_ = Now + StatusInterval;
-  PoolView View = view();
-  auto Number = [](std::int64_t Value) {
-    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, Value));
-  };
-  State_.Logger_.write(
-      LogLevel::Info,
-      LogEvent("pool.status")
-          .with("pool", View.Pool_)
-          .with("token", View.Token_)
-          .with("jobs", View.Jobs_)
-          .with("job-visits", View.JobVisits_)
-          .with("runs", View.Runs_)
-          .with("waiting-tasks", View.WaitingTasks_)
-          .with("workers", View.Workers_)
-          .with("free-cpu-millis", Number(View.Free_.CpuMillis_))
-          .with("cpu-millis", Number(View.Total_.CpuMillis_))
-          .with("free-memory-mb", Number(View.Free_.MemoryMb_))
-          .with("missing-machines", View.MissingMachines_)
-          .with("coming-machines", View.IncomingMachines_));
-}
-
 void PoolOwner::Parts::logInheritedWait() {
   const TimePoint Now = State_.Clock_.now();
   if (Now < NextInheritedWaitLog_)
     return;
-  NextInheritedWaitLog_ = Now + StatusInterval;
+  NextInheritedWaitLog_ = Now + InheritedWaitLogInterval;
   std::uint64_t Unanswered = 0;
   std::uint64_t Registered = 0;
   std::uint64_t RegisteredElsewhere = 0;
@@ -548,7 +497,7 @@
     Parts_->NextDispatch_ = Now + DispatchInterval;
     Parts_->Dispatcher_->dispatch();
   }
-  Parts_->logStatus();
+  Parts_->Reporter_.tick();
   Parts_->FillerThrottler_->tick();
   // Until every worker has been contacted, it is not known which runs a
   // maintenance or move order would end.
@@ -579,7 +528,7 @@
   return Pending;
 }
 
-PoolView PoolOwner::view() const { return Parts_->view(); }
+PoolView PoolOwner::view() const { return Parts_->Reporter_.view(); }
 
 std::optional<JobPhase> PoolOwner::stateOf(const std::string &Job) const {
   const ActiveJob *Found = Parts_->State_.job(Job);
--- a/src/scheduling/internal/workerchooser.cpp
+++ b/src/scheduling/internal/workerchooser.cpp
@@ -8,12 +8,13 @@
 
 namespace dragonflylock {
 
-bool WorkerChooser::isUsable(const WorkerSession &Session) const {
+bool WorkerChooser::isUsable(const WorkerSession &Session,
+                             const PoolState &Pool) {
   return Session.IsFenced_ && Session.IsInRoster_ && Session.IsListed_ &&
          !Session.isBeingDrained() && !Session.IsDeclaredSilent_ &&
          Session.hasClock() && Session.HoldFailures_ == 0 &&
          Session.entry().State_ == WorkerState::Ready &&
-         Session.NoStartsBefore_ <= Pool_.Clock_.now();
+         Session.NoStartsBefore_ <= Pool.Clock_.now();
 }
 
 void WorkerChooser::updateCandidate(const WorkerSession &Session,
@@ -31,7 +32,7 @@
   std::vector<PlacementCandidate> &Candidates = Round_.Candidates_;
   Round_.Sessions_.clear();
   for (auto &[Lifetime, Session] : Pool_.Sessions_) {
-    if (!isUsable(*Session))
+    if (!isUsable(*Session, Pool_))
       continue;
     if (Candidates.size() == Round_.Sessions_.size())
       Candidates.emplace_back();
--- a/src/scheduling/internal/workerchooser.h
+++ b/src/scheduling/internal/workerchooser.h
@@ -23,6 +23,8 @@
   WorkerChooser(PoolState &Pool, AdviceCache &Advice)
       : Pool_(Pool), Advice_(Advice) {}
 
+  /// \returns whether the worker may get start orders now.
+  static bool isUsable(const WorkerSession &Session, const PoolState &Pool);
   /// Reads the state of the pool's workers. Called before tasks are placed, and
   /// again when workers may have changed.
   void beginRound();
@@ -58,7 +60,6 @@
     std::vector<WorkerSession *> WithoutAdvice_;
   };
 
-  bool isUsable(const WorkerSession &Session) const;
   static void updateCandidate(const WorkerSession &Session,
                               PlacementCandidate &Candidate);
   /// Updates the fields of the round's candidates that depend on the task.
