Show that a node that wins its only pool again does not know its workers

The emulator gave each node a whole list of the workers every 40 ms, so that it could not show this. It now delivers a list when the node begins to follow the registry and changes from then on, as the platform adapter does.

--- a/src/emulator/internal/emulatednode.cpp
+++ b/src/emulator/internal/emulatednode.cpp
@@ -27,6 +27,7 @@
   IsStopping_ = false;
   IsTickQueued_ = false;
   CpuBusyUntil_ = TimePoint();
+  FollowedWorkers_.reset();
   SchedulingSettings Settings;
   Settings.Node_ = Name_;
   Node_ = SchedulerNode::Builder()
@@ -122,8 +123,29 @@
 void EmulatedNode::deliverFleetState() {
   if (Context_.Wave_)
     Node_->onWave(*Context_.Wave_);
-  if (Node_->needsWorkers())
-    Node_->onWorkerSnapshot(Context_.Workers_.registeredEntries());
+  if (!Node_->needsWorkers()) {
+    FollowedWorkers_.reset();
+    return;
+  }
+  std::vector<WorkerEntry> Entries = Context_.Workers_.registeredEntries();
+  if (FollowedWorkers_)
+    deliverWorkerChanges(Entries);
+  else
+    Node_->onWorkerSnapshot(Entries);
+  FollowedWorkers_.emplace();
+  for (const WorkerEntry &Worker : Entries)
+    FollowedWorkers_->insert(Worker.Id_);
+}
+
+void EmulatedNode::deliverWorkerChanges(
+    const std::vector<WorkerEntry> &Entries) {
+  std::set<std::string> Removed = *FollowedWorkers_;
+  for (const WorkerEntry &Worker : Entries) {
+    Removed.erase(Worker.Id_);
+    Node_->onWorker(Worker);
+  }
+  for (const std::string &Id : Removed)
+    Node_->onWorkerRemoved(Id);
 }
 
 void EmulatedNode::tick(std::uint64_t Incarnation) {
--- a/src/emulator/internal/emulatednode.h
+++ b/src/emulator/internal/emulatednode.h
@@ -12,7 +12,9 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace dragonflylock {
 
@@ -95,6 +97,7 @@
   void runWhenNotFrozen(std::uint64_t Incarnation, const Work &Next);
   void tick(std::uint64_t Incarnation);
   void deliverFleetState();
+  void deliverWorkerChanges(const std::vector<WorkerEntry> &Entries);
 
   std::string Name_;
   EmulationContext &Context_;
@@ -106,6 +109,9 @@
   /// Whether a tick waits for the CPU.
   bool IsTickQueued_ = false;
   bool IsStopping_ = false;
+  /// Ids of the workers that were delivered last; nothing while the node does
+  /// not follow the registry.
+  std::optional<std::set<std::string>> FollowedWorkers_;
 };
 
 } // namespace dragonflylock
--- a/src/emulator/tests/emulator_test.cpp
+++ b/src/emulator/tests/emulator_test.cpp
@@ -80,6 +80,19 @@
   EXPECT_EQ(Report.Accepted_, Report.Jobs_);
 }
 
+/// Options under which the regression seeds broke a rule.
+EmulatorOptions manyFaults(std::uint64_t Seed) {
+  EmulatorOptions Options;
+  Options.Seed_ = Seed;
+  Options.Nodes_ = 7;
+  Options.Faults_ = 10;
+  return Options;
+}
+
+TEST(EmulatorTest, NodeThatReacquiresItsOnlyPoolRunsItsTasks) {
+  runEmulator(manyFaults(30036));
+}
+
 class MixedFaults : public testing::TestWithParam<int> {};
 
 TEST_P(MixedFaults, BreakNoRule) {
