Forget the workers when the registry is no longer followed, not when a pool is lost

Cause: two components kept one fact. SchedulerNode marked the workers as unknown when it lost its last pool, and waited for the next whole list of the registry. FleetTableFollower begins a new list only after it has seen needsWorkers() be false, and it looks once a tick. A node that lost its only pool and won one between two looks kept its follower, got changes only, and never passed the workers to the new owner. That owner had the workers of the roster, none of them registered: usable-workers=0, cpu-millis=0 in pool.status. It is likely where the store refuses a node until just before its lease ends: a refused lease is tried for again in the same round, and is won within 4 ms.

Class of fault: state that one component clears by its own events while another, which alone can restore it, looks at a condition from time to time.

Now the follower, which alone knows whether the list is kept up to date, says when it stops, and only that makes the workers unknown.

Looked for the same cause in the other rows that a node reads (pending counts, waves, demands, machine orders, operators' rows): they are followed for as long as the node runs.

--- a/src/emulator/internal/emulatednode.cpp
+++ b/src/emulator/internal/emulatednode.cpp
@@ -124,6 +124,8 @@
   if (Context_.Wave_)
     Node_->onWave(*Context_.Wave_);
   if (!Node_->needsWorkers()) {
+    if (FollowedWorkers_)
+      Node_->onWorkersUnfollowed();
     FollowedWorkers_.reset();
     return;
   }
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -52,8 +52,7 @@
   std::shared_ptr<const SchedulingConfiguration> Configuration_;
   std::map<std::string, WorkerEntry> Workers_;
   bool HaveWorkersChanged_ = false;
-  /// Whether Workers_ matches the registry. It is not kept up to date while the
-  /// node owns no pool.
+  /// Whether Workers_ matches the registry.
   bool AreWorkersKnown_ = false;
   std::map<std::uint64_t, MaintenanceWave> Waves_;
   std::shared_ptr<JobRequestHandler> JobRequests_;
@@ -150,8 +149,6 @@
 void SchedulerNode::Parts::onPoolLost(const std::string &Pool) {
   Owners_.erase(Pool);
   LastReported_.erase(Pool);
-  if (Owners_.empty())
-    AreWorkersKnown_ = false;
 }
 
 void SchedulerNode::Parts::distributeWorkers() {
@@ -290,6 +287,11 @@
   Parts_->HaveWorkersChanged_ = true;
 }
 
+void SchedulerNode::onWorkersUnfollowed() {
+  Parts_->AreWorkersKnown_ = false;
+  Parts_->Workers_.clear();
+}
+
 void SchedulerNode::onWave(const MaintenanceWave &Wave) {
   Parts_->Waves_[Wave.Number_] = Wave;
   for (auto &[Pool, Owner] : Parts_->Owners_)
--- a/src/scheduling/schedulernode.h
+++ b/src/scheduling/schedulernode.h
@@ -69,6 +69,9 @@
   void onWorkerRemoved(const std::string &Id);
   /// Replaces the known workers with all workers that are registered.
   void onWorkerSnapshot(const std::vector<WorkerEntry> &Workers);
+  /// Called when the registry is no longer followed. The workers are unknown
+  /// until the next snapshot.
+  void onWorkersUnfollowed();
   void onWave(const MaintenanceWave &Wave);
   /// Applies changed settings, except for the node's name.
   void onSettings(const SchedulingSettings &Settings);
@@ -83,7 +86,7 @@
   const SchedulingConfiguration *configuration() const;
   /// \returns whether the node can serve callers.
   bool isReady() const;
-  /// \returns whether the node needs the worker registry.
+  /// \returns whether the node needs the worker registry to be followed.
   bool needsWorkers() const;
   /// \returns the state of the pools that this node owns, as shown to
   /// operators.
