An occurrence no longer waits for an earlier one that finds no worker

What callers would see: tasks of a scheduled job's later occurrence wait beside free workers while a task of the same step of an earlier occurrence finds none, for example because anti_affinity allows no second task on any worker, or because the policy allows that occurrence only workers that are full.

Cause: Dispatcher::dispatchJob remembered the step that found no worker by its index alone and left out all later tasks with that index. anti_affinity, advice and the wait for a data rack hold for a step of one occurrence.

Ruled out: the job index. It visits the job in every round, since a worker has room for its tasks.

Evidence: PassedOverTest.TasksStartWhileAnEarlierOccurrenceFindsNoWorker failed before (the task of occurrence 1 was not started within 1 s beside a worker with 15 free cores) and passes after; the other 144 tests of scheduling pass.

Same cause elsewhere: startMissingMembers and the gangs are keyed by occurrence and step already, countTasksOfStep too. MaintenanceManager::evacuate handles a step once a round whatever its occurrence, which only takes a round more.

--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <utility>
 
 namespace dragonflylock {
@@ -53,22 +54,24 @@
 }
 
 bool Dispatcher::dispatchJob(ActiveJob &Job) {
-  std::uint32_t UnplaceableStep = UINT32_MAX;
-  std::map<std::pair<std::uint32_t, std::uint32_t>, std::vector<TaskName>>
-      Gangs;
+  // Occurrence and step. Each occurrence of a step may use other workers.
+  using StepKey = std::pair<std::uint32_t, std::uint32_t>;
+  std::optional<StepKey> UnplaceableStep;
+  std::map<StepKey, std::vector<TaskName>> Gangs;
   for (const TaskName &Name :
        Job.startableTasks(Pool_.Clock_.now(), Pool_.wallTime())) {
+    const StepKey Step{Name.Occurrence_, Name.Step_};
     if (Job.step(Name).IsGang_) {
-      Gangs[{Name.Occurrence_, Name.Step_}].push_back(Name);
+      Gangs[Step].push_back(Name);
       continue;
     }
-    if (Name.Step_ == UnplaceableStep)
+    if (Step == UnplaceableStep)
       continue;
     if (!admits(1))
       return false;
     WorkerSession *Session = workerFor(Job, Name);
     if (Session == nullptr) {
-      UnplaceableStep = Name.Step_;
+      UnplaceableStep = Step;
       Job.updateCapacityWait(/*IsMissing=*/true, Pool_.Clock_.now());
       continue;
     }
--- /dev/null
+++ b/src/scheduling/tests/passedover_test.cpp
@@ -0,0 +1,95 @@
+#include "scheduling/tests/mocks/ownertest.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace dragonflylock {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Guards against startable tasks that an owner passes over although a worker
+/// has room for them.
+class PassedOverTest : public OwnerTest {
+protected:
+  static constexpr const char *OtherJob = "00000000000000bb";
+
+  PassedOverTest() { Queue_.MaxFailedRuns_ = 3; }
+
+  static StepSpec stepOf(std::uint32_t Tasks) {
+    StepSpec Step;
+    Step.TaskCount_ = Tasks;
+    Step.PerTask_ = {1000, 1000, 0};
+    Step.Estimate_ = milliseconds(500);
+    return Step;
+  }
+
+  static JobSpec jobOf(const StepSpec &Step) {
+    JobSpec Spec;
+    Spec.Steps_ = {Step};
+    return Spec;
+  }
+
+  static WorkerEntry workerOnRack(const std::string &Id,
+                                  const std::string &Rack, Resources Capacity) {
+    WorkerEntry Entry = workerOf(Id, Capacity);
+    Entry.Rack_ = Rack;
+    return Entry;
+  }
+
+  milliseconds wallNow() const {
+    return milliseconds(millisecondsSinceEpoch(Clock_.wallNow()));
+  }
+
+  /// Confirms all starts and answers all hold orders with the runs that were
+  /// started so far.
+  void answerAll() {
+    while (!Workers_.Starts_.empty()) {
+      RecordingWorkers::Start Next = Workers_.takeStart();
+      Running_[Next.Target_.Id_].push_back(
+          {Next.Order_.Task_, Next.Order_.Run_, "", 100, 0});
+      Started_.push_back(Next.Order_.Task_);
+      Next.Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+    }
+    std::deque<RecordingWorkers::Hold> Holds;
+    Holds.swap(Workers_.Holds_);
+    for (RecordingWorkers::Hold &Each : Holds)
+      Each.Done_(acceptedAnswer(Running_[Each.Target_.Id_]));
+    tickTwice();
+  }
+
+  void advanceTime(milliseconds Length) {
+    for (milliseconds Passed{0}; Passed < Length; Passed += milliseconds(100)) {
+      Clock_.advance(milliseconds(100));
+      Owner_->tick();
+      answerAll();
+    }
+  }
+
+  bool hasStarted(const TaskName &Task) const {
+    return std::find(Started_.begin(), Started_.end(), Task) != Started_.end();
+  }
+
+  /// Runs started so far, by the worker's id.
+  std::map<std::string, std::vector<ListedRun>> Running_;
+  std::vector<TaskName> Started_;
+};
+
+TEST_F(PassedOverTest, TasksStartWhileAnEarlierOccurrenceFindsNoWorker) {
+  // The second task of the first occurrence may not join the first one.
+  StepSpec Step = stepOf(2);
+  Step.MaxPerWorker_ = 1;
+  JobSpec Spec = jobOf(Step);
+  Spec.OccurrenceCount_ = 2;
+  Spec.FirstDue_ = wallNow() - milliseconds(100);
+  Spec.Interval_ = milliseconds(50);
+  storeJob(Spec);
+  takeOwnership(0, {workerOf("w1", {16000, 32000, 0})});
+  advanceTime(milliseconds(1000));
+  EXPECT_TRUE(hasStarted({JobId, 0, 0, 0}));
+  EXPECT_TRUE(hasStarted({JobId, 1, 0, 0}));
+}
+
+} // namespace
+} // namespace dragonflylock
