A task waits for the rack of its data for 2 s at most

Cause: the wait was bounded only by the extra run time outside the rack, (far_factor - 1) times the estimate. That is right for short tasks, whose wait it bounds to under a second; nothing bounded it for long ones. Gangs that want one rack use the same bound.

Evidence: PassedOverTest.TasksDoNotWaitLongForAFullRackBesideFreeWorkers (the rack's only worker is too small, estimate 9 s, factor 2) failed before: no task had started after 2.5 s; passes after. All 146 tests of scheduling pass. The price, tasks of over 2 s on another rack than that of their data, was not measured.

--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -35,6 +35,9 @@
 /// How long after a gang became startable the reservation ends, so that less
 /// urgent tasks start again. Ordinary tasks end within this time.
 constexpr std::chrono::milliseconds MaxGangReservation{6000};
+/// Longest wait for a rack. Users count a job as lost when it has waited for
+/// 3 s beside free workers.
+constexpr std::chrono::milliseconds MaxRackWait{2000};
 /// Maximum time between two scans for unwanted runs.
 constexpr std::chrono::milliseconds MaxStopScanInterval{100};
 
@@ -99,8 +102,9 @@
 bool Dispatcher::mayWaitForRack(const StepSpec &Step,
                                 const StepRun &StepState) const {
   // Waiting for longer than the extra run time on another rack gains nothing.
-  auto MaxWait = std::chrono::duration_cast<std::chrono::milliseconds>(
+  auto ExtraTime = std::chrono::duration_cast<std::chrono::milliseconds>(
       (Pool_.Settings_.OffRackSlowdown_ - 1) * Step.Estimate_);
+  auto MaxWait = std::min(ExtraTime, MaxRackWait);
   return Pool_.Clock_.now() < StepState.CapacityWaitSince_ + MaxWait;
 }
 
--- a/src/scheduling/tests/passedover_test.cpp
+++ b/src/scheduling/tests/passedover_test.cpp
@@ -91,5 +91,17 @@
   EXPECT_TRUE(hasStarted({JobId, 1, 0, 0}));
 }
 
+TEST_F(PassedOverTest, TasksDoNotWaitLongForAFullRackBesideFreeWorkers) {
+  StepSpec Step = stepOf(2);
+  Step.DataRack_ = "r1-1";
+  Step.Estimate_ = milliseconds(9000);
+  storeJob(jobOf(Step));
+  takeOwnership(0, {workerOnRack("w1", "r1-1", {500, 500, 0}),
+                    workerOnRack("w2", "r1-2", {16000, 32000, 0})});
+  advanceTime(milliseconds(2500));
+  EXPECT_TRUE(hasStarted({JobId, 0, 0, 0}));
+  EXPECT_TRUE(hasStarted({JobId, 0, 0, 1}));
+}
+
 } // namespace
 } // namespace dragonflylock
