Jobs keep the policy of a queue that is removed after they were accepted

What callers would see: the tasks of jobs that were accepted in a queue with advice wait for ever once a configuration has removed the queue: every start is refused for want of a ticket and tried again 50 ms later. In any removed queue a job is shown as failed after 4 failed attempts although 6 were promised, or goes on after the last one that it was to have; it also loses its priority and its objective.

Cause: PoolState::queueOf took defaults for a queue that the configuration no longer has. The submission row held the queue's pool for this case, not its policy. Now the node that accepts a job stores the policy in the row. Rows of earlier versions are read with the former defaults, and earlier versions pass over the new fields.

Ruled out: an owner that remembers the policy of a removed queue; it ends with the owner.

PassedOverTest.JobsOfADroppedQueueStillAskForAdvice and JobsOfADroppedQueueKeepTheirNumberOfAttempts failed before and pass after. SchedulerNodeTest.StoresThePolicyOfTheQueueWithTheJob is new with the field. A row grows by about 40 bytes; the effect on the priced bytes was not measured.

--- a/src/scheduling/internal/advicecache.cpp
+++ b/src/scheduling/internal/advicecache.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 bool AdviceCache::isNeededFor(const ActiveJob &Job) const {
-  return Pool_.queueOf(Job).NeedsAdvice_;
+  return Pool_.policyOf(Job).NeedsAdvice_;
 }
 
 const AdviceCache::WorkerAdvice *
--- a/src/scheduling/internal/jobindex.cpp
+++ b/src/scheduling/internal/jobindex.cpp
@@ -21,11 +21,11 @@
 /// \returns the latest start time at which the job still meets its objective,
 /// since 1970.
 std::chrono::milliseconds latestStartOf(const ActiveJob &Job,
-                                        const QueueSetting &Queue) {
+                                        const QueuePolicy &Policy) {
   auto Objective =
       std::chrono::duration_cast<std::chrono::milliseconds>(
-          Queue.Stretch_ * Job.criticalPathTime(/*OnlyRemaining=*/false)) +
-      Queue.TargetLatency_;
+          Policy.Stretch_ * Job.criticalPathTime(/*OnlyRemaining=*/false)) +
+      Policy.TargetLatency_;
   return Job.submission().AcceptedAt_ + Objective -
          Job.criticalPathTime(/*OnlyRemaining=*/true);
 }
@@ -175,17 +175,17 @@
 }
 
 JobIndex::IndexKeys JobIndex::keysOf(ActiveJob &Job) const {
-  const QueueSetting &Queue = Pool_.queueOf(Job);
+  const QueuePolicy &Policy = Pool_.policyOf(Job);
   IndexKeys Found;
   collectNeeds(Job, Found);
-  std::chrono::milliseconds LatestStart = latestStartOf(Job, Queue);
-  Found.Rank_ = {!Job.isLongRunning(), Queue.Priority_, LastWall_ > LatestStart,
-                 urgencyOf(Job), &Job};
+  std::chrono::milliseconds LatestStart = latestStartOf(Job, Policy);
+  Found.Rank_ = {!Job.isLongRunning(), Policy.Priority_,
+                 LastWall_ > LatestStart, urgencyOf(Job), &Job};
   if (!Found.Rank_.IsLate_)
     updateEarliest(Found.NextWall_, LatestStart + std::chrono::milliseconds(1));
   // The advice service is asked which workers are allowed even if no worker
   // has the free resources.
-  if (Queue.NeedsAdvice_ && !Found.Needs_.empty())
+  if (Policy.NeedsAdvice_ && !Found.Needs_.empty())
     Found.IsUnconditional_ = true;
   return Found;
 }
--- a/src/scheduling/internal/jobrequesthandler.cpp
+++ b/src/scheduling/internal/jobrequesthandler.cpp
@@ -60,6 +60,7 @@
   SubmittedJob Stored;
   Stored.Queue_ = Queue.Name_;
   Stored.Pool_ = Queue.Pool_;
+  Stored.Policy_ = Queue;
   Stored.Spec_ = std::move(Spec);
   Stored.AcceptedAt_ =
       std::chrono::milliseconds(millisecondsSinceEpoch(Clock_.wallNow()));
--- a/src/scheduling/internal/jobrowcodec.cpp
+++ b/src/scheduling/internal/jobrowcodec.cpp
@@ -20,6 +20,10 @@
     {JobPhase::Cancelled, "cancelled"},
 }};
 
+/// Maximum failed runs of a task whose row was written by an earlier version,
+/// which did not store the policy.
+constexpr std::uint32_t DefaultMaxFailedRuns = 4;
+
 template <typename T>
 void putUnlessDefault(json &Into, const char *Name, const T &Value) {
   if (Value != T())
@@ -74,6 +78,25 @@
   return Step;
 }
 
+void encodePolicy(const QueuePolicy &Policy, json &Into) {
+  Into["max-failed-runs"] = Policy.MaxFailedRuns_;
+  Into["stretch"] = Policy.Stretch_;
+  putUnlessDefault(Into, "priority", Policy.Priority_);
+  putUnlessDefault(Into, "target-latency-ms", Policy.TargetLatency_.count());
+  putUnlessDefault(Into, "needs-advice", Policy.NeedsAdvice_);
+}
+
+QueuePolicy decodePolicy(const json &Row) {
+  QueuePolicy Policy;
+  Policy.MaxFailedRuns_ = Row.value("max-failed-runs", DefaultMaxFailedRuns);
+  Policy.Stretch_ = Row.value("stretch", 1.0);
+  Policy.Priority_ = Row.value("priority", 0U);
+  Policy.TargetLatency_ =
+      milliseconds(Row.value("target-latency-ms", std::int64_t{0}));
+  Policy.NeedsAdvice_ = Row.value("needs-advice", false);
+  return Policy;
+}
+
 } // namespace
 
 std::string encode(const SubmittedJob &Job) {
@@ -85,6 +108,7 @@
               {"accepted-ms", Job.AcceptedAt_.count()},
               {"payload", Job.Spec_.Payload_},
               {"steps", Steps}};
+  encodePolicy(Job.Policy_, Row);
   putUnlessDefault(Row, "times", Job.Spec_.OccurrenceCount_);
   putUnlessDefault(Row, "first-due-ms", Job.Spec_.FirstDue_.count());
   putUnlessDefault(Row, "interval-ms", Job.Spec_.Interval_.count());
@@ -97,6 +121,7 @@
     SubmittedJob Job;
     Job.Queue_ = Row.at("queue").get<std::string>();
     Job.Pool_ = Row.at("pool").get<std::string>();
+    Job.Policy_ = decodePolicy(Row);
     Job.AcceptedAt_ = milliseconds(Row.value("accepted-ms", std::int64_t{0}));
     Job.Spec_.Payload_ = Row.at("payload").get<std::string>();
     for (const json &Step : Row.at("steps"))
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -6,8 +6,6 @@
 /// Time allowed for an order to reach the worker.
 constexpr std::chrono::milliseconds OrderTransitMargin{100};
 constexpr int Percent = 100;
-/// Maximum attempts of a task whose queue is no longer configured.
-constexpr std::uint32_t DefaultAttempts = 4;
 
 } // namespace
 
@@ -57,15 +55,10 @@
   return nullptr;
 }
 
-const QueueSetting &PoolState::queueOf(const ActiveJob &Job) const {
-  static const QueueSetting UnconfiguredQueue = [] {
-    QueueSetting Setting;
-    Setting.MaxFailedRuns_ = DefaultAttempts;
-    return Setting;
-  }();
+const QueuePolicy &PoolState::policyOf(const ActiveJob &Job) const {
   const QueueSetting *Found =
       Configuration_ ? Configuration_->queue(Job.submission().Queue_) : nullptr;
-  return Found != nullptr ? *Found : UnconfiguredQueue;
+  return Found != nullptr ? *Found : Job.submission().Policy_;
 }
 
 TimePoint PoolState::latestLeaseExpiry(TimePoint Now) const {
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -88,9 +88,9 @@
   WorkerSession *session(const std::string &Lifetime);
   /// \returns the registered worker on the machine, or null.
   WorkerSession *sessionOn(const std::string &Machine);
-  /// \returns the queue's settings, or defaults if the queue is no longer
-  /// configured.
-  const QueueSetting &queueOf(const ActiveJob &Job) const;
+  /// \returns the policy of the job's queue, or the one that it had when the
+  /// job was accepted if the queue is no longer configured.
+  const QueuePolicy &policyOf(const ActiveJob &Job) const;
   /// \returns the time by which a lease granted to a worker at \p Now has
   /// certainly expired.
   TimePoint latestLeaseExpiry(TimePoint Now) const;
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -277,7 +277,7 @@
 }
 
 bool RunTracker::hasFailed(ActiveJob &Job) const {
-  std::uint32_t Most = Pool_.queueOf(Job).MaxFailedRuns_;
+  std::uint32_t Most = Pool_.policyOf(Job).MaxFailedRuns_;
   // The failures of all members count together, once for each run of the gang.
   std::map<std::pair<std::uint32_t, std::uint32_t>, std::set<RunNumber>> Gangs;
   bool Failed = false;
--- a/src/scheduling/jobrowcodec.h
+++ b/src/scheduling/jobrowcodec.h
@@ -15,6 +15,9 @@
   /// Pool of the queue at the time when the job was accepted; used if the queue
   /// has been removed since.
   std::string Pool_;
+  /// Policy of the queue at that time; used if the queue has been removed
+  /// since.
+  QueuePolicy Policy_;
   JobSpec Spec_;
   /// Time of acceptance, since 1970.
   std::chrono::milliseconds AcceptedAt_{0};
--- a/src/scheduling/schedulingtypes.h
+++ b/src/scheduling/schedulingtypes.h
@@ -130,12 +130,8 @@
   std::string lifetime() const;
 };
 
-/// A queue: a route of the configuration and its scheduling policy.
-struct QueueSetting {
-  std::string Name_;
-  std::string Host_;
-  std::string PathPrefix_;
-  std::string Pool_;
+/// How the jobs of a queue are scheduled.
+struct QueuePolicy {
   /// 0 is the highest priority.
   std::uint32_t Priority_ = 0;
   /// Number of failed runs of a task after which its job fails.
@@ -147,6 +143,16 @@
   /// Whether the advice service decides which workers may run a step.
   bool NeedsAdvice_ = false;
 
+  bool operator==(const QueuePolicy &) const = default;
+};
+
+/// A queue: a route of the configuration and its scheduling policy.
+struct QueueSetting : QueuePolicy {
+  std::string Name_;
+  std::string Host_;
+  std::string PathPrefix_;
+  std::string Pool_;
+
   bool operator==(const QueueSetting &) const = default;
 };
 
--- a/src/scheduling/tests/jobindex_test.cpp
+++ b/src/scheduling/tests/jobindex_test.cpp
@@ -121,7 +121,7 @@
     for (const auto &[Id, Job] : Pool_.Jobs_) {
       if (Job->startableTasks(Clock_.now(), Pool_.wallTime()).empty())
         continue;
-      const QueueSetting &Queue = Pool_.queueOf(*Job);
+      const QueuePolicy &Queue = Pool_.policyOf(*Job);
       auto Objective = std::chrono::duration_cast<milliseconds>(
                            Queue.Stretch_ * Job->criticalPathTime(false)) +
                        Queue.TargetLatency_;
--- a/src/scheduling/tests/mocks/ownertest.h
+++ b/src/scheduling/tests/mocks/ownertest.h
@@ -31,6 +31,7 @@
     SubmittedJob Job;
     Job.Queue_ = "queue";
     Job.Pool_ = "pool";
+    Job.Policy_ = Queue_;
     Job.Spec_ = Spec;
     Job.AcceptedAt_ = AcceptedAt;
     StoreKey Row = jobrows::keyOf("queue", Id, JobRowKind::Submission);
--- a/src/scheduling/tests/passedover_test.cpp
+++ b/src/scheduling/tests/passedover_test.cpp
@@ -103,5 +103,51 @@
   EXPECT_TRUE(hasStarted({JobId, 0, 0, 1}));
 }
 
+TEST_F(PassedOverTest, JobsOfADroppedQueueStillAskForAdvice) {
+  Queue_.NeedsAdvice_ = true;
+  storeJob(jobOf(stepOf(1)));
+  buildOwner(0);
+  auto Dropped = std::make_shared<SchedulingConfiguration>();
+  Dropped->Version_ = 2;
+  Dropped->Pools_ = {{"pool", true, false}};
+  Owner_->onConfiguration(Dropped);
+  Owner_->onWorkers({workerOf("w1", {16000, 32000, 0})});
+  for (int Round = 0; Round < 5; ++Round)
+    Owner_->tick();
+  answerAll();
+  EXPECT_TRUE(Workers_.Starts_.empty());
+  ASSERT_FALSE(Advisor_.Calls_.empty());
+  Advice Allowed;
+  Allowed.IsValid_ = true;
+  Allowed.Validity_ = milliseconds(3000);
+  Allowed.Tickets_["w1"] = "ticket";
+  Advisor_.Calls_.front().Answer_(Allowed);
+  Owner_->tick();
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  EXPECT_EQ(Workers_.Starts_.front().Order_.Ticket_, "ticket");
+}
+
+TEST_F(PassedOverTest, JobsOfADroppedQueueKeepTheirNumberOfAttempts) {
+  Queue_.MaxFailedRuns_ = 6;
+  storeJob(jobOf(stepOf(1)));
+  takeOwnership(0, {workerOf("w1", {16000, 32000, 0})});
+  auto Dropped = std::make_shared<SchedulingConfiguration>();
+  Dropped->Version_ = 2;
+  Dropped->Pools_ = {{"pool", true, false}};
+  Owner_->onConfiguration(Dropped);
+  std::uint64_t Sequence = 0;
+  for (int Failure = 0; Failure < 5; ++Failure) {
+    advanceTime(milliseconds(14000));
+    ASSERT_EQ(Running_["w1"].size(), 1U) << "after failure " << Failure;
+    ListedRun Run = Running_["w1"].front();
+    Running_["w1"].clear();
+    ASSERT_FALSE(Workers_.Holds_.empty());
+    Workers_.takeHold().Done_(acceptedAnswer(
+        {}, {{++Sequence, Run.Task_, Run.Run_, EndKind::Failed, ""}}));
+    Owner_->tick();
+  }
+  EXPECT_EQ(Owner_->stateOf(JobId), JobPhase::Queued);
+}
+
 } // namespace
 } // namespace dragonflylock
--- a/src/scheduling/tests/schedulernode_test.cpp
+++ b/src/scheduling/tests/schedulernode_test.cpp
@@ -1,4 +1,6 @@
 #include "scheduling/controlrows.h"
+#include "scheduling/jobrowcodec.h"
+#include "scheduling/jobrows.h"
 #include "scheduling/schedulernode.h"
 #include "scheduling/tests/mocks/fakefleet.h"
 
@@ -89,5 +91,25 @@
   EXPECT_EQ(Node_->pendingJobCount("queue"), std::nullopt);
 }
 
+TEST_F(SchedulerNodeTest, StoresThePolicyOfTheQueueWithTheJob) {
+  start();
+  QueueSetting Queue;
+  Queue.Name_ = "queue";
+  Queue.Pool_ = "pool";
+  Queue.Priority_ = 2;
+  Queue.MaxFailedRuns_ = 5;
+  Queue.Stretch_ = 1.6;
+  Queue.TargetLatency_ = milliseconds(600);
+  Queue.NeedsAdvice_ = true;
+  JobSpec Spec;
+  Spec.Steps_ = {StepSpec()};
+  Node_->jobRequests().submit(Queue, "aa", Spec, milliseconds(1000),
+                              [](const JobResponse &) {});
+  StoreKey Row = jobrows::keyOf("queue", "aa", JobRowKind::Submission);
+  auto Stored = jobrowcodec::decode(Store_.Rows_[Row].Value_);
+  ASSERT_TRUE(Stored);
+  EXPECT_EQ(Stored.value().Policy_, QueuePolicy(Queue));
+}
+
 } // namespace
 } // namespace dragonflylock
