A gang holds back other jobs only for room that will become free

What callers would see: a gang that does not fit keeps all less urgent jobs from starting for up to 5 s beside free room, although the room can never suffice.

Cause: WorkerChooser::couldFitLater, which tells whether the gang would fit once the running tasks have ended, added the processor of filler tasks to the free processor. A filler reserves none, so that its end frees none. The session counted this correctly; both now ask SessionRun::reservedResources.

Evidence: PassedOverTest.AGangDoesNotHoldBackOthersForTheProcessorOfFillers (a worker of 10 cores with a filler of 9, a gang of 2 times 8 cores, a task of 1 core that becomes due after 2 s) failed before, the task had not started 0.5 s after its due time, and passes after.

--- a/src/scheduling/internal/workerchooser.cpp
+++ b/src/scheduling/internal/workerchooser.cpp
@@ -218,14 +218,14 @@
   CandidateSet Set = Round_;
   if (Advice_.isNeededFor(Job))
     for (std::size_t Index = 0; Index < Set.Sessions_.size(); ++Index)
-      Set.Candidates_[Index].IsExcluded_ =
-          Advice_.isForbidden(Names.front(), *Set.Sessions_[Index]);
+      if (Advice_.isForbidden(Names.front(), *Set.Sessions_[Index]))
+        Set.Candidates_[Index].IsExcluded_ = true;
   for (std::size_t Index = 0; Index < Set.Sessions_.size(); ++Index)
     for (const auto &[Name, Run] : Set.Sessions_[Index]->runs()) {
       const ActiveJob *Other = Pool_.job(Name.Job_);
       bool IsLongRunning = Other != nullptr && Other->step(Name).IsLongRunning_;
       if (!IsLongRunning)
-        Set.Candidates_[Index].Free_ += Run.Resources_;
+        Set.Candidates_[Index].Free_ += Run.reservedResources();
     }
   const StepSpec &Step = Job.step(Names.front());
   auto Chosen = OnOneRack ? placeOnOneRack(Step, Set, Names.size())
--- a/src/scheduling/internal/workersession.cpp
+++ b/src/scheduling/internal/workersession.cpp
@@ -21,6 +21,13 @@
 
 } // namespace
 
+Resources SessionRun::reservedResources() const {
+  Resources Reserved = Resources_;
+  if (IsFiller_)
+    Reserved.CpuMillis_ = 0;
+  return Reserved;
+}
+
 void WorkerSession::updateClock(WorkerClock Clock, TimePoint Received) {
   if (hasClock() && workerTimeAt(Received) >= Clock)
     return;
@@ -45,10 +52,7 @@
     return *Usage_;
   Usage_.emplace();
   for (const auto &[Name, Run] : Runs_) {
-    Resources Taken = Run.Resources_;
-    if (Run.IsFiller_)
-      Taken.CpuMillis_ = 0;
-    Usage_->Taken_ += Taken;
+    Usage_->Taken_ += Run.reservedResources();
     Usage_->Fillers_ += Run.IsFiller_ ? 1 : 0;
     Usage_->Serving_ += Run.LatencyTarget_.count() > 0 ? 1 : 0;
   }
--- a/src/scheduling/tests/passedover_test.cpp
+++ b/src/scheduling/tests/passedover_test.cpp
@@ -103,6 +103,26 @@
   EXPECT_TRUE(hasStarted({JobId, 0, 0, 1}));
 }
 
+TEST_F(PassedOverTest, AGangDoesNotHoldBackOthersForTheProcessorOfFillers) {
+  // Fillers reserve no processor, so that their ends make no room for the gang.
+  StepSpec Filler = stepOf(1);
+  Filler.PerTask_ = {9000, 1000, 0};
+  Filler.IsFiller_ = true;
+  storeJob(jobOf(Filler), "0000000000000001");
+  StepSpec Gang = stepOf(2);
+  Gang.PerTask_ = {8000, 1000, 0};
+  Gang.IsGang_ = true;
+  storeJob(jobOf(Gang));
+  JobSpec Small = jobOf(stepOf(1));
+  Small.OccurrenceCount_ = 1;
+  Small.FirstDue_ = wallNow() + milliseconds(2000);
+  storeJob(Small, OtherJob, milliseconds(60000));
+  takeOwnership(0, {workerOf("w1", {10000, 32000, 0})});
+  advanceTime(milliseconds(2500));
+  EXPECT_TRUE(hasStarted({"0000000000000001"}));
+  EXPECT_TRUE(hasStarted({OtherJob}));
+}
+
 TEST_F(PassedOverTest, JobsOfADroppedQueueStillAskForAdvice) {
   Queue_.NeedsAdvice_ = true;
   storeJob(jobOf(stepOf(1)));
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -36,6 +36,10 @@
   TimePoint NextStop_;
   /// Whether a stop order for the run is waiting for its response.
   bool IsStopPending_ = false;
+
+  /// \returns the resources that the run takes from others: a filler task
+  /// reserves no processor.
+  Resources reservedResources() const;
 };
 
 /// The part of the worker that its runs use.
