--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <utility>
 
 namespace dragonflylock {
@@ -34,6 +35,9 @@
 /// How long after a gang became startable the reservation ends, so that less
 /// urgent tasks start again. Ordinary tasks end within this time.
 constexpr std::chrono::milliseconds MaxGangReservation{6000};
+/// Longest wait for a rack. Users count a job as lost when it has waited for
+/// 3 s beside free workers.
+constexpr std::chrono::milliseconds MaxRackWait{2000};
 /// Maximum time between two scans for unwanted runs.
 constexpr std::chrono::milliseconds MaxStopScanInterval{100};
 
@@ -53,22 +57,24 @@
 }
 
 bool Dispatcher::dispatchJob(ActiveJob &Job) {
-  std::uint32_t UnplaceableStep = UINT32_MAX;
-  std::map<std::pair<std::uint32_t, std::uint32_t>, std::vector<TaskName>>
-      Gangs;
+  // Occurrence and step. Each occurrence of a step may use other workers.
+  using StepKey = std::pair<std::uint32_t, std::uint32_t>;
+  std::optional<StepKey> UnplaceableStep;
+  std::map<StepKey, std::vector<TaskName>> Gangs;
   for (const TaskName &Name :
        Job.startableTasks(Pool_.Clock_.now(), Pool_.wallTime())) {
+    const StepKey Step{Name.Occurrence_, Name.Step_};
     if (Job.step(Name).IsGang_) {
-      Gangs[{Name.Occurrence_, Name.Step_}].push_back(Name);
+      Gangs[Step].push_back(Name);
       continue;
     }
-    if (Name.Step_ == UnplaceableStep)
+    if (Step == UnplaceableStep)
       continue;
     if (!admits(1))
       return false;
     WorkerSession *Session = workerFor(Job, Name);
     if (Session == nullptr) {
-      UnplaceableStep = Name.Step_;
+      UnplaceableStep = Step;
       Job.updateCapacityWait(/*IsMissing=*/true, Pool_.Clock_.now());
       continue;
     }
@@ -96,8 +102,9 @@
 bool Dispatcher::mayWaitForRack(const StepSpec &Step,
                                 const StepRun &StepState) const {
   // Waiting for longer than the extra run time on another rack gains nothing.
-  auto MaxWait = std::chrono::duration_cast<std::chrono::milliseconds>(
+  auto ExtraTime = std::chrono::duration_cast<std::chrono::milliseconds>(
       (Pool_.Settings_.OffRackSlowdown_ - 1) * Step.Estimate_);
+  auto MaxWait = std::min(ExtraTime, MaxRackWait);
   return Pool_.Clock_.now() < StepState.CapacityWaitSince_ + MaxWait;
 }
 
--- /dev/null
+++ b/src/scheduling/tests/passedover_test.cpp
@@ -0,0 +1,173 @@
+#include "scheduling/tests/mocks/ownertest.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace dragonflylock {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Guards against startable tasks that an owner passes over although a worker
+/// has room for them.
+class PassedOverTest : public OwnerTest {
+protected:
+  static constexpr const char *OtherJob = "00000000000000bb";
+
+  PassedOverTest() { Queue_.MaxFailedRuns_ = 3; }
+
+  static StepSpec stepOf(std::uint32_t Tasks) {
+    StepSpec Step;
+    Step.TaskCount_ = Tasks;
+    Step.PerTask_ = {1000, 1000, 0};
+    Step.Estimate_ = milliseconds(500);
+    return Step;
+  }
+
+  static JobSpec jobOf(const StepSpec &Step) {
+    JobSpec Spec;
+    Spec.Steps_ = {Step};
+    return Spec;
+  }
+
+  static WorkerEntry workerOnRack(const std::string &Id,
+                                  const std::string &Rack, Resources Capacity) {
+    WorkerEntry Entry = workerOf(Id, Capacity);
+    Entry.Rack_ = Rack;
+    return Entry;
+  }
+
+  milliseconds wallNow() const {
+    return milliseconds(millisecondsSinceEpoch(Clock_.wallNow()));
+  }
+
+  /// Confirms all starts and answers all hold orders with the runs that were
+  /// started so far.
+  void answerAll() {
+    while (!Workers_.Starts_.empty()) {
+      RecordingWorkers::Start Next = Workers_.takeStart();
+      Running_[Next.Target_.Id_].push_back(
+          {Next.Order_.Task_, Next.Order_.Run_, "", 100, 0});
+      Started_.push_back(Next.Order_.Task_);
+      Next.Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+    }
+    std::deque<RecordingWorkers::Hold> Holds;
+    Holds.swap(Workers_.Holds_);
+    for (RecordingWorkers::Hold &Each : Holds)
+      Each.Done_(acceptedAnswer(Running_[Each.Target_.Id_]));
+    tickTwice();
+  }
+
+  void advanceTime(milliseconds Length) {
+    for (milliseconds Passed{0}; Passed < Length; Passed += milliseconds(100)) {
+      Clock_.advance(milliseconds(100));
+      Owner_->tick();
+      answerAll();
+    }
+  }
+
+  bool hasStarted(const TaskName &Task) const {
+    return std::find(Started_.begin(), Started_.end(), Task) != Started_.end();
+  }
+
+  /// Runs started so far, by the worker's id.
+  std::map<std::string, std::vector<ListedRun>> Running_;
+  std::vector<TaskName> Started_;
+};
+
+TEST_F(PassedOverTest, TasksStartWhileAnEarlierOccurrenceFindsNoWorker) {
+  // The second task of the first occurrence may not join the first one.
+  StepSpec Step = stepOf(2);
+  Step.MaxPerWorker_ = 1;
+  JobSpec Spec = jobOf(Step);
+  Spec.OccurrenceCount_ = 2;
+  Spec.FirstDue_ = wallNow() - milliseconds(100);
+  Spec.Interval_ = milliseconds(50);
+  storeJob(Spec);
+  takeOwnership(0, {workerOf("w1", {16000, 32000, 0})});
+  advanceTime(milliseconds(1000));
+  EXPECT_TRUE(hasStarted({JobId, 0, 0, 0}));
+  EXPECT_TRUE(hasStarted({JobId, 1, 0, 0}));
+}
+
+TEST_F(PassedOverTest, TasksDoNotWaitLongForAFullRackBesideFreeWorkers) {
+  StepSpec Step = stepOf(2);
+  Step.DataRack_ = "r1-1";
+  Step.Estimate_ = milliseconds(9000);
+  storeJob(jobOf(Step));
+  takeOwnership(0, {workerOnRack("w1", "r1-1", {500, 500, 0}),
+                    workerOnRack("w2", "r1-2", {16000, 32000, 0})});
+  advanceTime(milliseconds(2500));
+  EXPECT_TRUE(hasStarted({JobId, 0, 0, 0}));
+  EXPECT_TRUE(hasStarted({JobId, 0, 0, 1}));
+}
+
+TEST_F(PassedOverTest, AGangDoesNotHoldBackOthersForTheProcessorOfFillers) {
+  // Fillers reserve no processor, so that their ends make no room for the gang.
+  StepSpec Filler = stepOf(1);
+  Filler.PerTask_ = {9000, 1000, 0};
+  Filler.IsFiller_ = true;
+  storeJob(jobOf(Filler), "0000000000000001");
+  StepSpec Gang = stepOf(2);
+  Gang.PerTask_ = {8000, 1000, 0};
+  Gang.IsGang_ = true;
+  storeJob(jobOf(Gang));
+  JobSpec Small = jobOf(stepOf(1));
+  Small.OccurrenceCount_ = 1;
+  Small.FirstDue_ = wallNow() + milliseconds(2000);
+  storeJob(Small, OtherJob, milliseconds(60000));
+  takeOwnership(0, {workerOf("w1", {10000, 32000, 0})});
+  advanceTime(milliseconds(2500));
+  EXPECT_TRUE(hasStarted({"0000000000000001"}));
+  EXPECT_TRUE(hasStarted({OtherJob}));
+}
+
+TEST_F(PassedOverTest, JobsOfADroppedQueueStillAskForAdvice) {
+  Queue_.NeedsAdvice_ = true;
+  storeJob(jobOf(stepOf(1)));
+  buildOwner(0);
+  auto Dropped = std::make_shared<SchedulingConfiguration>();
+  Dropped->Version_ = 2;
+  Dropped->Pools_ = {{"pool", true, false}};
+  Owner_->onConfiguration(Dropped);
+  Owner_->onWorkers({workerOf("w1", {16000, 32000, 0})});
+  for (int Round = 0; Round < 5; ++Round)
+    Owner_->tick();
+  answerAll();
+  EXPECT_TRUE(Workers_.Starts_.empty());
+  ASSERT_FALSE(Advisor_.Calls_.empty());
+  Advice Allowed;
+  Allowed.IsValid_ = true;
+  Allowed.Validity_ = milliseconds(3000);
+  Allowed.Tickets_["w1"] = "ticket";
+  Advisor_.Calls_.front().Answer_(Allowed);
+  Owner_->tick();
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  EXPECT_EQ(Workers_.Starts_.front().Order_.Ticket_, "ticket");
+}
+
+TEST_F(PassedOverTest, JobsOfADroppedQueueKeepTheirNumberOfAttempts) {
+  Queue_.MaxFailedRuns_ = 6;
+  storeJob(jobOf(stepOf(1)));
+  takeOwnership(0, {workerOf("w1", {16000, 32000, 0})});
+  auto Dropped = std::make_shared<SchedulingConfiguration>();
+  Dropped->Version_ = 2;
+  Dropped->Pools_ = {{"pool", true, false}};
+  Owner_->onConfiguration(Dropped);
+  std::uint64_t Sequence = 0;
+  for (int Failure = 0; Failure < 5; ++Failure) {
+    advanceTime(milliseconds(14000));
+    ASSERT_EQ(Running_["w1"].size(), 1U) << "after failure " << Failure;
+    ListedRun Run = Running_["w1"].front();
+    Running_["w1"].clear();
+    ASSERT_FALSE(Workers_.Holds_.empty());
+    Workers_.takeHold().Done_(acceptedAnswer(
+        {}, {{++Sequence, Run.Task_, Run.Run_, EndKind::Failed, ""}}));
+    Owner_->tick();
+  }
+  EXPECT_EQ(Owner_->stateOf(JobId), JobPhase::Queued);
+}
+
+} // namespace
+} // namespace dragonflylock
