Log the submissions and time-outs of the emulator's callers

The nodes' lines say how a submission was answered, not when its caller sent it or gave up waiting.

EMULATOR_LOG prints caller.submitted and caller.timed-out, each with the job, the attempt and the node.

--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -45,6 +45,8 @@
   void poll(const std::string &Id, const std::string &Queue);
   void cancel(const std::string &Id, const std::string &Queue);
   EmulatedNode *pickReadyNode();
+  void logCaller(const char *Step, const std::string &Id, std::uint32_t Attempt,
+                 const std::string &Node) const;
   void announceWave();
 
   EmulatorOptions Options_;
@@ -149,6 +151,15 @@
   }
 }
 
+void Emulator::Impl::logCaller(const char *Step, const std::string &Id,
+                               std::uint32_t Attempt,
+                               const std::string &Node) const {
+  if (Context_.IsLogging_)
+    std::printf("%8lld caller event=caller.%s job=%s attempt=%u node=%s\n",
+                static_cast<long long>(Simulation_.elapsed().count()), Step,
+                Id.c_str(), Attempt, Node.c_str());
+}
+
 void Emulator::Impl::submit(const std::string &Id, const QueueSetting &Queue,
                             std::uint32_t Attempt) {
   auto ScheduleRetry = [this, Id, Queue, Attempt](milliseconds Delay) {
@@ -161,6 +172,7 @@
     ScheduleRetry(milliseconds(500));
     return;
   }
+  logCaller("submitted", Id, Attempt, Node->name());
   ObservedJob &Record = Checker_.job(Id);
   // The job may be stored unless a refusal arrives.
   bool CouldBeAcceptedBefore = Record.MayBeAccepted_;
@@ -186,9 +198,11 @@
           Checker_.job(Id).MayBeAccepted_ = CouldBeAcceptedBefore;
         ScheduleRetry(Response.RetryAfter_ + milliseconds(100));
       });
-  Simulation_.schedule(CallerTimeout, [=] {
-    if (!*HasResponse)
-      ScheduleRetry(milliseconds(100));
+  Simulation_.schedule(CallerTimeout, [=, this, Name = Node->name()] {
+    if (*HasResponse)
+      return;
+    logCaller("timed-out", Id, Attempt, Name);
+    ScheduleRetry(milliseconds(100));
   });
 }
 
--- a/tools/emulator/main.cpp
+++ b/tools/emulator/main.cpp
@@ -25,7 +25,8 @@
   --spare=N      Machines in a spare pool that has no queue [default: 4].
   -h --help      Show this text.
 
-Set EMULATOR_LOG to print the log lines of the nodes.
+Set EMULATOR_LOG to print the log lines of the nodes and the callers'
+submissions.
 )";
 
 std::uint64_t numberOf(const docopt::value &Value) {
