Emulator: a late refusal no longer counts for submissions that overlap it

What callers saw: job 0d is sent to n5 at 27.803 s. The store refuses all calls from 25.303 to 31.968 s, and n5 is frozen from 28.789 to 31.663 s. The caller gives up at 30.803 s and sends the job to n1 at 30.903 s. n5 thaws and refuses its attempt at 31.667 s, n1 stores the job and accepts it at 31.996 s, and n2 starts it at 32.284 s. Job 95 goes the same way. Each answer is true: n5's attempt had been refused by the store each time and left nothing behind; the caller was told that the job runs before it ran. REFUSED asks that all attempts were refused.

Cause: the model kept one flag per job, "may be accepted". An attempt saved the flag when it was sent and restored it when it was refused. That is right only while attempts do not overlap. Here the refusal of the earlier attempt restored "not accepted" although the later one was under way, and an acceptance did not set the flag again. The old check also erred the other way (by reading): of two attempts that overlap, the later one saved "may be accepted" because of the earlier one, so that a job was free to start after both had been refused.

The model now counts the attempts that were sent and not refused; a job that starts while there are none breaks REFUSED. An attempt without a response or with an unknown outcome counts for good, as before.

Ruled out: that the scheduler forgets a write without a response (no write of these requests was lost: the store refused all calls meanwhile), a late write (the fault that delays writes, by 6 s at most, ended at 12.4 s), a kill with a request under way (neither n5 nor n1 ends after 14.7 s).

--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -173,13 +173,10 @@
     return;
   }
   logCaller("submitted", Id, Attempt, Node->name());
-  ObservedJob &Record = Checker_.job(Id);
-  // The job may be stored unless a refusal arrives.
-  bool CouldBeAcceptedBefore = Record.MayBeAccepted_;
-  Record.MayBeAccepted_ = true;
+  Checker_.onSubmitted(Id);
   auto HasResponse = std::make_shared<bool>(false);
   Node->readyScheduler()->jobRequests().submit(
-      Queue, Id, Record.Spec_, CallerTimeout,
+      Queue, Id, Checker_.job(Id).Spec_, CallerTimeout,
       [=, this](const JobResponse &Response) {
         *HasResponse = true;
         if (Response.Outcome_ == JobRequestOutcome::Accepted) {
@@ -195,7 +192,7 @@
           return;
         }
         if (Response.Outcome_ == JobRequestOutcome::Refused)
-          Checker_.job(Id).MayBeAccepted_ = CouldBeAcceptedBefore;
+          Checker_.onRefused(Id);
         ScheduleRetry(Response.RetryAfter_ + milliseconds(100));
       });
   Simulation_.schedule(CallerTimeout, [=, this, Name = Node->name()] {
--- a/src/emulator/internal/invariantchecker.cpp
+++ b/src/emulator/internal/invariantchecker.cpp
@@ -29,7 +29,7 @@
     return;
   }
   ObservedJob &Job = Found->second;
-  if (!Job.MayBeAccepted_)
+  if (Job.UnrefusedSubmissions_ == 0)
     Simulation_.reportViolation(
         "REFUSED", Task.text() + " starts although all attempts to "
                                  "submit its job were refused");
@@ -108,6 +108,14 @@
     Job.AcknowledgedFailures_[Task].insert(Run);
 }
 
+void InvariantChecker::onSubmitted(const std::string &Id) {
+  ++Jobs_[Id].UnrefusedSubmissions_;
+}
+
+void InvariantChecker::onRefused(const std::string &Id) {
+  --Jobs_[Id].UnrefusedSubmissions_;
+}
+
 void InvariantChecker::onAccepted(const std::string &Id) {
   Jobs_[Id].IsAccepted_ = true;
 }
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -22,9 +22,9 @@
   /// Whether starts must carry a ticket.
   bool NeedsAdvice_ = false;
   bool IsAccepted_ = false;
-  /// Whether some attempt to submit the job was not refused (or not yet), so
-  /// that the job may be stored.
-  bool MayBeAccepted_ = false;
+  /// Number of attempts to submit the job that were not refused (or not yet).
+  /// The job may be stored while there are any.
+  std::uint32_t UnrefusedSubmissions_ = 0;
   bool WasReportedCompleted_ = false;
   bool WasReportedFailed_ = false;
   TimePoint CancelledAt_;
@@ -78,6 +78,10 @@
   void onEndAcknowledged(const TaskName &Task, RunNumber Run, EndKind Kind);
   /// Called when a member of a gang has timed out waiting for the others.
   void onGangIncomplete(const TaskName &Task);
+  /// Called for each attempt to submit the job \p Id that a caller sends.
+  void onSubmitted(const std::string &Id);
+  /// Called when one of the attempts to submit the job \p Id was refused.
+  void onRefused(const std::string &Id);
   void onAccepted(const std::string &Id);
   void onStateReported(const std::string &Id, JobPhase State);
   /// Checks that nodes don't send conflicting orders for a machine: an older
--- a/src/emulator/tests/emulator_test.cpp
+++ b/src/emulator/tests/emulator_test.cpp
@@ -80,6 +80,14 @@
   EXPECT_EQ(Report.Accepted_, Report.Jobs_);
 }
 
+TEST(EmulatorTest, SubmissionsThatOverlapALateRefusalBreakNoRule) {
+  EmulatorOptions Options;
+  Options.Seed_ = 30132;
+  Options.Nodes_ = 7;
+  Options.Faults_ = 10;
+  runEmulator(Options);
+}
+
 class MixedFaults : public testing::TestWithParam<int> {};
 
 TEST_P(MixedFaults, BreakNoRule) {
