Emulator: a refusal that arrives after the job has started breaks REFUSED

A node whose write had no response, whose job was started by its owner, and which then said "refused" was found only if another task of the job started later. The rule asks that no job starts of which all attempts are refused, whichever comes first.

The checker now also looks when a refusal arrives: a job that has started must keep an attempt that was not refused. Attempts without a response count as not refused, as before, so that nothing is reported that the protocol allows.

Evidence: `InvariantCheckerTest.ReportsRefusalOfAJobThatHasStarted` fails without the change and passes with it.

--- a/src/emulator/internal/invariantchecker.cpp
+++ b/src/emulator/internal/invariantchecker.cpp
@@ -113,7 +113,12 @@
 }
 
 void InvariantChecker::onRefused(const std::string &Id) {
-  --Jobs_[Id].UnrefusedSubmissions_;
+  ObservedJob &Job = Jobs_[Id];
+  --Job.UnrefusedSubmissions_;
+  if (Job.UnrefusedSubmissions_ == 0 && !Job.StartedAt_.empty())
+    Simulation_.reportViolation(
+        "REFUSED", Id + " has started although all attempts to submit it were "
+                        "refused");
 }
 
 void InvariantChecker::onAccepted(const std::string &Id) {
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -80,7 +80,8 @@
   void onGangIncomplete(const TaskName &Task);
   /// Called for each attempt to submit the job \p Id that a caller sends.
   void onSubmitted(const std::string &Id);
-  /// Called when one of the attempts to submit the job \p Id was refused.
+  /// Called when one of the attempts to submit the job \p Id was refused. A job
+  /// that has started must not be left without an unrefused attempt.
   void onRefused(const std::string &Id);
   void onAccepted(const std::string &Id);
   void onStateReported(const std::string &Id, JobPhase State);
--- a/src/emulator/tests/invariantchecker_test.cpp
+++ b/src/emulator/tests/invariantchecker_test.cpp
@@ -55,5 +55,12 @@
   EXPECT_THAT(Simulation_.violations(), IsEmpty());
 }
 
+TEST_F(InvariantCheckerTest, ReportsRefusalOfAJobThatHasStarted) {
+  Checker_.onSubmitted(Id_);
+  startTask();
+  Checker_.onRefused(Id_);
+  EXPECT_THAT(Simulation_.violations(), ElementsAre(HasSubstr("REFUSED")));
+}
+
 } // namespace
 } // namespace dragonflylock
