Tests, failing: a refused repeat of a request hides that it may have run

Found by reading, while looking for a cause of REFUSED in the scheduler. libcurl sends a request again by itself when a reused connection closes before an answer. If the second copy is refused (429, 503), the client reports the refusal, though the store may have applied the first copy, or may yet. `TableStore` then says that nothing was written, and a caller is told that a job never runs that may be stored.

--- a/src/http/tests/curlasyncclient_test.cpp
+++ b/src/http/tests/curlasyncclient_test.cpp
@@ -1,17 +1,21 @@
+#include "http/httperrors.h"
 #include "http/ihttphandler.h"
 #include "http/ihttpresponder.h"
 #include "http/internal/curlasyncclient.h"
+#include "http/internal/curlclient.h"
 #include "http/internal/restinioserver.h"
 #include "http/tests/mocks/countingserver.h"
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <future>
 
 namespace dragonflylock {
 namespace {
 
-/// Answers with the request's body, or not at all on the path "/abort".
+/// Answers with the request's body, or not at all on the path "/abort". On the
+/// path "/lost", the first request gets no answer and later ones are refused.
 class EchoHandler : public IHttpHandler {
 public:
   void handle(HttpRequest Request,
@@ -20,8 +24,17 @@
       Responder->abort();
       return;
     }
+    if (Request.path() == "/lost") {
+      if (++RequestsToLost_ == 1)
+        Responder->abort();
+      else
+        Responder->answer({httpstatus::Unavailable, {}, ""});
+      return;
+    }
     Responder->answer({httpstatus::Ok, {}, Request.Body_});
   }
+
+  std::atomic<int> RequestsToLost_ = 0;
 };
 
 class CurlAsyncClientTest : public testing::Test {
@@ -78,6 +91,26 @@
   EXPECT_EQ(exchange(Port, "/echo").Outcome_, ExchangeOutcome::NotSent);
 }
 
+TEST_F(CurlAsyncClientTest, RefusedRepeatDoesNotHideThatTheRequestMayHaveRun) {
+  exchange(Server_.port(), "/echo");
+  ExchangeEnd End = exchange(Server_.port(), "/lost");
+  ASSERT_EQ(Handler_.RequestsToLost_, 2)
+      << "libcurl did not repeat the request";
+  EXPECT_EQ(End.Outcome_, ExchangeOutcome::AnswerLost);
+}
+
+TEST_F(CurlAsyncClientTest, BlockingClientDoesNotReportARefusedRepeatEither) {
+  const std::string Url = "http://127.0.0.1:" + std::to_string(Server_.port());
+  constexpr std::chrono::seconds Timeout(20);
+  CurlClient Blocking;
+  ASSERT_TRUE(Blocking.exchange(Url, {"POST", "/echo", {}, "body"}, Timeout));
+  auto Answer = Blocking.exchange(Url, {"POST", "/lost", {}, "body"}, Timeout);
+  ASSERT_EQ(Handler_.RequestsToLost_, 2)
+      << "libcurl did not repeat the request";
+  ASSERT_FALSE(Answer);
+  EXPECT_EQ(Answer.error().kind(), HttpErrc::AnswerLost);
+}
+
 /// A client that calls many workers, each on an address of its own.
 class CallsToManyWorkersTest : public testing::Test {
 protected:
