Count a refused repeat of a request as a lost answer

Callers could see: 503, "was not accepted and never runs", for a job that is stored and starts (REFUSED).

Cause: the clients of the store, the workers and the platform reuse connections. libcurl repeats a request by itself when a reused connection closes before an answer. It then reports the answer to the second copy only. PROTOCOL lets a store that resets a channel refuse the next call and still carry out the first, even seconds later. `TableStore` took the 503 for "nothing was written", and `JobRequestHandler` said "refused". The same answer could hide a start order that a worker carries out late, a renewed lease (412 by the caller's own first copy) or a machine order.

Fix: `CurlTransfer` counts the copies (CURLOPT_PREREQFUNCTION is called before each). If there was more than one, and the request does more than read, an answer other than 2xx ends as AnswerLost. The callers of the clients know that outcome already: the store's write becomes "unknown", is tried again under its condition, and the request ends as accepted or unknown, never as refused. Successes stay what they are, so that a connection that was closed while idle costs nothing if the repeat succeeds. A refusal of a repeat is now less exact than it could be: a worker's 421 or 409 to it is not used, and the order counts as unanswered.

Elsewhere: requests to endpoints are not changed, they use a fresh connection unless they may be repeated. A repeat that can't connect was already reported as AnswerLost (tried, since the size of the first copy counts).

Weighed: aborting the second copy. A reused connection that the server closed while idle would then cost an unanswered order each time.

--- a/src/http/iasynchttpclient.h
+++ b/src/http/iasynchttpclient.h
@@ -15,7 +15,8 @@
   Answered,
   /// No byte of the request left this process.
   NotSent,
-  /// The request may have arrived; no whole answer came.
+  /// The request may have arrived; no whole answer came, or the answer refuses
+  /// only a repeated copy of the request.
   AnswerLost,
 };
 
--- a/src/http/internal/curlasyncclient.cpp
+++ b/src/http/internal/curlasyncclient.cpp
@@ -45,7 +45,8 @@
   ExchangeEnd End;
   End.Outcome_ = Transfer.wasOffered() ? ExchangeOutcome::AnswerLost
                                        : ExchangeOutcome::NotSent;
-  if (Transfer.completeness() == CurlTransfer::Completeness::Whole)
+  if (Transfer.completeness() == CurlTransfer::Completeness::Whole &&
+      Transfer.isAnswerConclusive())
     End.Outcome_ = ExchangeOutcome::Answered;
   End.Answer_ = std::move(Transfer.answer());
   report(std::move(Ended.Wanted_.Ended_), std::move(End));
--- a/src/http/internal/curltransfer.cpp
+++ b/src/http/internal/curltransfer.cpp
@@ -6,6 +6,8 @@
 namespace dragonflylock {
 namespace {
 
+constexpr int FirstRedirection = 300;
+
 void initializeOnce() {
   static std::once_flag Once;
   std::call_once(Once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
@@ -58,10 +60,16 @@
   return Size * Count;
 }
 
+int CurlTransfer::onSend(void *Self, char *, char *, int, int) {
+  ++static_cast<CurlTransfer *>(Self)->SentCopies_;
+  return CURL_PREREQFUNC_OK;
+}
+
 void CurlTransfer::setMethod(const HttpRequest &Request) {
   CURL *Handle = Handle_.get();
   curl_easy_setopt(Handle, CURLOPT_CUSTOMREQUEST, Request.Method_.c_str());
   IsHead_ = Request.Method_ == "HEAD";
+  IsRead_ = IsHead_ || Request.Method_ == "GET";
   if (IsHead_) {
     curl_easy_setopt(Handle, CURLOPT_NOBODY, 1L);
     return;
@@ -102,6 +110,7 @@
   IsTooLarge_ = false;
   IsHeadWhole_ = false;
   WasOffered_ = false;
+  SentCopies_ = 0;
   LargestAnswer_ = LargestAnswer;
   Completeness_ = Completeness::Missing;
   std::string Url = BaseUrl + Request.Target_;
@@ -116,6 +125,8 @@
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(Handle, CURLOPT_HEADERFUNCTION, &CurlTransfer::onHeader);
   curl_easy_setopt(Handle, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION, &CurlTransfer::onSend);
+  curl_easy_setopt(Handle, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(Handle, CURLOPT_PRIVATE, this);
   if (Policy == ConnectionPolicy::FreshOnly) {
     curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, 1L);
@@ -143,6 +154,18 @@
   return isFramed() ? Completeness::Whole : Completeness::Unframed;
 }
 
+bool CurlTransfer::isAnswerConclusive() const {
+  bool IsSuccess =
+      Answer_.Status_ >= httpstatus::Ok && Answer_.Status_ < FirstRedirection;
+  return SentCopies_ <= 1 || IsRead_ || IsSuccess;
+}
+
+const char *CurlTransfer::description() const {
+  if (Code_ == CURLE_OK && !isAnswerConclusive())
+    return "a copy of the request got no answer, the repeat was refused";
+  return curl_easy_strerror(Code_);
+}
+
 void CurlTransfer::finish(CURLcode Code) {
   Code_ = Code;
   CURL *Handle = Handle_.get();
--- a/src/http/internal/curltransfer.h
+++ b/src/http/internal/curltransfer.h
@@ -45,6 +45,11 @@
   /// Reads the result of the transfer after libcurl has ended it.
   void finish(CURLcode Code);
 
+  /// \returns whether the answer tells what became of the request. libcurl
+  /// repeats a request by itself when a reused connection closes without an
+  /// answer; a refusal of the repeat says nothing of the first copy, which may
+  /// have taken effect or may still do so.
+  bool isAnswerConclusive() const;
   /// \returns whether any byte of the request may have left this process.
   bool wasOffered() const { return WasOffered_; }
   /// \returns whether the transfer ended because its time was up.
@@ -53,8 +58,8 @@
   Completeness completeness() const { return Completeness_; }
   /// \returns the answer as far as it was received.
   HttpAnswer &answer() { return Answer_; }
-  /// \returns libcurl's text for the way the transfer ended.
-  const char *description() const { return curl_easy_strerror(Code_); }
+  /// \returns a text for the way the transfer ended.
+  const char *description() const;
   /// \returns the handle.
   CURL *handle() { return Handle_.get(); }
 
@@ -70,6 +75,9 @@
                             void *Self);
   static std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
                               void *Self);
+  /// Called by libcurl each time that it is about to send the request.
+  static int onSend(void *Self, char *ServerAddress, char *LocalAddress,
+                    int ServerPort, int LocalPort);
   void setMethod(const HttpRequest &Request);
   void setHeaders(const HttpRequest &Request);
   Completeness judge() const;
@@ -79,6 +87,10 @@
   std::unique_ptr<curl_slist, ListDeleter> HeaderList_;
   HttpAnswer Answer_;
   std::size_t LargestAnswer_ = 0;
+  /// Number of times that libcurl has sent the request.
+  int SentCopies_ = 0;
+  /// Whether the request only reads.
+  bool IsRead_ = false;
   bool IsHead_ = false;
   bool IsHeadWhole_ = false;
   bool IsTooLarge_ = false;
