Emulator: cancellations that overlap no longer settle one another

A job that two attempts of its submission report as accepted may be cancelled twice.

- The response to either settled both: a refused second one hid that the first, without a response, may be stored, and a job that it ends would break LOST.
- The later acknowledgement replaced the earlier one, from which the time in which tasks may still start (UNASKED) is counted: the check was too lax.

The checker counts the cancellations without a definite response and keeps the time of the first acknowledgement. A job with none of either must still end.

--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -227,16 +227,14 @@
     poll(Id, Queue);
     return;
   }
-  // The cancellation may or may not be stored until a response arrives.
-  Checker_.job(Id).MayBeCancelled_ = true;
+  Checker_.onCancellationSent(Id);
   Node->readyScheduler()->jobRequests().cancel(
       Queue, Id, CallerTimeout, [=, this](const JobResponse &Response) {
-        bool IsUnknown = Response.Outcome_ == JobRequestOutcome::Unknown;
-        Checker_.job(Id).MayBeCancelled_ = IsUnknown;
-        if (Response.Outcome_ == JobRequestOutcome::Accepted &&
-            Response.State_ == JobPhase::Cancelled)
-          Checker_.job(Id).CancelledAt_ = Simulation_.now();
-        else
+        bool IsCancelled = Response.Outcome_ == JobRequestOutcome::Accepted &&
+                           Response.State_ == JobPhase::Cancelled;
+        if (Response.Outcome_ != JobRequestOutcome::Unknown)
+          Checker_.onCancellationSettled(Id, IsCancelled);
+        if (!IsCancelled)
           poll(Id, Queue);
       });
 }
--- a/src/emulator/internal/invariantchecker.cpp
+++ b/src/emulator/internal/invariantchecker.cpp
@@ -125,6 +125,18 @@
   Jobs_[Id].IsAccepted_ = true;
 }
 
+void InvariantChecker::onCancellationSent(const std::string &Id) {
+  ++Jobs_[Id].UnsettledCancellations_;
+}
+
+void InvariantChecker::onCancellationSettled(const std::string &Id,
+                                             bool IsCancelled) {
+  ObservedJob &Job = Jobs_[Id];
+  --Job.UnsettledCancellations_;
+  if (IsCancelled && Job.CancelledAt_ == TimePoint())
+    Job.CancelledAt_ = Simulation_.now();
+}
+
 void InvariantChecker::onStateReported(const std::string &Id, JobPhase State) {
   ObservedJob &Job = Jobs_[Id];
   if (State == JobPhase::Failed)
@@ -233,7 +245,7 @@
     bool IsLongRunning =
         std::any_of(Job.Spec_.Steps_.begin(), Job.Spec_.Steps_.end(),
                     [](const StepSpec &Step) { return Step.IsLongRunning_; });
-    bool MustComplete = Job.IsAccepted_ && !Job.MayBeCancelled_ &&
+    bool MustComplete = Job.IsAccepted_ && Job.UnsettledCancellations_ == 0 &&
                         Job.CancelledAt_ == TimePoint();
     if (MustComplete && IsLongRunning) {
       std::size_t Running = 0;
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -28,9 +28,9 @@
   bool WasReportedCompleted_ = false;
   bool WasReportedFailed_ = false;
   TimePoint CancelledAt_;
-  /// Whether a cancellation has had no definite response, so that it may be
+  /// Number of cancellations without a definite response. One of them may be
   /// stored.
-  bool MayBeCancelled_ = false;
+  std::uint32_t UnsettledCancellations_ = 0;
   /// Tasks of which a run ended as done.
   std::set<TaskName> CompletedTasks_;
   /// When the scheduler first acknowledged the end of a done task.
@@ -84,6 +84,11 @@
   /// that has started must not be left without an unrefused attempt.
   void onRefused(const std::string &Id);
   void onAccepted(const std::string &Id);
+  /// Called for each cancellation of the job \p Id that a caller sends.
+  void onCancellationSent(const std::string &Id);
+  /// Called when a cancellation of the job \p Id has had a definite response.
+  /// \param IsCancelled whether the response acknowledges the cancellation.
+  void onCancellationSettled(const std::string &Id, bool IsCancelled);
   void onStateReported(const std::string &Id, JobPhase State);
   /// Checks that nodes don't send conflicting orders for a machine: an older
   /// fencing token, the token of another holder, or an order within the lease
--- a/src/emulator/tests/invariantchecker_test.cpp
+++ b/src/emulator/tests/invariantchecker_test.cpp
@@ -62,5 +62,33 @@
   EXPECT_THAT(Simulation_.violations(), ElementsAre(HasSubstr("REFUSED")));
 }
 
+TEST_F(InvariantCheckerTest, RefusedCancellationDoesNotSettleAnEarlierOne) {
+  Checker_.onAccepted(Id_);
+  Checker_.onCancellationSent(Id_);
+  Checker_.onCancellationSent(Id_);
+  Checker_.onCancellationSettled(Id_, false);
+  Checker_.checkAllJobsEnded();
+  EXPECT_THAT(Simulation_.violations(), IsEmpty());
+}
+
+TEST_F(InvariantCheckerTest, ReportsJobThatEndsNeitherCompletedNorCancelled) {
+  Checker_.onAccepted(Id_);
+  Checker_.onCancellationSent(Id_);
+  Checker_.onCancellationSettled(Id_, false);
+  Checker_.checkAllJobsEnded();
+  EXPECT_THAT(Simulation_.violations(), ElementsAre(HasSubstr("LOST")));
+}
+
+TEST_F(InvariantCheckerTest, RepeatedCancellationDoesNotAllowLaterStarts) {
+  Checker_.onSubmitted(Id_);
+  Checker_.onCancellationSent(Id_);
+  Checker_.onCancellationSettled(Id_, true);
+  Simulation_.runUntil(std::chrono::milliseconds(3500));
+  Checker_.onCancellationSent(Id_);
+  Checker_.onCancellationSettled(Id_, true);
+  startTask();
+  EXPECT_THAT(Simulation_.violations(), ElementsAre(HasSubstr("UNASKED")));
+}
+
 } // namespace
 } // namespace dragonflylock
