--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -45,6 +45,8 @@
   void poll(const std::string &Id, const std::string &Queue);
   void cancel(const std::string &Id, const std::string &Queue);
   EmulatedNode *pickReadyNode();
+  void logCaller(const char *Step, const std::string &Id, std::uint32_t Attempt,
+                 const std::string &Node) const;
   void announceWave();
 
   EmulatorOptions Options_;
@@ -149,6 +151,15 @@
   }
 }
 
+void Emulator::Impl::logCaller(const char *Step, const std::string &Id,
+                               std::uint32_t Attempt,
+                               const std::string &Node) const {
+  if (Context_.IsLogging_)
+    std::printf("%8lld caller event=caller.%s job=%s attempt=%u node=%s\n",
+                static_cast<long long>(Simulation_.elapsed().count()), Step,
+                Id.c_str(), Attempt, Node.c_str());
+}
+
 void Emulator::Impl::submit(const std::string &Id, const QueueSetting &Queue,
                             std::uint32_t Attempt) {
   auto ScheduleRetry = [this, Id, Queue, Attempt](milliseconds Delay) {
@@ -161,13 +172,11 @@
     ScheduleRetry(milliseconds(500));
     return;
   }
-  ObservedJob &Record = Checker_.job(Id);
-  // The job may be stored unless a refusal arrives.
-  bool CouldBeAcceptedBefore = Record.MayBeAccepted_;
-  Record.MayBeAccepted_ = true;
+  logCaller("submitted", Id, Attempt, Node->name());
+  Checker_.onSubmitted(Id);
   auto HasResponse = std::make_shared<bool>(false);
   Node->readyScheduler()->jobRequests().submit(
-      Queue, Id, Record.Spec_, CallerTimeout,
+      Queue, Id, Checker_.job(Id).Spec_, CallerTimeout,
       [=, this](const JobResponse &Response) {
         *HasResponse = true;
         if (Response.Outcome_ == JobRequestOutcome::Accepted) {
@@ -183,12 +192,14 @@
           return;
         }
         if (Response.Outcome_ == JobRequestOutcome::Refused)
-          Checker_.job(Id).MayBeAccepted_ = CouldBeAcceptedBefore;
+          Checker_.onRefused(Id);
         ScheduleRetry(Response.RetryAfter_ + milliseconds(100));
       });
-  Simulation_.schedule(CallerTimeout, [=] {
-    if (!*HasResponse)
-      ScheduleRetry(milliseconds(100));
+  Simulation_.schedule(CallerTimeout, [=, this, Name = Node->name()] {
+    if (*HasResponse)
+      return;
+    logCaller("timed-out", Id, Attempt, Name);
+    ScheduleRetry(milliseconds(100));
   });
 }
 
@@ -216,16 +227,14 @@
     poll(Id, Queue);
     return;
   }
-  // The cancellation may or may not be stored until a response arrives.
-  Checker_.job(Id).MayBeCancelled_ = true;
+  Checker_.onCancellationSent(Id);
   Node->readyScheduler()->jobRequests().cancel(
       Queue, Id, CallerTimeout, [=, this](const JobResponse &Response) {
-        bool IsUnknown = Response.Outcome_ == JobRequestOutcome::Unknown;
-        Checker_.job(Id).MayBeCancelled_ = IsUnknown;
-        if (Response.Outcome_ == JobRequestOutcome::Accepted &&
-            Response.State_ == JobPhase::Cancelled)
-          Checker_.job(Id).CancelledAt_ = Simulation_.now();
-        else
+        bool IsCancelled = Response.Outcome_ == JobRequestOutcome::Accepted &&
+                           Response.State_ == JobPhase::Cancelled;
+        if (Response.Outcome_ != JobRequestOutcome::Unknown)
+          Checker_.onCancellationSettled(Id, IsCancelled);
+        if (!IsCancelled)
           poll(Id, Queue);
       });
 }
--- a/src/emulator/internal/invariantchecker.cpp
+++ b/src/emulator/internal/invariantchecker.cpp
@@ -29,7 +29,7 @@
     return;
   }
   ObservedJob &Job = Found->second;
-  if (!Job.MayBeAccepted_)
+  if (Job.UnrefusedSubmissions_ == 0)
     Simulation_.reportViolation(
         "REFUSED", Task.text() + " starts although all attempts to "
                                  "submit its job were refused");
@@ -108,10 +108,35 @@
     Job.AcknowledgedFailures_[Task].insert(Run);
 }
 
+void InvariantChecker::onSubmitted(const std::string &Id) {
+  ++Jobs_[Id].UnrefusedSubmissions_;
+}
+
+void InvariantChecker::onRefused(const std::string &Id) {
+  ObservedJob &Job = Jobs_[Id];
+  --Job.UnrefusedSubmissions_;
+  if (Job.UnrefusedSubmissions_ == 0 && !Job.StartedAt_.empty())
+    Simulation_.reportViolation(
+        "REFUSED", Id + " has started although all attempts to submit it were "
+                        "refused");
+}
+
 void InvariantChecker::onAccepted(const std::string &Id) {
   Jobs_[Id].IsAccepted_ = true;
 }
 
+void InvariantChecker::onCancellationSent(const std::string &Id) {
+  ++Jobs_[Id].UnsettledCancellations_;
+}
+
+void InvariantChecker::onCancellationSettled(const std::string &Id,
+                                             bool IsCancelled) {
+  ObservedJob &Job = Jobs_[Id];
+  --Job.UnsettledCancellations_;
+  if (IsCancelled && Job.CancelledAt_ == TimePoint())
+    Job.CancelledAt_ = Simulation_.now();
+}
+
 void InvariantChecker::onStateReported(const std::string &Id, JobPhase State) {
   ObservedJob &Job = Jobs_[Id];
   if (State == JobPhase::Failed)
@@ -220,7 +245,7 @@
     bool IsLongRunning =
         std::any_of(Job.Spec_.Steps_.begin(), Job.Spec_.Steps_.end(),
                     [](const StepSpec &Step) { return Step.IsLongRunning_; });
-    bool MustComplete = Job.IsAccepted_ && !Job.MayBeCancelled_ &&
+    bool MustComplete = Job.IsAccepted_ && Job.UnsettledCancellations_ == 0 &&
                         Job.CancelledAt_ == TimePoint();
     if (MustComplete && IsLongRunning) {
       std::size_t Running = 0;
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -22,15 +22,15 @@
   /// Whether starts must carry a ticket.
   bool NeedsAdvice_ = false;
   bool IsAccepted_ = false;
-  /// Whether some attempt to submit the job was not refused (or not yet), so
-  /// that the job may be stored.
-  bool MayBeAccepted_ = false;
+  /// Number of attempts to submit the job that were not refused (or not yet).
+  /// The job may be stored while there are any.
+  std::uint32_t UnrefusedSubmissions_ = 0;
   bool WasReportedCompleted_ = false;
   bool WasReportedFailed_ = false;
   TimePoint CancelledAt_;
-  /// Whether a cancellation has had no definite response, so that it may be
+  /// Number of cancellations without a definite response. One of them may be
   /// stored.
-  bool MayBeCancelled_ = false;
+  std::uint32_t UnsettledCancellations_ = 0;
   /// Tasks of which a run ended as done.
   std::set<TaskName> CompletedTasks_;
   /// When the scheduler first acknowledged the end of a done task.
@@ -78,7 +78,17 @@
   void onEndAcknowledged(const TaskName &Task, RunNumber Run, EndKind Kind);
   /// Called when a member of a gang has timed out waiting for the others.
   void onGangIncomplete(const TaskName &Task);
+  /// Called for each attempt to submit the job \p Id that a caller sends.
+  void onSubmitted(const std::string &Id);
+  /// Called when one of the attempts to submit the job \p Id was refused. A job
+  /// that has started must not be left without an unrefused attempt.
+  void onRefused(const std::string &Id);
   void onAccepted(const std::string &Id);
+  /// Called for each cancellation of the job \p Id that a caller sends.
+  void onCancellationSent(const std::string &Id);
+  /// Called when a cancellation of the job \p Id has had a definite response.
+  /// \param IsCancelled whether the response acknowledges the cancellation.
+  void onCancellationSettled(const std::string &Id, bool IsCancelled);
   void onStateReported(const std::string &Id, JobPhase State);
   /// Checks that nodes don't send conflicting orders for a machine: an older
   /// fencing token, the token of another holder, or an order within the lease
--- a/src/emulator/tests/emulator_test.cpp
+++ b/src/emulator/tests/emulator_test.cpp
@@ -93,6 +93,10 @@
   runEmulator(manyFaults(30036));
 }
 
+TEST(EmulatorTest, SubmissionsThatOverlapALateRefusalBreakNoRule) {
+  runEmulator(manyFaults(30132));
+}
+
 class MixedFaults : public testing::TestWithParam<int> {};
 
 TEST_P(MixedFaults, BreakNoRule) {
