An owner learns of jobs in a queue of a configuration that it skipped

What callers would see: a job that was accepted in a queue shortly after a configuration had added it never starts, if the queue was removed soon after and the pool's owner got the later configuration only, or if the owner that knew the queue ended before its roster was stored.

Cause: an owner follows the queues of its configurations and of the stored roster. Nodes read the configuration as one row, so that of several in quick succession each node has some and skips others; the node that accepts a job and the pool's owner need never have the same one. Nothing told the owner of the queue then, and the job's partition was never read.

Now a node records the queue (control row queue/POOL/QUEUE, once) before it accepts the first job there. Every node follows the control rows, so an owner knows all recorded queues when it takes over and learns of later ones while it runs. Several submissions that wait for one record write it once.

Ruled out: pages, feeds, the restart of a load after lost history and ended ids (read again, all paths deliver a row; JobFollower starts to follow a part before it asks for the part's first page, and changes during the load are delivered again). A route that moves to another service is covered by the pool in the submission and in the record; the users' protocol has no such change.

Evidence: SchedulerNodeTest.OwnerLearnsOfJobsInAQueueOfASkippedConfiguration failed before (the owner held 0 jobs) and passes after; all 151 tests of scheduling pass.

Price: one write a queue, and a first submission that waits for it, about 10 ms.

--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -58,6 +58,12 @@
   std::set<std::string> Queues_;
 };
 
+/// A queue that may hold jobs of a pool.
+struct QueueRow {
+  std::string Pool_;
+  std::string Queue_;
+};
+
 /// Progress of a maintenance wave.
 struct WaveProgress {
   /// When an owner first saw the wave, as time since 1970; later owners measure
@@ -93,6 +99,8 @@
 inline constexpr const char *PendingPrefix = "pending/";
 inline constexpr const char *DemandPrefix = "demand/";
 inline constexpr const char *WavePrefix = "wave/";
+/// One row for each queue and pool, written before the first job is accepted.
+inline constexpr const char *QueuePrefix = "queue/";
 /// One row for each machine, with the node that last gave it an order.
 inline constexpr const char *MachinePrefix = "machine/";
 
@@ -101,6 +109,7 @@
 StoreKey roster(const std::string &Pool);
 StoreKey pending(const std::string &Pool);
 StoreKey demand(const std::string &Pool);
+StoreKey queue(const std::string &Pool, const std::string &Queue);
 StoreKey wave(std::uint64_t Number);
 StoreKey machine(const std::string &Machine);
 
@@ -108,6 +117,7 @@
 std::string encode(const NodeRow &Row);
 std::string encode(const PendingRow &Row);
 std::string encode(const DemandRow &Row);
+std::string encode(const QueueRow &Row);
 std::string encode(const WaveProgress &Row);
 std::string encode(const RosterRow &Row);
 /// The functions below return std::nullopt if the text cannot be decoded.
@@ -115,6 +125,7 @@
 std::optional<NodeRow> decodeNode(const std::string &Text);
 std::optional<PendingRow> decodePending(const std::string &Text);
 std::optional<DemandRow> decodeDemand(const std::string &Text);
+std::optional<QueueRow> decodeQueue(const std::string &Text);
 std::optional<WaveProgress> decodeWave(const std::string &Text);
 std::optional<RosterRow> decodeRoster(const std::string &Text);
 
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -25,6 +25,10 @@
 StoreKey roster(const std::string &Pool) { return row(RosterPrefix + Pool); }
 StoreKey pending(const std::string &Pool) { return row(PendingPrefix + Pool); }
 StoreKey demand(const std::string &Pool) { return row(DemandPrefix + Pool); }
+StoreKey queue(const std::string &Pool, const std::string &Queue) {
+  return row(QueuePrefix + Pool + "/" + Queue);
+}
+
 StoreKey wave(std::uint64_t Number) {
   return row(WavePrefix + std::to_string(Number));
 }
@@ -56,6 +60,10 @@
       .dump();
 }
 
+std::string encode(const QueueRow &Row) {
+  return json{{"pool", Row.Pool_}, {"queue", Row.Queue_}}.dump();
+}
+
 std::string encode(const WaveProgress &Row) {
   return json{{"seen-ms", Row.SeenAt_.count()},
               {"down", Row.Down_},
@@ -113,6 +121,13 @@
   });
 }
 
+std::optional<QueueRow> decodeQueue(const std::string &Text) {
+  return read<QueueRow>(Text, [](const json &Source) {
+    return QueueRow{Source.at("pool").get<std::string>(),
+                    Source.at("queue").get<std::string>()};
+  });
+}
+
 std::optional<WaveProgress> decodeWave(const std::string &Text) {
   return read<WaveProgress>(Text, [](const json &Source) {
     WaveProgress Row;
--- a/src/scheduling/internal/jobrequesthandler.cpp
+++ b/src/scheduling/internal/jobrequesthandler.cpp
@@ -1,12 +1,15 @@
 #include "scheduling/jobrequesthandler.h"
 #include "global/ilogger.h"
 #include "global/logevent.h"
+#include "scheduling/controlrows.h"
 #include "scheduling/istore.h"
 #include "scheduling/jobprogress.h"
 #include "scheduling/jobrowcodec.h"
 #include "scheduling/jobrows.h"
+#include "scheduling/queuedirectory.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace dragonflylock {
 namespace {
@@ -38,6 +41,7 @@
 struct JobRequestHandler::PendingRequest {
   const char *Kind_ = "";
   std::string Queue_;
+  std::string Pool_;
   std::string Job_;
   /// Encoded value of the submission row.
   std::string Row_;
@@ -49,8 +53,9 @@
 };
 
 JobRequestHandler::JobRequestHandler(IStore &Store, const IClock &Clock,
-                                     ILogger &Logger, LocalStateLookup Local)
-    : Store_(Store), Clock_(Clock), Logger_(Logger),
+                                     ILogger &Logger, QueueDirectory &Queues,
+                                     LocalStateLookup Local)
+    : Store_(Store), Clock_(Clock), Logger_(Logger), Queues_(Queues),
       LocalState_(std::move(Local)) {}
 
 void JobRequestHandler::submit(const QueueSetting &Queue,
@@ -67,6 +72,7 @@
   auto Request = std::make_shared<PendingRequest>();
   Request->Kind_ = "submit";
   Request->Queue_ = Queue.Name_;
+  Request->Pool_ = Queue.Pool_;
   Request->Job_ = Job;
   Request->Row_ = jobrowcodec::encode(Stored);
   Request->StartTime_ = Clock_.now();
@@ -78,6 +84,10 @@
 
 void JobRequestHandler::trySubmit(
     const std::shared_ptr<PendingRequest> &Request) {
+  if (!Queues_.contains(Request->Pool_, Request->Queue_)) {
+    recordQueue(Request);
+    return;
+  }
   StoreKey Row =
       jobrows::keyOf(Request->Queue_, Request->Job_, JobRowKind::Submission);
   StoreTransaction Transaction;
@@ -91,6 +101,38 @@
       });
 }
 
+void JobRequestHandler::recordQueue(
+    const std::shared_ptr<PendingRequest> &Request) {
+  StoreKey Row = controlrows::queue(Request->Pool_, Request->Queue_);
+  auto &Waiting = Recording_[Row];
+  Waiting.push_back(Request);
+  if (Waiting.size() > 1)
+    return;
+  StoreTransaction Transaction;
+  Transaction.Puts_ = {
+      {Row, controlrows::encode(QueueRow{Request->Pool_, Request->Queue_})}};
+  Store_.transact(
+      std::move(Transaction),
+      [Weak = weak_from_this(), Row](const StoreTransactionResult &End) {
+        if (auto Self = Weak.lock())
+          Self->onQueueRecorded(Row, End.Outcome_);
+      });
+}
+
+void JobRequestHandler::onQueueRecorded(const StoreKey &Row,
+                                        StoreOutcome Outcome) {
+  auto Waiting = std::exchange(Recording_[Row], {});
+  Recording_.erase(Row);
+  for (const auto &Request : Waiting) {
+    if (Outcome != StoreOutcome::Done) {
+      retry(Request, [this, Request] { trySubmit(Request); });
+      continue;
+    }
+    Queues_.add(Request->Pool_, Request->Queue_);
+    trySubmit(Request);
+  }
+}
+
 void JobRequestHandler::onSubmitted(
     const std::shared_ptr<PendingRequest> &Request,
     const StoreTransactionResult &End) {
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -432,6 +432,10 @@
   Parts_->State_.NeedsDispatch_ = true;
 }
 
+void PoolOwner::addQueues(const std::set<std::string> &Queues) {
+  Parts_->Roster_->addQueues(Queues);
+}
+
 void PoolOwner::onWorkers(const std::vector<WorkerEntry> &Workers) {
   Parts_->AreWorkersKnown_ = true;
   Parts_->WorkersInOtherPools_.clear();
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -8,6 +8,7 @@
 #include "scheduling/poolleasemanager.h"
 #include "scheduling/poolowner.h"
 #include "scheduling/poolview.h"
+#include "scheduling/queuedirectory.h"
 #include "scheduling/tablefollower.h"
 
 #include <map>
@@ -31,6 +32,7 @@
   explicit Parts(const Builder &Source);
 
   void onControlRows(const std::vector<StoreRow> &Rows, bool IsSnapshot);
+  void onQueueRow(const QueueRow &Row);
   void onPoolAcquired(const PoolOwnership &Ownership);
   void onPoolLost(const std::string &Pool);
   void distributeWorkers();
@@ -48,6 +50,7 @@
   ILogger &Logger_;
   MachineOrderTracker MachineOrders_;
   DemandTracker Demands_;
+  QueueDirectory Queues_;
   PoolOwner::Builder OwnerBuilder_;
   std::shared_ptr<const SchedulingConfiguration> Configuration_;
   std::map<std::string, WorkerEntry> Workers_;
@@ -82,7 +85,7 @@
       .demands(Demands_)
       .logger(Logger_);
   JobRequests_ = std::make_shared<JobRequestHandler>(
-      Store_, Clock_, Logger_,
+      Store_, Clock_, Logger_, Queues_,
       [this](const std::string &Job) -> std::optional<JobPhase> {
         for (const auto &[Pool, Owner] : Owners_)
           if (auto State = Owner->stateOf(Job))
@@ -114,6 +117,7 @@
   const std::string NodePrefix = controlrows::NodePrefix;
   const std::string PendingPrefix = controlrows::PendingPrefix;
   const std::string DemandPrefix = controlrows::DemandPrefix;
+  const std::string QueuePrefix = controlrows::QueuePrefix;
   for (const StoreRow &Row : Rows) {
     const std::string &Key = Row.Name_.Key_;
     if (Row.IsRemoved_)
@@ -127,6 +131,9 @@
       MachineOrders_.onRow(Key.substr(MachinePrefix.size()), Row);
     if (Key.starts_with(DemandPrefix))
       Demands_.onRow(Key.substr(DemandPrefix.size()), Row);
+    if (Key.starts_with(QueuePrefix))
+      if (auto Read = controlrows::decodeQueue(Row.Value_))
+        onQueueRow(*Read);
     if (!Key.starts_with(PendingPrefix))
       continue;
     if (auto Read = controlrows::decodePending(Row.Value_))
@@ -136,9 +143,17 @@
     Ownership_->setLoaded();
 }
 
+void SchedulerNode::Parts::onQueueRow(const QueueRow &Row) {
+  Queues_.add(Row.Pool_, Row.Queue_);
+  auto Found = Owners_.find(Row.Pool_);
+  if (Found != Owners_.end())
+    Found->second->addQueues({Row.Queue_});
+}
+
 void SchedulerNode::Parts::onPoolAcquired(const PoolOwnership &Ownership) {
   auto Owner = OwnerBuilder_.build(Ownership);
   Owner->onConfiguration(Configuration_);
+  Owner->addQueues(Queues_.queuesOf(Ownership.Pool_));
   std::vector<MaintenanceWave> Waves;
   for (const auto &[Number, Wave] : Waves_)
     Waves.push_back(Wave);
--- a/src/scheduling/jobrequesthandler.h
+++ b/src/scheduling/jobrequesthandler.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -17,6 +18,7 @@
 class IClock;
 class ILogger;
 class IStore;
+class QueueDirectory;
 
 /// Outcome of a caller's request.
 enum class JobRequestOutcome {
@@ -47,8 +49,9 @@
   using LocalStateLookup =
       std::function<std::optional<JobPhase>(const std::string &)>;
 
+  /// \param Queues the queues recorded in the store, which the handler extends.
   JobRequestHandler(IStore &Store, const IClock &Clock, ILogger &Logger,
-                    LocalStateLookup Local);
+                    QueueDirectory &Queues, LocalStateLookup Local);
 
   /// Stores a job and then calls \p OnResponse.
   /// \param Timeout the time within which the caller expects a response.
@@ -68,6 +71,10 @@
   using Attempt = std::function<void()>;
 
   void trySubmit(const std::shared_ptr<PendingRequest> &Request);
+  /// Records the request's queue, then submits this request and those that
+  /// have waited for the same record.
+  void recordQueue(const std::shared_ptr<PendingRequest> &Request);
+  void onQueueRecorded(const StoreKey &Row, StoreOutcome Outcome);
   void onSubmitted(const std::shared_ptr<PendingRequest> &Request,
                    const StoreTransactionResult &End);
   void readJob(const std::shared_ptr<PendingRequest> &Request,
@@ -84,7 +91,10 @@
   IStore &Store_;
   const IClock &Clock_;
   ILogger &Logger_;
+  QueueDirectory &Queues_;
   LocalStateLookup LocalState_;
+  /// Requests that wait until their queue is recorded, by the row of that.
+  std::map<StoreKey, std::vector<std::shared_ptr<PendingRequest>>> Recording_;
   std::vector<std::pair<TimePoint, Attempt>> Retries_;
 };
 
--- a/src/scheduling/poolowner.h
+++ b/src/scheduling/poolowner.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,6 +80,8 @@
   void extendLease(TimePoint End);
   void
   onConfiguration(std::shared_ptr<const SchedulingConfiguration> Configuration);
+  /// Adds queues that may hold jobs of the pool.
+  void addQueues(const std::set<std::string> &Queues);
   /// Updates the sessions from the worker registry.
   /// \param Workers all registered workers, including those of other pools.
   void onWorkers(const std::vector<WorkerEntry> &Workers);
--- a/src/scheduling/tests/schedulernode_test.cpp
+++ b/src/scheduling/tests/schedulernode_test.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/controlrows.h"
 #include "scheduling/jobrowcodec.h"
 #include "scheduling/jobrows.h"
+#include "scheduling/poolview.h"
 #include "scheduling/schedulernode.h"
 #include "scheduling/tests/mocks/fakefleet.h"
 
@@ -111,5 +112,29 @@
   EXPECT_EQ(Stored.value().Policy_, QueuePolicy(Queue));
 }
 
+TEST_F(SchedulerNodeTest, OwnerLearnsOfJobsInAQueueOfASkippedConfiguration) {
+  // This node has the configuration that has the queue, its pool's next owner
+  // only gets one that no longer has it.
+  start();
+  QueueSetting Added;
+  Added.Name_ = "added";
+  Added.Pool_ = "pool";
+  JobSpec Spec;
+  Spec.Steps_ = {StepSpec()};
+  JobRequestOutcome Outcome = JobRequestOutcome::Unknown;
+  Node_->jobRequests().submit(
+      Added, "aa", Spec, milliseconds(1000),
+      [&](const JobResponse &Response) { Outcome = Response.Outcome_; });
+  ASSERT_EQ(Outcome, JobRequestOutcome::Accepted);
+  Node_.reset();
+  start();
+  for (int Round = 0; Round < 100; ++Round) {
+    Clock_.advance(milliseconds(50));
+    Node_->tick();
+  }
+  ASSERT_EQ(Node_->pools().size(), 1U);
+  EXPECT_EQ(Node_->pools().front().Jobs_, 1U);
+}
+
 } // namespace
 } // namespace dragonflylock
