Emulator: racks, labels, due times, fillers, changing queues, idle capacity

- varied jobs: data racks, anti-affinity, labels, steps that fill, latency targets, a few long steps, occurrences with due times;
- configurations that change a timeout, add one queue or a hundred, to which callers submit at once, and remove them again; nodes get them up to 600 ms apart and so skip some;
- several waves that overlap, each with a limit of its own;
- nodes that learn of changes of the registry only, as the daemon does.
So far each node was given all workers every 40 ms, which hid a worker that an owner takes off its list by mistake;
- a check that no job has nothing running for 3 s beside capacity for it twice over while less than half of its pool is in use (the users' rule LOST), away from faults.

Starts are checked for labels, anti-affinity and due times, completed jobs for the tasks of all occurrences. Steps that fill reserve no processor on a model worker, and tasks outside their data rack take twice as long.

--- a/src/emulator/emulator.h
+++ b/src/emulator/emulator.h
@@ -30,6 +30,19 @@
   std::uint32_t Faults_ = 6;
   /// Whether a maintenance wave is announced.
   bool HasMaintenanceWave_ = true;
+  /// Number of waves, if there are any. They are announced one after the other
+  /// during the traffic period and overlap.
+  std::uint32_t Waves_ = 1;
+  /// Whether jobs have the features of addVariety().
+  bool HasVariedJobs_ = false;
+  /// Number of configurations that follow the first one. They change timeouts,
+  /// add queues, to which callers submit at once, and remove them again.
+  std::uint32_t ConfigurationChanges_ = 0;
+  /// Whether nodes learn only of changes of the registry, as from a followed
+  /// table, instead of reading it again and again.
+  bool FollowsRegistry_ = false;
+  /// Whether it is checked that no job waits beside idle capacity.
+  bool ChecksIdleCapacity_ = false;
   /// Whether the steps of the last pool's queue require advice.
   bool HasAdvice_ = true;
   /// Probability that a run fails.
--- a/src/emulator/internal/emulatednode.cpp
+++ b/src/emulator/internal/emulatednode.cpp
@@ -27,6 +27,7 @@
   IsStopping_ = false;
   IsTickQueued_ = false;
   CpuBusyUntil_ = TimePoint();
+  DeliveredWorkers_.reset();
   SchedulingSettings Settings;
   Settings.Node_ = Name_;
   Node_ = SchedulerNode::Builder()
@@ -120,10 +121,28 @@
 }
 
 void EmulatedNode::deliverFleetState() {
-  if (Context_.Wave_)
-    Node_->onWave(*Context_.Wave_);
-  if (Node_->needsWorkers())
-    Node_->onWorkerSnapshot(Context_.Workers_.registeredEntries());
+  for (const MaintenanceWave &Wave : Context_.Waves_)
+    Node_->onWave(Wave);
+  deliverWorkers();
+}
+
+void EmulatedNode::deliverWorkers() {
+  if (!Node_->needsWorkers()) {
+    DeliveredWorkers_.reset();
+    return;
+  }
+  auto Entries = Context_.Workers_.registeredEntries();
+  if (Context_.FollowsRegistry_ && DeliveredWorkers_ == Entries)
+    return;
+  DeliveredWorkers_ = Entries;
+  Node_->onWorkerSnapshot(Entries);
+}
+
+void EmulatedNode::updateConfiguration(milliseconds Delay) {
+  Context_.Simulation_.schedule(Delay, [this, Incarnation = Incarnation_] {
+    deliver(Incarnation,
+            [this] { Node_->onConfiguration(Context_.Configuration_); });
+  });
 }
 
 void EmulatedNode::tick(std::uint64_t Incarnation) {
@@ -248,6 +267,9 @@
   bool IsLeaseEnd = Event.name() == "pool.lost" &&
                     Event.line().find("cause=lease-ended") != std::string::npos;
   Context_.ExpiredPoolLeases_ += IsLeaseEnd ? 1 : 0;
+  // A node that acquires a pool later reads the registry anew.
+  if (Event.name() == "pool.lost")
+    DeliveredWorkers_.reset();
   if (Context_.IsLogging_)
     std::printf("%8lld %s %s\n",
                 static_cast<long long>(Context_.Simulation_.elapsed().count()),
--- a/src/emulator/internal/emulatednode.h
+++ b/src/emulator/internal/emulatednode.h
@@ -13,6 +13,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace dragonflylock {
 
@@ -24,7 +25,9 @@
   ModelStore &Store_;
   ModelWorkers &Workers_;
   SchedulingConfiguration Configuration_;
-  std::optional<MaintenanceWave> Wave_;
+  std::vector<MaintenanceWave> Waves_;
+  /// Whether nodes learn only of changes of the registry.
+  bool FollowsRegistry_ = false;
   /// Whether to print the log events of the nodes.
   bool IsLogging_ = false;
   /// CPU time of a node for each call and each response; 0 disables the CPU
@@ -54,6 +57,9 @@
   const std::string &name() const { return Name_; }
   /// \returns the scheduler node, or null if it is down, frozen or not ready.
   SchedulerNode *readyScheduler();
+  /// Delivers the configuration that is in force \p Delay later, unless the
+  /// process ends before.
+  void updateConfiguration(std::chrono::milliseconds Delay);
 
   void transact(StoreTransaction Transaction,
                 TransactionCallback Done) override;
@@ -95,6 +101,7 @@
   void runWhenNotFrozen(std::uint64_t Incarnation, const Work &Next);
   void tick(std::uint64_t Incarnation);
   void deliverFleetState();
+  void deliverWorkers();
 
   std::string Name_;
   EmulationContext &Context_;
@@ -106,6 +113,8 @@
   /// Whether a tick waits for the CPU.
   bool IsTickQueued_ = false;
   bool IsStopping_ = false;
+  /// Registry entries that the node has; absent until it has read them.
+  std::optional<std::vector<WorkerEntry>> DeliveredWorkers_;
 };
 
 } // namespace dragonflylock
--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -1,6 +1,8 @@
 #include "emulator/emulator.h"
 #include "emulator/internal/emulatednode.h"
 #include "emulator/internal/faultinjector.h"
+#include "emulator/internal/idlecapacitychecker.h"
+#include "emulator/internal/jobvariety.h"
 #include "emulator/invariantchecker.h"
 #include "emulator/modelstore.h"
 #include "emulator/modelworkers.h"
@@ -27,25 +29,42 @@
 constexpr std::uint32_t MinUnavailable = 2;
 /// Minimum time for which all nodes are down after a power loss.
 constexpr milliseconds PowerLossDuration{1000};
+constexpr std::int64_t WorkersPerRack = 4;
+/// Longest time until a node has a changed configuration.
+constexpr milliseconds MaxConfigurationDelay{600};
+/// Jobs that callers submit to a queue when it has been added.
+constexpr int JobsPerAddedQueue = 3;
+constexpr std::uint32_t MaxQueuesAddedAtOnce = 100;
 
 } // namespace
 
 struct Emulator::Impl {
   explicit Impl(EmulatorOptions Chosen)
       : Options_(Chosen), Simulation_(Chosen.Seed_), Store_(Simulation_),
-        Checker_(Simulation_), Workers_(Simulation_, Checker_),
-        Context_{Simulation_,           Store_, Workers_, {}, {}, false,
-                 Chosen.CpuTimePerCall_} {}
+        Checker_(Simulation_),
+        Workers_(Simulation_, Checker_), Context_{Simulation_,
+                                                  Store_,
+                                                  Workers_,
+                                                  {},
+                                                  {},
+                                                  Chosen.FollowsRegistry_,
+                                                  false,
+                                                  Chosen.CpuTimePerCall_} {}
 
   void setUp();
   void scheduleJobs();
-  JobSpec makeJob(const std::string &Id);
+  JobSpec makeJob(const std::string &Id, bool NeedsAdvice);
   void submit(const std::string &Id, const QueueSetting &Queue,
               std::uint32_t Attempt);
   void poll(const std::string &Id, const std::string &Queue);
   void cancel(const std::string &Id, const std::string &Queue);
   EmulatedNode *pickReadyNode();
-  void announceWave();
+  void announceWave(std::uint64_t Number);
+  void submitNew(const std::string &Id, const QueueSetting &Queue);
+  /// Puts a configuration in force that differs at random from the last one.
+  void changeConfiguration();
+  void addQueues();
+  void removeAddedQueue();
 
   EmulatorOptions Options_;
   Simulation Simulation_;
@@ -55,7 +74,9 @@
   EmulationContext Context_;
   std::vector<std::unique_ptr<EmulatedNode>> Nodes_;
   std::unique_ptr<FaultInjector> Faults_;
-  std::uint64_t NextJob_ = 0;
+  std::unique_ptr<IdleCapacityChecker> IdleCapacity_;
+  std::uint64_t NextAddedJob_ = 0;
+  std::uint64_t NextAddedQueue_ = 0;
 };
 
 void Emulator::Impl::setUp() {
@@ -78,8 +99,14 @@
   Context_.Configuration_.Pools_.push_back({"spare", true, true});
   for (std::uint32_t Worker = 0; Worker < Options_.SpareMachines_; ++Worker)
     Workers_.addWorker("spare", Options_.WorkerCapacity_);
-  for (auto &[Id, Worker] : Workers_.workers())
+  bool IsFirstKind = true;
+  for (auto &[Id, Worker] : Workers_.workers()) {
     Worker.FailureProbability_ = Options_.FailureProbability_;
+    if (Options_.HasVariedJobs_)
+      Worker.Entry_.Labels_ = {IsFirstKind ? FirstWorkerKind
+                                           : SecondWorkerKind};
+    IsFirstKind = !IsFirstKind;
+  }
   for (std::uint32_t Number = 0; Number < Options_.Nodes_; ++Number) {
     Nodes_.push_back(
         std::make_unique<EmulatedNode>("n" + std::to_string(Number), Context_));
@@ -88,7 +115,7 @@
   }
 }
 
-JobSpec Emulator::Impl::makeJob(const std::string &Id) {
+JobSpec Emulator::Impl::makeJob(const std::string &Id, bool NeedsAdvice) {
   JobSpec Job;
   Job.Payload_ = "payload of " + Id;
   bool IsLongRunning = Simulation_.withProbability(0.05);
@@ -113,6 +140,11 @@
     }
     Job.Steps_.push_back(Step);
   }
+  if (Options_.HasVariedJobs_)
+    addVariety(Job, Simulation_,
+               static_cast<std::int64_t>(Workers_.workers().size()) /
+                   WorkersPerRack,
+               /*IsFreeToPlace=*/!NeedsAdvice);
   return Job;
 }
 
@@ -139,16 +171,62 @@
     auto Pool = static_cast<std::size_t>(
         Simulation_.randomInRange(0, Options_.Pools_ - 1));
     Simulation_.schedule(At, [this, Job = std::string(Id), Pool] {
-      const QueueSetting &Queue = Context_.Configuration_.Queues_[Pool];
-      ObservedJob &Record = Checker_.job(Job);
-      Record.Spec_ = makeJob(Job);
-      Record.Pool_ = Queue.Pool_;
-      Record.NeedsAdvice_ = Queue.NeedsAdvice_;
-      submit(Job, Queue, 1);
+      submitNew(Job, Context_.Configuration_.Queues_[Pool]);
     });
   }
 }
 
+void Emulator::Impl::submitNew(const std::string &Id,
+                               const QueueSetting &Queue) {
+  ObservedJob &Record = Checker_.job(Id);
+  Record.Spec_ = makeJob(Id, Queue.NeedsAdvice_);
+  Record.Pool_ = Queue.Pool_;
+  Record.NeedsAdvice_ = Queue.NeedsAdvice_;
+  submit(Id, Queue, 1);
+}
+
+void Emulator::Impl::changeConfiguration() {
+  std::vector<QueueSetting> &Queues = Context_.Configuration_.Queues_;
+  ++Context_.Configuration_.Version_;
+  std::int64_t Kind = Simulation_.randomInRange(0, 3);
+  if (Kind == 0)
+    Queues.front().TargetLatency_ =
+        milliseconds(Simulation_.randomInRange(300, 900));
+  else if (Kind < 3 || Queues.size() <= Options_.Pools_)
+    addQueues();
+  else
+    removeAddedQueue();
+  for (auto &Node : Nodes_)
+    Node->updateConfiguration(milliseconds(
+        Simulation_.randomInRange(0, MaxConfigurationDelay.count())));
+}
+
+void Emulator::Impl::addQueues() {
+  bool IsLarge = Simulation_.withProbability(0.1);
+  for (std::uint32_t Number = 0; Number < (IsLarge ? MaxQueuesAddedAtOnce : 1);
+       ++Number) {
+    auto Pool = static_cast<std::size_t>(
+        Simulation_.randomInRange(0, Options_.Pools_ - 1));
+    QueueSetting Queue = Context_.Configuration_.Queues_[Pool];
+    Queue.Name_ = "added" + std::to_string(NextAddedQueue_++);
+    Context_.Configuration_.Queues_.push_back(Queue);
+    for (int Job = 0; Number == 0 && Job < JobsPerAddedQueue; ++Job) {
+      char Id[17];
+      std::snprintf(Id, sizeof(Id), "a%015" PRIx64, ++NextAddedJob_);
+      Simulation_.schedule(
+          milliseconds(Simulation_.randomInRange(0, 1500)),
+          [this, Name = std::string(Id), Queue] { submitNew(Name, Queue); });
+    }
+  }
+}
+
+void Emulator::Impl::removeAddedQueue() {
+  auto &Queues = Context_.Configuration_.Queues_;
+  auto Last = static_cast<std::int64_t>(Queues.size()) - 1;
+  Queues.erase(Queues.begin() +
+               Simulation_.randomInRange(Options_.Pools_, Last));
+}
+
 void Emulator::Impl::submit(const std::string &Id, const QueueSetting &Queue,
                             std::uint32_t Attempt) {
   auto ScheduleRetry = [this, Id, Queue, Attempt](milliseconds Delay) {
@@ -157,7 +235,9 @@
                            [=, this] { submit(Id, Queue, Attempt + 1); });
   };
   EmulatedNode *Node = pickReadyNode();
-  if (Node == nullptr) {
+  // A node that doesn't know the queue answers that there is none.
+  if (Node == nullptr ||
+      Node->readyScheduler()->configuration()->queue(Queue.Name_) == nullptr) {
     ScheduleRetry(milliseconds(500));
     return;
   }
@@ -230,18 +310,18 @@
       });
 }
 
-void Emulator::Impl::announceWave() {
+void Emulator::Impl::announceWave(std::uint64_t Number) {
   MaintenanceWave Wave;
-  Wave.Number_ = 1;
+  Wave.Number_ = Number;
   Wave.Duration_ = Options_.TrafficDuration_;
   auto Machines = static_cast<std::uint32_t>(Workers_.workers().size());
   Wave.MaxUnavailable_ =
       std::max(MinUnavailable, Machines / MachinesPerUnavailable);
-  Checker_.MaxMachinesDown_ = Wave.MaxUnavailable_;
+  Checker_.MaxMachinesDown_[Number] = Wave.MaxUnavailable_;
   for (const auto &[Id, Worker] : Workers_.workers())
     if (Simulation_.withProbability(0.5))
       Wave.Machines_.push_back(Worker.Entry_.Machine_);
-  Context_.Wave_ = Wave;
+  Context_.Waves_.push_back(Wave);
 }
 
 Emulator::Emulator(EmulatorOptions Options)
@@ -267,8 +347,23 @@
         *Emulation.Options_.PowerLossAt_,
         [&Emulation] { Emulation.Faults_->killAllNodes(PowerLossDuration); });
   if (Emulation.Options_.HasMaintenanceWave_)
-    Emulation.Simulation_.schedule(TrafficStart,
-                                   [&Emulation] { Emulation.announceWave(); });
+    for (std::uint32_t Wave = 0; Wave < Emulation.Options_.Waves_; ++Wave)
+      Emulation.Simulation_.schedule(
+          TrafficStart + Emulation.Options_.TrafficDuration_ * Wave /
+                             (2 * Emulation.Options_.Waves_),
+          [&Emulation, Wave] { Emulation.announceWave(Wave + 1); });
+  for (std::uint32_t Change = 0;
+       Change < Emulation.Options_.ConfigurationChanges_; ++Change)
+    Emulation.Simulation_.schedule(
+        TrafficStart + milliseconds(Emulation.Simulation_.randomInRange(
+                           0, Emulation.Options_.TrafficDuration_.count())),
+        [&Emulation] { Emulation.changeConfiguration(); });
+  if (Emulation.Options_.ChecksIdleCapacity_) {
+    Emulation.IdleCapacity_ = std::make_unique<IdleCapacityChecker>(
+        Emulation.Simulation_, Emulation.Checker_, Emulation.Workers_,
+        *Emulation.Faults_);
+    Emulation.IdleCapacity_->check();
+  }
   Emulation.Simulation_.runUntil(TrafficStart +
                                  Emulation.Options_.TrafficDuration_ +
                                  Emulation.Options_.CompletionTimeout_);
--- a/src/emulator/internal/faultinjector.cpp
+++ b/src/emulator/internal/faultinjector.cpp
@@ -2,10 +2,20 @@
 #include "emulator/internal/emulatednode.h"
 #include "emulator/simulation.h"
 
+#include <algorithm>
+
 namespace dragonflylock {
 
+namespace {
+
 using std::chrono::milliseconds;
 
+/// Time for which the effects of a fault last beyond its duration: until a cut
+/// worker is back in the registry, or a stopped process has been started.
+constexpr milliseconds MaxAftermath{5000};
+
+} // namespace
+
 void FaultInjector::scheduleFaults(std::uint32_t Count, milliseconds From,
                                    milliseconds Duration) {
   for (std::uint32_t Number = 0; Number < Count; ++Number)
@@ -18,6 +28,8 @@
   InjectedFaults_.push_back(std::to_string(Simulation_.elapsed().count()) +
                             "ms " + What + " for " +
                             std::to_string(Duration.count()) + "ms");
+  LastFaultEnd_ = std::max<TimePoint>(
+      LastFaultEnd_, Simulation_.now() + Duration + MaxAftermath);
 }
 
 EmulatedNode &FaultInjector::pickNode() {
--- a/src/emulator/internal/faultinjector.h
+++ b/src/emulator/internal/faultinjector.h
@@ -1,6 +1,8 @@
 #ifndef DRAGONFLYLOCK_EMULATOR_INTERNAL_FAULTINJECTOR_H
 #define DRAGONFLYLOCK_EMULATOR_INTERNAL_FAULTINJECTOR_H
 
+#include "global/iclock.h"
+
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -35,6 +37,8 @@
   const std::vector<std::string> &injectedFaults() const {
     return InjectedFaults_;
   }
+  /// \returns the time at which the last of the faults injected so far ends.
+  TimePoint lastFaultEnd() const { return LastFaultEnd_; }
 
 private:
   void injectFault();
@@ -49,6 +53,7 @@
   ModelWorkers &Workers_;
   Nodes &Nodes_;
   std::vector<std::string> InjectedFaults_;
+  TimePoint LastFaultEnd_;
 };
 
 } // namespace dragonflylock
--- a/src/emulator/internal/invariantchecker.cpp
+++ b/src/emulator/internal/invariantchecker.cpp
@@ -15,6 +15,8 @@
 /// Time from the start of a long-running task until it works at full speed.
 constexpr std::chrono::milliseconds LongRunningStartup{900};
 constexpr std::chrono::milliseconds MaintenanceDuration{2000};
+/// Time before its due time at which a task may start.
+constexpr std::chrono::milliseconds MaxEarlyStart{250};
 /// Minimum time between orders of two nodes for one machine.
 constexpr std::chrono::milliseconds MinHolderChangeInterval{3000};
 
@@ -46,6 +48,8 @@
     Simulation_.reportViolation(
         "BUDGET", Task.text() + " starts after its last allowed attempt");
   checkStepOrder(Job, Task);
+  checkDueTime(Job, Task);
+  checkPlacement(Job, Task, Worker);
   checkDuplicateStart(Job, Task);
   Job.StartedAt_[Task] = Simulation_.now();
   Job.Running_[Task].insert(Worker.lifetime());
@@ -65,6 +69,36 @@
       }
 }
 
+void InvariantChecker::checkDueTime(const ObservedJob &Job,
+                                    const TaskName &Task) {
+  std::chrono::milliseconds Wall(millisecondsSinceEpoch(Simulation_.wallNow()));
+  if (Job.Spec_.OccurrenceCount_ > 0 &&
+      Wall + MaxEarlyStart <
+          Job.Spec_.FirstDue_ + Task.Occurrence_ * Job.Spec_.Interval_)
+    Simulation_.reportViolation("ORDER", Task.text() + " starts too early");
+}
+
+void InvariantChecker::checkPlacement(const ObservedJob &Job,
+                                      const TaskName &Task,
+                                      const WorkerEntry &Worker) {
+  const StepSpec &Step = Job.Spec_.Steps_[Task.Step_];
+  const auto &Labels = Worker.Labels_;
+  if (!Step.RequiredLabel_.empty() &&
+      std::find(Labels.begin(), Labels.end(), Step.RequiredLabel_) ==
+          Labels.end())
+    Simulation_.reportViolation("ROUTE", Task.text() + " starts on " +
+                                             Worker.Id_ + " without its label");
+  std::uint32_t OnSameWorker = 0;
+  for (const auto &[Other, Workers] : Job.Running_)
+    if (Other.Step_ == Task.Step_ && Other.Occurrence_ == Task.Occurrence_ &&
+        Workers.contains(Worker.lifetime()))
+      ++OnSameWorker;
+  if (Step.MaxPerWorker_ > 0 && OnSameWorker >= Step.MaxPerWorker_)
+    Simulation_.reportViolation("ROUTE", Task.text() + " joins " +
+                                             std::to_string(OnSameWorker) +
+                                             " of its step on " + Worker.Id_);
+}
+
 void InvariantChecker::checkDuplicateStart(const ObservedJob &Job,
                                            const TaskName &Task) {
   const StepSpec &Step = Job.Spec_.Steps_[Task.Step_];
@@ -124,7 +158,7 @@
   Job.WasReportedCompleted_ = true;
   std::size_t Tasks = 0;
   for (const StepSpec &Step : Job.Spec_.Steps_)
-    Tasks += Step.TaskCount_;
+    Tasks += std::size_t{Step.TaskCount_} * Job.Spec_.occurrences();
   if (Job.CompletedTasks_.size() < Tasks)
     Simulation_.reportViolation(
         "MIXED", Id + " is reported as completed before all of its tasks");
@@ -154,17 +188,19 @@
   if (Record.MaintainedForWaves_.contains(Wave))
     return MachineOutcome::Accepted;
   auto Down = std::count_if(Machines_.begin(), Machines_.end(),
-                            [this](const auto &Each) {
-                              return Each.second.DownUntil_ > Simulation_.now();
+                            [this, Wave](const auto &Each) {
+                              return Each.second.DownForWave_ == Wave &&
+                                     Each.second.DownUntil_ > Simulation_.now();
                             });
   if (!TakeDown(Order.Machine_))
     return MachineOutcome::Busy;
-  if (Down >= MaxMachinesDown_)
+  if (Down >= MaxMachinesDown_[Wave])
     Simulation_.reportViolation(
         "LIMIT", Order.Machine_ + " goes down for a wave while " +
                      std::to_string(Down) + " others are down");
   Record.MaintainedForWaves_.insert(Wave);
   Record.DownUntil_ = Simulation_.now() + MaintenanceDuration;
+  Record.DownForWave_ = Wave;
   return MachineOutcome::Accepted;
 }
 
--- a/src/emulator/internal/modelworkers.cpp
+++ b/src/emulator/internal/modelworkers.cpp
@@ -1,5 +1,6 @@
 #include "emulator/modelworkers.h"
 #include "emulator/simulation.h"
+#include "scheduling/placement.h"
 
 #include <algorithm>
 #include <functional>
@@ -26,6 +27,13 @@
 /// Time from the start of a long-running task until it works at full speed.
 constexpr milliseconds LongRunningStartup{900};
 constexpr std::uint32_t FullSpeedPercent = 100;
+/// Factor by which a task is slower outside the rack that holds its data.
+constexpr int OffRackSlowdown = 2;
+
+milliseconds runTime(const StepSpec &Step, const WorkerEntry &Worker) {
+  bool IsOffRack = !Step.DataRack_.empty() && Step.DataRack_ != Worker.Rack_;
+  return Step.Estimate_ * (IsOffRack ? OffRackSlowdown : 1);
+}
 
 } // namespace
 
@@ -94,7 +102,7 @@
       static_cast<double>(Simulation_.elapsed().count()) * Worker.ClockSpeed_));
 }
 
-Resources ModelWorkers::usedResources(const ModelWorker &Worker) const {
+Resources ModelWorkers::usedResources(const ModelWorker &Worker) {
   Resources Used;
   for (const auto &[Task, Run] : Worker.Running_)
     Used += Run.Resources_;
@@ -147,19 +155,19 @@
       Checker_.job(Order.Task_.Job_).Spec_.Steps_[Order.Task_.Step_];
   Resources Free = Worker.Entry_.Capacity_;
   Free -= usedResources(Worker);
-  if (!Free.canFit(Step.PerTask_))
+  if (!Free.canFit(requiredResources(Step)))
     return {OrderOutcome::NoRoom, Clock};
   if (!hasTicket(Worker, Order))
     return {OrderOutcome::BadTicket, Clock};
   Checker_.onStart(Worker.Entry_, Order.Task_, Order.Payload_);
-  ModelRun Run{Order.Run_, Step.PerTask_, Simulation_.now(), ++NextSerial_,
-               Step.IsGang_};
+  ModelRun Run{Order.Run_, requiredResources(Step), Simulation_.now(),
+               ++NextSerial_, Step.IsGang_};
   Worker.Running_[Order.Task_] = Run;
   if (Step.IsGang_)
     joinGang(Worker.Entry_.Id_, Order.Task_, Run);
   else if (!Step.IsLongRunning_)
     Simulation_.schedule(
-        Step.Estimate_ * Simulation_.randomInRange(50, 200) / 100,
+        runTime(Step, Worker.Entry_) * Simulation_.randomInRange(50, 200) / 100,
         [this, Id = Worker.Entry_.Id_, Incarnation = Worker.Incarnation_,
          Task = Order.Task_,
          Serial = Run.Serial_] { completeRun(Id, Incarnation, Task, Serial); });
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -54,6 +54,8 @@
   /// Waves for which the machine was maintained.
   std::set<std::uint64_t> MaintainedForWaves_;
   TimePoint DownUntil_;
+  /// The wave for which it is or was down last.
+  std::uint64_t DownForWave_ = 0;
 };
 
 /// Checks the invariants of the scheduler against what callers, workers and the
@@ -93,8 +95,8 @@
   /// Checks that an order that ends the tasks \p Ended together respects their
   /// disruption budgets.
   void checkBudgets(const std::set<TaskName> &Ended);
-  /// Number of machines that may be down for a wave at the same time.
-  std::uint32_t MaxMachinesDown_ = 1;
+  /// By wave: number of machines that may be down for it at the same time.
+  std::map<std::uint64_t, std::uint32_t> MaxMachinesDown_;
   /// Checks that every accepted job that can't have been cancelled was reported
   /// as ended or, if it has long-running tasks, that all of them run.
   void checkAllJobsEnded();
@@ -109,6 +111,9 @@
   failuresOf(const ObservedJob &Job, const TaskName &Task,
              const std::map<TaskName, std::set<RunNumber>> &Failures);
   void checkStepOrder(const ObservedJob &Job, const TaskName &Task);
+  void checkPlacement(const ObservedJob &Job, const TaskName &Task,
+                      const WorkerEntry &Worker);
+  void checkDueTime(const ObservedJob &Job, const TaskName &Task);
   void checkDuplicateStart(const ObservedJob &Job, const TaskName &Task);
 
   Simulation &Simulation_;
--- a/src/emulator/modelworkers.h
+++ b/src/emulator/modelworkers.h
@@ -89,13 +89,14 @@
   MachineList machines() const;
   MachineOutcome maintain(const MachineOrder &Order, std::uint64_t Wave);
   MachineOutcome move(const MachineOrder &Order, const std::string &Pool);
+  /// \returns the resources that the worker's runs reserve.
+  static Resources usedResources(const ModelWorker &Worker);
 
 private:
   ModelWorker *findReachable(const std::string &Node,
                              const WorkerTarget &Target);
   OrderAnswer applyStart(ModelWorker &Worker, const StartOrder &Order);
   WorkerClock clockOf(const ModelWorker &Worker) const;
-  Resources usedResources(const ModelWorker &Worker) const;
   /// Starts the gang's work once all members of the run have started. A member
   /// that waits too long for the others ends.
   void joinGang(const std::string &Id, const TaskName &Task,
--- a/src/emulator/tests/emulator_test.cpp
+++ b/src/emulator/tests/emulator_test.cpp
@@ -90,5 +90,23 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, MixedFaults, testing::Range(1, 41));
 
+class VariedDays : public testing::TestWithParam<int> {};
+
+TEST_P(VariedDays, BreakNoRule) {
+  EmulatorOptions Options;
+  Options.Seed_ = static_cast<std::uint64_t>(GetParam());
+  Options.Faults_ = Options.Seed_ % 2 == 0 ? 0 : 3;
+  Options.HasVariedJobs_ = true;
+  Options.FollowsRegistry_ = true;
+  Options.ChecksIdleCapacity_ = true;
+  Options.ConfigurationChanges_ = 8;
+  Options.Waves_ = 2;
+  // Long tasks outside the rack of their data need more time.
+  Options.CompletionTimeout_ = std::chrono::seconds(90);
+  runEmulator(Options);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, VariedDays, testing::Range(1000, 1010));
+
 } // namespace
 } // namespace dragonflylock
--- a/tools/emulator/main.cpp
+++ b/tools/emulator/main.cpp
@@ -23,6 +23,12 @@
   --pools=N      Number of pools [default: 2].
   --workers=N    Workers of each pool [default: 6].
   --spare=N      Machines in a spare pool that has no queue [default: 4].
+  --waves=N      Number of maintenance waves [default: 1].
+  --configs=N    Number of configurations after the first one [default: 0].
+  --varied       Jobs have racks, labels, due times and steps that fill.
+  --registry     Nodes learn only of changes of the registry.
+  --end=SECONDS  Time after the traffic in which jobs must end [default: 40].
+  --idle         Check that no job waits beside idle capacity.
   -h --help      Show this text.
 
 Set EMULATOR_LOG to print the log lines of the nodes.
@@ -53,6 +59,15 @@
         static_cast<std::uint32_t>(numberOf(Arguments.at("--spare")));
     Options.JobsPerSecond_ =
         static_cast<double>(numberOf(Arguments.at("--jobs")));
+    Options.Waves_ =
+        static_cast<std::uint32_t>(numberOf(Arguments.at("--waves")));
+    Options.ConfigurationChanges_ =
+        static_cast<std::uint32_t>(numberOf(Arguments.at("--configs")));
+    Options.CompletionTimeout_ =
+        std::chrono::seconds(numberOf(Arguments.at("--end")));
+    Options.HasVariedJobs_ = Arguments.at("--varied").asBool();
+    Options.FollowsRegistry_ = Arguments.at("--registry").asBool();
+    Options.ChecksIdleCapacity_ = Arguments.at("--idle").asBool();
     EmulatorReport Report = Emulator(Options).run();
     if (Report.Violations_.empty())
       continue;
