At most half of a pool's workers are set aside for failed runs

What callers would see: one job whose tasks fail on every worker lets all workers of a small pool stand idle for 3 to 12 s while sound jobs wait.

Cause: three failures in a row set a worker aside, counting tasks that have not failed elsewhere. Nothing bounded the number of workers set aside at once. Now no worker is set aside if more than half of the listed ones would be; that time has a field of its own, since NoStartsBefore_ also holds the short delays after refused starts.

Ruled out: the attempts of the failing tasks. They prefer another worker and count there only the first time, which still sets that worker aside if three such tasks meet there.

Evidence: PassedOverTest.AJobThatFailsEverywhereDoesNotSetAsideAllWorkers (two workers, six failing tasks, a sound task due 0.2 s later) failed before: not started after 1 s; passes after. The workers that one label or policy asks for may still be set aside together.

--- a/src/scheduling/internal/poolreporter.cpp
+++ b/src/scheduling/internal/poolreporter.cpp
@@ -74,7 +74,9 @@
     Counts.NotInRoster_ += Session->IsInRoster_ ? 0 : 1;
     Counts.Draining_ += Session->isBeingDrained() ? 1 : 0;
     Counts.Unanswering_ += Session->HoldFailures_ > 0 ? 1 : 0;
-    Counts.SetAside_ += Session->NoStartsBefore_ > Pool_.Clock_.now() ? 1 : 0;
+    bool IsSetAside = std::max(Session->NoStartsBefore_,
+                               Session->SetAsideUntil_) > Pool_.Clock_.now();
+    Counts.SetAside_ += IsSetAside ? 1 : 0;
   }
   return Counts;
 }
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -139,11 +139,11 @@
       Run.LastFailedWorker_ != Session.entry().lifetime())
     return;
   ++Session.FailuresInRow_;
-  if (Session.FailuresInRow_ < MaxFailuresInRow)
+  if (Session.FailuresInRow_ < MaxFailuresInRow || !maySetAside(Session))
     return;
   std::uint32_t Factor =
       std::min(MaxSetAsideFactor, Session.FailuresInRow_ / MaxFailuresInRow);
-  Session.NoStartsBefore_ = Pool_.Clock_.now() + SetAsideDuration * Factor;
+  Session.SetAsideUntil_ = Pool_.Clock_.now() + SetAsideDuration * Factor;
   Pool_.Logger_.write(
       LogLevel::Warning,
       LogEvent("worker.set-aside")
@@ -151,6 +151,20 @@
           .with("failures", std::uint64_t{Session.FailuresInRow_}));
 }
 
+bool RunTracker::maySetAside(const WorkerSession &Candidate) const {
+  std::size_t Listed = 0;
+  std::size_t SetAside = 1;
+  for (const auto &[Lifetime, Session] : Pool_.Sessions_) {
+    if (!Session->IsListed_)
+      continue;
+    ++Listed;
+    if (Session.get() != &Candidate &&
+        Session->SetAsideUntil_ > Pool_.Clock_.now())
+      ++SetAside;
+  }
+  return SetAside * 2 <= Listed;
+}
+
 void RunTracker::applyListedRun(TaskRun &Run, const std::string &Lifetime,
                                 const ListedRun &Listed) const {
   Run.Worker_ = Lifetime;
--- a/src/scheduling/internal/runtracker.h
+++ b/src/scheduling/internal/runtracker.h
@@ -61,6 +61,9 @@
                    const ListedEnd &End);
   void countWorkerFailure(WorkerSession &Session, const ActiveJob &Job,
                           const ListedEnd &End);
+  /// \returns whether no more than half of the workers would be set aside. When
+  /// runs fail on most workers, the cause is more likely to be the tasks.
+  bool maySetAside(const WorkerSession &Candidate) const;
   bool hasFailed(ActiveJob &Job) const;
 
   PoolState &Pool_;
--- a/src/scheduling/internal/workerchooser.cpp
+++ b/src/scheduling/internal/workerchooser.cpp
@@ -14,7 +14,8 @@
          !Session.isBeingDrained() && !Session.IsDeclaredSilent_ &&
          Session.hasClock() && Session.HoldFailures_ == 0 &&
          Session.entry().State_ == WorkerState::Ready &&
-         Session.NoStartsBefore_ <= Pool.Clock_.now();
+         Session.NoStartsBefore_ <= Pool.Clock_.now() &&
+         Session.SetAsideUntil_ <= Pool.Clock_.now();
 }
 
 void WorkerChooser::updateCandidate(const WorkerSession &Session,
--- a/src/scheduling/tests/passedover_test.cpp
+++ b/src/scheduling/tests/passedover_test.cpp
@@ -169,5 +169,33 @@
   EXPECT_EQ(Owner_->stateOf(JobId), JobPhase::Queued);
 }
 
+TEST_F(PassedOverTest, AJobThatFailsEverywhereDoesNotSetAsideAllWorkers) {
+  StepSpec Failing = stepOf(6);
+  Failing.MaxPerWorker_ = 3;
+  storeJob(jobOf(Failing));
+  JobSpec Sound = jobOf(stepOf(1));
+  Sound.OccurrenceCount_ = 1;
+  Sound.FirstDue_ = wallNow() + milliseconds(200);
+  storeJob(Sound, OtherJob, milliseconds(60000));
+  takeOwnership(0, {workerOf("w1", {16000, 32000, 0}),
+                    workerOf("w2", {16000, 32000, 0})});
+  answerAll();
+  answerAll();
+  ASSERT_EQ(Running_["w1"].size(), 3U);
+  ASSERT_EQ(Running_["w2"].size(), 3U);
+  std::deque<RecordingWorkers::Hold> Holds;
+  Holds.swap(Workers_.Holds_);
+  for (RecordingWorkers::Hold &Each : Holds) {
+    std::vector<ListedEnd> Ends;
+    for (const ListedRun &Run : Running_[Each.Target_.Id_])
+      Ends.push_back(
+          {Ends.size() + 1, Run.Task_, Run.Run_, EndKind::Failed, ""});
+    Running_[Each.Target_.Id_].clear();
+    Each.Done_(acceptedAnswer({}, Ends));
+  }
+  advanceTime(milliseconds(1000));
+  EXPECT_TRUE(hasStarted({OtherJob}));
+}
+
 } // namespace
 } // namespace dragonflylock
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -157,6 +157,8 @@
   /// The worker gets no starts before this time.
   TimePoint NoStartsBefore_;
   std::uint32_t FailuresInRow_ = 0;
+  /// The worker gets no starts before this time because runs failed there.
+  TimePoint SetAsideUntil_;
   std::uint32_t HoldFailures_ = 0;
 
 private:
