The roster of a large pool stays within the store's row limit

What callers would see: while most workers of a pool of 180 do not answer (a link that is cut or squeezed) and a configuration has 1,400 routes to the pool, no worker that joins gets any task, and later declarations and withdrawals wait too.

Cause: the roster is one row. 180 workers and 1,400 queue names take about 45 KB; the declarations of silent workers name all tasks that may run there, 50 KB more in the test. The store refuses a row over 65,536 bytes each time it is tried again, and a worker gets no order before it is in the stored roster. Now the declarations take 20,000 bytes at most. Workers that are left out get no starts either while they do not answer; the next owner waits for them as for any worker of the roster that does not answer.

Ruled out: 1,400 routes or 180 workers alone; the row then stays under 50 KB.

Evidence: PoolOwnerTest.RosterOfLargeSilentPoolFitsIntoOneRow (180 silent workers, 1,800 tasks, 1,401 queues, a store that refuses more than 65,536 bytes) failed before: the worker that joins got no hold order and no declaration was stored; passes after. Rosters with longer names than in the test, or more than about 250 workers beside 1,400 routes, may still be too large.

--- a/src/scheduling/internal/rostermanager.cpp
+++ b/src/scheduling/internal/rostermanager.cpp
@@ -14,6 +14,12 @@
 constexpr std::chrono::milliseconds RetryDelay{100};
 /// Consecutive failed holds after which a worker is declared silent.
 constexpr std::uint32_t FailedHoldsUntilSilent = 2;
+/// Most bytes of the stored declarations of silent workers, so that the row
+/// stays within the 65,536 bytes that the store accepts.
+constexpr std::size_t MaxSilentBytes = 20000;
+/// Bytes of a declared task or worker in addition to the name of its job or its
+/// lifetime.
+constexpr std::size_t DeclarationOverhead = 12;
 
 } // namespace
 
@@ -94,12 +100,32 @@
   return Session.HoldFailures_ >= FailedHoldsUntilSilent && IsKnown;
 }
 
-std::map<std::string, std::set<std::string>>
-RosterManager::silentWorkers() const {
-  std::map<std::string, std::set<std::string>> Silent;
+std::set<std::string> RosterManager::lifetimesToDeclare() const {
+  std::set<std::string> Declared;
+  std::size_t Bytes = 0;
   for (const auto &[Lifetime, Session] : Pool_.Sessions_) {
     if (!shouldDeclareSilent(*Session))
       continue;
+    std::size_t Added = Lifetime.size() + DeclarationOverhead;
+    for (const auto &[Name, Run] : Session->runs())
+      Added += Name.Job_.size() + DeclarationOverhead;
+    for (const std::string &Task : Session->InheritedTasks_)
+      Added += Task.size() + DeclarationOverhead;
+    // The next owner waits for workers that are not declared as for any that do
+    // not answer.
+    if (Bytes + Added > MaxSilentBytes)
+      continue;
+    Bytes += Added;
+    Declared.insert(Lifetime);
+  }
+  return Declared;
+}
+
+std::map<std::string, std::set<std::string>>
+RosterManager::silentWorkers() const {
+  std::map<std::string, std::set<std::string>> Silent;
+  for (const std::string &Lifetime : lifetimesToDeclare()) {
+    const auto &Session = Pool_.Sessions_.at(Lifetime);
     std::set<std::string> &Tasks = Silent[Lifetime];
     for (const auto &[Name, Run] : Session->runs())
       Tasks.insert(Name.text());
@@ -120,10 +146,11 @@
                              });
   if (!IsStored)
     return true;
+  const std::set<std::string> Declared = lifetimesToDeclare();
   for (const auto &[Lifetime, Session] : Pool_.Sessions_) {
     // A declaration whose write was not confirmed may be stored nevertheless
     // and must be withdrawn.
-    bool ShouldBeDeclared = shouldDeclareSilent(*Session);
+    bool ShouldBeDeclared = Declared.contains(Lifetime);
     if (ShouldBeDeclared != StoredSilent_.contains(Lifetime) ||
         ShouldBeDeclared != Session->IsDeclaredSilent_)
       return true;
--- a/src/scheduling/internal/rostermanager.h
+++ b/src/scheduling/internal/rostermanager.h
@@ -40,7 +40,10 @@
   /// \returns whether the worker does not respond and all tasks that may run on
   /// it are known.
   bool shouldDeclareSilent(const WorkerSession &Session) const;
-  /// \returns the tasks that may run on each silent worker, by its lifetime.
+  /// \returns the lifetimes of the silent workers that the row declares: as
+  /// many as fit into it.
+  std::set<std::string> lifetimesToDeclare() const;
+  /// \returns the tasks that may run on each declared worker, by its lifetime.
   std::map<std::string, std::set<std::string>> silentWorkers() const;
   void write();
   void onWritten(const std::set<std::string> &Written, const RosterRow &Roster,
--- a/src/scheduling/tests/silentworkers_test.cpp
+++ b/src/scheduling/tests/silentworkers_test.cpp
@@ -38,6 +38,51 @@
                           }));
 }
 
+TEST_F(PoolOwnerTest, RosterOfLargeSilentPoolFitsIntoOneRow) {
+  constexpr std::size_t Workers = 180;
+  constexpr std::uint32_t TasksPerWorker = 10;
+  constexpr std::size_t RowLimit = 65536;
+  storeJob(jobOf(Workers * TasksPerWorker));
+  auto Fleet = takeOwnershipOfFleet(Workers);
+  auto Large = std::make_shared<SchedulingConfiguration>();
+  Large->Queues_ = {Queue_};
+  for (int Number = 0; Number < 1400; ++Number) {
+    QueueSetting Queue = Queue_;
+    Queue.Name_ = "added-queue-" + std::to_string(Number);
+    Large->Queues_.push_back(Queue);
+  }
+  Owner_->onConfiguration(Large);
+  for (int Round = 0; Round < 100; ++Round) {
+    Owner_->tick();
+    while (!Workers_.Starts_.empty())
+      Workers_.takeStart().Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+    Clock_.advance(milliseconds(10));
+  }
+  Store_.MostBytes_ = RowLimit;
+  for (int Round = 0; Round < 3; ++Round) {
+    std::deque<RecordingWorkers::Hold> Holds;
+    Holds.swap(Workers_.Holds_);
+    for (RecordingWorkers::Hold &Each : Holds)
+      Each.Done_(HoldAnswer());
+    Clock_.advance(milliseconds(500));
+    Owner_->tick();
+  }
+  // A worker gets no order before it is in the stored roster.
+  Fleet.push_back(worker("new"));
+  Owner_->onWorkers(Fleet);
+  Clock_.advance(milliseconds(200));
+  tickTwice();
+  EXPECT_TRUE(std::any_of(Workers_.Holds_.begin(), Workers_.Holds_.end(),
+                          [](const RecordingWorkers::Hold &Each) {
+                            return Each.Target_.Id_ == "new";
+                          }));
+  auto Stored = controlrows::decodeRoster(
+      Store_.Rows_[controlrows::roster("pool")].Value_);
+  ASSERT_TRUE(Stored);
+  EXPECT_EQ(Stored->Workers_.size(), Workers + 1);
+  EXPECT_GE(Stored->Silent_.size(), 40U);
+}
+
 TEST_F(PoolOwnerTest, DoesNotContactEndedLifetime) {
   WorkerEntry Moved = worker("w1");
   Moved.Pool_ = "other";
