A wave row that can't be read is left as it is

What callers would see: after a node with a newer format of the row, or a damaged row, the machines of a wave are ordered into maintenance again. For those that were done the platform answers 200 and does nothing; the owner then takes the machine's runs for ended (they run twice) and its worker for gone, whose room is not used until the registry changes.

--- a/src/scheduling/internal/maintenancemanager.cpp
+++ b/src/scheduling/internal/maintenancemanager.cpp
@@ -100,6 +100,8 @@
     load(State);
     return;
   }
+  if (!State.IsReadable_)
+    return;
   if (!State.IsReported_ || isComplete(State)) {
     report(State);
     return;
@@ -147,9 +149,14 @@
   if (Read.Rows_.empty())
     return;
   auto Row = controlrows::decodeWave(Read.Rows_.front().Value_);
-  State.Version_ = Read.Rows_.front().Version_;
-  if (!Row)
+  State.IsReadable_ = Row.has_value();
+  if (!Row) {
+    State.NextMachine_.clear();
+    Pool_.Logger_.write(LogLevel::Error,
+                        LogEvent("wave.unreadable").with("wave", Number));
     return;
+  }
+  State.Version_ = Read.Rows_.front().Version_;
   State.Progress_ = *Row;
   auto Age = Pool_.wallTime() - Row->SeenAt_;
   bool IsPlausible = Row->SeenAt_.count() > 0 && Age.count() > 0 &&
--- a/src/scheduling/internal/maintenancemanager.h
+++ b/src/scheduling/internal/maintenancemanager.h
@@ -59,6 +59,9 @@
     WaveProgress Progress_;
     StoreVersion Version_ = 0;
     bool IsLoaded_ = false;
+    /// Whether the row could be decoded. Without its progress, machines would
+    /// be ordered again.
+    bool IsReadable_ = true;
     bool IsBusy_ = false;
     bool IsCompleted_ = false;
     bool IsReported_ = false;
--- a/src/scheduling/tests/maintenance_test.cpp
+++ b/src/scheduling/tests/maintenance_test.cpp
@@ -102,5 +102,16 @@
   EXPECT_TRUE(Machines_.Orders_.empty());
 }
 
+TEST_F(MaintenanceTest, AnUnreadableWaveRowIsNotOverwritten) {
+  StoreKey Row = controlrows::wave(Wave_.Number_);
+  Store_.Rows_[Row] = {Row, "{\"format\":2}", ++Store_.Version_, false};
+  takeOwnership(0, {workerBornAt(milliseconds(5))});
+  Owner_->onWaves({Wave_});
+  runFor(milliseconds(4000), milliseconds(5));
+  EXPECT_EQ(Store_.Rows_[Row].Value_, "{\"format\":2}");
+  EXPECT_TRUE(Machines_.Orders_.empty());
+  EXPECT_FALSE(Workers_.Starts_.empty());
+}
+
 } // namespace
 } // namespace dragonflylock
