--- a/src/emulator/internal/emulatednode.cpp
+++ b/src/emulator/internal/emulatednode.cpp
@@ -121,8 +121,12 @@
 }
 
 void EmulatedNode::deliverFleetState() {
-  if (Context_.Wave_)
-    Node_->onWave(*Context_.Wave_);
+  for (const MaintenanceWave &Wave : Context_.Waves_)
+    Node_->onWave(Wave);
+  deliverWorkers();
+}
+
+void EmulatedNode::deliverWorkers() {
   if (!Node_->needsWorkers()) {
     if (FollowedWorkers_)
       Node_->onWorkersUnfollowed();
@@ -150,6 +154,13 @@
     Node_->onWorkerRemoved(Id);
 }
 
+void EmulatedNode::updateConfiguration(milliseconds Delay) {
+  Context_.Simulation_.schedule(Delay, [this, Incarnation = Incarnation_] {
+    deliver(Incarnation,
+            [this] { Node_->onConfiguration(Context_.Configuration_); });
+  });
+}
+
 void EmulatedNode::tick(std::uint64_t Incarnation) {
   if (Incarnation != Incarnation_)
     return;
--- a/src/emulator/internal/emulatednode.h
+++ b/src/emulator/internal/emulatednode.h
@@ -26,7 +26,7 @@
   ModelStore &Store_;
   ModelWorkers &Workers_;
   SchedulingConfiguration Configuration_;
-  std::optional<MaintenanceWave> Wave_;
+  std::vector<MaintenanceWave> Waves_;
   /// Whether to print the log events of the nodes.
   bool IsLogging_ = false;
   /// CPU time of a node for each call and each response; 0 disables the CPU
@@ -56,6 +56,9 @@
   const std::string &name() const { return Name_; }
   /// \returns the scheduler node, or null if it is down, frozen or not ready.
   SchedulerNode *readyScheduler();
+  /// Delivers the configuration that is in force \p Delay later, unless the
+  /// process ends before.
+  void updateConfiguration(std::chrono::milliseconds Delay);
 
   void transact(StoreTransaction Transaction,
                 TransactionCallback Done) override;
@@ -97,6 +100,7 @@
   void runWhenNotFrozen(std::uint64_t Incarnation, const Work &Next);
   void tick(std::uint64_t Incarnation);
   void deliverFleetState();
+  void deliverWorkers();
   void deliverWorkerChanges(const std::vector<WorkerEntry> &Entries);
 
   std::string Name_;
