Acknowledge the end of a run only when its whole effect is stored

What callers saw: TWICE. A gang whose run had ended as done, and whose ends its workers were told are taken note of, was started again by the pool's next owner.

Cause: RunTracker::onRunEnded deferred the acknowledgement of an end only if this end changed the job. The end of a gang's first member marks all members done; those of the others change nothing, and were acknowledged while the change was not in the store. Class of fault: an acknowledgement that goes by what one event changed instead of by what is durable.

Now an end waits for as long as the job has any change that is not stored. A checkpoint that comes with an end other than done counts as a change, since the worker forgets it with the end; before, it was acknowledged without being stored.

Looked at for the same cause: an end that is listed again while its first copy is not stored stays among the pending ones (recordEnd); a failure that was counted before marks the job as changed again; ProgressWriter acknowledges by the stored count.

--- a/src/emulator/tests/emulator_test.cpp
+++ b/src/emulator/tests/emulator_test.cpp
@@ -93,6 +93,24 @@
   runEmulator(manyFaults(30036));
 }
 
+class LostAnswers : public testing::TestWithParam<EmulatorOptions> {};
+
+TEST_P(LostAnswers, DoNotStartDoneTasksAgain) { runEmulator(GetParam()); }
+
+/// The default options with another seed.
+EmulatorOptions defaultFaults(std::uint64_t Seed) {
+  EmulatorOptions Options;
+  Options.Seed_ = Seed;
+  return Options;
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, LostAnswers,
+                         testing::Values(manyFaults(9512), manyFaults(9550),
+                                         manyFaults(30005), defaultFaults(144)),
+                         [](const auto &Case) {
+                           return std::to_string(Case.param.Seed_);
+                         });
+
 class MixedFaults : public testing::TestWithParam<int> {};
 
 TEST_P(MixedFaults, BreakNoRule) {
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -65,10 +65,13 @@
     Run.Phase_ = Job->progress().task(End.Task_).IsDone_ ? TaskPhase::Done
                                                          : TaskPhase::Waiting;
   }
-  std::uint64_t Before = Job->changeCount();
   bool IsLongRunning = Job->step(End.Task_).IsLongRunning_;
-  if (!End.Checkpoint_.empty() && IsCurrent)
+  if (!End.Checkpoint_.empty() && IsCurrent) {
     recordCheckpoint(*Job, End.Task_, End.Checkpoint_);
+    // The worker forgets the checkpoint with the end.
+    if (End.Kind_ != EndKind::Done)
+      Job->markDirty();
+  }
   if (End.Kind_ == EndKind::Done && !IsLongRunning)
     markDone(*Job, End.Task_);
   if (End.Kind_ == EndKind::Done)
@@ -76,7 +79,9 @@
   if (End.Kind_ == EndKind::Failed)
     noteFailure(Session, *Job, End);
   updateJobState(*Job);
-  if (Job->changeCount() > Before)
+  // An end that changes nothing may repeat what an earlier end has changed and
+  // the store does not hold yet.
+  if (Job->isDirty())
     Pool_.PendingAcknowledgements_[Job->id()].push_back(
         {Session.entry().lifetime(), End.Sequence_, Job->changeCount()});
   else
