Gangs keep a job from free room for 2.5 s at most

What callers would see: a gang that could fit keeps all less urgent jobs from starting for up to 5 s, also while most of the pool is free; several such gangs do so one after the other. 3 s with nothing running beside capacity for it twice over and less than half of it in use count as lost.

Cause: the round of decisions ended at a gang that reserves room. The end of the reservation, 6 s after the gang's first attempt, bounded it for the gang and not for the jobs behind it. Now the round goes on, and each job behind the gang keeps its tasks back for 2.5 s in all since its last start, then it may start.

Ruled out: a shorter reservation. It would take as much from gangs in pools that are full, and the next gang would begin another one.

Evidence: PassedOverTest.AGangHoldsBackOthersForLessThanThreeSeconds (8 of 20 cores in use, a gang of 2 times 8 cores, a task of 1 core that becomes due after 1.5 s) failed before, the task had not started after 4.4 s, and passes after. A gang in a pool that stays full has less protection than before, by at most 2.5 of 5 s; what that costs was not measured.

--- a/src/scheduling/activejob.h
+++ b/src/scheduling/activejob.h
@@ -179,10 +179,20 @@
   /// Starts the wait for free resources if \p IsMissing, unless it has started
   /// already; ends it otherwise.
   void updateCapacityWait(bool IsMissing, TimePoint Now) {
-    if (!IsMissing)
+    if (!IsMissing) {
       CapacityWaitSince_.reset();
-    else if (!CapacityWaitSince_)
+      HeldBackSince_.reset();
+    } else if (!CapacityWaitSince_) {
       CapacityWaitSince_ = Now;
+    }
+  }
+  /// Records that resources are kept for other jobs.
+  /// \returns since when that has been so, not counting the time before the
+  /// job's last start.
+  TimePoint holdBack(TimePoint Now) {
+    if (!HeldBackSince_)
+      HeldBackSince_ = Now;
+    return *HeldBackSince_;
   }
   /// \returns since when startable tasks have waited for free resources, or
   /// nothing.
@@ -244,6 +254,7 @@
   bool IsCancelled_ = false;
   IJobObserver *Observer_ = nullptr;
   std::optional<TimePoint> CapacityWaitSince_;
+  std::optional<TimePoint> HeldBackSince_;
   /// By occurrence, step and index.
   std::vector<std::vector<std::vector<TaskRun>>> Runs_;
   /// By occurrence and step.
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -35,6 +35,9 @@
 /// How long after a gang became startable the reservation ends, so that less
 /// urgent tasks start again. Ordinary tasks end within this time.
 constexpr std::chrono::milliseconds MaxGangReservation{6000};
+/// Longest time for which gangs keep a job from free resources. Users count a
+/// job as lost when it has waited for 3 s beside free workers.
+constexpr std::chrono::milliseconds MaxHoldBack{2500};
 /// Longest wait for a rack. Users count a job as lost when it has waited for
 /// 3 s beside free workers.
 constexpr std::chrono::milliseconds MaxRackWait{2000};
@@ -46,14 +49,26 @@
 void Dispatcher::dispatch() {
   Pool_.NeedsDispatch_ = false;
   WasLimited_ = false;
+  IsReserving_ = false;
   Chooser_.beginRound();
   JobIndex &Jobs = Pool_.Index_;
   Jobs.beginScan([this](const WorkerRequirements &Need) {
     return Chooser_.hasResourcesFor(Need);
   });
-  while (ActiveJob *Job = Jobs.next())
-    if (!Pool_.holdsLease() || !dispatchJob(*Job))
+  while (ActiveJob *Job = Jobs.next()) {
+    if (!Pool_.holdsLease())
       return;
+    if (IsReserving_ && isHeldBack(*Job))
+      continue;
+    if (!dispatchJob(*Job) && (WasLimited_ || !IsReserving_))
+      return;
+  }
+}
+
+bool Dispatcher::isHeldBack(ActiveJob &Job) const {
+  const TimePoint Now = Pool_.Clock_.now();
+  Job.updateCapacityWait(/*IsMissing=*/true, Now);
+  return Now < Job.holdBack(Now) + MaxHoldBack;
 }
 
 bool Dispatcher::dispatchJob(ActiveJob &Job) {
@@ -140,9 +155,10 @@
     // comes to fit must not block other tasks.
     bool ReservesResources =
         Now >= Gang.CapacityWaitSince_ + GangReservationDelay &&
-        Now < Gang.CapacityWaitSince_ + MaxGangReservation;
-    return !ReservesResources ||
-           !Chooser_.couldFitLater(Job, Members, WaitsForRack);
+        Now < Gang.CapacityWaitSince_ + MaxGangReservation &&
+        Chooser_.couldFitLater(Job, Members, WaitsForRack);
+    IsReserving_ = IsReserving_ || ReservesResources;
+    return !ReservesResources;
   }
   if (!admits(Members.size()))
     return false;
--- a/src/scheduling/internal/dispatcher.h
+++ b/src/scheduling/internal/dispatcher.h
@@ -44,6 +44,9 @@
 private:
   /// \returns whether less urgent jobs may start tasks in this round as well.
   bool dispatchJob(ActiveJob &Job);
+  /// \returns whether the job leaves free resources to a gang, for which it is
+  /// kept back for a limited time.
+  bool isHeldBack(ActiveJob &Job) const;
   /// Starts a whole gang, or starts again the members that workers have
   /// refused.
   /// \returns whether less urgent jobs may start tasks in this round as well.
@@ -85,6 +88,8 @@
   /// Whether the last dispatch round ended early at the limit on outstanding
   /// start orders.
   bool WasLimited_ = false;
+  /// Whether resources are kept for a gang in this round.
+  bool IsReserving_ = false;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/tests/passedover_test.cpp
+++ b/src/scheduling/tests/passedover_test.cpp
@@ -197,5 +197,27 @@
   EXPECT_TRUE(hasStarted({OtherJob}));
 }
 
+TEST_F(PassedOverTest, AGangHoldsBackOthersForLessThanThreeSeconds) {
+  // The gang would fit but for a task that runs for longer than declared; less
+  // than half of the processor is in use.
+  StepSpec Endless = stepOf(1);
+  Endless.PerTask_ = {8000, 1000, 0};
+  storeJob(jobOf(Endless), "0000000000000001");
+  StepSpec Gang = stepOf(2);
+  Gang.PerTask_ = {8000, 1000, 0};
+  Gang.IsGang_ = true;
+  storeJob(jobOf(Gang));
+  JobSpec Small = jobOf(stepOf(1));
+  Small.OccurrenceCount_ = 1;
+  Small.FirstDue_ = wallNow() + milliseconds(1500);
+  storeJob(Small, OtherJob, milliseconds(60000));
+  takeOwnership(0, {workerOf("w1", {10000, 32000, 0}),
+                    workerOf("w2", {10000, 32000, 0})});
+  advanceTime(milliseconds(4400));
+  EXPECT_TRUE(hasStarted({"0000000000000001"}));
+  EXPECT_FALSE(hasStarted({JobId}));
+  EXPECT_TRUE(hasStarted({OtherJob}));
+}
+
 } // namespace
 } // namespace dragonflylock
