A new owner contacts no worker before it has read the registry

A sound worker is one whose owner counts as unanswering; its runs lapse, and it gets no task for as long as that owner has the pool. Tasks that need its label or its room wait.

Cause: when a machine moves, the roster of the pool that it left names its worker until that lifetime's leases have passed, up to 6 s. An owner that takes this pool over in that time asked all workers of the roster as soon as the jobs were loaded, which may be before the registry is read. Where the worker has the same id and address in its new pool, it answers, takes the higher token, and refuses the lower token of its own owner from then on. endSessionsOfMovedWorkers guards against this, but knows no worker of other pools before the registry was read.

Now the owner sends no hold order before onWorkers() has been called. It sends no start before that either, as before.

Ruled out: the worker (it is up and reachable), the registry (it lists it), and the roster's writes.

On the users' platform it depends on whether a machine that moves keeps its worker's id, which docs/DESIGN.md lists as a question; many owners change at once after a power loss.

Left: an owner whose worker was shown a higher token by any other way does not recover; it could take the version of a later renewal as its token.

--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -490,7 +490,10 @@
   Parts_->followQueues();
   if (!Parts_->IsLoaded_)
     return;
-  Parts_->LeaseRenewer_->tick();
+  // A worker of the roster may have moved to another pool since. There it would
+  // take over this owner's token and refuse its own owner.
+  if (Parts_->AreWorkersKnown_)
+    Parts_->LeaseRenewer_->tick();
   Parts_->endSessionsOfReplacedWorkers();
   Parts_->releaseRunsOnStoppedMachines();
   Parts_->settleInheritedTasks();
--- a/src/scheduling/tests/silentworkers_test.cpp
+++ b/src/scheduling/tests/silentworkers_test.cpp
@@ -100,6 +100,25 @@
     EXPECT_NE(Each.Target_.Id_, "w1");
 }
 
+TEST_F(PoolOwnerTest, ContactsNoWorkerBeforeTheRegistryIsKnown) {
+  // A later lifetime of the worker, in another pool, would take this owner's
+  // token for its own owner's and refuse that one's orders from then on.
+  RosterRow Roster;
+  Roster.Workers_ = {worker("w1")};
+  Roster.Queues_ = {"queue"};
+  StoreKey Row = controlrows::roster("pool");
+  Store_.Rows_[Row] = {Row, controlrows::encode(Roster), ++Store_.Version_,
+                       false};
+  storeJob(jobOf(1));
+  buildOwner(1);
+  for (int Round = 0; Round < 5; ++Round)
+    Owner_->tick();
+  EXPECT_TRUE(Workers_.Holds_.empty());
+  Owner_->onWorkers({worker("w1")});
+  tickTwice();
+  EXPECT_EQ(Workers_.Holds_.size(), 1U);
+}
+
 /// Takeover of a pool whose roster names the workers w1 and w2, of which w2
 /// answers.
 class TakeoverTest : public PoolOwnerTest {
