An owner regains a worker that has seen a higher token

A worker that was shown the token of another pool's owner refuses every order of its own owner until that owner changes.

Cause: an owner's token is the version of the transaction that won the pool and stays so.

Now an owner whose listed worker refuses an order by its token sends orders with the version of its last renewal. Renewals are conditional on the owner row, so this version is higher than every token given out before and lower than that of any later owner; fencing between owners of the pool is unchanged. PoolOwner::token() and the counts of pending jobs keep the token of the term.

Ruled out: giving the pool up to win it again; all its workers would be asked anew.

--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -244,7 +244,7 @@
   Order.Run_ = Run.Run_;
   Order.Payload_ = Job.submission().Spec_.Payload_;
   Order.LeaseEnd_ = Session.workerTimeAt(Now) + StartLease;
-  Order.Token_ = Pool_.Token_;
+  Order.Token_ = Pool_.OrderToken_;
   Order.Checkpoint_ = Job.progress().task(Name).Checkpoint_;
   if (Advice_.isNeededFor(Job))
     Order.Ticket_ = Advice_.ticketFor(Name, Session);
@@ -316,6 +316,8 @@
     Run.NotBefore_ = Now + RefusedStartDelay;
     Run.WasRefused_ = true;
   }
+  if (Outcome == OrderOutcome::Fenced)
+    Pool_.onFenced(Session);
   if (Outcome == OrderOutcome::BadTicket)
     Advice_.invalidateTicket(Name, Session.entry().lifetime());
   std::chrono::milliseconds Delay = UnhealthyDelay;
@@ -397,7 +399,7 @@
     Known->IsStopPending_ = true;
   StopLimiter_.onSent();
   Pool_.Workers_.stop(
-      Session.target(), Name, Run, Pool_.Token_,
+      Session.target(), Name, Run, Pool_.OrderToken_,
       [Weak = weak_from_this(), Name, Run,
        Lifetime = Session.entry().lifetime()](const OrderAnswer &Answer) {
         if (auto Self = Weak.lock())
--- a/src/scheduling/internal/leaserenewer.cpp
+++ b/src/scheduling/internal/leaserenewer.cpp
@@ -66,7 +66,7 @@
 void LeaseRenewer::sendHold(WorkerSession &Session) {
   const TimePoint Now = Pool_.Clock_.now();
   HoldOrder Order;
-  Order.Token_ = Pool_.Token_;
+  Order.Token_ = Pool_.OrderToken_;
   Order.AcknowledgedEnd_ = endToAcknowledge(Session);
   Order.Wait_ = holdWaitFor(Session);
   // The lease of a worker that does not respond is not extended, so that its
@@ -188,6 +188,8 @@
   // A refusal because of a higher fencing token says nothing about this pool's
   // lease: the responder may be a later lifetime of the worker id, in another
   // pool.
+  if (Outcome == OrderOutcome::Fenced)
+    Pool_.onFenced(Session);
   if (Outcome != OrderOutcome::OtherLifetime)
     return;
   Session.IsListed_ = false;
--- a/src/scheduling/internal/poolleasemanager.cpp
+++ b/src/scheduling/internal/poolleasemanager.cpp
@@ -310,7 +310,7 @@
     Lease.NextRenewal_ = Sent + Settings_.OwnerLease_ / RenewalsPerLease;
     if (++Lease.OwnershipRenewals_ >= StableOwnershipRenewals)
       Lease.ExpiredLeases_ = 0;
-    OnRenewed_(Pool, Lease.LeaseEnd_);
+    OnRenewed_(Pool, Lease.LeaseEnd_, Result.Version_);
     return;
   }
   Lease.NextRenewal_ = Clock_.now() + RetryDelay;
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -80,6 +80,7 @@
         Reporter_(State_, Demands_, *Dispatcher_, *Follower_),
         HasPredecessor_(Ownership.Predecessors_ > 0) {
     State_.Token_ = Ownership.Token_;
+    State_.OrderToken_ = Ownership.Token_;
     State_.RunNumberBase_ = Ownership.Predecessors_ * RunNumbersPerOwner;
     State_.LeaseEnd_ = Ownership.LeaseEnd_;
     if (HasPredecessor_)
@@ -419,7 +420,10 @@
   }
 }
 
-void PoolOwner::extendLease(TimePoint End) { Parts_->State_.LeaseEnd_ = End; }
+void PoolOwner::extendLease(TimePoint End, FencingToken Renewal) {
+  Parts_->State_.LeaseEnd_ = End;
+  Parts_->State_.RenewalToken_ = Renewal;
+}
 
 void PoolOwner::onConfiguration(
     std::shared_ptr<const SchedulingConfiguration> Configuration) {
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -1,5 +1,7 @@
 #include "scheduling/internal/poolstate.h"
 
+#include <algorithm>
+
 namespace dragonflylock {
 namespace {
 
@@ -30,6 +32,11 @@
   return WasOrdered && !Session.IsFenced_ && !Session.HasEnded_;
 }
 
+void PoolState::onFenced(const WorkerSession &Session) {
+  if (Session.IsListed_)
+    OrderToken_ = std::max(OrderToken_, RenewalToken_);
+}
+
 void PoolState::addJob(std::unique_ptr<ActiveJob> Job) {
   Index_.add(*Job);
   std::string Id = Job->id();
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -45,7 +45,13 @@
   IWorkerControl &Workers_;
   ILogger &Logger_;
 
+  /// Token of this owner.
   FencingToken Token_ = 0;
+  /// Token that orders to workers carry: that of this owner, or that of a
+  /// renewal of its lease.
+  FencingToken OrderToken_ = 0;
+  /// Version of the last renewal of the lease.
+  FencingToken RenewalToken_ = 0;
   /// All run numbers of this owner are higher than this.
   RunNumber RunNumberBase_ = 0;
   /// Time by which the leases of all runs started by previous owners have
@@ -82,6 +88,10 @@
   /// started and that this owner does not know of. Lease expiry is not
   /// considered.
   bool mayHaveInheritedRuns(const WorkerSession &Session) const;
+  /// Called when the worker has refused an order because it has seen a higher
+  /// token, for example that of another pool's owner which did not know of the
+  /// worker's move. Later orders carry the token of the last renewal.
+  void onFenced(const WorkerSession &Session);
   void addJob(std::unique_ptr<ActiveJob> Job);
   void removeJob(ActiveJob &Job);
   ActiveJob *job(const std::string &Id);
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -97,10 +97,10 @@
       Source.LeaseStore_ != nullptr ? *Source.LeaseStore_ : Store_, Clock_,
       Logger_,
       [this](const PoolOwnership &Ownership) { onPoolAcquired(Ownership); },
-      [this](const std::string &Pool, TimePoint End) {
+      [this](const std::string &Pool, TimePoint End, FencingToken Renewal) {
         auto Found = Owners_.find(Pool);
         if (Found != Owners_.end())
-          Found->second->extendLease(End);
+          Found->second->extendLease(End, Renewal);
       },
       [this](const std::string &Pool) { onPoolLost(Pool); });
   Control_ = std::make_shared<TableFollower>(
--- a/src/scheduling/poolleasemanager.h
+++ b/src/scheduling/poolleasemanager.h
@@ -24,8 +24,11 @@
 class PoolLeaseManager : public std::enable_shared_from_this<PoolLeaseManager> {
 public:
   using AcquiredCallback = std::function<void(const PoolOwnership &)>;
-  using RenewedCallback =
-      std::function<void(const std::string &Pool, TimePoint End)>;
+  /// Called with the end of the lease and the version of the renewal. It is
+  /// higher than the tokens of all owners so far and lower than those of later
+  /// owners.
+  using RenewedCallback = std::function<void(
+      const std::string &Pool, TimePoint End, FencingToken Renewal)>;
   using LostCallback = std::function<void(const std::string &Pool)>;
 
   /// \param Process identifies this process among all processes of the node,
--- a/src/scheduling/poolowner.h
+++ b/src/scheduling/poolowner.h
@@ -77,7 +77,9 @@
   PoolOwner &operator=(const PoolOwner &) = delete;
 
   /// Called when the lease has been renewed until \p End.
-  void extendLease(TimePoint End);
+  /// \param Renewal the version of the renewal; orders carry it as their token
+  ///   if a worker of the pool has seen a higher token than the owner's.
+  void extendLease(TimePoint End, FencingToken Renewal);
   void
   onConfiguration(std::shared_ptr<const SchedulingConfiguration> Configuration);
   /// Adds queues that may hold jobs of the pool.
--- a/src/scheduling/tests/poolleasemanager_test.cpp
+++ b/src/scheduling/tests/poolleasemanager_test.cpp
@@ -77,7 +77,7 @@
           LeaseEnd_ = Ownership.LeaseEnd_;
           ++Acquisitions_;
         },
-        [](const std::string &, TimePoint) {},
+        [](const std::string &, TimePoint, FencingToken) {},
         [this](const std::string &Pool) { Owned_.erase(Pool); });
   }
 
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -235,6 +235,24 @@
   EXPECT_EQ(Workers_.Starts_.size(), 1U);
 }
 
+TEST_F(PoolOwnerTest, UsesAWorkerAgainThatHasSeenAHigherToken) {
+  storeJob(jobOf(1));
+  takeOwnership(0, {worker("w1")});
+  HoldAnswer Refused;
+  Refused.Outcome_ = OrderOutcome::Fenced;
+  constexpr FencingToken Renewal = Token + 20;
+  Owner_->extendLease(Clock_.now() + std::chrono::hours(1), Renewal);
+  Workers_.takeHold().Done_(Refused);
+  Clock_.advance(milliseconds(500));
+  tickTwice();
+  ASSERT_EQ(Workers_.Holds_.size(), 1U);
+  EXPECT_EQ(Workers_.Holds_.front().Order_.Token_, Renewal);
+  answerHold(acceptedAnswer({}));
+  ASSERT_EQ(Workers_.Starts_.size(), 1U);
+  EXPECT_EQ(Workers_.Starts_.front().Order_.Token_, Renewal);
+  EXPECT_EQ(Owner_->token(), Token);
+}
+
 TEST_F(PoolOwnerTest, PendingJobsAreUnknownUntilLoaded) {
   storeJob(jobOf(1));
   Store_.Outcome_ = StoreOutcome::NotDone;
