Guard the registry of connections: sockets are destroyed on any thread

Cause: the thread that gives the last answer on a connection drops RESTinio's last reference to it, and so destroys the socket, which leaves the registry, while the I/O thread adds sockets or looks for idle ones. The registry was said to be used on one thread.

--- a/src/http/internal/connectionregistry.cpp
+++ b/src/http/internal/connectionregistry.cpp
@@ -4,6 +4,7 @@
 namespace dragonflylock {
 
 void ConnectionRegistry::closeIdle(std::chrono::milliseconds IdleTime) {
+  const std::lock_guard Lock(Mutex_);
   for (TrackedSocket *Socket : Sockets_) {
     if (!Socket->is_open() || Socket->idleTime() < IdleTime)
       continue;
@@ -15,6 +16,7 @@
 }
 
 void ConnectionRegistry::closeAll() {
+  const std::lock_guard Lock(Mutex_);
   for (TrackedSocket *Socket : Sockets_) {
     asio::error_code Ignored;
     Socket->close(Ignored);
--- a/src/http/internal/connectionregistry.h
+++ b/src/http/internal/connectionregistry.h
@@ -4,14 +4,15 @@
 #include <asio/execution_context.hpp>
 
 #include <chrono>
+#include <mutex>
 #include <unordered_set>
 
 namespace dragonflylock {
 
 class TrackedSocket;
 
-/// The sockets of one I/O context, so that idle ones can be closed. Used on the
-/// thread of the I/O context only.
+/// The sockets of one I/O context, so that idle ones can be closed.
+/// Thread-safe: a socket is destroyed on the thread that gives its last answer.
 class ConnectionRegistry : public asio::execution_context::service {
 public:
   // Asio looks the service up by this name.
@@ -21,8 +22,14 @@
   explicit ConnectionRegistry(asio::execution_context &Context)
       : asio::execution_context::service(Context) {}
 
-  void add(TrackedSocket *Socket) { Sockets_.insert(Socket); }
-  void remove(TrackedSocket *Socket) { Sockets_.erase(Socket); }
+  void add(TrackedSocket *Socket) {
+    const std::lock_guard Lock(Mutex_);
+    Sockets_.insert(Socket);
+  }
+  void remove(TrackedSocket *Socket) {
+    const std::lock_guard Lock(Mutex_);
+    Sockets_.erase(Socket);
+  }
   /// Ends the connections that have waited for a request for \p IdleTime. A
   /// request that the operating system has received is still read and handled.
   void closeIdle(std::chrono::milliseconds IdleTime);
@@ -32,6 +39,7 @@
 private:
   void shutdown() override {}
 
+  std::mutex Mutex_;
   std::unordered_set<TrackedSocket *> Sockets_;
 };
 
--- a/src/http/internal/trackedsocket.h
+++ b/src/http/internal/trackedsocket.h
@@ -15,7 +15,7 @@
 namespace dragonflylock {
 
 /// A socket that tells how long its connection has waited for a request. Used
-/// on the thread of its I/O context only.
+/// on the thread of its I/O context only, but destroyed on any thread.
 class TrackedSocket : public asio::ip::tcp::socket {
   using Base = asio::ip::tcp::socket;
 
