Waits beside free workers do not add up, and a gang passes its job's larger gang

Cause: the wait for the rack began when the job was first considered, after it had been held back; the loop over a job's gangs ended at the first that did not start.

PassedOverTest.ATaskHeldBackForAGangDoesNotWaitForItsRackAsWell and AGangDoesNotWaitBehindALargerOneOfItsJob failed before and pass. Left, by reading: a job with advice that is held back asks for advice only then.

--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -95,9 +95,13 @@
     }
     start(Job, Name, *Session, nextRunNumber(Job, Name));
   }
-  return std::all_of(Gangs.begin(), Gangs.end(), [&](const auto &Each) {
-    return dispatchGang(Job, Each.second);
-  });
+  bool MayGoOn = true;
+  for (const auto &[Step, Waiting] : Gangs) {
+    MayGoOn = dispatchGang(Job, Waiting) && MayGoOn;
+    if (WasLimited_)
+      break;
+  }
+  return MayGoOn;
 }
 
 RunNumber Dispatcher::nextRunNumber(const ActiveJob &Job,
@@ -128,8 +132,10 @@
   if (Step.DataRack_.empty())
     return Chooser_.choose(Job, Name);
   StepRun &StepState = Job.stepRun(Name);
+  // The wait for the rack includes the time for which a gang held the job back.
   if (StepState.CapacityWaitSince_ == TimePoint())
-    StepState.CapacityWaitSince_ = Pool_.Clock_.now();
+    StepState.CapacityWaitSince_ =
+        Job.capacityWaitSince().value_or(Pool_.Clock_.now());
   if (Chooser_.hasWorkerOnRack(Step.DataRack_) &&
       mayWaitForRack(Step, StepState))
     return Chooser_.choose(Job, Name, /*OnlyOnDataRack=*/true);
--- a/src/scheduling/tests/passedover_test.cpp
+++ b/src/scheduling/tests/passedover_test.cpp
@@ -219,5 +219,50 @@
   EXPECT_TRUE(hasStarted({OtherJob}));
 }
 
+TEST_F(PassedOverTest, ATaskHeldBackForAGangDoesNotWaitForItsRackAsWell) {
+  StepSpec Endless = stepOf(1);
+  Endless.PerTask_ = {8000, 1000, 0};
+  storeJob(jobOf(Endless), "0000000000000001");
+  StepSpec Gang = stepOf(2);
+  Gang.PerTask_ = {8000, 1000, 0};
+  Gang.IsGang_ = true;
+  storeJob(jobOf(Gang));
+  StepSpec Local = stepOf(1);
+  Local.DataRack_ = "r1";
+  Local.Estimate_ = milliseconds(9000);
+  JobSpec Small = jobOf(Local);
+  Small.OccurrenceCount_ = 1;
+  Small.FirstDue_ = wallNow() + milliseconds(1500);
+  storeJob(Small, OtherJob, milliseconds(60000));
+  takeOwnership(0, {workerOnRack("w1", "r2", {10000, 32000, 0}),
+                    workerOnRack("w2", "r2", {10000, 32000, 0}),
+                    workerOnRack("w3", "r1", {500, 32000, 0})});
+  advanceTime(milliseconds(4400));
+  EXPECT_FALSE(hasStarted({JobId}));
+  EXPECT_TRUE(hasStarted({OtherJob}));
+}
+
+TEST_F(PassedOverTest, AGangDoesNotWaitBehindALargerOneOfItsJob) {
+  StepSpec Endless = stepOf(1);
+  Endless.PerTask_ = {8000, 1000, 0};
+  storeJob(jobOf(Endless), "0000000000000001");
+  StepSpec Large = stepOf(2);
+  Large.PerTask_ = {8000, 1000, 0};
+  Large.IsGang_ = true;
+  StepSpec Small = stepOf(2);
+  Small.IsGang_ = true;
+  JobSpec Spec;
+  Spec.Steps_ = {Large, Small};
+  Spec.OccurrenceCount_ = 2;
+  Spec.FirstDue_ = wallNow() - milliseconds(100);
+  Spec.Interval_ = milliseconds(1500);
+  storeJob(Spec);
+  takeOwnership(0, {workerOf("w1", {10000, 32000, 0}),
+                    workerOf("w2", {10000, 32000, 0})});
+  advanceTime(milliseconds(2400));
+  EXPECT_FALSE(hasStarted({JobId, 0, 0, 0}));
+  EXPECT_TRUE(hasStarted({JobId, 1, 1, 0}));
+}
+
 } // namespace
 } // namespace dragonflylock
