--- a/src/scheduling/internal/poolreporter.cpp
+++ b/src/scheduling/internal/poolreporter.cpp
@@ -23,9 +23,20 @@
   return static_cast<std::uint64_t>(std::max<std::int64_t>(0, Value));
 }
 
-/// \returns whether the job has tasks left and none of them is on a worker.
-bool hasNoRuns(const ActiveJob &Job) {
-  return !Job.isOver() && Job.runCount() == 0;
+/// \returns whether a step of the job is ready and none of its tasks is on a
+/// worker.
+bool isWaiting(const ActiveJob &Job, std::chrono::milliseconds Wall) {
+  if (Job.isOver() || Job.runCount() > 0)
+    return false;
+  bool HasWaitingTask = false;
+  Job.forEachReadyStep(
+      Wall,
+      [&](std::uint32_t, const std::vector<TaskRun> &Runs) {
+        for (const TaskRun &Run : Runs)
+          HasWaitingTask = HasWaitingTask || Run.Phase_ == TaskPhase::Waiting;
+      },
+      [](std::chrono::milliseconds) {});
+  return HasWaitingTask;
 }
 
 } // namespace
@@ -117,7 +128,8 @@
   const std::chrono::milliseconds Wall = Pool_.wallTime();
   std::vector<const ActiveJob *> Waiting;
   for (const auto &[Id, Job] : Pool_.Jobs_)
-    if (Wall - Job->submission().AcceptedAt_ > LongWait && hasNoRuns(*Job))
+    if (Wall - Job->submission().AcceptedAt_ > LongWait &&
+        isWaiting(*Job, Wall))
       Waiting.push_back(Job.get());
   auto IsOlder = [](const ActiveJob *Left, const ActiveJob *Right) {
     return Left->submission().AcceptedAt_ < Right->submission().AcceptedAt_;
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -69,7 +69,7 @@
   if (!End.Checkpoint_.empty() && IsCurrent) {
     recordCheckpoint(*Job, End.Task_, End.Checkpoint_);
     // The worker forgets the checkpoint with the end.
-    if (End.Kind_ != EndKind::Done)
+    if (End.Kind_ != EndKind::Done && !Job->isOver())
       Job->markDirty();
   }
   if (End.Kind_ == EndKind::Done && !IsLongRunning)
