--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -35,11 +35,10 @@
 /// How long after a gang became startable the reservation ends, so that less
 /// urgent tasks start again. Ordinary tasks end within this time.
 constexpr std::chrono::milliseconds MaxGangReservation{6000};
-/// Longest time for which gangs keep a job from free resources. Users count a
-/// job as lost when it has waited for 3 s beside free workers.
+/// Longest time for which reservations for gangs delay a job. No job may wait
+/// for 3 s beside free workers.
 constexpr std::chrono::milliseconds MaxHoldBack{2500};
-/// Longest wait for a rack. Users count a job as lost when it has waited for
-/// 3 s beside free workers.
+/// Longest wait for a rack, for the same reason.
 constexpr std::chrono::milliseconds MaxRackWait{2000};
 /// Maximum time between two scans for unwanted runs.
 constexpr std::chrono::milliseconds MaxStopScanInterval{100};
