--- a/src/scheduling/tests/passedover_test.cpp
+++ b/src/scheduling/tests/passedover_test.cpp
@@ -31,6 +31,22 @@
     return Spec;
   }
 
+  /// Stores a job with a task that leaves no room for a member of largeGang()
+  /// on its worker.
+  void storeEndlessTask() {
+    StepSpec Endless = stepOf(1);
+    Endless.PerTask_ = {8000, 1000, 0};
+    storeJob(jobOf(Endless), "0000000000000001");
+  }
+
+  /// \returns a gang whose members need a worker each.
+  static StepSpec largeGang() {
+    StepSpec Gang = stepOf(2);
+    Gang.PerTask_ = {8000, 1000, 0};
+    Gang.IsGang_ = true;
+    return Gang;
+  }
+
   static WorkerEntry workerOnRack(const std::string &Id,
                                   const std::string &Rack, Resources Capacity) {
     WorkerEntry Entry = workerOf(Id, Capacity);
@@ -109,10 +125,7 @@
   Filler.PerTask_ = {9000, 1000, 0};
   Filler.IsFiller_ = true;
   storeJob(jobOf(Filler), "0000000000000001");
-  StepSpec Gang = stepOf(2);
-  Gang.PerTask_ = {8000, 1000, 0};
-  Gang.IsGang_ = true;
-  storeJob(jobOf(Gang));
+  storeJob(jobOf(largeGang()));
   JobSpec Small = jobOf(stepOf(1));
   Small.OccurrenceCount_ = 1;
   Small.FirstDue_ = wallNow() + milliseconds(2000);
@@ -200,13 +213,8 @@
 TEST_F(PassedOverTest, AGangHoldsBackOthersForLessThanThreeSeconds) {
   // The gang would fit but for a task that runs for longer than declared; less
   // than half of the processor is in use.
-  StepSpec Endless = stepOf(1);
-  Endless.PerTask_ = {8000, 1000, 0};
-  storeJob(jobOf(Endless), "0000000000000001");
-  StepSpec Gang = stepOf(2);
-  Gang.PerTask_ = {8000, 1000, 0};
-  Gang.IsGang_ = true;
-  storeJob(jobOf(Gang));
+  storeEndlessTask();
+  storeJob(jobOf(largeGang()));
   JobSpec Small = jobOf(stepOf(1));
   Small.OccurrenceCount_ = 1;
   Small.FirstDue_ = wallNow() + milliseconds(1500);
@@ -220,13 +228,8 @@
 }
 
 TEST_F(PassedOverTest, ATaskHeldBackForAGangDoesNotWaitForItsRackAsWell) {
-  StepSpec Endless = stepOf(1);
-  Endless.PerTask_ = {8000, 1000, 0};
-  storeJob(jobOf(Endless), "0000000000000001");
-  StepSpec Gang = stepOf(2);
-  Gang.PerTask_ = {8000, 1000, 0};
-  Gang.IsGang_ = true;
-  storeJob(jobOf(Gang));
+  storeEndlessTask();
+  storeJob(jobOf(largeGang()));
   StepSpec Local = stepOf(1);
   Local.DataRack_ = "r1";
   Local.Estimate_ = milliseconds(9000);
@@ -243,16 +246,11 @@
 }
 
 TEST_F(PassedOverTest, AGangDoesNotWaitBehindALargerOneOfItsJob) {
-  StepSpec Endless = stepOf(1);
-  Endless.PerTask_ = {8000, 1000, 0};
-  storeJob(jobOf(Endless), "0000000000000001");
-  StepSpec Large = stepOf(2);
-  Large.PerTask_ = {8000, 1000, 0};
-  Large.IsGang_ = true;
+  storeEndlessTask();
   StepSpec Small = stepOf(2);
   Small.IsGang_ = true;
   JobSpec Spec;
-  Spec.Steps_ = {Large, Small};
+  Spec.Steps_ = {largeGang(), Small};
   Spec.OccurrenceCount_ = 2;
   Spec.FirstDue_ = wallNow() - milliseconds(100);
   Spec.Interval_ = milliseconds(1500);
