--- a/src/http/tests/connectionregistry_test.cpp
+++ b/src/http/tests/connectionregistry_test.cpp
@@ -17,6 +17,7 @@
   asio::io_context Context;
   auto &Registry = asio::use_service<ConnectionRegistry>(Context);
   std::vector<std::thread> Users;
+  Users.reserve(Threads);
   for (int Number = 0; Number < Threads; ++Number)
     Users.emplace_back([&Context] {
       for (int Each = 0; Each < SocketsPerThread; ++Each)
