A worker whose session is made anew keeps its place in the roster

Cause: whether a worker is in the stored roster was noted in its session and set only by a write. A session that ends and is made anew for the same lifetime between two looks of the roster manager leaves the set of workers as it was, so that nothing is written, and the worker never gets an order.

Now the manager marks every session whose lifetime the stored roster has, and no session ends before the registry is known, so that its worker is asked first.

PoolOwnerTest.UsesWorkersWhoseLeasesEnd BeforeTheRegistryIsKnown failed before and passes.

--- a/src/emulator/tests/emulator_test.cpp
+++ b/src/emulator/tests/emulator_test.cpp
@@ -93,6 +93,12 @@
   runEmulator(manyFaults(30036));
 }
 
+TEST(EmulatorTest, OwnerWhoseInheritedLeasesHaveEndedUsesItsWorkers) {
+  EmulatorOptions Options;
+  Options.Seed_ = 40600;
+  runEmulator(Options);
+}
+
 TEST(EmulatorTest, SubmissionsThatOverlapALateRefusalBreakNoRule) {
   runEmulator(manyFaults(30132));
 }
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -519,7 +519,10 @@
   Parts_->Writer_->flush();
   if (Parts_->Jobs_.removeEndedJobs())
     Parts_->Advice_->removeAdviceOfEndedJobs();
-  Parts_->removeExpiredSessions();
+  // Until the registry is known, workers of the roster are not listed and have
+  // not been contacted.
+  if (Parts_->AreWorkersKnown_)
+    Parts_->removeExpiredSessions();
 }
 
 const std::string &PoolOwner::pool() const { return Parts_->State_.Pool_; }
--- a/src/scheduling/internal/rostermanager.cpp
+++ b/src/scheduling/internal/rostermanager.cpp
@@ -24,6 +24,7 @@
 } // namespace
 
 void RosterManager::tick() {
+  markStoredWorkers();
   if (IsBusy_ || Pool_.Clock_.now() < NextCall_ || !Pool_.holdsLease())
     return;
   if (!IsLoaded_)
@@ -136,6 +137,16 @@
   return Silent;
 }
 
+void RosterManager::markStoredWorkers() {
+  // A worker that was unlisted for a while has a new session.
+  for (auto &[Lifetime, Session] : Pool_.Sessions_) {
+    if (Session->IsInRoster_ || !StoredWorkers_.contains(Lifetime))
+      continue;
+    Session->IsInRoster_ = true;
+    Pool_.NeedsDispatch_ = true;
+  }
+}
+
 bool RosterManager::needsWriting() const {
   if (Queues_ != StoredQueues_)
     return true;
--- a/src/scheduling/internal/rostermanager.h
+++ b/src/scheduling/internal/rostermanager.h
@@ -36,6 +36,8 @@
   void load();
   void onLoaded(const StoreRange &Read);
   void applyRoster(const RosterRow &Roster);
+  /// Marks the sessions of workers that the stored roster contains.
+  void markStoredWorkers();
   bool needsWriting() const;
   /// \returns whether the worker does not respond and all tasks that may run on
   /// it are known.
--- a/src/scheduling/tests/silentworkers_test.cpp
+++ b/src/scheduling/tests/silentworkers_test.cpp
@@ -119,6 +119,28 @@
   EXPECT_EQ(Workers_.Holds_.size(), 1U);
 }
 
+TEST_F(PoolOwnerTest, UsesWorkersWhoseLeasesEndBeforeTheRegistryIsKnown) {
+  RosterRow Roster;
+  Roster.Workers_ = {worker("w1")};
+  Roster.Queues_ = {"queue"};
+  StoreKey Row = controlrows::roster("pool");
+  Store_.Rows_[Row] = {Row, controlrows::encode(Roster), ++Store_.Version_,
+                       false};
+  storeJob(jobOf(1));
+  buildOwner(1);
+  for (int Round = 0; Round < 5; ++Round)
+    Owner_->tick();
+  Clock_.advance(milliseconds(10000));
+  Owner_->tick();
+  Owner_->onWorkers({worker("w1")});
+  tickTwice();
+  EXPECT_TRUE(Workers_.Starts_.empty());
+  ASSERT_EQ(Workers_.Holds_.size(), 1U);
+  answerHold(acceptedAnswer({}));
+  tickTwice();
+  EXPECT_EQ(Workers_.Starts_.size(), 1U);
+}
+
 /// Takeover of a pool whose roster names the workers w1 and w2, of which w2
 /// answers.
 class TakeoverTest : public PoolOwnerTest {
