--- a/src/emulator/tests/emulator_test.cpp
+++ b/src/emulator/tests/emulator_test.cpp
@@ -99,6 +99,10 @@
   runEmulator(Options);
 }
 
+TEST(EmulatorTest, MaintenanceKeepsBudgetsAfterStartsAreCarriedOutLate) {
+  runEmulator(manyFaults(41465));
+}
+
 TEST(EmulatorTest, SubmissionsThatOverlapALateRefusalBreakNoRule) {
   runEmulator(manyFaults(30132));
 }
