--- a/src/scheduling/tests/mocks/poolownertest.h
+++ b/src/scheduling/tests/mocks/poolownertest.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYLOCK_SCHEDULING_TESTS_MOCKS_POOLOWNERTEST_H
 #define DRAGONFLYLOCK_SCHEDULING_TESTS_MOCKS_POOLOWNERTEST_H
 
+#include "scheduling/controlrows.h"
 #include "scheduling/tests/mocks/ownertest.h"
 
 #include <cstddef>
@@ -14,6 +15,16 @@
 protected:
   PoolOwnerTest() { Queue_.MaxFailedRuns_ = 3; }
 
+  /// Stores the roster of a previous owner, with the queue "queue".
+  void storeRoster(const std::vector<WorkerEntry> &Workers) {
+    RosterRow Roster;
+    Roster.Workers_ = Workers;
+    Roster.Queues_ = {"queue"};
+    StoreKey Row = controlrows::roster("pool");
+    Store_.Rows_[Row] = {Row, controlrows::encode(Roster), ++Store_.Version_,
+                         false};
+  }
+
   static JobSpec jobOf(std::uint32_t Tasks) {
     JobSpec Spec;
     Spec.Payload_ = "payload";
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -67,12 +67,7 @@
 
 TEST_F(PoolOwnerTest, ContactsEveryWorkerWhenLoadingOutlastsAllLeases) {
   storeJob(jobOf(1));
-  RosterRow Roster;
-  Roster.Workers_ = {worker("w1"), worker("w2")};
-  Roster.Queues_ = {"queue"};
-  StoreKey Row = controlrows::roster("pool");
-  Store_.Rows_[Row] = {Row, controlrows::encode(Roster), ++Store_.Version_,
-                       false};
+  storeRoster({worker("w1"), worker("w2")});
   Store_.Outcome_ = StoreOutcome::Unknown;
   takeOwnership(1, {worker("w1"), worker("w2")});
   Clock_.advance(Settings_.MaxWorkerLease_ + std::chrono::seconds(3));
@@ -560,12 +555,7 @@
 }
 
 TEST_F(ServingPairTest, OrdersNoMaintenanceBeforeWorkersAreKnown) {
-  RosterRow Roster;
-  Roster.Workers_ = {worker("w1"), worker("w2")};
-  Roster.Queues_ = {"queue"};
-  StoreKey Row = controlrows::roster("pool");
-  Store_.Rows_[Row] = {Row, controlrows::encode(Roster), ++Store_.Version_,
-                       false};
+  storeRoster({worker("w1"), worker("w2")});
   buildOwner(1);
   Owner_->onWaves({waveOf(1, {"machine-of-w1"})});
   simulateThreeSeconds();
--- a/src/scheduling/tests/silentworkers_test.cpp
+++ b/src/scheduling/tests/silentworkers_test.cpp
@@ -87,12 +87,7 @@
   WorkerEntry Moved = worker("w1");
   Moved.Pool_ = "other";
   Moved.Born_ = milliseconds(50);
-  RosterRow Roster;
-  Roster.Workers_ = {worker("w1")};
-  Roster.Queues_ = {"queue"};
-  StoreKey Row = controlrows::roster("pool");
-  Store_.Rows_[Row] = {Row, controlrows::encode(Roster), ++Store_.Version_,
-                       false};
+  storeRoster({worker("w1")});
   storeJob(jobOf(1));
   takeOwnership(1, {Moved, worker("w2")});
   ASSERT_FALSE(Workers_.Holds_.empty());
@@ -103,12 +98,7 @@
 TEST_F(PoolOwnerTest, ContactsNoWorkerBeforeTheRegistryIsKnown) {
   // A later lifetime of the worker, in another pool, would take this owner's
   // token for its own owner's and refuse that one's orders from then on.
-  RosterRow Roster;
-  Roster.Workers_ = {worker("w1")};
-  Roster.Queues_ = {"queue"};
-  StoreKey Row = controlrows::roster("pool");
-  Store_.Rows_[Row] = {Row, controlrows::encode(Roster), ++Store_.Version_,
-                       false};
+  storeRoster({worker("w1")});
   storeJob(jobOf(1));
   buildOwner(1);
   for (int Round = 0; Round < 5; ++Round)
