--- a/src/scheduling/internal/rostermanager.cpp
+++ b/src/scheduling/internal/rostermanager.cpp
@@ -209,7 +209,6 @@
     for (auto &[Lifetime, Session] : Pool_.Sessions_) {
       if (!Written.contains(Lifetime))
         continue;
-      Session->IsInRoster_ = true;
       Session->IsDeclaredSilent_ = StoredSilent_.contains(Lifetime);
       Pool_.NeedsDispatch_ = true;
     }
