--- a/src/scheduling/internal/poolleasemanager.cpp
+++ b/src/scheduling/internal/poolleasemanager.cpp
@@ -38,6 +38,10 @@
   return std::chrono::duration_cast<std::chrono::microseconds>(Time);
 }
 
+std::uint64_t milliCores(double Cores) {
+  return static_cast<std::uint64_t>(Cores * 1000);
+}
+
 } // namespace
 
 PoolLeaseManager::PoolLeaseManager(const SchedulingSettings &Settings,
@@ -114,13 +118,17 @@
          ExpiredLeaseDelay * std::min(Lease.ExpiredLeases_, MaxCountedExpiries);
 }
 
-std::chrono::milliseconds PoolLeaseManager::sizeDelay() const {
+double PoolLeaseManager::largestNodeCores() const {
   double Largest = Settings_.Cores_;
   for (const auto &[Node, Row] : Nodes_)
     Largest = std::max(Largest, Row.Cores_);
+  return Largest;
+}
+
+std::chrono::milliseconds PoolLeaseManager::sizeDelay() const {
   if (Settings_.Cores_ <= 0)
     return MaxSizeDelay;
-  double Ratio = Largest / Settings_.Cores_ - 1;
+  double Ratio = largestNodeCores() / Settings_.Cores_ - 1;
   return std::min(MaxSizeDelay,
                   std::chrono::duration_cast<std::chrono::milliseconds>(
                       SizeDelayPerRatio * Ratio));
@@ -257,11 +265,15 @@
   Lease.VersionSeenAt_ = Clock_.now();
   Lease.LeaseEnd_ = Sent + Settings_.OwnerLease_;
   Lease.NextRenewal_ = Sent + Settings_.OwnerLease_ / RenewalsPerLease;
-  Logger_.write(LogLevel::Info,
-                LogEvent("pool.won")
-                    .with("pool", Pool)
-                    .with("token", Token)
-                    .with("predecessors", Lease.Row_.Predecessors_));
+  Logger_.write(
+      LogLevel::Info,
+      LogEvent("pool.won")
+          .with("pool", Pool)
+          .with("token", Token)
+          .with("predecessors", Lease.Row_.Predecessors_)
+          .with("pools", std::uint64_t{ownedOrPendingCount()})
+          .with("millicores", milliCores(Settings_.Cores_))
+          .with("largest-millicores", milliCores(largestNodeCores())));
   // Delays this node's next attempts, so that other nodes that have tried for
   // as long go first.
   for (auto &[Other, Each] : Leases_)
--- a/src/scheduling/poolleasemanager.h
+++ b/src/scheduling/poolleasemanager.h
@@ -105,6 +105,8 @@
                                          const PoolLease &Lease) const;
   /// \returns whether an attempt to acquire a pool is in flight.
   bool hasAttemptInFlight() const;
+  /// \returns the processor cores of the largest node that is known.
+  double largestNodeCores() const;
   /// \returns the delay that lets larger nodes make their attempts first.
   std::chrono::milliseconds sizeDelay() const;
   /// Publishes the size of this node to the other nodes if the stored
