--- a/src/emulator/emulator.h
+++ b/src/emulator/emulator.h
@@ -12,6 +12,9 @@
 
 namespace dragonflylock {
 
+/// Processor share of a small node, compared with the other nodes.
+inline constexpr double SmallNodeShare = 0.24;
+
 /// Configuration of an emulation.
 struct EmulatorOptions {
   std::uint64_t Seed_ = 1;
@@ -48,6 +51,12 @@
   /// order and each response. A node processes these one after the other; 0
   /// disables the CPU model.
   std::chrono::microseconds CpuTimePerCall_{0};
+  /// Number of nodes that have only SmallNodeShare of the processor of the
+  /// others.
+  std::uint32_t SmallNodes_ = 0;
+  /// Time from the start at which the other nodes are started, if there are
+  /// small ones.
+  std::chrono::milliseconds LargeNodesStartAt_{0};
   /// Interval at which a caller polls the state of its job.
   std::chrono::milliseconds PollInterval_{700};
   /// Time from the start at which all nodes lose power for about a second.
--- a/src/emulator/internal/emulatednode.cpp
+++ b/src/emulator/internal/emulatednode.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-EmulatedNode::EmulatedNode(std::string Name, EmulationContext &Context)
-    : Name_(std::move(Name)), Context_(Context) {}
+EmulatedNode::EmulatedNode(std::string Name, double Cores,
+                           EmulationContext &Context)
+    : Name_(std::move(Name)), Cores_(Cores), Context_(Context) {}
 
 void EmulatedNode::start() {
   if (Node_)
@@ -30,6 +31,7 @@
   FollowedWorkers_.reset();
   SchedulingSettings Settings;
   Settings.Node_ = Name_;
+  Settings.Cores_ = Cores_;
   Node_ = SchedulerNode::Builder()
               .settings(Settings)
               .process(Name_ + "/" + std::to_string(Incarnation_))
@@ -83,7 +85,9 @@
     return;
   }
   Simulation &Sim = Context_.Simulation_;
-  CpuBusyUntil_ = std::max(CpuBusyUntil_, Sim.now()) + Context_.CpuTimePerCall_;
+  CpuBusyUntil_ = std::max(CpuBusyUntil_, Sim.now()) +
+                  std::chrono::duration_cast<std::chrono::microseconds>(
+                      Context_.CpuTimePerCall_ / Cores_);
   Sim.schedule(
       std::chrono::ceil<std::chrono::microseconds>(CpuBusyUntil_ - Sim.now()),
       [this, Incarnation, Next] {
--- a/src/emulator/internal/emulatednode.h
+++ b/src/emulator/internal/emulatednode.h
@@ -29,8 +29,8 @@
   std::vector<MaintenanceWave> Waves_;
   /// Whether to print the log events of the nodes.
   bool IsLogging_ = false;
-  /// CPU time of a node for each call and each response; 0 disables the CPU
-  /// model.
+  /// CPU time of a node with one core for each call and each response; 0
+  /// disables the CPU model.
   std::chrono::microseconds CpuTimePerCall_{0};
   /// Number of times that a node lost a pool because its lease had expired.
   std::size_t ExpiredPoolLeases_ = 0;
@@ -44,7 +44,9 @@
                      public IAdvisor,
                      public ILogger {
 public:
-  EmulatedNode(std::string Name, EmulationContext &Context);
+  /// \param Cores processor cores of the node; the CPU time of its calls grows
+  /// accordingly.
+  EmulatedNode(std::string Name, double Cores, EmulationContext &Context);
 
   void start();
   void kill();
@@ -104,6 +106,7 @@
   void deliverWorkerChanges(const std::vector<WorkerEntry> &Entries);
 
   std::string Name_;
+  double Cores_;
   EmulationContext &Context_;
   std::unique_ptr<SchedulerNode> Node_;
   std::uint64_t Incarnation_ = 0;
--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -104,10 +104,13 @@
     IsFirstKind = !IsFirstKind;
   }
   for (std::uint32_t Number = 0; Number < Options_.Nodes_; ++Number) {
-    Nodes_.push_back(
-        std::make_unique<EmulatedNode>("n" + std::to_string(Number), Context_));
-    Simulation_.schedule(milliseconds(Simulation_.randomInRange(0, 300)),
-                         [Node = Nodes_.back().get()] { Node->start(); });
+    const bool IsSmall = Number < Options_.SmallNodes_;
+    Nodes_.push_back(std::make_unique<EmulatedNode>(
+        "n" + std::to_string(Number), IsSmall ? SmallNodeShare : 1, Context_));
+    Simulation_.schedule(
+        milliseconds(Simulation_.randomInRange(0, 300)) +
+            (IsSmall ? milliseconds(0) : Options_.LargeNodesStartAt_),
+        [Node = Nodes_.back().get()] { Node->start(); });
   }
 }
 
--- a/src/emulator/tests/emulator_test.cpp
+++ b/src/emulator/tests/emulator_test.cpp
@@ -80,6 +80,16 @@
   EXPECT_EQ(Report.Accepted_, Report.Jobs_);
 }
 
+TEST(EmulatorTest, PoolOfSmallNodeIsServedInTimeAfterRestartOfAllNodes) {
+  EmulatorOptions Options = backlogOnSlowNodes();
+  Options.JobsPerSecond_ = 25;
+  Options.TrafficDuration_ = std::chrono::seconds(20);
+  Options.CompletionTimeout_ = std::chrono::seconds(12);
+  Options.SmallNodes_ = 2;
+  Options.LargeNodesStartAt_ = std::chrono::seconds(3);
+  runEmulator(Options);
+}
+
 /// Options under which the regression seeds broke a rule.
 EmulatorOptions manyFaults(std::uint64_t Seed) {
   EmulatorOptions Options;
--- a/src/scheduling/tests/poolleasemanager_test.cpp
+++ b/src/scheduling/tests/poolleasemanager_test.cpp
@@ -65,13 +65,13 @@
 
 /// A node with its lease manager and the pools that it owns.
 struct TestNode {
-  TestNode(const std::string &Name, double Cores, InstantStore &Shared,
-           const IClock &Clock, ILogger &Logger)
+  TestNode(const std::string &Name, const std::string &Process, double Cores,
+           InstantStore &Shared, const IClock &Clock, ILogger &Logger)
       : Store_(Shared, Clock) {
     Settings_.Node_ = Name;
     Settings_.Cores_ = Cores;
     Manager_ = std::make_shared<PoolLeaseManager>(
-        Settings_, Name + "/1", Store_, Clock, Logger,
+        Settings_, Process, Store_, Clock, Logger,
         [this](const PoolOwnership &Ownership) {
           Owned_.insert(Ownership.Pool_);
           LeaseEnd_ = Ownership.LeaseEnd_;
@@ -93,8 +93,9 @@
 class PoolLeaseManagerTest : public testing::Test {
 protected:
   TestNode &addNode(const std::string &Name, double Cores = 1) {
-    Nodes_.push_back(
-        std::make_unique<TestNode>(Name, Cores, Shared_, Clock_, Logger_));
+    std::string Process = Name + "/" + std::to_string(++Processes_);
+    Nodes_.push_back(std::make_unique<TestNode>(Name, Process, Cores, Shared_,
+                                                Clock_, Logger_));
     return *Nodes_.back();
   }
 
@@ -135,6 +136,8 @@
 
   /// Whether rows can be read although the store refuses writes.
   bool IsViewCurrent_ = false;
+  /// Number of processes that were started on the nodes.
+  int Processes_ = 0;
   ManualClock Clock_;
   SilentLogger Logger_;
   InstantStore Shared_;
@@ -173,6 +176,20 @@
   EXPECT_GT(Large.Owned_.size(), Small.Owned_.size());
 }
 
+TEST_F(PoolLeaseManagerTest, LargerNodeTakesPoolOverFromRestartedSmallOwner) {
+  TestNode &Small = addNode("small", 0.12);
+  startManagers({"pool"});
+  runFor(milliseconds(2000));
+  ASSERT_TRUE(Small.Owned_.contains("pool"));
+  Nodes_.clear();
+  TestNode &Restarted = addNode("small", 0.12);
+  TestNode &Large = addNode("large", 0.5);
+  startManagers({"pool"});
+  runFor(milliseconds(6000));
+  EXPECT_TRUE(Large.Owned_.contains("pool"));
+  EXPECT_FALSE(Restarted.Owned_.contains("pool"));
+}
+
 TEST_F(PoolLeaseManagerTest, LargerNodeAcquiresFirstWhenStoreRecovers) {
   TestNode &Owner = addNode("owner", 0.5);
   startManagers({"pool"});
--- a/tools/emulator/main.cpp
+++ b/tools/emulator/main.cpp
@@ -18,6 +18,7 @@
   --first=SEED   The first seed [default: 1].
   --count=N      Number of seeds, run one after the other [default: 20].
   --nodes=N      Number of nodes [default: 5].
+  --small=N      Number of nodes that are small [default: 0].
   --faults=N     Faults for each seed [default: 6].
   --jobs=N       Jobs per second [default: 6].
   --pools=N      Number of pools [default: 2].
@@ -49,6 +50,8 @@
     Options.Seed_ = Seed;
     Options.Nodes_ =
         static_cast<std::uint32_t>(numberOf(Arguments.at("--nodes")));
+    Options.SmallNodes_ =
+        static_cast<std::uint32_t>(numberOf(Arguments.at("--small")));
     Options.Faults_ =
         static_cast<std::uint32_t>(numberOf(Arguments.at("--faults")));
     Options.Pools_ =
