Hand a pool over to a node that has much more processor for it

Cause: a pool's owner is chosen once, by delays before the attempts. A node with 0.12 of a core that acquires a pool while the large ones stop or own others keeps it: its renewals go before all other work, so that its lease never ends however far it falls behind. After a kill of all nodes the former owner need not wait for its own lease and acquires the pool again before any other node may. Class of fault: a choice that nothing revises, behind a sign of life that says nothing of the work.

Now a node that would have more than twice as much processor for a pool as its owner has for each of its pools asks for the pool in a row of the control table, and the owner releases the pool for it by name. Only a new request counts, so that pools are not given to nodes that are gone; the strict gain keeps a pool from going back and forth; other nodes wait 1 s for the successor.

The other new tests guard what must not happen: pools that move without need, or that stay free when the successor is gone.

--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -17,6 +17,8 @@
 struct OwnerRow {
   /// Node that owns the pool; empty if the pool was released.
   std::string Holder_;
+  /// Node for which the pool was released; empty if for any.
+  std::string Successor_;
   /// Process of that node, to distinguish it from the process after a restart.
   std::string Process_;
   /// Version of the transaction that began the term of ownership. It is 0 in
@@ -36,6 +38,13 @@
   bool operator==(const NodeRow &) const = default;
 };
 
+/// Request of a node for a pool that another node owns.
+struct TakeoverRow {
+  std::string Node_;
+  /// Token of the owner that is asked.
+  FencingToken Token_ = 0;
+};
+
 /// Numbers of jobs that have not started, by queue.
 struct PendingRow {
   /// Token of the owner that counted the jobs. It identifies a count of a
@@ -95,6 +104,7 @@
 inline constexpr const char *Table = "dragonflylock-control";
 inline constexpr const char *OwnerPrefix = "owner/";
 inline constexpr const char *NodePrefix = "node/";
+inline constexpr const char *TakeoverPrefix = "takeover/";
 inline constexpr const char *RosterPrefix = "roster/";
 inline constexpr const char *PendingPrefix = "pending/";
 inline constexpr const char *DemandPrefix = "demand/";
@@ -106,6 +116,7 @@
 
 StoreKey owner(const std::string &Pool);
 StoreKey node(const std::string &Node);
+StoreKey takeover(const std::string &Pool);
 StoreKey roster(const std::string &Pool);
 StoreKey pending(const std::string &Pool);
 StoreKey demand(const std::string &Pool);
@@ -115,6 +126,7 @@
 
 std::string encode(const OwnerRow &Row);
 std::string encode(const NodeRow &Row);
+std::string encode(const TakeoverRow &Row);
 std::string encode(const PendingRow &Row);
 std::string encode(const DemandRow &Row);
 std::string encode(const QueueRow &Row);
@@ -123,6 +135,7 @@
 /// The functions below return std::nullopt if the text cannot be decoded.
 std::optional<OwnerRow> decodeOwner(const std::string &Text);
 std::optional<NodeRow> decodeNode(const std::string &Text);
+std::optional<TakeoverRow> decodeTakeover(const std::string &Text);
 std::optional<PendingRow> decodePending(const std::string &Text);
 std::optional<DemandRow> decodeDemand(const std::string &Text);
 std::optional<QueueRow> decodeQueue(const std::string &Text);
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -22,6 +22,9 @@
 
 StoreKey owner(const std::string &Pool) { return row(OwnerPrefix + Pool); }
 StoreKey node(const std::string &Node) { return row(NodePrefix + Node); }
+StoreKey takeover(const std::string &Pool) {
+  return row(TakeoverPrefix + Pool);
+}
 StoreKey roster(const std::string &Pool) { return row(RosterPrefix + Pool); }
 StoreKey pending(const std::string &Pool) { return row(PendingPrefix + Pool); }
 StoreKey demand(const std::string &Pool) { return row(DemandPrefix + Pool); }
@@ -39,6 +42,7 @@
 
 std::string encode(const OwnerRow &Row) {
   return json{{"holder", Row.Holder_},
+              {"successor", Row.Successor_},
               {"process", Row.Process_},
               {"token", Row.Token_},
               {"predecessors", Row.Predecessors_},
@@ -50,6 +54,10 @@
   return json{{"cores", Row.Cores_}}.dump();
 }
 
+std::string encode(const TakeoverRow &Row) {
+  return json{{"node", Row.Node_}, {"token", Row.Token_}}.dump();
+}
+
 std::string encode(const PendingRow &Row) {
   return json{{"token", Row.Token_}, {"pending", Row.Pending_}}.dump();
 }
@@ -87,6 +95,8 @@
   return read<OwnerRow>(Text, [](const json &Source) {
     OwnerRow Row;
     Row.Holder_ = Source.at("holder").get<std::string>();
+    // Rows written by earlier versions do not contain the successor.
+    Row.Successor_ = Source.value("successor", std::string());
     Row.Process_ = Source.at("process").get<std::string>();
     Row.Token_ = Source.at("token").get<FencingToken>();
     Row.Predecessors_ = Source.at("predecessors").get<std::uint64_t>();
@@ -101,6 +111,13 @@
   });
 }
 
+std::optional<TakeoverRow> decodeTakeover(const std::string &Text) {
+  return read<TakeoverRow>(Text, [](const json &Source) {
+    return TakeoverRow{Source.at("node").get<std::string>(),
+                       Source.at("token").get<FencingToken>()};
+  });
+}
+
 std::optional<PendingRow> decodePending(const std::string &Text) {
   return read<PendingRow>(Text, [](const json &Source) {
     PendingRow Row;
--- a/src/scheduling/internal/poolleasemanager.cpp
+++ b/src/scheduling/internal/poolleasemanager.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/poolleasemanager.h"
 #include "global/ilogger.h"
 #include "global/logevent.h"
+#include "scheduling/internal/takeoverrequests.h"
 #include "scheduling/istore.h"
 
 #include <algorithm>
@@ -34,6 +35,16 @@
 /// expired leases no longer count.
 constexpr std::uint32_t StableOwnershipRenewals = 10;
 
+/// How many times as much processor time another node must have for a pool
+/// before the pool is handed over to it. Each change of owner delays the pool's
+/// tasks.
+constexpr double MinProcessorGain = 2.0;
+/// How long a node has owned a pool before it is asked for it. Shortly after a
+/// start the nodes acquire their pools one after the other.
+constexpr std::chrono::milliseconds MinTermBeforeTakeover{1000};
+/// Head start of the node for which a pool was released.
+constexpr std::chrono::milliseconds SuccessorHeadStart{1000};
+
 std::chrono::microseconds microseconds(TimePoint::duration Time) {
   return std::chrono::duration_cast<std::chrono::microseconds>(Time);
 }
@@ -52,7 +63,9 @@
                                    LostCallback OnLost)
     : Settings_(Settings), Process_(std::move(Process)), Store_(Store),
       Clock_(Clock), Logger_(Logger), OnAcquired_(std::move(OnAcquired)),
-      OnRenewed_(std::move(OnRenewed)), OnLost_(std::move(OnLost)) {}
+      OnRenewed_(std::move(OnRenewed)), OnLost_(std::move(OnLost)),
+      Takeovers_(std::make_shared<TakeoverRequests>(Settings.Node_, Store,
+                                                    Clock, Logger)) {}
 
 void PoolLeaseManager::setPools(const std::vector<std::string> &Pools) {
   Pools_ = Pools;
@@ -66,15 +79,18 @@
 void PoolLeaseManager::applyRow(PoolLease &Lease, const StoreRow &Row) {
   if (Row.Version_ <= Lease.Version_)
     return;
-  Lease.Version_ = Row.Version_;
   Lease.VersionSeenAt_ = Clock_.now();
   Lease.FreeSince_ = TimePoint();
   auto Read = controlrows::decodeOwner(Row.Value_);
+  const FencingToken EarlierToken = tokenOf(Lease);
+  Lease.Version_ = Row.Version_;
   if (Read)
     Lease.Row_ = *Read;
   else
     Logger_.write(LogLevel::Error,
                   LogEvent("owner-row.unreadable").with("row", Row.Name_.Key_));
+  if (tokenOf(Lease) != EarlierToken)
+    Lease.TermSeenAt_ = Clock_.now();
 }
 
 void PoolLeaseManager::onOwnerRow(const std::string &Pool,
@@ -88,6 +104,11 @@
     loseLease(Pool, Lease, "taken-over");
 }
 
+void PoolLeaseManager::onTakeoverRow(const std::string &Pool,
+                                     const StoreRow &Row) {
+  Takeovers_->onRow(Pool, Row);
+}
+
 bool PoolLeaseManager::wasRenewalRefused(const PoolLease &Lease) {
   return Lease.RenewalOutcome_ == StoreOutcome::NotDone;
 }
@@ -111,8 +132,13 @@
 std::chrono::milliseconds
 PoolLeaseManager::attemptDelay(const std::string &Pool,
                                const PoolLease &Lease) const {
+  if (Lease.Row_.Successor_ == Settings_.Node_)
+    return std::chrono::milliseconds(0);
   std::uint64_t Hash = std::hash<std::string>()(Settings_.Node_ + "/" + Pool);
-  return std::chrono::milliseconds(Hash % AttemptSpreadMs) +
+  const auto HeadStart = Lease.Row_.Successor_.empty()
+                             ? std::chrono::milliseconds(0)
+                             : SuccessorHeadStart;
+  return HeadStart + std::chrono::milliseconds(Hash % AttemptSpreadMs) +
          OwnedPoolDelay * static_cast<std::int64_t>(ownedOrPendingCount()) +
          sizeDelay() +
          ExpiredLeaseDelay * std::min(Lease.ExpiredLeases_, MaxCountedExpiries);
@@ -169,12 +195,15 @@
     if (Lease.HasWriteInFlight_ || IsReleasing_)
       continue;
     if (Lease.IsOwned_) {
-      if (Now >= Lease.NextRenewal_)
+      if (!handOverOnRequest(Pool, Lease) && Now >= Lease.NextRenewal_)
         renew(Pool, Lease);
       continue;
     }
-    if (!IsViewCurrent_ || !IsSizePublished || !isFree(Lease)) {
+    const bool MayActOnView = IsViewCurrent_ && IsSizePublished;
+    if (!MayActOnView || !isFree(Lease)) {
       Lease.FreeSince_ = TimePoint();
+      if (MayActOnView)
+        requestTakeover(Pool, Lease);
       continue;
     }
     if (Lease.FreeSince_ == TimePoint())
@@ -186,6 +215,47 @@
   }
 }
 
+std::size_t PoolLeaseManager::poolsOf(const std::string &Node) const {
+  return static_cast<std::size_t>(
+      std::count_if(Leases_.begin(), Leases_.end(), [&](const auto &Each) {
+        return Each.second.Row_.Holder_ == Node && !isFree(Each.second);
+      }));
+}
+
+bool PoolLeaseManager::couldServeFaster(const std::string &Node,
+                                        const std::string &Owner) const {
+  auto Larger = Nodes_.find(Node);
+  auto Smaller = Nodes_.find(Owner);
+  if (Larger == Nodes_.end() || Smaller == Nodes_.end())
+    return false;
+  const std::size_t Pools =
+      Node == Settings_.Node_ ? ownedOrPendingCount() : poolsOf(Node);
+  const double Offered = Larger->second.Cores_ / static_cast<double>(Pools + 1);
+  const double Current =
+      Smaller->second.Cores_ /
+      static_cast<double>(std::max<std::size_t>(poolsOf(Owner), 1));
+  return Offered > Current * MinProcessorGain;
+}
+
+void PoolLeaseManager::requestTakeover(const std::string &Pool,
+                                       const PoolLease &Lease) {
+  const TimePoint Due = Lease.TermSeenAt_ + MinTermBeforeTakeover;
+  if (Clock_.now() < Due + attemptDelay(Pool, Lease) ||
+      !couldServeFaster(Settings_.Node_, Lease.Row_.Holder_))
+    return;
+  Takeovers_->request(Pool, tokenOf(Lease));
+}
+
+bool PoolLeaseManager::handOverOnRequest(const std::string &Pool,
+                                         PoolLease &Lease) {
+  auto Requester = Takeovers_->requesterOf(Pool, Lease.Token_);
+  if (!Requester || !couldServeFaster(*Requester, Settings_.Node_))
+    return false;
+  loseLease(Pool, Lease, "handed-over");
+  release(Pool, Lease, *Requester);
+  return true;
+}
+
 StoreTransaction PoolLeaseManager::makeOwnerUpdate(const std::string &Pool,
                                                    const PoolLease &Lease,
                                                    const OwnerRow &Row) const {
@@ -394,10 +464,11 @@
   }
 }
 
-void PoolLeaseManager::release(const std::string &Pool,
-                               const PoolLease &Lease) {
+void PoolLeaseManager::release(const std::string &Pool, const PoolLease &Lease,
+                               const std::string &Successor) {
   OwnerRow Next = Lease.Row_;
   Next.Holder_.clear();
+  Next.Successor_ = Successor;
   ++Next.Renewals_;
   // If this write fails, other nodes acquire the pool once its lease has
   // expired.
@@ -412,8 +483,10 @@
       isFree(Found->second))
     return std::nullopt;
   const PoolLease &Lease = Found->second;
-  if (Lease.IsOwned_)
-    return Lease.Token_;
+  return Lease.IsOwned_ ? Lease.Token_ : tokenOf(Lease);
+}
+
+FencingToken PoolLeaseManager::tokenOf(const PoolLease &Lease) {
   // In the first row of a term of ownership, the version of the row is the
   // token.
   return Lease.Row_.Token_ > 0 ? Lease.Row_.Token_ : Lease.Version_;
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -114,6 +114,7 @@
   const std::string OwnerPrefix = controlrows::OwnerPrefix;
   const std::string MachinePrefix = controlrows::MachinePrefix;
   const std::string NodePrefix = controlrows::NodePrefix;
+  const std::string TakeoverPrefix = controlrows::TakeoverPrefix;
   const std::string PendingPrefix = controlrows::PendingPrefix;
   const std::string DemandPrefix = controlrows::DemandPrefix;
   const std::string QueuePrefix = controlrows::QueuePrefix;
@@ -126,6 +127,8 @@
     if (Key.starts_with(NodePrefix))
       if (auto Read = controlrows::decodeNode(Row.Value_))
         Ownership_->onNodeRow(Key.substr(NodePrefix.size()), *Read);
+    if (Key.starts_with(TakeoverPrefix))
+      Ownership_->onTakeoverRow(Key.substr(TakeoverPrefix.size()), Row);
     if (Key.starts_with(MachinePrefix))
       MachineOrders_.onRow(Key.substr(MachinePrefix.size()), Row);
     if (Key.starts_with(DemandPrefix))
--- a/src/scheduling/poolleasemanager.h
+++ b/src/scheduling/poolleasemanager.h
@@ -18,6 +18,7 @@
 class IClock;
 class ILogger;
 class IStore;
+class TakeoverRequests;
 
 /// Acquires, renews and releases the leases on pools. Any node may own any
 /// pool; the store's conditional writes decide between competing nodes.
@@ -46,6 +47,8 @@
   void onNodeRow(const std::string &Node, const NodeRow &Row) {
     Nodes_[Node] = Row;
   }
+  /// Called when the row with the latest request for a pool was read.
+  void onTakeoverRow(const std::string &Pool, const StoreRow &Row);
   /// Called when the control table has been read, so that a pool without a row
   /// has no owner.
   void setLoaded() { IsLoaded_ = true; }
@@ -69,6 +72,8 @@
     StoreVersion Version_ = 0;
     /// When the current version of the row was first seen.
     TimePoint VersionSeenAt_;
+    /// When a row of the current term of ownership was first seen.
+    TimePoint TermSeenAt_;
     bool IsOwned_ = false;
     bool HasWriteInFlight_ = false;
     FencingToken Token_ = 0;
@@ -103,6 +108,22 @@
   std::optional<TimePoint> previousOwnerEnd(const PoolLease &Lease) const;
   std::chrono::milliseconds attemptDelay(const std::string &Pool,
                                          const PoolLease &Lease) const;
+  /// \returns the token of the term of ownership that the lease's row belongs
+  /// to.
+  static FencingToken tokenOf(const PoolLease &Lease);
+  /// \returns the number of pools that the node owns.
+  std::size_t poolsOf(const std::string &Node) const;
+  /// \returns whether \p Node would have much more processor time for a pool
+  /// of \p Owner than the owner has for each of its pools.
+  bool couldServeFaster(const std::string &Node,
+                        const std::string &Owner) const;
+  /// Asks the pool's owner for the pool if this node could serve it much
+  /// faster.
+  void requestTakeover(const std::string &Pool, const PoolLease &Lease);
+  /// Releases the pool for a node that has asked for it and could serve it much
+  /// faster.
+  /// \returns whether the pool was released.
+  bool handOverOnRequest(const std::string &Pool, PoolLease &Lease);
   /// \returns whether an attempt to acquire a pool is in flight.
   bool hasAttemptInFlight() const;
   /// \returns the processor cores of the largest node that is known.
@@ -125,7 +146,9 @@
   void logRenewal(const std::string &Pool, const PoolLease &Lease,
                   StoreOutcome Outcome);
   /// Marks the pool as free in the store, so that other nodes see it.
-  void release(const std::string &Pool, const PoolLease &Lease);
+  /// \param Successor node that acquires the pool first; empty for any.
+  void release(const std::string &Pool, const PoolLease &Lease,
+               const std::string &Successor = {});
   /// Drops a lease that was not renewed in time.
   void expireLease(const std::string &Pool, PoolLease &Lease);
   void loseLease(const std::string &Pool, PoolLease &Lease, const char *Cause);
@@ -147,6 +170,7 @@
   bool IsReleasing_ = false;
   std::map<std::string, PoolLease> Leases_;
   std::map<std::string, NodeRow> Nodes_;
+  std::shared_ptr<TakeoverRequests> Takeovers_;
   bool IsPublishingSize_ = false;
   TimePoint NextSizePublication_;
   std::vector<std::string> Pools_;
--- a/src/scheduling/tests/poolleasemanager_test.cpp
+++ b/src/scheduling/tests/poolleasemanager_test.cpp
@@ -125,9 +125,12 @@
   void deliverRows(PoolLeaseManager &Manager) {
     const std::string Owner = controlrows::OwnerPrefix;
     const std::string Node = controlrows::NodePrefix;
+    const std::string Takeover = controlrows::TakeoverPrefix;
     for (const auto &[Name, Row] : Shared_.Rows_) {
       if (Name.Key_.starts_with(Owner))
         Manager.onOwnerRow(Name.Key_.substr(Owner.size()), Row);
+      if (Name.Key_.starts_with(Takeover))
+        Manager.onTakeoverRow(Name.Key_.substr(Takeover.size()), Row);
       if (Name.Key_.starts_with(Node))
         Manager.onNodeRow(Name.Key_.substr(Node.size()),
                           *controlrows::decodeNode(Row.Value_));
@@ -190,6 +193,47 @@
   EXPECT_FALSE(Restarted.Owned_.contains("pool"));
 }
 
+TEST_F(PoolLeaseManagerTest, NodeWithThreePoolsHandsOneToAnIdleNode) {
+  TestNode &First = addNode("first", 0.5);
+  startManagers({"pool0", "pool1", "pool2"});
+  runFor(milliseconds(3000));
+  ASSERT_EQ(First.Owned_.size(), 3U);
+  TestNode &Second = addNode("second", 0.5);
+  startManagers({"pool0", "pool1", "pool2"});
+  runFor(milliseconds(10000));
+  EXPECT_EQ(First.Owned_.size(), 2U);
+  EXPECT_EQ(Second.Owned_.size(), 1U);
+}
+
+TEST_F(PoolLeaseManagerTest, PoolsStayWhereOwnersHaveEnoughProcessor) {
+  TestNode &First = addNode("first", 0.5);
+  startManagers({"pool0", "pool1"});
+  runFor(milliseconds(3000));
+  TestNode &Second = addNode("second", 0.5);
+  TestNode &Third = addNode("third", 0.12);
+  startManagers({"pool0", "pool1"});
+  runFor(milliseconds(10000));
+  EXPECT_EQ(First.Acquisitions_, 2);
+  EXPECT_EQ(Second.Acquisitions_ + Third.Acquisitions_, 0);
+}
+
+TEST_F(PoolLeaseManagerTest, PoolHandedToNodeThatIsGoneIsAcquiredByAnother) {
+  TestNode &Small = addNode("small", 0.12);
+  startManagers({"pool"});
+  runFor(milliseconds(2000));
+  ASSERT_TRUE(Small.Owned_.contains("pool"));
+  addNode("gone", 0.5);
+  startManagers({"pool"});
+  for (int Wait = 0; Wait < 100 && !Small.Owned_.empty(); ++Wait)
+    runFor(TickInterval);
+  ASSERT_TRUE(Small.Owned_.empty());
+  Nodes_.pop_back();
+  TestNode &Other = addNode("other", 0.12);
+  startManagers({"pool"});
+  runFor(milliseconds(3500));
+  EXPECT_EQ(Small.Owned_.size() + Other.Owned_.size(), 1U);
+}
+
 TEST_F(PoolLeaseManagerTest, LargerNodeAcquiresFirstWhenStoreRecovers) {
   TestNode &Owner = addNode("owner", 0.5);
   startManagers({"pool"});
