--- a/src/emulator/emulator.h
+++ b/src/emulator/emulator.h
@@ -45,6 +45,8 @@
   bool ChecksIdleCapacity_ = false;
   /// Whether the steps of the last pool's queue require advice.
   bool HasAdvice_ = true;
+  /// Share of the jobs with one task that crashes each worker that starts it.
+  double DeadlyJobShare_ = 0;
   /// Probability that a run fails.
   double FailureProbability_ = 0.02;
   /// CPU time that a node spends on each store call, each start, stop or hold
@@ -74,6 +76,10 @@
   std::size_t Jobs_ = 0;
   std::size_t Accepted_ = 0;
   std::size_t Completed_ = 0;
+  /// Jobs that were given up although they have no task that crashes workers.
+  std::size_t GivenUpWithoutCause_ = 0;
+  /// Crashes of workers by tasks.
+  std::size_t CrashesByTasks_ = 0;
   /// Number of times that a node lost a pool because its lease had expired.
   std::size_t ExpiredPoolLeases_ = 0;
 };
--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -190,6 +190,9 @@
   Record.Spec_ = makeJob(Id, Queue.NeedsAdvice_);
   Record.Pool_ = Queue.Pool_;
   Record.NeedsAdvice_ = Queue.NeedsAdvice_;
+  if (Options_.DeadlyJobShare_ > 0 &&
+      Simulation_.withProbability(Options_.DeadlyJobShare_))
+    Record.DeadlyTask_ = TaskName{Id, 0, 0, 0};
   submit(Id, Queue, 1);
 }
 
@@ -379,7 +382,10 @@
   Report.Faults_ = Emulation.Faults_->injectedFaults();
   Report.Completed_ = Emulation.Checker_.completedCount();
   Report.ExpiredPoolLeases_ = Emulation.Context_.ExpiredPoolLeases_;
+  Report.CrashesByTasks_ = Emulation.Workers_.crashesByTasks();
   for (const auto &[Id, Job] : Emulation.Checker_.jobs()) {
+    bool IsGivenUp = Job.WasReportedFailed_ && Job.Failures_.empty();
+    Report.GivenUpWithoutCause_ += IsGivenUp && !Job.DeadlyTask_ ? 1 : 0;
     ++Report.Jobs_;
     Report.Accepted_ += Job.IsAccepted_ ? 1 : 0;
   }
--- a/src/emulator/internal/faultinjector.cpp
+++ b/src/emulator/internal/faultinjector.cpp
@@ -125,7 +125,7 @@
   ModelWorker &Worker = Each->second;
   if (Kind == 0) {
     record("crash " + Id, Duration);
-    Workers_.restart(Id, Duration);
+    Workers_.crash(Id, Duration);
   } else if (Kind == 1 || Kind == 2) {
     record("cut " + Id + " off from all nodes", Duration);
     for (auto &Node : Nodes_)
--- a/src/emulator/internal/invariantchecker.cpp
+++ b/src/emulator/internal/invariantchecker.cpp
@@ -20,6 +20,13 @@
 /// Minimum time between orders of two nodes for one machine.
 constexpr std::chrono::milliseconds MinHolderChangeInterval{3000};
 
+/// Crashes under a task after which its job may be given up.
+constexpr std::uint32_t MinCrashesToGiveUp = 2;
+/// Crashes under a task after which it may be started fewer than
+/// MaxStartsAfterCrashes times more.
+constexpr std::uint32_t MaxCrashes = 3;
+constexpr std::uint32_t MaxStartsAfterCrashes = 3;
+
 } // namespace
 
 void InvariantChecker::onStart(const WorkerEntry &Worker, const TaskName &Task,
@@ -47,6 +54,10 @@
   if (failuresOf(Job, Task, Job.AcknowledgedFailures_).size() >= MaxFailedRuns_)
     Simulation_.reportViolation(
         "BUDGET", Task.text() + " starts after its last allowed attempt");
+  if (Job.DeadlyTask_ == Task && Job.Crashes_[Task] >= MaxCrashes &&
+      ++Job.StartsAfterCrashes_ == MaxStartsAfterCrashes)
+    Simulation_.reportViolation(
+        "BUDGET", Task.text() + " goes on crashing the workers that start it");
   checkStepOrder(Job, Task);
   checkDueTime(Job, Task);
   checkPlacement(Job, Task, Worker);
@@ -269,11 +280,15 @@
 }
 
 bool InvariantChecker::mayHaveFailed(const ObservedJob &Job) const {
-  return std::any_of(
-      Job.Failures_.begin(), Job.Failures_.end(), [&](const auto &Each) {
-        return failuresOf(Job, Each.first, Job.Failures_).size() >=
-               MaxFailedRuns_;
-      });
+  bool HasCrashed = std::any_of(
+      Job.Crashes_.begin(), Job.Crashes_.end(),
+      [](const auto &Each) { return Each.second >= MinCrashesToGiveUp; });
+  return HasCrashed ||
+         std::any_of(
+             Job.Failures_.begin(), Job.Failures_.end(), [&](const auto &Each) {
+               return failuresOf(Job, Each.first, Job.Failures_).size() >=
+                      MaxFailedRuns_;
+             });
 }
 
 void InvariantChecker::checkAllJobsEnded() {
@@ -281,7 +296,8 @@
     bool IsLongRunning =
         std::any_of(Job.Spec_.Steps_.begin(), Job.Spec_.Steps_.end(),
                     [](const StepSpec &Step) { return Step.IsLongRunning_; });
-    bool MustComplete = Job.IsAccepted_ && Job.UnsettledCancellations_ == 0 &&
+    bool MustComplete = Job.IsAccepted_ && !Job.DeadlyTask_ &&
+                        Job.UnsettledCancellations_ == 0 &&
                         Job.CancelledAt_ == TimePoint();
     if (MustComplete && IsLongRunning) {
       std::size_t Running = 0;
--- a/src/emulator/internal/modelworkers.cpp
+++ b/src/emulator/internal/modelworkers.cpp
@@ -19,6 +19,10 @@
 constexpr milliseconds HoldPollInterval{20};
 constexpr milliseconds MaintenanceDuration{2000};
 constexpr milliseconds MoveDuration{1500};
+/// Time from the start of a deadly task to the crash of its worker, and time
+/// until the worker is back.
+constexpr milliseconds CrashDelay{10};
+constexpr milliseconds CrashDowntime{3400};
 /// How long a member of a gang waits for the others.
 constexpr milliseconds GangTimeout{3000};
 constexpr milliseconds TicketValidity{3000};
@@ -89,6 +93,12 @@
   });
 }
 
+void ModelWorkers::crash(const std::string &Id, milliseconds Delay) {
+  for (const auto &[Task, Run] : Workers_[Id].Running_)
+    Checker_.onCrash(Task);
+  restart(Id, Delay);
+}
+
 ModelWorker *ModelWorkers::findReachable(const std::string &Node,
                                          const WorkerTarget &Target) {
   ModelWorker &Worker = Workers_[Target.Id_];
@@ -163,6 +173,14 @@
   ModelRun Run{Order.Run_, requiredResources(Step), Simulation_.now(),
                ++NextSerial_, Step.IsGang_};
   Worker.Running_[Order.Task_] = Run;
+  if (Checker_.job(Order.Task_.Job_).DeadlyTask_ == Order.Task_)
+    Simulation_.schedule(CrashDelay, [this, Id = Worker.Entry_.Id_,
+                                      Incarnation = Worker.Incarnation_] {
+      if (Workers_[Id].Incarnation_ != Incarnation)
+        return;
+      ++CrashesByTasks_;
+      crash(Id, CrashDowntime);
+    });
   if (Step.IsGang_)
     joinGang(Worker.Entry_.Id_, Order.Task_, Run);
   else if (!Step.IsLongRunning_)
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -37,6 +38,12 @@
   std::map<TaskName, TimePoint> AcknowledgedAt_;
   std::map<TaskName, std::set<RunNumber>> Failures_;
   std::map<TaskName, std::set<RunNumber>> AcknowledgedFailures_;
+  /// The task that crashes each worker that starts it, if there is one.
+  std::optional<TaskName> DeadlyTask_;
+  /// Number of workers that crashed while they ran the task.
+  std::map<TaskName, std::uint32_t> Crashes_;
+  /// Number of starts of the deadly task after MaxCrashes crashes.
+  std::uint32_t StartsAfterCrashes_ = 0;
   /// When each task was last started.
   std::map<TaskName, TimePoint> StartedAt_;
   /// Tasks with a disruption budget that a machine order ended; each counts as
@@ -72,6 +79,8 @@
   /// Number of failed runs after which a task must not start again.
   std::uint32_t MaxFailedRuns_ = 4;
 
+  /// Called when a worker crashes while it runs the task.
+  void onCrash(const TaskName &Task) { ++Jobs_[Task.Job_].Crashes_[Task]; }
   void onStart(const WorkerEntry &Worker, const TaskName &Task,
                const std::string &Payload);
   void onEnd(const std::string &Worker, const TaskName &Task, RunNumber Run,
--- a/src/emulator/modelworkers.h
+++ b/src/emulator/modelworkers.h
@@ -70,6 +70,10 @@
   /// Ends the worker's lifetime with all its runs; the next lifetime begins
   /// after \p Delay, or later if an earlier restart still takes longer.
   void restart(const std::string &Id, std::chrono::milliseconds Delay);
+  /// The same, for a worker that crashes.
+  void crash(const std::string &Id, std::chrono::milliseconds Delay);
+  /// \returns the number of crashes that tasks have caused.
+  std::size_t crashesByTasks() const { return CrashesByTasks_; }
   /// Probability that a start order gets no response and is executed seconds
   /// later.
   double DelayedExecutionProbability_ = 0;
@@ -125,6 +129,7 @@
   InvariantChecker &Checker_;
   std::map<std::string, ModelWorker> Workers_;
   std::uint64_t NextSerial_ = 0;
+  std::size_t CrashesByTasks_ = 0;
 };
 
 } // namespace dragonflylock
--- a/src/emulator/tests/emulator_test.cpp
+++ b/src/emulator/tests/emulator_test.cpp
@@ -90,6 +90,21 @@
   runEmulator(Options);
 }
 
+class DeadlyTasks : public testing::TestWithParam<int> {};
+
+TEST_P(DeadlyTasks, AreGivenUpBeforeTheyCrashManyWorkers) {
+  EmulatorOptions Options;
+  Options.Seed_ = static_cast<std::uint64_t>(GetParam());
+  Options.Faults_ = 2;
+  Options.WorkersPerPool_ = 20;
+  Options.DeadlyJobShare_ = 0.1;
+  EmulatorReport Report = runEmulator(Options);
+  EXPECT_GT(Report.CrashesByTasks_, 0U);
+  EXPECT_EQ(Report.GivenUpWithoutCause_, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, DeadlyTasks, testing::Range(1, 6));
+
 /// Options under which the regression seeds broke a rule.
 EmulatorOptions manyFaults(std::uint64_t Seed) {
   EmulatorOptions Options;
--- a/tools/emulator/main.cpp
+++ b/tools/emulator/main.cpp
@@ -27,6 +27,8 @@
   --waves=N      Number of maintenance waves [default: 1].
   --configs=N    Number of configurations after the first one [default: 0].
   --varied       Jobs have racks, labels, due times and steps that fill.
+  --deadly=N     Percentage of jobs with a task that crashes its workers
+                 [default: 0].
   --end=SECONDS  Time after the traffic in which jobs must end [default: 40].
   --idle         Check that no job waits beside idle capacity.
   -h --help      Show this text.
@@ -66,6 +68,8 @@
         static_cast<std::uint32_t>(numberOf(Arguments.at("--waves")));
     Options.ConfigurationChanges_ =
         static_cast<std::uint32_t>(numberOf(Arguments.at("--configs")));
+    Options.DeadlyJobShare_ =
+        static_cast<double>(numberOf(Arguments.at("--deadly"))) / 100;
     Options.CompletionTimeout_ =
         std::chrono::seconds(numberOf(Arguments.at("--end")));
     Options.HasVariedJobs_ = Arguments.at("--varied").asBool();
