Give up a task that crashes the workers that start it

Cause: a run that ends with its worker is released like one that was stopped; only ends that a worker lists as failed count as attempts, and a worker that has crashed lists none. Class of fault: a limit on attempts that counts reports of failures instead of the attempts that did not succeed.

Ruled out: counts lost with an owner (38 starts under one owner).

Now the tasks that a worker had started within 300 ms before its last response are recorded as suspected when it is known to have crashed, and the record is stored before the task starts again. From the second crash on a task starts on trial, beside no other start; the third crash, on trial, ends the job as failed.

The emulator judges the rule only while no fault is near, as the rule says.

--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -349,6 +349,9 @@
   Emulation.Faults_ =
       std::make_unique<FaultInjector>(Emulation.Simulation_, Emulation.Store_,
                                       Emulation.Workers_, Emulation.Nodes_);
+  Emulation.Checker_.IsCalm_ = [&Emulation] {
+    return Emulation.Simulation_.now() >= Emulation.Faults_->lastFaultEnd();
+  };
   Emulation.Faults_->scheduleFaults(Emulation.Options_.Faults_, TrafficStart,
                                     Emulation.Options_.TrafficDuration_);
   if (Emulation.Options_.PowerLossAt_)
--- a/src/emulator/internal/invariantchecker.cpp
+++ b/src/emulator/internal/invariantchecker.cpp
@@ -55,7 +55,7 @@
     Simulation_.reportViolation(
         "BUDGET", Task.text() + " starts after its last allowed attempt");
   if (Job.DeadlyTask_ == Task && Job.Crashes_[Task] >= MaxCrashes &&
-      ++Job.StartsAfterCrashes_ == MaxStartsAfterCrashes)
+      IsCalm_() && ++Job.StartsAfterCrashes_ == MaxStartsAfterCrashes)
     Simulation_.reportViolation(
         "BUDGET", Task.text() + " goes on crashing the workers that start it");
   checkStepOrder(Job, Task);
@@ -299,7 +299,8 @@
     bool MustComplete = Job.IsAccepted_ && !Job.DeadlyTask_ &&
                         Job.UnsettledCancellations_ == 0 &&
                         Job.CancelledAt_ == TimePoint();
-    if (MustComplete && IsLongRunning) {
+    bool IsGivenUp = Job.WasReportedFailed_ && mayHaveFailed(Job);
+    if (MustComplete && IsLongRunning && !IsGivenUp) {
       std::size_t Running = 0;
       for (const auto &[Task, Workers] : Job.Running_)
         Running += Workers.empty() ? 0 : 1;
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -76,6 +76,9 @@
   /// Whether the emulation has neither random faults nor a maintenance wave;
   /// only then is an incomplete gang a violation.
   bool HasNoDisruptions_ = false;
+  /// \returns whether no fault is active or has been shortly before; some rules
+  /// hold only then.
+  std::function<bool()> IsCalm_ = [] { return true; };
   /// Number of failed runs after which a task must not start again.
   std::uint32_t MaxFailedRuns_ = 4;
 
--- a/src/scheduling/activejob.h
+++ b/src/scheduling/activejob.h
@@ -46,6 +46,10 @@
   std::string LastFailedWorker_;
   /// Earliest time of the next start.
   TimePoint NotBefore_;
+  /// Value of ActiveJob::changeCount() that includes the last recorded crash of
+  /// the task's worker. This change is stored before the task starts again,
+  /// since the next owner has to know of the crash.
+  std::uint64_t CrashChange_ = 0;
   /// Whether a run that a previous owner started may still exist on a worker
   /// that has not been asked yet.
   bool MayHaveInheritedRun_ = false;
@@ -55,9 +59,10 @@
   TimePoint FullSpeedSince_;
 
   /// \returns whether the task may be started at \p Now if its step is ready.
-  bool mayStart(TimePoint Now) const {
+  /// \param StoredChangeCount the job's changes that are stored.
+  bool mayStart(TimePoint Now, std::uint64_t StoredChangeCount) const {
     return Phase_ == TaskPhase::Waiting && !MayHaveInheritedRun_ &&
-           NotBefore_ <= Now;
+           NotBefore_ <= Now && CrashChange_ <= StoredChangeCount;
   }
 };
 
--- a/src/scheduling/internal/activejob.cpp
+++ b/src/scheduling/internal/activejob.cpp
@@ -57,7 +57,7 @@
       if (!isStepReady(K, S, Wall))
         continue;
       for (std::uint32_t I = 0; I < Runs_[K][S].size(); ++I) {
-        if (Runs_[K][S][I].mayStart(Now))
+        if (Runs_[K][S][I].mayStart(Now, StoredChangeCount_))
           Found.push_back({Id_, K, S, I});
       }
     }
@@ -74,9 +74,9 @@
   forEachReadyStep(
       Wall,
       [&](std::uint32_t, const std::vector<TaskRun> &Runs) {
-        Count += static_cast<std::size_t>(
-            std::count_if(Runs.begin(), Runs.end(), [Now](const TaskRun &Run) {
-              return Run.mayStart(Now);
+        Count += static_cast<std::size_t>(std::count_if(
+            Runs.begin(), Runs.end(), [Now, this](const TaskRun &Run) {
+              return Run.mayStart(Now, StoredChangeCount_);
             }));
       },
       [](std::chrono::milliseconds) {});
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -236,6 +236,9 @@
   Entry.LatencyTarget_ = Step.LatencyTarget_;
   Entry.OrderExpires_ = Now + StartLease + StartLease / 20;
   Session.changeRuns()[Name] = Entry;
+  if (Job.progress().task(Name).CrashedRuns_.size() >=
+      WorkerSession::CrashedRunsBeforeTrial)
+    Session.setRunOnTrial(Name);
   Session.recordLease(Entry.OrderExpires_);
   Chooser_.onStarted(Session, Step);
 
@@ -294,6 +297,8 @@
   switch (Answer.Outcome_) {
   case OrderOutcome::Accepted:
     Known->ConfirmedAt_ = Now;
+    if (!Known->ConfirmedClock_ && Answer.Clock_.count() > 0)
+      Known->ConfirmedClock_ = Answer.Clock_;
     if (Task != nullptr && Task->Phase_ == TaskPhase::Starting)
       Task->Phase_ = TaskPhase::Running;
     Session->NextHoldAt_ = std::min(Session->NextHoldAt_, Now);
@@ -335,6 +340,7 @@
   Session.NextHoldAt_ = Now;
   if (Outcome == OrderOutcome::OtherLifetime) {
     Session.IsListed_ = false;
+    Runs_.recordCrash(Session);
     Runs_.releaseEndedLifetime(Session);
   }
   Pool_.Logger_.write(
--- a/src/scheduling/internal/jobprogress.cpp
+++ b/src/scheduling/internal/jobprogress.cpp
@@ -14,31 +14,39 @@
   return std::to_string(Occurrence) + "." + std::to_string(Step);
 }
 
+void addOnce(std::vector<RunNumber> &Runs, RunNumber Run) {
+  if (std::find(Runs.begin(), Runs.end(), Run) == Runs.end())
+    Runs.push_back(Run);
+}
+
 void mergeTask(TaskProgress &Into, const TaskProgress &From) {
   Into.IsDone_ = Into.IsDone_ || From.IsDone_;
   for (RunNumber Run : From.FailedRuns_)
     Into.recordFailure(Run);
+  for (RunNumber Run : From.CrashedRuns_)
+    Into.recordCrash(Run);
   if (Into.Checkpoint_.empty())
     Into.Checkpoint_ = From.Checkpoint_;
 }
 
 void decodeTask(TaskProgress &Task, const std::string &Done, std::size_t Index,
-                const json &Failed, const json &Checkpoints) {
+                const json &Failed, const json &Crashed,
+                const json &Checkpoints) {
   Task.IsDone_ = Index < Done.size() && Done[Index] == '1';
   std::string Key = std::to_string(Index);
   if (Failed.contains(Key))
     Task.FailedRuns_ = Failed[Key].get<std::vector<RunNumber>>();
+  if (Crashed.contains(Key))
+    Task.CrashedRuns_ = Crashed[Key].get<std::vector<RunNumber>>();
   if (Checkpoints.contains(Key))
     Task.Checkpoint_ = Checkpoints[Key].get<std::string>();
 }
 
 } // namespace
 
-void TaskProgress::recordFailure(RunNumber Run) {
-  if (std::find(FailedRuns_.begin(), FailedRuns_.end(), Run) ==
-      FailedRuns_.end())
-    FailedRuns_.push_back(Run);
-}
+void TaskProgress::recordFailure(RunNumber Run) { addOnce(FailedRuns_, Run); }
+
+void TaskProgress::recordCrash(RunNumber Run) { addOnce(CrashedRuns_, Run); }
 
 JobProgress::JobProgress(const JobSpec &Spec) {
   std::vector<StepTasks> Steps;
@@ -91,6 +99,7 @@
 std::string JobProgress::encode() const {
   json Done = json::object();
   json Failed = json::object();
+  json Crashed = json::object();
   json Checkpoints = json::object();
   for (std::size_t K = 0; K < Tasks_.size(); ++K) {
     for (std::size_t S = 0; S < Tasks_[K].size(); ++S) {
@@ -101,6 +110,8 @@
         DoneFlags += Task.IsDone_ ? '1' : '0';
         if (!Task.FailedRuns_.empty())
           Failed[Key][std::to_string(I)] = Task.FailedRuns_;
+        if (!Task.CrashedRuns_.empty())
+          Crashed[Key][std::to_string(I)] = Task.CrashedRuns_;
         if (!Task.Checkpoint_.empty() && !Task.IsDone_)
           Checkpoints[Key][std::to_string(I)] = Task.Checkpoint_;
       }
@@ -113,6 +124,8 @@
     Row["done"] = Done;
   if (!Failed.empty())
     Row["failed"] = Failed;
+  if (!Crashed.empty())
+    Row["crashed"] = Crashed;
   if (!Checkpoints.empty())
     Row["saved"] = Checkpoints;
   return Row.dump();
@@ -128,16 +141,18 @@
     Read.State_ = *State;
     json Done = Row.value("done", json::object());
     json Failed = Row.value("failed", json::object());
+    json Crashed = Row.value("crashed", json::object());
     json Checkpoints = Row.value("saved", json::object());
     for (std::size_t K = 0; K < Read.Tasks_.size(); ++K) {
       for (std::size_t S = 0; S < Read.Tasks_[K].size(); ++S) {
         std::string Key = stepKey(K, S);
         std::string DoneFlags = Done.value(Key, std::string());
         json StepFailed = Failed.value(Key, json::object());
+        json StepCrashed = Crashed.value(Key, json::object());
         json StepCheckpoints = Checkpoints.value(Key, json::object());
         for (std::size_t I = 0; I < Read.Tasks_[K][S].size(); ++I)
           decodeTask(Read.Tasks_[K][S][I], DoneFlags, I, StepFailed,
-                     StepCheckpoints);
+                     StepCrashed, StepCheckpoints);
       }
     }
   } catch (const json::exception &) {
--- a/src/scheduling/internal/leaserenewer.cpp
+++ b/src/scheduling/internal/leaserenewer.cpp
@@ -57,6 +57,8 @@
   if (!Session.IsFenced_ || Session.hasPendingEnds() ||
       Session.HoldFailures_ > 0 || Session.runs().empty())
     return std::chrono::milliseconds(0);
+  if (Session.hasRunOnTrial())
+    return WorkerSession::StartCrashWindow;
   for (const auto &[Name, Run] : Session.runs())
     if (Run.LatencyTarget_.count() > 0 || Run.IsFiller_)
       return MaxHoldWaitWatched;
@@ -193,6 +195,7 @@
   if (Outcome != OrderOutcome::OtherLifetime)
     return;
   Session.IsListed_ = false;
+  Runs_.recordCrash(Session);
   Runs_.releaseEndedLifetime(Session);
 }
 
@@ -203,6 +206,9 @@
                       LogEvent("worker.lapsed")
                           .with("worker", Session.entry().Id_)
                           .with("runs", std::uint64_t{Session.runs().size()}));
+  for (const auto &[Name, Run] : Session.runs())
+    if (!Session.hasOutlivedStart(Run))
+      Session.YoungExpiredRuns_[Name] = Run.Run_;
   Runs_.releaseAll(Session);
 }
 
--- a/src/scheduling/internal/loadmeter.cpp
+++ b/src/scheduling/internal/loadmeter.cpp
@@ -95,7 +95,8 @@
         const double MachinesNeeded =
             machinesPerWaitingTask(Steps[Number], MeanCapacity);
         for (const TaskRun &Run : Runs)
-          Load.WaitingLoad_ += Run.mayStart(Now) ? MachinesNeeded : 0;
+          Load.WaitingLoad_ +=
+              Run.mayStart(Now, Job.storedChangeCount()) ? MachinesNeeded : 0;
       },
       [](std::chrono::milliseconds) {});
 }
--- a/src/scheduling/internal/placement.cpp
+++ b/src/scheduling/internal/placement.cpp
@@ -36,8 +36,9 @@
   // Long-running tasks go where the most resources are free, others where the
   // least are, so that whole machines become idle and can serve other pools.
   std::int64_t FreeWeight = Step.IsLongRunning_ ? 1 : -1;
-  return std::make_tuple(!Worker.HasFailedTask_, !IsOffDataRack, !IsOffRack,
-                         -SameStepTasks,
+  return std::make_tuple(!Worker.HasFailedTask_,
+                         -static_cast<std::int64_t>(Worker.RunsAtRisk_),
+                         !IsOffDataRack, !IsOffRack, -SameStepTasks,
                          -static_cast<std::int64_t>(InterferingTasks),
                          FreeWeight * Worker.Free_.CpuMillis_,
                          FreeWeight * Worker.Free_.MemoryMb_);
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -369,6 +369,7 @@
             .with("by", Found->second.Id_)
             .with("runs", std::uint64_t{Session->runs().size()}));
     Session->HasEnded_ = true;
+    Runs_.recordCrash(*Session);
     Runs_.releaseConfirmed(*Session);
     State_.NeedsDispatch_ = true;
   }
@@ -404,6 +405,7 @@
             .with("worker", Session->entry().Id_)
             .with("machine", Session->entry().Machine_)
             .with("runs", std::uint64_t{Session->runs().size()}));
+    Runs_.recordCrash(*Session);
     // An unanswered order may still reach a later lifetime of the same id.
     Runs_.releaseConfirmed(*Session);
     State_.NeedsDispatch_ = true;
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -16,6 +16,10 @@
 constexpr std::uint32_t MaxFailuresInRow = 3;
 constexpr std::chrono::milliseconds SetAsideDuration{3000};
 constexpr std::uint32_t MaxSetAsideFactor = 4;
+/// Crashes of workers by a task after which its job is given up; the last of
+/// them while the task is on trial.
+constexpr std::size_t MaxCrashedRuns =
+    WorkerSession::CrashedRunsBeforeTrial + 1;
 
 const char *nameOf(EndKind Kind) {
   switch (Kind) {
@@ -215,6 +219,12 @@
   SessionRun &Known = *Entry;
   Known.Run_ = Listed.Run_;
   Known.Measurement_ = Listed.Measurement_;
+  // A run of a previous owner has outlived its start.
+  if (!Known.ConfirmedClock_)
+    Known.ConfirmedClock_ =
+        Session.latestClock() - (Listed.Run_ > Pool_.RunNumberBase_
+                                     ? WorkerClock(0)
+                                     : WorkerSession::StartCrashWindow);
   if (Known.ConfirmedAt_)
     return true;
   Known.ConfirmedAt_ = Pool_.Clock_.now();
@@ -225,6 +235,55 @@
   return true;
 }
 
+void RunTracker::recordCrash(WorkerSession &Session) {
+  if (std::exchange(Session.IsCrashRecorded_, true))
+    return;
+  // Workers that drain leave by themselves; those that are being drained are
+  // taken down by an order.
+  if (Session.entry().State_ == WorkerState::Draining ||
+      Session.isBeingDrained())
+    return;
+  std::map<TaskName, RunNumber> Young = std::move(Session.YoungExpiredRuns_);
+  for (const auto &[Name, Run] : Session.runs())
+    if (!Session.hasOutlivedStart(Run))
+      Young[Name] = Run.Run_;
+  if (Young.empty())
+    return;
+  Pool_.Logger_.write(
+      LogLevel::Warning,
+      LogEvent("worker.crashed")
+          .with("worker", Session.entry().Id_)
+          .with("machine", Session.entry().Machine_)
+          .with("runs", std::uint64_t{Session.runs().size()})
+          .with("suspected-tasks", std::uint64_t{Young.size()}));
+  for (const auto &[Name, Run] : Young)
+    suspect(Session, Name, Run);
+}
+
+void RunTracker::suspect(const WorkerSession &Session, const TaskName &Name,
+                         RunNumber Run) {
+  ActiveJob *Job = Pool_.job(Name.Job_);
+  if (Job == nullptr || Job->isOver() || !Job->progress().contains(Name) ||
+      Job->progress().task(Name).IsDone_)
+    return;
+  // A task that is suspected of several crashes is to blame for another one
+  // only if no other task could be.
+  TaskProgress &Task = Job->mutableProgress().task(Name);
+  if (Task.CrashedRuns_.size() >= WorkerSession::CrashedRunsBeforeTrial &&
+      !Session.wasOnTrial(Name))
+    return;
+  Task.recordCrash(Run);
+  Job->markDirty();
+  Job->mutableRun(Name).CrashChange_ = Job->changeCount();
+  if (Task.CrashedRuns_.size() >= MaxCrashedRuns)
+    Pool_.Logger_.write(
+        LogLevel::Warning,
+        LogEvent("task.given-up")
+            .with("task", Name.text())
+            .with("crashes", std::uint64_t{Task.CrashedRuns_.size()}));
+  updateJobState(*Job);
+}
+
 void RunTracker::release(WorkerSession &Session, const TaskName &Name) {
   Pool_.Logger_.write(LogLevel::Debug,
                       LogEvent("run.released")
@@ -273,6 +332,7 @@
 
 void RunTracker::transferRuns(WorkerSession &Session,
                               WorkerSession &Successor) {
+  recordCrash(Session);
   releaseEndedLifetime(Session);
   while (!Session.runs().empty()) {
     auto First = Session.runs().begin();
@@ -284,6 +344,7 @@
     if (!IsKnown || Job->run(Name).Worker_ != Session.entry().lifetime())
       continue;
     Unconfirmed.ConfirmedAt_.reset();
+    Unconfirmed.ConfirmedClock_.reset();
     Unconfirmed.MustStop_ = true;
     Unconfirmed.IsStopPending_ = false;
     Pool_.NeedsStopCheck_ = true;
@@ -302,7 +363,8 @@
   bool Failed = false;
   Job.forEachTask([&](const TaskName &Name, const TaskRun &) {
     const std::vector<RunNumber> &Runs = Job.progress().task(Name).FailedRuns_;
-    Failed = Failed || Runs.size() >= Most;
+    Failed = Failed || Runs.size() >= Most ||
+             Job.progress().task(Name).CrashedRuns_.size() >= MaxCrashedRuns;
     if (!Runs.empty() && Job.step(Name).IsGang_)
       Gangs[{Name.Occurrence_, Name.Step_}].insert(Runs.begin(), Runs.end());
   });
--- a/src/scheduling/internal/runtracker.h
+++ b/src/scheduling/internal/runtracker.h
@@ -26,6 +26,10 @@
   /// Processes a run that \p Session lists as running.
   /// \returns false if the run should not exist and has to be stopped.
   bool onRunListed(WorkerSession &Session, const ListedRun &Listed);
+  /// Called when the worker's lifetime is known to have ended, before its runs
+  /// are removed. If the worker has crashed, the tasks that it had just started
+  /// are suspected; a task that is suspected too often is given up.
+  void recordCrash(WorkerSession &Session);
   /// Removes a run that certainly no longer exists, so that its task may start
   /// again.
   void release(WorkerSession &Session, const TaskName &Name);
@@ -64,6 +68,9 @@
   /// \returns whether no more than half of the workers would be set aside. When
   /// runs fail on most workers, the cause is more likely to be the tasks.
   bool maySetAside(const WorkerSession &Candidate) const;
+  /// Records that the worker crashed shortly after it had started the run.
+  void suspect(const WorkerSession &Session, const TaskName &Name,
+               RunNumber Run);
   bool hasFailed(ActiveJob &Job) const;
 
   PoolState &Pool_;
--- a/src/scheduling/internal/workerchooser.cpp
+++ b/src/scheduling/internal/workerchooser.cpp
@@ -11,8 +11,9 @@
 bool WorkerChooser::isUsable(const WorkerSession &Session,
                              const PoolState &Pool) {
   return Session.IsFenced_ && Session.IsInRoster_ && Session.IsListed_ &&
-         !Session.isBeingDrained() && !Session.IsDeclaredSilent_ &&
-         Session.hasClock() && Session.HoldFailures_ == 0 &&
+         !Session.isBeingDrained() && !Session.hasRunOnTrial() &&
+         !Session.IsDeclaredSilent_ && Session.hasClock() &&
+         Session.HoldFailures_ == 0 &&
          Session.entry().State_ == WorkerState::Ready &&
          Session.NoStartsBefore_ <= Pool.Clock_.now() &&
          Session.SetAsideUntil_ <= Pool.Clock_.now();
@@ -74,6 +75,8 @@
   auto Index = static_cast<std::size_t>(Found - Round_.Sessions_.begin());
   PlacementCandidate &Used = Round_.Candidates_[Index];
   Used.Free_ -= requiredResources(Step);
+  if (Session.hasRunOnTrial())
+    Used.Free_ = Resources();
   Used.Fillers_ += Step.IsFiller_ ? 1 : 0;
   Used.Serving_ += Step.LatencyTarget_.count() > 0 ? 1 : 0;
   updateMaxFree();
@@ -84,6 +87,7 @@
   const StepSpec &Step = Job.step(Name);
   const Resources Room = requiredResources(Step);
   const std::string &FailedOn = Job.run(Name).LastFailedWorker_;
+  const bool IsSuspected = !Job.progress().task(Name).CrashedRuns_.empty();
   bool CountsStep = Step.MaxPerWorker_ > 0 || Step.PrefersSameRack_ ||
                     Step.DisruptionBudget_.has_value();
   std::set<std::string> RacksOfStep;
@@ -95,6 +99,8 @@
         Session.runs().contains(Name);
     Candidate.HasFailedTask_ =
         !FailedOn.empty() && Session.entry().lifetime() == FailedOn;
+    Candidate.RunsAtRisk_ =
+        IsSuspected ? static_cast<std::uint32_t>(Session.runs().size()) : 0;
     Candidate.SameStepTasks_ = CountsStep ? Session.countTasksOfStep(Name) : 0;
     if (Candidate.SameStepTasks_ > 0)
       RacksOfStep.insert(Candidate.Rack_);
--- a/src/scheduling/internal/workersession.cpp
+++ b/src/scheduling/internal/workersession.cpp
@@ -29,12 +29,25 @@
 }
 
 void WorkerSession::updateClock(WorkerClock Clock, TimePoint Received) {
+  LatestClock_ = std::max(LatestClock_, Clock);
   if (hasClock() && workerTimeAt(Received) >= Clock)
     return;
   ClockOffset_ = Clock - sinceEpoch(Received);
   OffsetMeasuredAt_ = Received;
 }
 
+bool WorkerSession::hasOutlivedStart(const SessionRun &Run) const {
+  return Run.ConfirmedClock_ &&
+         LatestClock_ >= *Run.ConfirmedClock_ + StartCrashWindow;
+}
+
+bool WorkerSession::hasRunOnTrial() const {
+  if (!RunOnTrial_)
+    return false;
+  auto Found = Runs_.find(*RunOnTrial_);
+  return Found != Runs_.end() && !hasOutlivedStart(Found->second);
+}
+
 WorkerClock WorkerSession::workerTimeAt(TimePoint Time) const {
   auto Passed =
       std::chrono::ceil<std::chrono::milliseconds>(Time - OffsetMeasuredAt_);
--- a/src/scheduling/jobprogress.h
+++ b/src/scheduling/jobprogress.h
@@ -14,6 +14,9 @@
   bool IsDone_ = false;
   /// Numbers of the runs that failed, without duplicates.
   std::vector<RunNumber> FailedRuns_;
+  /// Numbers of the runs whose worker crashed shortly after it had started
+  /// them, without duplicates.
+  std::vector<RunNumber> CrashedRuns_;
   /// Checkpoint from which the next run resumes; empty to start from the
   /// beginning.
   std::string Checkpoint_;
@@ -21,6 +24,8 @@
   bool operator==(const TaskProgress &) const = default;
   /// Records a failed run once, however often it is reported.
   void recordFailure(RunNumber Run);
+  /// Records once that the worker crashed shortly after it had started the run.
+  void recordCrash(RunNumber Run);
 };
 
 /// Durable progress of a job: its state, and the tasks that are done or have
--- a/src/scheduling/placement.h
+++ b/src/scheduling/placement.h
@@ -24,6 +24,9 @@
   /// Whether tasks of the step run on the worker's rack; false for steps that
   /// do not ask for a single rack.
   bool IsOnRackOfStep_ = false;
+  /// Number of runs that would be lost if the task crashed the worker; 0 for
+  /// tasks that are not suspected of that.
+  std::uint32_t RunsAtRisk_ = 0;
   /// Number of filler tasks on the worker, which slow serving tasks down.
   std::uint32_t Fillers_ = 0;
   /// Number of serving tasks on the worker, which filler tasks slow down.
@@ -38,11 +41,12 @@
 /// nothing if none may run it now. Free resources, the required label and the
 /// limit of tasks per worker are conditions. Of the remaining workers these are
 /// avoided, most of all the first: those on which the task has failed, those
-/// off the rack of the data, those off the rack of the step, those that already
-/// run tasks of the step if it has a disruption budget, and those where serving
-/// and filler tasks would interfere. Of workers that are equal in all this,
-/// long-running tasks get the one with the most free resources, other tasks the
-/// one with the least.
+/// where a suspected task puts more runs at risk, those off the rack of the
+/// data, those off the rack of the step, those that already run tasks of the
+/// step if it has a disruption budget, and those where serving and filler tasks
+/// would interfere. Of workers that are equal in all this, long-running tasks
+/// get the one with the most free resources, other tasks the one with the
+/// least.
 std::optional<std::size_t>
 choosePlacement(const StepSpec &Step,
                 const std::vector<PlacementCandidate> &Candidates);
--- a/src/scheduling/tests/deadlytasks_test.cpp
+++ b/src/scheduling/tests/deadlytasks_test.cpp
@@ -102,6 +102,7 @@
   storeJob(jobOf(1));
   Fleet_ = takeOwnershipOfFleet(8);
   ASSERT_EQ(crashEachWorker(2), 2);
+  advance(milliseconds(100));
   Owner_.reset();
   Workers_.Starts_.clear();
   Workers_.Holds_.clear();
@@ -111,6 +112,16 @@
   EXPECT_EQ(crashEachWorker(8), 1);
 }
 
+TEST_F(DeadlyTasksTest, TaskWaitsUntilTheCrashOfItsWorkerIsStored) {
+  storeJob(jobOf(1));
+  Fleet_ = takeOwnershipOfFleet(8);
+  Store_.DelaysResponses_ = true;
+  EXPECT_EQ(crashEachWorker(2), 1);
+  Store_.release();
+  waitForStart();
+  EXPECT_EQ(Workers_.Starts_.size(), 1U);
+}
+
 TEST_F(DeadlyTasksTest, TaskThatRanBesideACrashIsNotBlamed) {
   storeJob(jobOf(1));
   Fleet_ = takeOwnershipOfFleet(8);
@@ -127,5 +138,22 @@
   EXPECT_EQ(Workers_.Starts_.size(), 1U);
 }
 
+TEST_F(DeadlyTasksTest, RunsOfPreviousOwnersAreNotBlamed) {
+  storeJob(jobOf(1));
+  Fleet_ = {worker("w0")};
+  storeRoster(Fleet_);
+  const TaskName Task{JobId, 0, 0, 0};
+  for (std::uint64_t Predecessors = 1; Predecessors < 5; ++Predecessors) {
+    takeOwnership(Predecessors, Fleet_);
+    answerHolds({}, {{Task, Predecessors * 10000 - 1, "", 100, 0}});
+    crash(Fleet_.front().Id_);
+    EXPECT_EQ(storedState().find("crashed"), std::string::npos);
+    Owner_.reset();
+    Workers_.Starts_.clear();
+    Workers_.Holds_.clear();
+    Clock_.advance(milliseconds(10000));
+  }
+}
+
 } // namespace
 } // namespace dragonflylock
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -23,6 +23,9 @@
   /// When the worker confirmed the start, or first listed the run; absent until
   /// then. Also set when the worker has accepted a stop order for the run.
   std::optional<TimePoint> ConfirmedAt_;
+  /// The worker's clock when it confirmed the start or first listed the run;
+  /// absent until then.
+  std::optional<WorkerClock> ConfirmedClock_;
   /// Time from which a start without a response can no longer take effect.
   TimePoint OrderExpires_;
   std::uint32_t Percent_ = 100;
@@ -62,6 +65,11 @@
 
   /// Maximum percentage by which the clock of a worker may be slow.
   static constexpr int ClockDriftPercent = 2;
+  /// Time after the start of a run within which a crash of the worker may be
+  /// due to the task.
+  static constexpr std::chrono::milliseconds StartCrashWindow{300};
+  /// Crashes of workers by a task after which it is started on trial.
+  static constexpr std::size_t CrashedRunsBeforeTrial = 2;
 
   /// Updates the estimate of the worker's clock from a response that was read
   /// at \p Received. The estimate changes only if the response gives a higher
@@ -69,6 +77,18 @@
   /// response that was read at once.
   void updateClock(WorkerClock Clock, TimePoint Received);
   bool hasClock() const { return ClockOffset_.has_value(); }
+  /// \returns the latest time on the worker's clock in any response.
+  WorkerClock latestClock() const { return LatestClock_; }
+  /// \returns whether the worker is known to have lived on long enough after
+  /// the start of the run that a crash later has another cause.
+  bool hasOutlivedStart(const SessionRun &Run) const;
+  /// Marks the run as one whose task may crash the worker. Until the worker has
+  /// outlived its start it gets no others, so that a crash tells the cause.
+  void setRunOnTrial(const TaskName &Name) { RunOnTrial_ = Name; }
+  /// \returns whether the task's run was the last that was on trial here.
+  bool wasOnTrial(const TaskName &Name) const { return RunOnTrial_ == Name; }
+  /// \returns whether a run is on trial now.
+  bool hasRunOnTrial() const;
   /// \returns the worker's clock at \p Time, or a little less: the transmission
   /// time of the response is not added, so that leases err towards being short.
   WorkerClock workerTimeAt(TimePoint Time) const;
@@ -132,6 +152,11 @@
   /// Whether the lifetime is known to have ended, so that nothing runs there
   /// any more.
   bool HasEnded_ = false;
+  /// Whether the crash that ended the lifetime was recorded.
+  bool IsCrashRecorded_ = false;
+  /// Runs that were young when their leases expired. They count if the worker
+  /// turns out to have crashed.
+  std::map<TaskName, RunNumber> YoungExpiredRuns_;
   /// Whether the stored roster contains the worker.
   bool IsInRoster_ = false;
   /// Whether the stored roster says, or may say, that the worker is silent,
@@ -170,6 +195,8 @@
   std::optional<std::chrono::milliseconds> ClockOffset_;
   /// When that response was read.
   TimePoint OffsetMeasuredAt_;
+  WorkerClock LatestClock_{0};
+  std::optional<TaskName> RunOnTrial_;
   TimePoint LeasesExpireAt_;
   std::map<TaskName, SessionRun> Runs_;
   /// Cached usage; absent after a change of the runs until it is needed.
