Count runs that a worker is told to stop against its capacity

What callers could see: on a worker that does not guard its capacity, a start beside runs that are being stopped brings it over its capacity (LIMIT); on others such starts are refused for lack of room.

Cause: the room of a worker is its capacity less the runs of its session. A run that a worker lists and that should not exist, of a job that has ended or is not known, is stopped but was never one of the session's runs; so its resources counted as free while it was being stopped. Once no run of the session was left, the worker was not asked again either, and a stop order without a response was not repeated.

Now such runs take their resources until the worker no longer lists them; beside one of unknown size nothing is free. The worker is asked every 100 ms meanwhile.

--- a/src/scheduling/internal/leaserenewer.cpp
+++ b/src/scheduling/internal/leaserenewer.cpp
@@ -5,6 +5,7 @@
 #include "scheduling/internal/poolstate.h"
 #include "scheduling/internal/runtracker.h"
 #include "scheduling/iworkercontrol.h"
+#include "scheduling/placement.h"
 
 #include <algorithm>
 #include <set>
@@ -21,6 +22,8 @@
 /// Delay before the next hold order while the consequences of run ends are not
 /// stored yet.
 constexpr std::chrono::milliseconds PendingEndsDelay{300};
+/// The same while the worker lists runs that it was told to stop.
+constexpr std::chrono::milliseconds UnwantedRunsDelay{100};
 /// Delay after a hold order that failed, multiplied by the number of failures
 /// in a row up to a maximum.
 constexpr std::chrono::milliseconds FailureDelay{150};
@@ -48,14 +51,15 @@
   if (Session.HasEnded_ && !Session.IsListed_ && Session.runs().empty())
     return false;
   return !Session.IsFenced_ || !Session.runs().empty() ||
-         Session.HoldFailures_ > 0 ||
+         Session.HoldFailures_ > 0 || Session.hasUnwantedRuns() ||
          Session.acknowledgeableUpTo() > Session.acknowledged();
 }
 
 std::chrono::milliseconds
 LeaseRenewer::holdWaitFor(const WorkerSession &Session) const {
   if (!Session.IsFenced_ || Session.hasPendingEnds() ||
-      Session.HoldFailures_ > 0 || Session.runs().empty())
+      Session.hasUnwantedRuns() || Session.HoldFailures_ > 0 ||
+      Session.runs().empty())
     return std::chrono::milliseconds(0);
   if (Session.hasRunOnTrial())
     return WorkerSession::StartCrashWindow;
@@ -146,15 +150,34 @@
             });
   for (const ListedEnd &End : Ends)
     Runs_.onRunEnded(Session, End);
-  for (const ListedRun &Run : Answer.Running_)
-    if (!Runs_.onRunListed(Session, Run))
-      Dispatcher_.stop(Session, Run.Task_, Run.Run_);
+  stopUnwanted(Session, Answer);
   releaseUnlisted(Session, Sent, Answer);
   Session.NextHoldAt_ = Now;
+  if (Session.hasUnwantedRuns())
+    Session.NextHoldAt_ = Now + UnwantedRunsDelay;
   if (Session.hasPendingEnds())
     Session.NextHoldAt_ = Now + PendingEndsDelay;
 }
 
+void LeaseRenewer::stopUnwanted(WorkerSession &Session,
+                                const HoldAnswer &Answer) {
+  Resources Taken;
+  bool HasUnknownSize = false;
+  for (const ListedRun &Run : Answer.Running_) {
+    if (Runs_.onRunListed(Session, Run))
+      continue;
+    Dispatcher_.stop(Session, Run.Task_, Run.Run_);
+    if (Session.run(Run.Task_) != nullptr)
+      continue; // Counted among the runs of the session.
+    const ActiveJob *Job = Pool_.job(Run.Task_.Job_);
+    if (Job != nullptr && Job->progress().contains(Run.Task_))
+      Taken += requiredResources(Job->step(Run.Task_));
+    else
+      HasUnknownSize = true;
+  }
+  Session.setUnwantedRuns(Taken, HasUnknownSize);
+}
+
 void LeaseRenewer::releaseUnlisted(WorkerSession &Session, TimePoint Sent,
                                    const HoldAnswer &Answer) {
   if (Answer.Ended_.size() >= MaxEndsPerAnswer)
--- a/src/scheduling/internal/leaserenewer.h
+++ b/src/scheduling/internal/leaserenewer.h
@@ -36,6 +36,9 @@
                 std::uint64_t Acknowledged, const HoldAnswer &Answer);
   void applyLists(WorkerSession &Session, TimePoint Sent,
                   const HoldAnswer &Answer);
+  /// Stops the listed runs that should not exist. They count against the
+  /// capacity of the worker until it no longer lists them.
+  void stopUnwanted(WorkerSession &Session, const HoldAnswer &Answer);
   void releaseUnlisted(WorkerSession &Session, TimePoint Sent,
                        const HoldAnswer &Answer);
   void onHoldFailed(WorkerSession &Session, OrderOutcome Outcome);
--- a/src/scheduling/internal/workersession.cpp
+++ b/src/scheduling/internal/workersession.cpp
@@ -78,8 +78,11 @@
 }
 
 Resources WorkerSession::freeResources() const {
+  if (HasUnwantedOfUnknownSize_)
+    return {};
   Resources Free = Entry_.Capacity_;
   Free -= usage().Taken_;
+  Free -= UnwantedTaken_;
   return Free;
 }
 
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -115,8 +115,20 @@
   /// worker must not be changed through it.
   SessionRun *run(const TaskName &Name);
   /// \returns the resources that no run uses. Runs that are being started or
-  /// stopped count as using theirs.
+  /// stopped count as using theirs; beside an unwanted run of unknown size
+  /// nothing is free.
   Resources freeResources() const;
+  /// Sets what the worker lists beside the runs of this session: runs that it
+  /// is told to stop and that use resources until they have ended.
+  /// \param Taken resources of those whose size is known.
+  /// \param HasUnknownSize whether the size of any other is not known.
+  void setUnwantedRuns(Resources Taken, bool HasUnknownSize) {
+    UnwantedTaken_ = Taken;
+    HasUnwantedOfUnknownSize_ = HasUnknownSize;
+  }
+  bool hasUnwantedRuns() const {
+    return HasUnwantedOfUnknownSize_ || UnwantedTaken_ != Resources();
+  }
   /// \returns the number of filler tasks on the worker.
   std::uint32_t fillers() const { return usage().Fillers_; }
   /// \returns the number of tasks with a latency target on the worker.
@@ -201,6 +213,8 @@
   std::map<TaskName, SessionRun> Runs_;
   /// Cached usage; absent after a change of the runs until it is needed.
   mutable std::optional<SessionUsage> Usage_;
+  Resources UnwantedTaken_;
+  bool HasUnwantedOfUnknownSize_ = false;
   std::uint64_t LastRecordedEnd_ = 0;
   std::uint64_t Acknowledged_ = 0;
   std::vector<std::uint64_t> PendingEnds_;
