--- a/src/global/internal/socketaddress.cpp
+++ b/src/global/internal/socketaddress.cpp
@@ -2,7 +2,11 @@
 #include "global/globalerrors.h"
 #include "global/units.h"
 
+#include <arpa/inet.h>
+
 #include <limits>
+#include <string>
+#include <utility>
 
 namespace dragonflylock {
 namespace {
@@ -13,10 +17,9 @@
           "write an IPv4 number and a port, such as 127.0.0.1:8080"};
 }
 
-bool isIpNumber(std::string_view Host) {
-  if (Host.empty())
-    return false;
-  return Host.find_first_not_of("0123456789.") == std::string_view::npos;
+bool isIpNumber(const std::string &Host) {
+  in_addr Parsed{};
+  return inet_pton(AF_INET, Host.c_str(), &Parsed) == 1;
 }
 
 } // namespace
@@ -31,12 +34,12 @@
   auto Colon = Text.rfind(':');
   if (Colon == std::string_view::npos)
     return notAnAddress(Text);
-  auto Host = Text.substr(0, Colon);
+  std::string Host(Text.substr(0, Colon));
   auto Port = parseNumber(Text.substr(Colon + 1));
   if (!isIpNumber(Host) || !Port ||
       Port.value() > std::numeric_limits<std::uint16_t>::max())
     return notAnAddress(Text);
-  return SocketAddress{std::string(Host),
+  return SocketAddress{std::move(Host),
                        static_cast<std::uint16_t>(Port.value())};
 }
 
