Spare tasks of workers that have left the registry from maintenance

Cause: w2 is cut off from all nodes from 17.5 s on and drops out of the registry at 21.98 s, while its runs have leases until later. The budget of an order is checked on the session of the machine's registered worker; there is none any more, and the order goes out at once, at 22.01 s. A task of the same step, ended by an earlier order, was not back at work.

Now the machine's worker is also one that left the registry and still has runs that this owner knows of: the order waits until the budget allows it or the leases have expired.

--- a/src/scheduling/internal/maintenancemanager.cpp
+++ b/src/scheduling/internal/maintenancemanager.cpp
@@ -171,10 +171,15 @@
   // The worker's entry may not name its machine; the platform's list names the
   // machine's worker.
   auto Found = MachineList_.machines().find(Name);
-  if (Found == MachineList_.machines().end() || Found->second.Worker_.empty())
-    return nullptr;
+  if (Found != MachineList_.machines().end() && !Found->second.Worker_.empty())
+    for (auto &[Lifetime, Session] : Pool_.Sessions_)
+      if (Session->IsListed_ && Session->entry().Id_ == Found->second.Worker_)
+        return Session.get();
+  // A worker that is cut off leaves the registry and runs on until its leases
+  // expire.
   for (auto &[Lifetime, Session] : Pool_.Sessions_)
-    if (Session->IsListed_ && Session->entry().Id_ == Found->second.Worker_)
+    if (Session->entry().Machine_ == Name && !Session->HasEnded_ &&
+        !Session->runs().empty())
       return Session.get();
   return nullptr;
 }
--- a/src/scheduling/tests/mocks/poolownertest.h
+++ b/src/scheduling/tests/mocks/poolownertest.h
@@ -36,6 +36,18 @@
     return Spec;
   }
 
+  /// A job with two long-running tasks, of which one may be unavailable.
+  static JobSpec servingJob() {
+    JobSpec Spec;
+    StepSpec Step;
+    Step.TaskCount_ = 2;
+    Step.PerTask_ = {1000, 1000, 0};
+    Step.IsLongRunning_ = true;
+    Step.DisruptionBudget_ = 1;
+    Spec.Steps_ = {Step};
+    return Spec;
+  }
+
   static WorkerEntry worker(const std::string &Id) {
     WorkerEntry Entry = workerOf(Id, {16000, 32000, 0});
     Entry.Machine_ = "machine-of-" + Id;
