--- a/src/scheduling/tests/capacitychange_test.cpp
+++ b/src/scheduling/tests/capacitychange_test.cpp
@@ -49,8 +49,8 @@
   // Eight tasks end; the eight that go on take the whole capacity.
   std::vector<ListedEnd> Ended;
   for (std::uint64_t Number = 1; Number <= 8; ++Number) {
-    Ended.push_back({Number, Running.back().Task_, Running.back().Run_,
-                     EndKind::Done, ""});
+    Ended.push_back(
+        {Number, Running.back().Task_, Running.back().Run_, EndKind::Done, ""});
     Running.pop_back();
   }
   answerHold(acceptedAnswer(Running, Ended));
