Start a task again at once after the first crash of its worker

A task whose worker crashed shortly after it had started it waits until that is stored; with the store away it would wait as long, although most crashes of workers have another cause. Now it waits from the second crash on. A count that is lost with an owner costs one worker more.

DeadlyTasksTest.TaskWaitsUntilItsSecondCrashIsStored replaces the test on the first crash; it fails without the wait.

--- a/src/scheduling/activejob.h
+++ b/src/scheduling/activejob.h
@@ -47,8 +47,8 @@
   /// Earliest time of the next start.
   TimePoint NotBefore_;
   /// Value of ActiveJob::changeCount() that includes the last recorded crash of
-  /// the task's worker. This change is stored before the task starts again,
-  /// since the next owner has to know of the crash.
+  /// the task's worker, if there were several. This change is stored before the
+  /// task starts again, since the next owner has to know of the crashes.
   std::uint64_t CrashChange_ = 0;
   /// Whether a run that a previous owner started may still exist on a worker
   /// that has not been asked yet.
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -274,7 +274,10 @@
     return;
   Task.recordCrash(Run);
   Job->markDirty();
-  Job->mutableRun(Name).CrashChange_ = Job->changeCount();
+  // After a first crash the task need not wait: most crashes have another
+  // cause, and the store may be away.
+  if (Task.CrashedRuns_.size() >= WorkerSession::CrashedRunsBeforeTrial)
+    Job->mutableRun(Name).CrashChange_ = Job->changeCount();
   if (Task.CrashedRuns_.size() >= MaxCrashedRuns)
     Pool_.Logger_.write(
         LogLevel::Warning,
