Show long-running jobs as running once a task runs

Cause: a job becomes running with the end of its first task, and tasks of these jobs do not end. Other jobs stay as they are: they would cost a write each.

PoolOwnerTest.LongRunningJobIsShownAsRunningOnceATaskRuns failed before (queued, and nothing stored).

--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -174,6 +174,15 @@
   return SetAside * 2 <= Listed;
 }
 
+void RunTracker::recordRunning(ActiveJob &Job) {
+  // Other jobs are stored as running with the end of their first task, which
+  // saves a write for each.
+  if (!Job.isLongRunning() || Job.progress().state() != JobPhase::Queued)
+    return;
+  Job.mutableProgress().setState(JobPhase::Running);
+  Job.markDirty();
+}
+
 void RunTracker::applyListedRun(TaskRun &Run, const std::string &Lifetime,
                                 const ListedRun &Listed) const {
   Run.Worker_ = Lifetime;
@@ -206,6 +215,7 @@
       (Run.Phase_ == TaskPhase::Running || Run.Phase_ == TaskPhase::Stopping);
   if (!IsUnchanged)
     applyListedRun(Job->mutableRun(Listed.Task_), Lifetime, Listed);
+  recordRunning(*Job);
   if (!Listed.Checkpoint_.empty())
     recordCheckpoint(*Job, Listed.Task_, Listed.Checkpoint_);
   const StepSpec &Step = Job->step(Listed.Task_);
--- a/src/scheduling/internal/runtracker.h
+++ b/src/scheduling/internal/runtracker.h
@@ -23,6 +23,8 @@
 
   /// Processes a run end that \p Session listed.
   void onRunEnded(WorkerSession &Session, const ListedEnd &End);
+  /// Called when a task of the job is known to run.
+  static void recordRunning(ActiveJob &Job);
   /// Processes a run that \p Session lists as running.
   /// \returns false if the run should not exist and has to be stopped.
   bool onRunListed(WorkerSession &Session, const ListedRun &Listed);
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -284,6 +284,20 @@
   EXPECT_TRUE(Workers_.Starts_.empty());
 }
 
+TEST_F(PoolOwnerTest, LongRunningJobIsShownAsRunningOnceATaskRuns) {
+  storeJob(servingJob());
+  takeOwnershipOfFleet(1);
+  tickTwice();
+  EXPECT_EQ(Owner_->stateOf(JobId), JobPhase::Queued);
+  ASSERT_FALSE(Workers_.Starts_.empty());
+  Workers_.takeStart().Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+  tickTwice();
+  EXPECT_EQ(Owner_->stateOf(JobId), JobPhase::Running);
+  // Nodes that do not own the pool read the state from the store.
+  StoreKey Row = jobrows::keyOf("queue", JobId, JobRowKind::Progress);
+  EXPECT_NE(Store_.Rows_[Row].Value_.find("running"), std::string::npos);
+}
+
 TEST_F(PoolOwnerTest, MaintainedWorkerTakesTasksAgainWithSlowStore) {
   storeJob(jobOf(1));
   WorkerEntry Before = worker("w1");
