--- a/src/scheduling/tests/disruptionbudget_test.cpp
+++ b/src/scheduling/tests/disruptionbudget_test.cpp
@@ -5,6 +5,23 @@
 
 using std::chrono::milliseconds;
 
+Machine machineOfW1() {
+  Machine Only;
+  Only.Name_ = "machine-of-w1";
+  Only.Pool_ = "pool";
+  Only.State_ = MachineState::Up;
+  Only.Worker_ = "w1";
+  return Only;
+}
+
+MaintenanceWave waveOfW1() {
+  MaintenanceWave Wave;
+  Wave.Number_ = 1;
+  Wave.Machines_ = {"machine-of-w1"};
+  Wave.Duration_ = milliseconds(20000);
+  return Wave;
+}
+
 TEST_F(PoolOwnerTest, MaintenanceCountsAllTasksOfAWorkerAgainstTheBudget) {
   storeJob(servingJob());
   takeOwnership(0, {worker("w1")});
@@ -17,17 +34,8 @@
     Running.push_back(Run);
   }
   answerHold(acceptedAnswer(Running));
-  Machine Only;
-  Only.Name_ = "machine-of-w1";
-  Only.Pool_ = "pool";
-  Only.State_ = MachineState::Up;
-  Only.Worker_ = "w1";
-  Machines_.List_ = {true, {Only}};
-  MaintenanceWave Wave;
-  Wave.Number_ = 1;
-  Wave.Machines_ = {"machine-of-w1"};
-  Wave.Duration_ = milliseconds(20000);
-  Owner_->onWaves({Wave});
+  Machines_.List_ = {true, {machineOfW1()}};
+  Owner_->onWaves({waveOfW1()});
   for (int Round = 0; Round < 20; ++Round) {
     Clock_.advance(milliseconds(100));
     Owner_->tick();
@@ -48,17 +56,8 @@
   answerHold(acceptedAnswer(
       {{{JobId, 0, 0, 0}, 1, "", 100, 0}, {{JobId, 0, 0, 1}, 1, "", 100, 0}}));
   Owner_->onWorkers({});
-  Machine Only;
-  Only.Name_ = "machine-of-w1";
-  Only.Pool_ = "pool";
-  Only.State_ = MachineState::Up;
-  Only.Worker_ = "w1";
-  Machines_.List_ = {true, {Only}};
-  MaintenanceWave Wave;
-  Wave.Number_ = 1;
-  Wave.Machines_ = {"machine-of-w1"};
-  Wave.Duration_ = milliseconds(20000);
-  Owner_->onWaves({Wave});
+  Machines_.List_ = {true, {machineOfW1()}};
+  Owner_->onWaves({waveOfW1()});
   auto RunSilentlyFor = [&](milliseconds Length) {
     for (milliseconds Passed{0}; Passed < Length; Passed += milliseconds(100)) {
       Clock_.advance(milliseconds(100));
