--- a/src/scheduling/internal/poolleasemanager.cpp
+++ b/src/scheduling/internal/poolleasemanager.cpp
@@ -42,6 +42,9 @@
 /// How long a node has owned a pool before it is asked for it. Shortly after a
 /// start the nodes acquire their pools one after the other.
 constexpr std::chrono::milliseconds MinTermBeforeTakeover{1000};
+/// Interval at which a node looks for pools that it could serve much faster.
+/// The comparison goes over all pairs of pools.
+constexpr std::chrono::milliseconds TakeoverCheckInterval{200};
 /// Head start of the node for which a pool was released.
 constexpr std::chrono::milliseconds SuccessorHeadStart{1000};
 
@@ -188,6 +191,9 @@
 void PoolLeaseManager::tick() {
   const TimePoint Now = Clock_.now();
   const bool IsSizePublished = publishNodeSize();
+  const bool LooksForPools = Now >= NextTakeoverCheck_;
+  if (LooksForPools)
+    NextTakeoverCheck_ = Now + TakeoverCheckInterval;
   for (const std::string &Pool : Pools_) {
     PoolLease &Lease = Leases_[Pool];
     if (Lease.IsOwned_ && Now >= Lease.LeaseEnd_)
@@ -202,7 +208,7 @@
     const bool MayActOnView = IsViewCurrent_ && IsSizePublished;
     if (!MayActOnView || !isFree(Lease)) {
       Lease.FreeSince_ = TimePoint();
-      if (MayActOnView)
+      if (MayActOnView && LooksForPools)
         requestTakeover(Pool, Lease);
       continue;
     }
--- a/src/scheduling/poolleasemanager.h
+++ b/src/scheduling/poolleasemanager.h
@@ -171,6 +171,7 @@
   std::map<std::string, PoolLease> Leases_;
   std::map<std::string, NodeRow> Nodes_;
   std::shared_ptr<TakeoverRequests> Takeovers_;
+  TimePoint NextTakeoverCheck_;
   bool IsPublishingSize_ = false;
   TimePoint NextSizePublication_;
   std::vector<std::string> Pools_;
