Collect the young runs of a worker in one place

RunTracker::recordCrash and LeaseRenewer::releaseExpired went through the runs of a session with the same condition. WorkerSession::youngRuns() serves both; of two runs of a task the current one still goes before one whose lease has expired.

--- a/src/scheduling/internal/leaserenewer.cpp
+++ b/src/scheduling/internal/leaserenewer.cpp
@@ -8,7 +8,9 @@
 #include "scheduling/placement.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <utility>
 
 namespace dragonflylock {
 namespace {
@@ -229,9 +231,9 @@
                       LogEvent("worker.lapsed")
                           .with("worker", Session.entry().Id_)
                           .with("runs", std::uint64_t{Session.runs().size()}));
-  for (const auto &[Name, Run] : Session.runs())
-    if (!Session.hasOutlivedStart(Run))
-      Session.YoungExpiredRuns_[Name] = Run.Run_;
+  std::map<TaskName, RunNumber> Young = Session.youngRuns();
+  Young.merge(Session.YoungExpiredRuns_);
+  Session.YoungExpiredRuns_ = std::move(Young);
   Runs_.releaseAll(Session);
 }
 
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -253,10 +253,8 @@
   if (Session.entry().State_ == WorkerState::Draining ||
       Session.isBeingDrained())
     return;
-  std::map<TaskName, RunNumber> Young = std::move(Session.YoungExpiredRuns_);
-  for (const auto &[Name, Run] : Session.runs())
-    if (!Session.hasOutlivedStart(Run))
-      Young[Name] = Run.Run_;
+  std::map<TaskName, RunNumber> Young = Session.youngRuns();
+  Young.merge(Session.YoungExpiredRuns_);
   if (Young.empty())
     return;
   Pool_.Logger_.write(
--- a/src/scheduling/internal/workersession.cpp
+++ b/src/scheduling/internal/workersession.cpp
@@ -41,6 +41,14 @@
          LatestClock_ >= *Run.ConfirmedClock_ + StartCrashWindow;
 }
 
+std::map<TaskName, RunNumber> WorkerSession::youngRuns() const {
+  std::map<TaskName, RunNumber> Young;
+  for (const auto &[Name, Run] : Runs_)
+    if (!hasOutlivedStart(Run))
+      Young[Name] = Run.Run_;
+  return Young;
+}
+
 bool WorkerSession::hasRunOnTrial() const {
   if (!RunOnTrial_)
     return false;
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -82,6 +82,8 @@
   /// \returns whether the worker is known to have lived on long enough after
   /// the start of the run that a crash later has another cause.
   bool hasOutlivedStart(const SessionRun &Run) const;
+  /// \returns the runs whose start the worker is not known to have outlived.
+  std::map<TaskName, RunNumber> youngRuns() const;
   /// Marks the run as one whose task may crash the worker. Until the worker has
   /// outlived its start it gets no others, so that a crash tells the cause.
   void setRunOnTrial(const TaskName &Name) { RunOnTrial_ = Name; }
