--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the scripts into target/review/.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+g++ -std=c++20 -O1 -Wall -Wextra -pthread review/standin/main.cc -o target/review/standin
