--- a/review/standin/fleet.hh
+++ b/review/standin/fleet.hh
@@ -29,7 +29,8 @@
 };
 
 // How long the runs of a worker take and how they end is told by the payload
-// of the job: {"run_ms":200}. Without it a run lasts until it is stopped.
+// of the job: {"run_ms":200}. Without it a run lasts until it is stopped. With
+// "needs_database" a run fails at its start while the tasks' database is away.
 class Worker {
 public:
   Worker(Store &Registry, Record &Log, std::string Id, std::string Machine,
@@ -74,6 +75,10 @@
     return Ends_.size();
   }
 
+  std::uint64_t starts() const { return Started_; }
+
+  void setDatabase(bool IsThere) { HasDatabase_ = IsThere; }
+
   std::size_t allEnds() {
     const std::lock_guard Lock(Mutex_);
     return LastEnd_;
@@ -205,8 +210,13 @@
     auto Found = Runs_.find(Task);
     if (Found != Runs_.end() && Found->second.Number == Number)
       return reply(200, Json::object());
-    if (Number <= Highest_[Task])
+    if (Number <= Highest_[Task]) {
+      if (++Refused_ % 20 == 1)
+        Log_.write("worker " + Id_ + ": " + Task + " run " +
+                   std::to_string(Number) + " rejected, old; " +
+                   std::to_string(Highest_[Task]) + " has ended here");
       return reply(409, {{"reason", "old"}});
+    }
     if (Body.value("deadline_ms", std::int64_t{0}) <= clockMs())
       return reply(409, {{"reason", "late"}});
     extend(Body);
@@ -219,11 +229,21 @@
     if (Payload.is_object() && Payload.contains("run_ms"))
       Next.EndsAt =
           Next.Started + milliseconds(Payload["run_ms"].get<std::int64_t>());
-    Runs_[Task] = Next;
     Highest_[Task] = Number;
-    Log_.write("worker " + Id_ + ": " + Task + " run " +
-               std::to_string(Number) + " started, token " +
-               std::to_string(Token_));
+    ++Started_;
+    const bool FailsAtOnce = Payload.is_object() &&
+                             Payload.value("needs_database", false) &&
+                             !HasDatabase_;
+    if (!FailsAtOnce || Number % 500 < 2)
+      Log_.write("worker " + Id_ + ": " + Task + " run " +
+                 std::to_string(Number) + " started, token " +
+                 std::to_string(Token_) + (FailsAtOnce ? ", failed" : ""));
+    if (FailsAtOnce) {
+      Ends_[++LastEnd_] = {Task, Number, "failed", ""};
+      Changed_.notify_all();
+      return reply(200, Json::object());
+    }
+    Runs_[Task] = Next;
     return reply(200, Json::object());
   }
 
@@ -272,6 +292,9 @@
   std::atomic<bool> IsGone_ = false;
   std::atomic<bool> IsDraining_ = false;
   std::atomic<int> Sequence_ = 0;
+  std::atomic<bool> HasDatabase_ = true;
+  std::atomic<std::uint64_t> Started_ = 0;
+  std::atomic<std::uint64_t> Refused_ = 0;
   std::mutex Mutex_;
   std::condition_variable Changed_;
   std::uint64_t Token_ = 0;
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -134,6 +134,19 @@
       Each->end(SIGKILL);
   }
 
+  // SIGTERM to the node that owns the pool, and a start after its end.
+  void restartOwner(const std::string &Pool) {
+    Json Row = Json::parse(Store_.get("dragonflylock-control", "owner/" + Pool),
+                           nullptr, false);
+    for (auto &Each : Nodes_)
+      if (Row.is_object() && Row.value("holder", "") == Each->name()) {
+        Log_.write("trouble: SIGTERM to " + Each->name());
+        Each->end(SIGTERM);
+        Log_.write(Each->name() + " has ended");
+        Each->start();
+      }
+  }
+
   Record &log() { return Log_; }
   Store &store() { return Store_; }
   Cloud &cloud() { return Cloud_; }
@@ -278,12 +291,68 @@
   return Unseen * 5 > All ? Broken : Held;
 }
 
+// A long-running task fails at each start until its database is back. In the
+// meantime the node that owns the pool is restarted.
+int playFailingTask(Bench &Play, bool HasTrouble) {
+  constexpr std::uint64_t Starts = 14000;
+  constexpr milliseconds TimeToStart{20000};
+  Cloud &Platform = Play.cloud();
+  Play.configure({"desk"});
+  Platform.add("m-1", "desk");
+  Platform.add("m-2", "desk");
+  auto setDatabase = [&](bool IsThere) {
+    for (auto &Each : Platform.workers())
+      Each->setDatabase(IsThere);
+  };
+  auto starts = [&] {
+    std::uint64_t Sum = 0;
+    for (auto &Each : Platform.workers())
+      Sum += Each->starts();
+    return Sum;
+  };
+  if (!Play.startNodes() ||
+      !Play.isCompleted("desk", Play.submit("desk", ShortRun, OneTask),
+                        milliseconds(15000)))
+    return NotRun;
+  setDatabase(false);
+  Json Lasting = OneTask;
+  Lasting["long_running"] = true;
+  if (Play.submit("desk", {{"needs_database", true}}, Lasting).empty())
+    return NotRun;
+  const bool HasFailedOften =
+      Play.waitFor(milliseconds(60000), [&] { return starts() >= Starts; });
+  Play.log().write(std::to_string(starts()) + " starts so far");
+  if (!HasFailedOften)
+    return NotRun;
+  if (HasTrouble)
+    Play.restartOwner("desk");
+  std::this_thread::sleep_for(milliseconds(3000));
+  setDatabase(true);
+  Play.log().write("the tasks' database is back");
+  const bool HasStarted = Play.waitFor(TimeToStart, [&] {
+    std::size_t Running = 0;
+    for (auto &Each : Platform.workers())
+      Running += Each->running();
+    return Running > 0;
+  });
+  Play.log().write(HasStarted ? "the task runs"
+                              : "the task has not run for 20 s");
+  const std::string Other = Play.submit("desk", ShortRun, OneTask);
+  Play.log().write(std::string("another job is ") +
+                   (Play.isCompleted("desk", Other, milliseconds(10000))
+                        ? "completed"
+                        : "not completed"));
+  return HasStarted ? Held : Broken;
+}
+
 int play(const std::string &Case, Bench &Play) {
   const char *Trouble = std::getenv("TROUBLE");
   const bool HasTrouble = Trouble == nullptr || std::string(Trouble) != "0";
   Play.log().write("case " + Case + ", trouble " + (HasTrouble ? "1" : "0"));
   if (Case == "wave")
     return playWaveOfNewMachine(Play, HasTrouble);
+  if (Case == "failing-task")
+    return playFailingTask(Play, HasTrouble);
   if (Case == "large-job")
     return playLargeJob(Play, HasTrouble);
   return NotRun;
