--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -14,9 +14,9 @@
 class Bench {
 public:
   Bench(const std::string &Daemon, const std::string &Folder,
-        const std::string &RecordPath)
+        const std::string &RecordPath, const std::vector<std::string> &Names)
       : Log_(RecordPath), Cloud_(Store_, Log_) {
-    for (const char *Name : {"node-1", "node-2"})
+    for (const std::string &Name : Names)
       Nodes_.push_back(std::make_unique<Node>(
           Name, Daemon, Folder, Store_.address(), Cloud_.address(), Log_));
   }
@@ -147,6 +147,13 @@
       }
   }
 
+  // The machine of the first node is lost for good.
+  void loseNode() {
+    Log_.write("trouble: " + Nodes_.front()->name() + " is killed for good");
+    Nodes_.front()->end(SIGKILL);
+    Nodes_.erase(Nodes_.begin());
+  }
+
   Record &log() { return Log_; }
   Store &store() { return Store_; }
   Cloud &cloud() { return Cloud_; }
@@ -345,6 +352,65 @@
   return HasStarted ? Held : Broken;
 }
 
+// One of three nodes is lost while they own many pools.
+int playManyPools(Bench &Play, bool HasTrouble) {
+  constexpr int PoolCount = 90;
+  constexpr milliseconds WatchTime{40000};
+  // A task that lasts has to run again from 6 s after its last run, and is
+  // missed after 3 s more.
+  constexpr milliseconds LongestGap{9000};
+  constexpr milliseconds CalmAfter{10000};
+  Cloud &Platform = Play.cloud();
+  std::vector<std::string> Pools;
+  for (int Number = 1; Number <= PoolCount; ++Number)
+    Pools.push_back("pool" + std::to_string(Number));
+  Play.configure(Pools);
+  for (const std::string &Pool : Pools)
+    Platform.add("m-" + Pool, Pool);
+  if (!Play.startNodes())
+    return NotRun;
+  Json Lasting = OneTask;
+  Lasting["long_running"] = true;
+  for (const std::string &Pool : Pools)
+    if (Play.submit(Pool, Json::object(), Lasting).empty())
+      return NotRun;
+  auto Workers = Platform.workers();
+  auto running = [&] {
+    std::size_t Count = 0;
+    for (auto &Each : Workers)
+      Count += Each->running();
+    return Count;
+  };
+  const bool DoAllRun = Play.waitFor(milliseconds(60000),
+                                     [&] { return running() == Pools.size(); });
+  Play.log().write(std::to_string(running()) + " tasks run");
+  if (!DoAllRun)
+    return NotRun;
+  std::this_thread::sleep_for(milliseconds(3000));
+  if (HasTrouble)
+    Play.loseNode();
+  const auto From = Clock::now();
+  std::map<std::string, Clock::time_point> LastRun;
+  std::set<std::string> Missed;
+  while (Clock::now() < From + WatchTime) {
+    for (auto &Each : Workers) {
+      const auto Now = Clock::now();
+      if (Each->running() > 0 || !LastRun.contains(Each->pool()))
+        LastRun[Each->pool()] = Now;
+      else if (Now >= LastRun[Each->pool()] + LongestGap &&
+               Now >= From + CalmAfter && Missed.insert(Each->pool()).second)
+        Play.log().write("the task of " + Each->pool() +
+                         " has not run for 9 s");
+    }
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  Play.log().write(
+      "end: " + std::to_string(Missed.size()) + " of " +
+      std::to_string(Pools.size()) +
+      " tasks were missed; running now: " + std::to_string(running()));
+  return Missed.empty() ? Held : Broken;
+}
+
 int play(const std::string &Case, Bench &Play) {
   const char *Trouble = std::getenv("TROUBLE");
   const bool HasTrouble = Trouble == nullptr || std::string(Trouble) != "0";
@@ -353,6 +419,8 @@
     return playWaveOfNewMachine(Play, HasTrouble);
   if (Case == "failing-task")
     return playFailingTask(Play, HasTrouble);
+  if (Case == "many-pools")
+    return playManyPools(Play, HasTrouble);
   if (Case == "large-job")
     return playLargeJob(Play, HasTrouble);
   return NotRun;
@@ -366,7 +434,10 @@
     return NotRun;
   signal(SIGPIPE, SIG_IGN);
   // Never destroyed: threads of the stand-ins use it until the process ends.
-  Bench &Play = *new Bench(Words[2], Words[3], Words[4]);
+  std::vector<std::string> Names{"node-1", "node-2"};
+  if (std::string(Words[1]) == "many-pools")
+    Names.push_back("node-3");
+  Bench &Play = *new Bench(Words[2], Words[3], Words[4], Names);
   const int Result = play(Words[1], Play);
   Play.endNodes();
   Play.log().write("result " + std::to_string(Result));
