--- a/review/3/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case "wave" of review/standin. Exits with 0 if the rule held, 1 if it
+# Plays the case "failing-task" of review/standin. Exits with 0 if the rule held, 1 if it
 # was broken and 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
@@ -9,7 +9,7 @@
 [ -x "$daemon" ] && [ -x "$standin" ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-"$standin" wave "$daemon" "$folder" "$here/record.txt"
+"$standin" failing-task "$daemon" "$folder" "$here/record.txt"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standin/fleet.hh
+++ b/review/standin/fleet.hh
@@ -75,6 +75,18 @@
     return Ends_.size();
   }
 
+  // Tasks whose end "done" has been acknowledged.
+  std::set<std::string> acknowledgedTasks() {
+    const std::lock_guard Lock(Mutex_);
+    return Acknowledged_;
+  }
+
+  // Number of starts of each task.
+  std::map<std::string, int> startsByTask() {
+    const std::lock_guard Lock(Mutex_);
+    return Starts_;
+  }
+
   std::uint64_t starts() const { return Started_; }
 
   void setDatabase(bool IsThere) { HasDatabase_ = IsThere; }
@@ -231,6 +243,7 @@
           Next.Started + milliseconds(Payload["run_ms"].get<std::int64_t>());
     Highest_[Task] = Number;
     ++Started_;
+    ++Starts_[Task];
     const bool FailsAtOnce = Payload.is_object() &&
                              Payload.value("needs_database", false) &&
                              !HasDatabase_;
@@ -262,7 +275,14 @@
   Response hold(const Json &Body, std::unique_lock<std::mutex> &Lock) {
     extend(Body);
     const std::uint64_t Seen = Body.value("last_seen", std::uint64_t{0});
-    Ends_.erase(Ends_.begin(), Ends_.upper_bound(Seen));
+    const auto Kept = Ends_.upper_bound(Seen);
+    for (auto At = Ends_.begin(); At != Kept; ++At) {
+      Log_.write("worker " + Id_ + ": the end of " + At->second.Task + " run " +
+                 std::to_string(At->second.Number) + " is acknowledged");
+      if (At->second.How == "done")
+        Acknowledged_.insert(At->second.Task);
+    }
+    Ends_.erase(Ends_.begin(), Kept);
     const auto Until =
         Clock::now() + milliseconds(Body.value("wait_ms", std::int64_t{0}));
     while (Ends_.empty() && !IsGone_ && Clock::now() < Until)
@@ -303,6 +323,8 @@
   std::map<std::string, std::uint64_t> Highest_;
   std::map<std::uint64_t, End> Ends_;
   std::uint64_t LastEnd_ = 0;
+  std::set<std::string> Acknowledged_;
+  std::map<std::string, int> Starts_;
   Server Server_;
 };
 
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -147,6 +147,16 @@
       }
   }
 
+  void killOwner(const std::string &Pool) {
+    Json Row = Json::parse(Store_.get("dragonflylock-control", "owner/" + Pool),
+                           nullptr, false);
+    for (auto &Each : Nodes_)
+      if (Row.is_object() && Row.value("holder", "") == Each->name()) {
+        Log_.write("trouble: SIGKILL to " + Each->name());
+        Each->end(SIGKILL);
+      }
+  }
+
   // The machine of the first node is lost for good.
   void loseNode() {
     Log_.write("trouble: " + Nodes_.front()->name() + " is killed for good");
@@ -411,6 +421,58 @@
   return Missed.empty() ? Held : Broken;
 }
 
+// A gang ends while the store is down, and its owner is killed before the store
+// is back.
+int playGang(Bench &Play, bool HasTrouble) {
+  Cloud &Platform = Play.cloud();
+  Play.configure({"desk"});
+  for (const char *Machine : {"m-1", "m-2", "m-3", "m-4"})
+    Platform.add(Machine, "desk");
+  if (!Play.startNodes() ||
+      !Play.isCompleted("desk", Play.submit("desk", ShortRun, OneTask),
+                        milliseconds(15000)))
+    return NotRun;
+  Json Gang = {{"count", 8},
+               {"cpu", 6000},
+               {"mem_mb", 64},
+               {"gang", true},
+               {"estimate_ms", 2000}};
+  const std::string Job = Play.submit("desk", {{"run_ms", 2000}}, Gang);
+  auto starts = [&] {
+    std::map<std::string, int> Count;
+    for (auto &Each : Platform.workers())
+      for (const auto &[Task, Starts] : Each->startsByTask())
+        if (Task.starts_with(Job))
+          Count[Task] += Starts;
+    return Count;
+  };
+  if (Job.empty() ||
+      !Play.waitFor(milliseconds(5000), [&] { return starts().size() == 8; }))
+    return NotRun;
+  std::this_thread::sleep_for(milliseconds(1600));
+  if (HasTrouble) {
+    Play.log().write("trouble: the store is down");
+    Play.store().setDown(true);
+  }
+  std::this_thread::sleep_for(milliseconds(1200));
+  if (HasTrouble)
+    Play.killOwner("desk");
+  std::this_thread::sleep_for(milliseconds(500));
+  Play.store().setDown(false);
+  std::this_thread::sleep_for(milliseconds(20000));
+  std::set<std::string> Acknowledged;
+  for (auto &Each : Platform.workers())
+    Acknowledged.merge(Each->acknowledgedTasks());
+  int Doubled = 0;
+  for (const auto &[Task, Starts] : starts())
+    Doubled += Starts > 1 && Acknowledged.contains(Task) ? 1 : 0;
+  Play.log().write("end: " + std::to_string(Doubled) +
+                   " tasks were started again after an acknowledged end; the "
+                   "job is " +
+                   Play.stateOf("desk", Job));
+  return Doubled > 0 ? Broken : Held;
+}
+
 int play(const std::string &Case, Bench &Play) {
   const char *Trouble = std::getenv("TROUBLE");
   const bool HasTrouble = Trouble == nullptr || std::string(Trouble) != "0";
@@ -421,6 +483,8 @@
     return playFailingTask(Play, HasTrouble);
   if (Case == "many-pools")
     return playManyPools(Play, HasTrouble);
+  if (Case == "gang")
+    return playGang(Play, HasTrouble);
   if (Case == "large-job")
     return playLargeJob(Play, HasTrouble);
   return NotRun;
--- a/review/standin/nodes.hh
+++ b/review/standin/nodes.hh
@@ -5,6 +5,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 namespace standin {
@@ -47,6 +48,7 @@
   void start() {
     Pid_ = fork();
     if (Pid_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL); // also if the case itself is killed
       int File = open(Output_.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
       dup2(File, 1);
       dup2(File, 2);
--- a/review/standin/store.hh
+++ b/review/standin/store.hh
@@ -92,6 +92,9 @@
     return Found == Rows_.end() ? "" : base64Decoded(Found->second.Value);
   }
 
+  // While it is down, the store answers nothing but 503.
+  void setDown(bool IsDown) { IsDown_ = IsDown; }
+
   std::size_t refusedTransactions() const { return Refused_; }
 
 private:
@@ -135,6 +138,8 @@
   }
 
   Response handle(const Request &Each) {
+    if (IsDown_)
+      return {503, ""};
     try {
       if (Each.Path == "/rows-tx")
         return transact(Json::parse(Each.Body));
@@ -250,6 +255,7 @@
   std::map<Name, Row> Rows_;
   // The last change of each row, also of removed ones.
   std::map<Name, Row> Latest_;
+  std::atomic<bool> IsDown_ = false;
   std::atomic<std::size_t> Refused_ = 0;
   Server Server_;
 };
