--- a/review/standin/fleet.hh
+++ b/review/standin/fleet.hh
@@ -34,9 +34,10 @@
 class Worker {
 public:
   Worker(Store &Registry, Record &Log, std::string Id, std::string Machine,
-         std::string Pool)
-      : Registry_(Registry), Log_(Log), Id_(std::move(Id)),
-        Machine_(std::move(Machine)), Pool_(std::move(Pool)),
+         std::string Pool, std::string Label)
+      : Label_(std::move(Label)), Registry_(Registry), Log_(Log),
+        Id_(std::move(Id)), Machine_(std::move(Machine)),
+        Pool_(std::move(Pool)),
         Born_(std::chrono::duration_cast<milliseconds>(
             std::chrono::system_clock::now().time_since_epoch())),
         Server_([this](const Request &Each) { return handle(Each); }) {
@@ -126,7 +127,7 @@
         {"state", IsDraining_ ? "draining" : "ready"},
         {"cold_left_ms", 0},
         {"capacity", {{"cpu", 16000}, {"mem_mb", 32768}, {"gpus", 0}}},
-        {"labels", {"a", "r1-1"}},
+        {"labels", {Label_, "r1-1"}},
         {"machine", Machine_},
         {"born", Born_.count()},
         {"clock_ms", clockMs()},
@@ -302,6 +303,7 @@
     return reply(200, {{"running", Running}, {"finished", Finished}});
   }
 
+  const std::string Label_;
   Store &Registry_;
   Record &Log_;
   const std::string Id_;
@@ -343,8 +345,10 @@
   // Answers take this many times as long.
   void setSlowness(int Factor) { Slowness_ = Factor; }
 
-  void add(const std::string &Machine, const std::string &Pool) {
+  void add(const std::string &Machine, const std::string &Pool,
+           const std::string &Label = "a") {
     const std::lock_guard Lock(Mutex_);
+    Labels_[Machine] = Label;
     Machines_[Machine] = {Pool, start(Machine, Pool), std::nullopt, 0};
     Log_.write("platform: machine " + Machine + " is up in pool " + Pool);
   }
@@ -374,8 +378,9 @@
 
   std::shared_ptr<Worker> start(const std::string &Name,
                                 const std::string &Pool) {
-    auto Started = std::make_shared<Worker>(
-        Registry_, Log_, "i-" + std::to_string(++Ids_), Name, Pool);
+    auto Started =
+        std::make_shared<Worker>(Registry_, Log_, "i-" + std::to_string(++Ids_),
+                                 Name, Pool, Labels_[Name]);
     All_.push_back(Started); // Its threads use it until the process ends.
     return Started;
   }
@@ -432,6 +437,7 @@
   Record &Log_;
   std::mutex Mutex_;
   std::map<std::string, Machine> Machines_;
+  std::map<std::string, std::string> Labels_;
   std::vector<std::shared_ptr<Worker>> All_;
   int Ids_ = 0;
   std::atomic<int> Slowness_ = 1;
--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -473,6 +473,48 @@
   return Doubled > 0 ? Broken : Held;
 }
 
+// The two workers with a label fail all that they start for a while.
+int playLabel(Bench &Play, bool HasTrouble) {
+  constexpr milliseconds FailTime{6500};
+  constexpr milliseconds CalmAfter{10000};
+  Cloud &Platform = Play.cloud();
+  Play.configure({"desk"});
+  for (int Number = 1; Number <= 14; ++Number)
+    Platform.add("m-" + std::to_string(Number), "desk",
+                 Number <= 2 ? "b" : "a");
+  if (!Play.startNodes() ||
+      !Play.isCompleted("desk", Play.submit("desk", ShortRun, OneTask),
+                        milliseconds(15000)))
+    return NotRun;
+  auto setFailing = [&](bool IsFailing) {
+    for (const char *Machine : {"m-1", "m-2"})
+      Platform.worker(Machine).setDatabase(!IsFailing);
+    Play.log().write(IsFailing ? "trouble: workers on m-1 and m-2 fail all runs"
+                               : "workers on m-1 and m-2 are sound");
+  };
+  if (HasTrouble)
+    setFailing(true);
+  std::this_thread::sleep_for(FailTime - milliseconds(500));
+  Json Lasting = {{"count", 24},          {"cpu", 100},
+                  {"mem_mb", 64},         {"estimate_ms", 1000},
+                  {"long_running", true}, {"requirements", "b"}};
+  if (Play.submit("desk", {{"needs_database", true}}, Lasting).empty())
+    return NotRun;
+  std::this_thread::sleep_for(milliseconds(500));
+  if (HasTrouble)
+    setFailing(false);
+  const auto From = Clock::now();
+  auto running = [&] {
+    return Platform.worker("m-1").running() + Platform.worker("m-2").running();
+  };
+  const bool HasStarted =
+      Play.waitFor(milliseconds(30000), [&] { return running() > 0; });
+  auto Waited = std::chrono::duration_cast<milliseconds>(Clock::now() - From);
+  Play.log().write("tasks started: " + std::to_string(HasStarted) + ", after " +
+                   std::to_string(Waited.count()) + " ms");
+  return HasStarted && Waited < CalmAfter ? Held : Broken;
+}
+
 int play(const std::string &Case, Bench &Play) {
   const char *Trouble = std::getenv("TROUBLE");
   const bool HasTrouble = Trouble == nullptr || std::string(Trouble) != "0";
@@ -485,6 +527,8 @@
     return playManyPools(Play, HasTrouble);
   if (Case == "gang")
     return playGang(Play, HasTrouble);
+  if (Case == "label")
+    return playLabel(Play, HasTrouble);
   if (Case == "large-job")
     return playLargeJob(Play, HasTrouble);
   return NotRun;
--- a/review/standin/nodes.hh
+++ b/review/standin/nodes.hh
@@ -10,14 +10,22 @@
 
 namespace standin {
 
+// A free port below those that the system gives to connections, so that none of
+// these takes it before the daemon listens.
 inline int freePort() {
-  int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in Address = loopback(0);
-  socklen_t Size = sizeof Address;
-  bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size);
-  getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size);
-  close(Socket);
-  return ntohs(Address.sin_port);
+  static int Next = 10000 + getpid() * 101 % 20000;
+  for (int Attempt = 0; Attempt < 1000; ++Attempt) {
+    int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int On = 1;
+    setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof On);
+    sockaddr_in Address = loopback(++Next);
+    const bool IsFree = bind(Socket, reinterpret_cast<sockaddr *>(&Address),
+                             sizeof Address) == 0;
+    close(Socket);
+    if (IsFree)
+      return Next;
+  }
+  throw std::runtime_error("no free port");
 }
 
 class Node {
