Judge a wave by a list of machines that is not older than the wave

A wave that names a machine which joined after the last list of machines had been read was reported as completed 10 ms after its announcement. The machine was never maintained.

Cause: MachineListCache is refreshed only while a wave is open or a worker does not answer, and MaintenanceManager took any list that was not empty for the state of the fleet. isComplete() counts a machine that is not in the list as gone, so the list of the wave before ended the new wave for good. Ruled out: the store's row of the wave, which held neither the machine nor an earlier end of it, and a list that was cut short, since one page holds the whole fleet of the case.

Fix: advance() waits for a list that was requested after the owner learned of the wave's machines. A machine that the operators name has joined by then, so that its absence from such a list means that it has left. This covers every decision of the wave: the end, the machines that are removed from the row as gone (LIMIT), and the choice of the next machine.

The two tests failed before: the wave was reported as completed without an order, and the claim of another owner's machine was dropped so that a second machine was taken down. wave.reported logs the state, the counts and the age of the list.

--- a/src/scheduling/internal/machinelistcache.h
+++ b/src/scheduling/internal/machinelistcache.h
@@ -29,6 +29,11 @@
   const std::map<std::string, Machine> &machines() const { return Machines_; }
   /// \returns when that list was requested.
   TimePoint listedAt() const { return ListedAt_; }
+  /// \returns whether a list was read that was requested at \p Time or later,
+  /// so that it contains every machine that had joined by then.
+  bool isCurrentSince(TimePoint Time) const {
+    return !Machines_.empty() && ListedAt_ >= Time;
+  }
 
 private:
   IMachineControl &Control_;
--- a/src/scheduling/internal/maintenancemanager.cpp
+++ b/src/scheduling/internal/maintenancemanager.cpp
@@ -39,10 +39,14 @@
 void MaintenanceManager::onWaves(const std::vector<MaintenanceWave> &Waves) {
   for (const MaintenanceWave &Request : Waves) {
     auto [Position, IsNew] = Waves_.try_emplace(Request.Number_);
-    Position->second.Request_ = Request;
+    WaveState &State = Position->second;
+    if (IsNew)
+      State.FirstSeen_ = Pool_.Clock_.now();
+    if (IsNew || State.Request_.Machines_ != Request.Machines_)
+      State.MachinesSeenAt_ = Pool_.Clock_.now();
+    State.Request_ = Request;
     if (!IsNew)
       continue;
-    Position->second.FirstSeen_ = Pool_.Clock_.now();
     Pool_.Logger_.write(
         LogLevel::Info,
         LogEvent("wave.seen")
@@ -94,7 +98,7 @@
 }
 
 void MaintenanceManager::advance(WaveState &State) {
-  if (State.IsBusy_ || MachineList_.machines().empty())
+  if (State.IsBusy_ || !MachineList_.isCurrentSince(State.MachinesSeenAt_))
     return;
   if (!State.IsLoaded_ || Pool_.Clock_.now() >= State.NextLoad_) {
     load(State);
@@ -505,6 +509,23 @@
 
 void MaintenanceManager::report(WaveState &State) {
   bool IsComplete = isComplete(State);
+  const auto &Names = State.Request_.Machines_;
+  auto Left = std::count_if(Names.begin(), Names.end(),
+                            [this](const std::string &Name) {
+                              return !MachineList_.machines().contains(Name);
+                            });
+  Pool_.Logger_.write(
+      LogLevel::Info,
+      LogEvent("wave.reported")
+          .with("pool", Pool_.Pool_)
+          .with("wave", State.Request_.Number_)
+          .with("state", IsComplete ? "completed" : "running")
+          .with("machines", std::uint64_t{Names.size()})
+          .with("done", std::uint64_t{State.Progress_.Done_.size()})
+          .with("left", static_cast<std::uint64_t>(Left))
+          .with("list-age",
+                std::chrono::duration_cast<std::chrono::microseconds>(
+                    Pool_.Clock_.now() - MachineList_.listedAt())));
   State.IsBusy_ = true;
   Machines_.reportWave(State.Request_.Number_, IsComplete,
                        [Weak = weak_from_this(), IsComplete,
--- a/src/scheduling/internal/maintenancemanager.h
+++ b/src/scheduling/internal/maintenancemanager.h
@@ -65,7 +65,12 @@
     bool IsBusy_ = false;
     bool IsCompleted_ = false;
     bool IsReported_ = false;
+    /// Start of the wave, from which its duration counts. It may be before this
+    /// owner's term.
     TimePoint FirstSeen_;
+    /// When this owner learned of the machines. Only a list that was requested
+    /// since then shows which of them have left.
+    TimePoint MachinesSeenAt_;
     TimePoint RequestStartedAt_;
     TimePoint NextLoad_;
     /// Machine that is being drained for its maintenance; empty for none.
--- a/src/scheduling/tests/maintenance_test.cpp
+++ b/src/scheduling/tests/maintenance_test.cpp
@@ -56,6 +56,27 @@
     }
   }
 
+  /// Adds a second machine to the platform's list and to the wave.
+  void addMachine(const std::string &Pool) {
+    Machine Added;
+    Added.Name_ = "machine-of-w2";
+    Added.Pool_ = Pool;
+    Added.State_ = MachineState::Up;
+    Machines_.List_.Machines_.push_back(Added);
+    Wave_.Machines_.push_back(Added.Name_);
+  }
+
+  /// Lets the wave of the only machine be completed.
+  void completeFirstWave() {
+    takeOwnership(0, {workerBornAt(milliseconds(5))});
+    Owner_->onWaves({Wave_});
+    runFor(milliseconds(5000), milliseconds(5));
+    ASSERT_TRUE(Machines_.CompletedWaves_.contains(Wave_.Number_));
+    Machines_.Orders_.clear();
+    ++Wave_.Number_;
+    Wave_.Machines_.clear();
+  }
+
   void storeWave(const WaveProgress &Progress) {
     StoreKey Row = controlrows::wave(Wave_.Number_);
     Store_.Rows_[Row] = {Row, controlrows::encode(Progress), ++Store_.Version_,
@@ -79,16 +100,11 @@
 }
 
 TEST_F(MaintenanceTest, AMachineThatLeftThePoolIsNotOrderedIntoMaintenance) {
-  Machine Other;
-  Other.Name_ = "machine-of-w2";
-  Other.Pool_ = "other";
-  Other.State_ = MachineState::Up;
-  Machines_.List_.Machines_.push_back(Other);
-  Wave_.Machines_.push_back(Other.Name_);
+  addMachine("other");
   // The other machine is down and uses up the wave's limit, so that this
   // pool's machine has to wait.
   WaveProgress Progress;
-  Progress.Down_[Other.Name_] = "node-0";
+  Progress.Down_["machine-of-w2"] = "node-0";
   storeWave(Progress);
   takeOwnership(0, {});
   Owner_->onWaves({Wave_});
@@ -96,12 +112,48 @@
   Machines_.List_.Machines_.front().Pool_ = "other";
   runFor(milliseconds(1000), milliseconds(5));
   Progress.Down_.clear();
-  Progress.Done_ = {Other.Name_};
+  Progress.Done_ = {"machine-of-w2"};
   storeWave(Progress);
   runFor(milliseconds(2000), milliseconds(5));
   EXPECT_TRUE(Machines_.Orders_.empty());
 }
 
+// Guards against a wave reported as completed (MIXED) because the list that was
+// read for the wave before it does not contain a machine that joined since.
+TEST_F(MaintenanceTest, AWaveOfAMachineThatJoinedSinceTheLastListIsNotOver) {
+  completeFirstWave();
+  addMachine("pool");
+  Machines_.DelaysLists_ = true;
+  Owner_->onWaves({Wave_});
+  runFor(milliseconds(2000), milliseconds(5));
+  EXPECT_FALSE(Machines_.CompletedWaves_.contains(Wave_.Number_));
+  Machines_.releaseLists();
+  runFor(milliseconds(5000), milliseconds(5));
+  ASSERT_EQ(Machines_.Orders_.size(), 1U);
+  EXPECT_EQ(Machines_.Orders_.front().Machine_, "machine-of-w2");
+  EXPECT_TRUE(Machines_.CompletedWaves_.contains(Wave_.Number_));
+}
+
+// Guards against more machines down than the wave allows (LIMIT) because an old
+// list does not contain the machine that another owner has taken down.
+TEST_F(MaintenanceTest, AMachineThatJoinedSinceTheLastListStaysDown) {
+  completeFirstWave();
+  Wave_.Machines_ = {"machine-of-w1"};
+  addMachine("other");
+  Machines_.List_.Machines_.back().State_ = MachineState::Maintained;
+  WaveProgress Progress;
+  Progress.Down_["machine-of-w2"] = "node-0";
+  storeWave(Progress);
+  Machines_.DelaysLists_ = true;
+  Owner_->onWaves({Wave_});
+  runFor(milliseconds(5000), milliseconds(5));
+  EXPECT_TRUE(Machines_.Orders_.empty());
+  auto Stored = controlrows::decodeWave(
+      Store_.Rows_[controlrows::wave(Wave_.Number_)].Value_);
+  ASSERT_TRUE(Stored);
+  EXPECT_TRUE(Stored->Down_.contains("machine-of-w2"));
+}
+
 TEST_F(MaintenanceTest, AnUnreadableWaveRowIsNotOverwritten) {
   StoreKey Row = controlrows::wave(Wave_.Number_);
   Store_.Rows_[Row] = {Row, "{\"format\":2}", ++Store_.Version_, false};
--- a/src/scheduling/tests/mocks/fakefleet.h
+++ b/src/scheduling/tests/mocks/fakefleet.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -182,7 +183,18 @@
     std::string Pool_;
   };
 
-  void list(ListDone Done) override { Done(List_); }
+  void list(ListDone Done) override {
+    if (DelaysLists_)
+      DelayedLists_.push_back(std::move(Done));
+    else
+      Done(List_);
+  }
+  /// Delivers the delayed lists, and responds synchronously from then on.
+  void releaseLists() {
+    DelaysLists_ = false;
+    for (const ListDone &Done : std::exchange(DelayedLists_, {}))
+      Done(List_);
+  }
   void maintain(const MachineOrder &Order, std::uint64_t,
                 OrderDone Done) override {
     Orders_.push_back(Order);
@@ -194,13 +206,23 @@
     Moves_.push_back({Order, Pool});
     Done(MoveOutcome_);
   }
-  void reportWave(std::uint64_t, bool, ReportDone Done) override { Done(true); }
+  void reportWave(std::uint64_t Wave, bool IsCompleted,
+                  ReportDone Done) override {
+    if (IsCompleted)
+      CompletedWaves_.insert(Wave);
+    Done(true);
+  }
 
   MachineList List_;
+  /// Whether responses to requests for the list wait for releaseLists().
+  bool DelaysLists_ = false;
+  std::vector<ListDone> DelayedLists_;
   /// Whether maintenance orders get no response.
   bool IsSilent_ = false;
   std::vector<MachineOrder> Orders_;
   std::vector<Move> Moves_;
+  /// Waves that were reported as completed.
+  std::set<std::uint64_t> CompletedWaves_;
   MachineOutcome MoveOutcome_ = MachineOutcome::Accepted;
 };
 
