Take up a completed wave again when machines are added to it

What callers saw: nothing yet, found by looking for other decisions that keep their outcome without regard to what it was based on. A wave whose request gets another machine after it has been reported as completed stays completed, and the machine is never maintained.

Cause: WaveState::IsCompleted_ was final, also for a later request of the same number.

Fix: a request with other machines reopens the wave, and a report that was under way when it arrived no longer counts. The test failed before: no order was sent for the added machine.

--- a/src/scheduling/internal/maintenancemanager.cpp
+++ b/src/scheduling/internal/maintenancemanager.cpp
@@ -42,8 +42,11 @@
     WaveState &State = Position->second;
     if (IsNew)
       State.FirstSeen_ = Pool_.Clock_.now();
-    if (IsNew || State.Request_.Machines_ != Request.Machines_)
+    if (IsNew || State.Request_.Machines_ != Request.Machines_) {
       State.MachinesSeenAt_ = Pool_.Clock_.now();
+      State.IsCompleted_ = false;
+      State.IsReported_ = false;
+    }
     State.Request_ = Request;
     if (!IsNew)
       continue;
@@ -529,12 +532,15 @@
   State.IsBusy_ = true;
   Machines_.reportWave(State.Request_.Number_, IsComplete,
                        [Weak = weak_from_this(), IsComplete,
+                        MachinesSeenAt = State.MachinesSeenAt_,
                         Number = State.Request_.Number_](bool IsStored) {
                          auto Self = Weak.lock();
                          if (!Self)
                            return;
                          WaveState &Reported = Self->Waves_[Number];
                          Reported.IsBusy_ = false;
+                         if (Reported.MachinesSeenAt_ != MachinesSeenAt)
+                           return; // The report does not cover all machines.
                          Reported.IsReported_ = IsStored;
                          Reported.IsCompleted_ = IsStored && IsComplete;
                        });
--- a/src/scheduling/tests/maintenance_test.cpp
+++ b/src/scheduling/tests/maintenance_test.cpp
@@ -154,6 +154,26 @@
   EXPECT_TRUE(Stored->Down_.contains("machine-of-w2"));
 }
 
+// Guards against a machine that is never maintained because the operators added
+// it to a wave that had been reported as completed.
+TEST_F(MaintenanceTest, ACompletedWaveWithAnAddedMachineIsTakenUpAgain) {
+  takeOwnership(0, {workerBornAt(milliseconds(5))});
+  Owner_->onWaves({Wave_});
+  runFor(milliseconds(5000), milliseconds(5));
+  ASSERT_TRUE(Machines_.CompletedWaves_.contains(Wave_.Number_));
+  Machines_.Orders_.clear();
+  Machines_.CompletedWaves_.clear();
+  addMachine("pool");
+  Machines_.DelaysLists_ = true;
+  Owner_->onWaves({Wave_});
+  runFor(milliseconds(2000), milliseconds(5));
+  EXPECT_TRUE(Machines_.CompletedWaves_.empty());
+  Machines_.releaseLists();
+  runFor(milliseconds(5000), milliseconds(5));
+  EXPECT_EQ(Machines_.Orders_.size(), 1U);
+  EXPECT_TRUE(Machines_.CompletedWaves_.contains(Wave_.Number_));
+}
+
 TEST_F(MaintenanceTest, AnUnreadableWaveRowIsNotOverwritten) {
   StoreKey Row = controlrows::wave(Wave_.Number_);
   Store_.Rows_[Row] = {Row, "{\"format\":2}", ++Store_.Version_, false};
