Grant no spare machines from an old list

The list is not read while no pool lacks machines. If they had left since, the platform refused the moves, the demand counted as met, and the pool waited for machines that never came until they were overdue.

Fix: the spare pool's owner grants from a list that is at most 5 s old and requests a new one otherwise. In turns of a few seconds the list is always that young. The test failed before: the demand was gone and a machine that had left was ordered.

The third user of the list, hasLeftItsMachine(), already compares its age with the worker's last answer.

--- a/src/scheduling/internal/machinemovemanager.cpp
+++ b/src/scheduling/internal/machinemovemanager.cpp
@@ -22,6 +22,9 @@
 constexpr std::chrono::milliseconds OrderRetryDelay{250};
 /// Interval of reading the list of machines while a pool requests some.
 constexpr std::chrono::milliseconds ListInterval{400};
+/// Maximum age of the list from which spare machines are granted. Covers a list
+/// that is answered late and the interval of reading it.
+constexpr std::chrono::milliseconds MaxListAge{5000};
 /// Time for which other pools leave a demand to the spare pool.
 constexpr std::chrono::milliseconds SparePoolHeadStart{250};
 /// Time beyond the duration of a move after which a machine is overdue.
@@ -185,6 +188,9 @@
   if (To.empty())
     return;
   MachineList_.refresh(ListInterval);
+  // Nobody reads the list while there is no demand.
+  if (!MachineList_.isCurrentSince(Pool_.Clock_.now() - MaxListAge))
+    return;
   std::vector<std::string> Names;
   for (const auto &[Name, Each] : MachineList_.machines())
     if (Each.Pool_ == Pool_.Pool_ && Each.State_ == MachineState::Up)
--- a/src/scheduling/tests/machinemoves_test.cpp
+++ b/src/scheduling/tests/machinemoves_test.cpp
@@ -83,6 +83,18 @@
     Demands_.onRow("other", Store_.Rows_[Name]);
   }
 
+  /// Sets the platform's list to \p Count machines of the spare pool.
+  void setSpareMachines(int Count) {
+    Machines_.List_ = {true, {}};
+    for (int Number = 0; Number < Count; ++Number) {
+      Machine Each;
+      Each.Name_ = "spare-" + std::to_string(Number);
+      Each.Pool_ = "spare";
+      Each.State_ = MachineState::Up;
+      Machines_.List_.Machines_.push_back(Each);
+    }
+  }
+
   DemandRow storedDemand(const std::string &Pool) {
     auto Found = Store_.Rows_.find(controlrows::demand(Pool));
     return Found == Store_.Rows_.end()
@@ -115,14 +127,7 @@
 }
 
 TEST_F(MachineMovesTest, SpareMachinesAreGrantedOnceToTheRequestingPool) {
-  for (int Number = 0; Number < 3; ++Number) {
-    Machine SpareMachine;
-    SpareMachine.Name_ = "spare-" + std::to_string(Number);
-    SpareMachine.Pool_ = "spare";
-    SpareMachine.State_ = MachineState::Up;
-    Machines_.List_.Machines_.push_back(SpareMachine);
-  }
-  Machines_.List_.IsValid_ = true;
+  setSpareMachines(3);
   setOtherPoolDemand(2);
   advanceTime(milliseconds(1000));
   EXPECT_EQ(Machines_.Moves_.size(), 2U);
@@ -130,6 +135,29 @@
   EXPECT_EQ(storedDemand("other").Coming_.size(), 2U);
 }
 
+// Guards against a pool that is granted machines which have left since the last
+// demand, and that waits for their arrival instead of getting others.
+TEST_F(MachineMovesTest, SpareMachinesAreNotGrantedFromAnOldList) {
+  setSpareMachines(2);
+  setOtherPoolDemand(1);
+  advanceTime(milliseconds(1000));
+  ASSERT_EQ(Machines_.Moves_.size(), 1U);
+  // Both machines leave, and a new one joins.
+  setSpareMachines(3);
+  Machines_.List_.Machines_.erase(Machines_.List_.Machines_.begin(),
+                                  Machines_.List_.Machines_.begin() + 2);
+  Machines_.Moves_.clear();
+  advanceTime(std::chrono::minutes(10));
+  Machines_.DelaysLists_ = true;
+  setOtherPoolDemand(1);
+  advanceTime(milliseconds(500));
+  EXPECT_EQ(storedDemand("other").Missing_, 1U);
+  Machines_.releaseLists();
+  advanceTime(milliseconds(500));
+  ASSERT_EQ(Machines_.Moves_.size(), 1U);
+  EXPECT_EQ(Machines_.Moves_[0].Order_.Machine_, "spare-2");
+}
+
 TEST_F(MachineMovesTest, GrantsAnIdleSurplusMachine) {
   addWorker("w1");
   advanceTime(milliseconds(1500));
