Reserve run numbers before they are used

A long-running task that failed at each start while its database was away had been started some 14,000 times when its pool's owner was restarted. The next owner never started it again: the workers refused each start as old, although two of them were empty and the database was back.

Cause: an owner numbered runs from 10,000 times the number of its predecessors and assumed that none of them had started a task more often than that. Nothing enforced it, so that the numbers of two owners overlap. Ruled out: the workers' fencing token, which was accepted (the refusals say old, not fence), and placement, since another job of the pool ran on the same workers.

Fix: the lease's row says which range of run numbers is reserved last. An owner that has used half of a range asks for the next one, the renewal of the lease that it makes anyway stores it, and a number beyond the reserved ones is not used. The next owner begins above all of them. Ranges have the size that they had and stand under the same key, so that owners of earlier versions go on counting from there in a mixed fleet. Starts in ordinary use get the same numbers as before and cost no further write.

Weighed: larger ranges, which only move the limit and leave the numbers of mixed fleets overlapping; and storing the number with each start, a write a start.

--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -24,8 +24,9 @@
   /// Version of the transaction that began the term of ownership. It is 0 in
   /// the first row of the term, whose own version is the token.
   FencingToken Token_ = 0;
-  /// Number of previous owners.
-  std::uint64_t Predecessors_ = 0;
+  /// Last range of run numbers that an owner has reserved; see runnumbers.h.
+  /// Each owner begins with a new range, the first one with range 0.
+  std::uint64_t RunNumberRange_ = 0;
   /// Number of renewals; it makes each renewal change the row.
   std::uint64_t Renewals_ = 0;
 };
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -45,7 +45,9 @@
               {"successor", Row.Successor_},
               {"process", Row.Process_},
               {"token", Row.Token_},
-              {"predecessors", Row.Predecessors_},
+              // Earlier versions, whose owners reserve one range each, count
+              // the previous owners here.
+              {"predecessors", Row.RunNumberRange_},
               {"renewals", Row.Renewals_}}
       .dump();
 }
@@ -99,7 +101,7 @@
     Row.Successor_ = Source.value("successor", std::string());
     Row.Process_ = Source.at("process").get<std::string>();
     Row.Token_ = Source.at("token").get<FencingToken>();
-    Row.Predecessors_ = Source.at("predecessors").get<std::uint64_t>();
+    Row.RunNumberRange_ = Source.at("predecessors").get<std::uint64_t>();
     Row.Renewals_ = Source.at("renewals").get<std::uint64_t>();
     return Row;
   });
--- a/src/scheduling/internal/poolleasemanager.cpp
+++ b/src/scheduling/internal/poolleasemanager.cpp
@@ -285,7 +285,7 @@
   NewRow.Holder_ = Settings_.Node_;
   NewRow.Process_ = Process_;
   bool HadOwner = Lease.Version_ > 0;
-  NewRow.Predecessors_ = HadOwner ? Lease.Row_.Predecessors_ + 1 : 0;
+  NewRow.RunNumberRange_ = HadOwner ? Lease.Row_.RunNumberRange_ + 1 : 0;
   Lease.PredecessorEnd_ = previousOwnerEnd(Lease);
   Lease.HasWriteInFlight_ = true;
   Store_.transact(makeOwnerUpdate(Pool, Lease, NewRow),
@@ -335,6 +335,7 @@
                                       TimePoint Sent, StoreVersion Token) {
   Lease.IsOwned_ = true;
   Lease.Token_ = Token;
+  Lease.RequestedRunNumberRange_ = Lease.Row_.RunNumberRange_;
   Lease.OwnershipRenewals_ = 0;
   Lease.RenewalOutcome_.reset();
   Lease.UnansweredSince_.reset();
@@ -346,7 +347,7 @@
       LogEvent("pool.won")
           .with("pool", Pool)
           .with("token", Token)
-          .with("predecessors", Lease.Row_.Predecessors_)
+          .with("run-number-range", Lease.Row_.RunNumberRange_)
           .with("pools", std::uint64_t{ownedOrPendingCount()})
           .with("millicores", milliCores(Settings_.Cores_))
           .with("largest-millicores", milliCores(largestNodeCores())));
@@ -356,13 +357,24 @@
     if (!Each.IsOwned_)
       Each.NextAttempt_ =
           std::max(Each.NextAttempt_, Clock_.now() + OwnedPoolDelay);
-  OnAcquired_({Pool, Token, Lease.Row_.Predecessors_, Lease.LeaseEnd_,
+  OnAcquired_({Pool, Token, Lease.Row_.RunNumberRange_, Lease.LeaseEnd_,
                Lease.PredecessorEnd_});
 }
 
+void PoolLeaseManager::reserveRunNumbers(const std::string &Pool,
+                                         std::uint64_t Range) {
+  PoolLease &Lease = Leases_[Pool];
+  if (!Lease.IsOwned_ || Range <= Lease.RequestedRunNumberRange_)
+    return;
+  Lease.RequestedRunNumberRange_ = Range;
+  Lease.NextRenewal_ = Clock_.now();
+}
+
 void PoolLeaseManager::renew(const std::string &Pool, PoolLease &Lease) {
   OwnerRow Next = Lease.Row_;
   Next.Token_ = Lease.Token_;
+  Next.RunNumberRange_ =
+      std::max(Next.RunNumberRange_, Lease.RequestedRunNumberRange_);
   ++Next.Renewals_;
   Lease.HasWriteInFlight_ = true;
   Lease.RenewalSent_ = Clock_.now();
@@ -396,9 +408,12 @@
     Lease.VersionSeenAt_ = Clock_.now();
     Lease.LeaseEnd_ = Sent + Settings_.OwnerLease_;
     Lease.NextRenewal_ = Sent + Settings_.OwnerLease_ / RenewalsPerLease;
+    if (Lease.RequestedRunNumberRange_ > Lease.Row_.RunNumberRange_)
+      Lease.NextRenewal_ = Clock_.now(); // Requested while this one was sent.
     if (++Lease.OwnershipRenewals_ >= StableOwnershipRenewals)
       Lease.ExpiredLeases_ = 0;
-    OnRenewed_(Pool, Lease.LeaseEnd_, Result.Version_);
+    OnRenewed_(Pool, Lease.LeaseEnd_, Result.Version_,
+               Lease.Row_.RunNumberRange_);
     return;
   }
   Lease.NextRenewal_ = Clock_.now() + RetryDelay;
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -17,6 +17,7 @@
 #include "scheduling/internal/rostermanager.h"
 #include "scheduling/internal/runtracker.h"
 #include "scheduling/poolview.h"
+#include "scheduling/runnumbers.h"
 
 #include <algorithm>
 #include <set>
@@ -24,9 +25,6 @@
 namespace dragonflylock {
 namespace {
 
-/// Run numbers reserved for each owner of a pool. A later owner thus uses
-/// higher run numbers without a stored record of every start.
-constexpr RunNumber RunNumbersPerOwner = 10000;
 /// Maximum interval between dispatch passes, for tasks that become due or whose
 /// start delay ends.
 constexpr std::chrono::milliseconds DispatchInterval{100};
@@ -78,10 +76,12 @@
             State_.Store_, State_.Clock_, State_.Logger_,
             [this](const StoreRow &Row) { Jobs_.onRow(Row); })),
         Reporter_(State_, Demands_, *Dispatcher_, *Follower_),
-        HasPredecessor_(Ownership.Predecessors_ > 0) {
+        HasPredecessor_(Ownership.RunNumberRange_ > 0) {
     State_.Token_ = Ownership.Token_;
     State_.OrderToken_ = Ownership.Token_;
-    State_.RunNumberBase_ = Ownership.Predecessors_ * RunNumbersPerOwner;
+    State_.RunNumberBase_ = runnumbers::baseOf(Ownership.RunNumberRange_);
+    State_.ReservedRunNumberRange_ = Ownership.RunNumberRange_;
+    State_.RequestedRunNumberRange_ = Ownership.RunNumberRange_;
     State_.LeaseEnd_ = Ownership.LeaseEnd_;
     if (HasPredecessor_)
       State_.InheritedRunsExpireAt_ = State_.latestLeaseExpiry(
@@ -422,9 +422,15 @@
   }
 }
 
-void PoolOwner::extendLease(TimePoint End, FencingToken Renewal) {
-  Parts_->State_.LeaseEnd_ = End;
-  Parts_->State_.RenewalToken_ = Renewal;
+void PoolOwner::extendLease(TimePoint End, FencingToken Renewal,
+                            std::uint64_t RunNumberRange) {
+  PoolState &State = Parts_->State_;
+  State.LeaseEnd_ = End;
+  State.RenewalToken_ = Renewal;
+  if (RunNumberRange <= State.ReservedRunNumberRange_)
+    return;
+  State.ReservedRunNumberRange_ = RunNumberRange;
+  State.NeedsDispatch_ = true;
 }
 
 void PoolOwner::onConfiguration(
@@ -531,6 +537,10 @@
 
 FencingToken PoolOwner::token() const { return Parts_->State_.Token_; }
 
+std::uint64_t PoolOwner::requestedRunNumberRange() const {
+  return Parts_->State_.RequestedRunNumberRange_;
+}
+
 std::optional<std::map<std::string, std::uint64_t>>
 PoolOwner::pendingJobs() const {
   if (!Parts_->IsLoaded_)
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -1,4 +1,7 @@
 #include "scheduling/internal/poolstate.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
+#include "scheduling/runnumbers.h"
 
 #include <algorithm>
 
@@ -15,6 +18,22 @@
   return Clock_.now() < LeaseEnd_ - Settings_.LeaseMargin_;
 }
 
+bool PoolState::isRunNumberReserved(RunNumber Number) {
+  const RunNumber Last = runnumbers::lastOf(ReservedRunNumberRange_);
+  const std::uint64_t Needed =
+      runnumbers::rangeOf(Number + runnumbers::RangeSize / 2);
+  if (Needed > RequestedRunNumberRange_) {
+    RequestedRunNumberRange_ = Needed;
+    Logger_.write(LogLevel::Info, LogEvent("run-numbers.requested")
+                                      .with("pool", Pool_)
+                                      .with("token", Token_)
+                                      .with("run", Number)
+                                      .with("reserved-up-to", Last)
+                                      .with("range", Needed));
+  }
+  return Number <= Last;
+}
+
 WorkerSession &PoolState::findOrCreateSession(const WorkerEntry &Entry) {
   auto [Place, IsNew] = Sessions_.try_emplace(Entry.lifetime(), nullptr);
   if (IsNew) {
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -54,6 +54,10 @@
   FencingToken RenewalToken_ = 0;
   /// All run numbers of this owner are higher than this.
   RunNumber RunNumberBase_ = 0;
+  /// Last range of run numbers that is reserved for this owner.
+  std::uint64_t ReservedRunNumberRange_ = 0;
+  /// Last range of run numbers that this owner has asked for.
+  std::uint64_t RequestedRunNumberRange_ = 0;
   /// Time by which the leases of all runs started by previous owners have
   /// certainly expired.
   TimePoint InheritedRunsExpireAt_;
@@ -82,6 +86,9 @@
   /// margin. Call it immediately before each action, because the process may
   /// have been suspended.
   bool holdsLease() const;
+  /// \returns whether no other owner uses the run number. Requests a further
+  /// range when half of the last one is used, so that starts need not wait.
+  bool isRunNumberReserved(RunNumber Number);
   /// \returns the session of the worker's lifetime, creating it if necessary.
   WorkerSession &findOrCreateSession(const WorkerEntry &Entry);
   /// \returns whether the worker may be executing runs that a previous owner
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -96,10 +96,11 @@
       Source.LeaseStore_ != nullptr ? *Source.LeaseStore_ : Store_, Clock_,
       Logger_,
       [this](const PoolOwnership &Ownership) { onPoolAcquired(Ownership); },
-      [this](const std::string &Pool, TimePoint End, FencingToken Renewal) {
+      [this](const std::string &Pool, TimePoint End, FencingToken Renewal,
+             std::uint64_t RunNumberRange) {
         auto Found = Owners_.find(Pool);
         if (Found != Owners_.end())
-          Found->second->extendLease(End, Renewal);
+          Found->second->extendLease(End, Renewal, RunNumberRange);
       },
       [this](const std::string &Pool) { onPoolLost(Pool); });
   Control_ = std::make_shared<TableFollower>(
@@ -329,8 +330,11 @@
     Parts_->tickOwnership();
   if (Parts_->HaveWorkersChanged_ && Parts_->AreWorkersKnown_)
     Parts_->distributeWorkers();
-  for (auto &[Pool, Owner] : Parts_->Owners_)
+  for (auto &[Pool, Owner] : Parts_->Owners_) {
     Owner->tick();
+    Parts_->Ownership_->reserveRunNumbers(Pool,
+                                          Owner->requestedRunNumberRange());
+  }
   Parts_->reportPending();
 }
 
--- a/src/scheduling/poolleasemanager.h
+++ b/src/scheduling/poolleasemanager.h
@@ -25,11 +25,12 @@
 class PoolLeaseManager : public std::enable_shared_from_this<PoolLeaseManager> {
 public:
   using AcquiredCallback = std::function<void(const PoolOwnership &)>;
-  /// Called with the end of the lease and the version of the renewal. It is
-  /// higher than the tokens of all owners so far and lower than those of later
-  /// owners.
-  using RenewedCallback = std::function<void(
-      const std::string &Pool, TimePoint End, FencingToken Renewal)>;
+  /// Called with the end of the lease, the version of the renewal and the last
+  /// range of run numbers that is reserved for the owner. The version is higher
+  /// than the tokens of all owners so far and lower than those of later owners.
+  using RenewedCallback =
+      std::function<void(const std::string &Pool, TimePoint End,
+                         FencingToken Renewal, std::uint64_t RunNumberRange)>;
   using LostCallback = std::function<void(const std::string &Pool)>;
 
   /// \param Process identifies this process among all processes of the node,
@@ -56,6 +57,10 @@
   /// does not try to acquire pools, and the delays before its attempts do not
   /// elapse.
   void setViewCurrent(bool IsViewCurrent) { IsViewCurrent_ = IsViewCurrent; }
+  /// Requests that all run numbers up to \p Range are reserved for this node's
+  /// ownership of the pool. The next renewal of the lease, which is made at
+  /// once, does so.
+  void reserveRunNumbers(const std::string &Pool, std::uint64_t Range);
   /// Makes the attempts and renewals that are due, and drops expired leases.
   void tick();
   /// Releases all pools, so that other nodes can acquire them at once.
@@ -77,6 +82,8 @@
     bool IsOwned_ = false;
     bool HasWriteInFlight_ = false;
     FencingToken Token_ = 0;
+    /// Last range of run numbers that the owner of this node has asked for.
+    std::uint64_t RequestedRunNumberRange_ = 0;
     TimePoint LeaseEnd_;
     TimePoint NextRenewal_;
     /// When the renewal in flight, or else the last one, was sent.
--- a/src/scheduling/poolowner.h
+++ b/src/scheduling/poolowner.h
@@ -30,8 +30,9 @@
 struct PoolOwnership {
   std::string Pool_;
   FencingToken Token_ = 0;
-  /// Number of previous owners of the pool.
-  std::uint64_t Predecessors_ = 0;
+  /// Range of run numbers that is reserved for this owner; 0 if the pool has
+  /// had no other owner.
+  std::uint64_t RunNumberRange_ = 0;
   /// Lease expiry on this process's clock.
   TimePoint LeaseEnd_;
   /// Time by which the previous owner had certainly stopped acting. Unset if
@@ -79,7 +80,10 @@
   /// Called when the lease has been renewed until \p End.
   /// \param Renewal the version of the renewal; orders carry it as their token
   ///   if a worker of the pool has seen a higher token than the owner's.
-  void extendLease(TimePoint End, FencingToken Renewal);
+  /// \param RunNumberRange the last range of run numbers that is reserved for
+  ///   the owner.
+  void extendLease(TimePoint End, FencingToken Renewal,
+                   std::uint64_t RunNumberRange);
   void
   onConfiguration(std::shared_ptr<const SchedulingConfiguration> Configuration);
   /// Adds queues that may hold jobs of the pool.
@@ -94,6 +98,8 @@
 
   const std::string &pool() const;
   FencingToken token() const;
+  /// \returns the last range of run numbers that this owner needs.
+  std::uint64_t requestedRunNumberRange() const;
   /// \returns the number of accepted jobs that have not started, by queue;
   /// std::nullopt until the jobs have been loaded.
   std::optional<std::map<std::string, std::uint64_t>> pendingJobs() const;
--- a/src/scheduling/tests/mocks/ownertest.h
+++ b/src/scheduling/tests/mocks/ownertest.h
@@ -62,7 +62,9 @@
     return Answer;
   }
 
-  void buildOwner(std::uint64_t Predecessors) {
+  /// \param RunNumberRange the owner's range of run numbers; an owner with a
+  ///   higher one than 0 has predecessors.
+  void buildOwner(std::uint64_t RunNumberRange) {
     auto Configuration = std::make_shared<SchedulingConfiguration>();
     Configuration->Queues_ = {Queue_};
     Configuration->Pools_ = {{"pool", true, false}};
@@ -76,16 +78,16 @@
                  .machineOrders(MachineOrders_)
                  .demands(Demands_)
                  .logger(Logger_)
-                 .build({"pool", Token, Predecessors,
+                 .build({"pool", Token, RunNumberRange,
                          Clock_.now() + std::chrono::hours(1)});
     Owner_->onConfiguration(Configuration);
   }
 
   /// Builds the owner and ticks it until it has read the roster and then the
   /// jobs.
-  void takeOwnership(std::uint64_t Predecessors,
+  void takeOwnership(std::uint64_t RunNumberRange,
                      const std::vector<WorkerEntry> &Workers) {
-    buildOwner(Predecessors);
+    buildOwner(RunNumberRange);
     Owner_->onWorkers(Workers);
     for (int Round = 0; Round < 5; ++Round)
       Owner_->tick();
--- a/src/scheduling/tests/poolleasemanager_test.cpp
+++ b/src/scheduling/tests/poolleasemanager_test.cpp
@@ -75,9 +75,13 @@
         [this](const PoolOwnership &Ownership) {
           Owned_.insert(Ownership.Pool_);
           LeaseEnd_ = Ownership.LeaseEnd_;
+          RunNumberRange_ = Ownership.RunNumberRange_;
           ++Acquisitions_;
         },
-        [](const std::string &, TimePoint, FencingToken) {},
+        [this](const std::string &, TimePoint, FencingToken,
+               std::uint64_t RunNumberRange) {
+          RunNumberRange_ = RunNumberRange;
+        },
         [this](const std::string &Pool) { Owned_.erase(Pool); });
   }
 
@@ -86,6 +90,8 @@
   std::shared_ptr<PoolLeaseManager> Manager_;
   std::set<std::string> Owned_;
   int Acquisitions_ = 0;
+  /// Last range of run numbers that is reserved for the node.
+  std::uint64_t RunNumberRange_ = 0;
   /// End of the lease that was acquired last.
   TimePoint LeaseEnd_;
 };
@@ -164,6 +170,40 @@
   EXPECT_EQ(Slow.Acquisitions_, 1);
 }
 
+// Guards against run numbers that two owners of a pool use (LOST).
+TEST_F(PoolLeaseManagerTest, NextOwnerGetsRunNumbersAboveAllReservedOnes) {
+  TestNode &First = addNode("first");
+  startManagers({"pool"});
+  runFor(milliseconds(2000));
+  ASSERT_TRUE(First.Owned_.contains("pool"));
+  EXPECT_EQ(First.RunNumberRange_, 0U);
+  First.Manager_->reserveRunNumbers("pool", 3);
+  runFor(2 * TickInterval);
+  EXPECT_EQ(First.RunNumberRange_, 3U);
+  First.Manager_->releaseAll();
+  TestNode &Second = addNode("second");
+  startManagers({"pool"});
+  runFor(milliseconds(2000));
+  ASSERT_TRUE(Second.Owned_.contains("pool"));
+  EXPECT_EQ(Second.RunNumberRange_, 4U);
+}
+
+// Guards against renewals that are sent in a row while the store refuses to
+// reserve run numbers.
+TEST_F(PoolLeaseManagerTest, RefusedReservationsAreRetriedAtTheUsualInterval) {
+  TestNode &Node = addNode("node");
+  startManagers({"pool"});
+  runFor(milliseconds(2000));
+  ASSERT_TRUE(Node.Owned_.contains("pool"));
+  Shared_.Outcome_ = StoreOutcome::NotDone;
+  const std::size_t Before = Node.Store_.calls();
+  for (int Round = 0; Round < 25; ++Round) {
+    Node.Manager_->reserveRunNumbers("pool", 1);
+    runFor(TickInterval);
+  }
+  EXPECT_LE(Node.Store_.calls() - Before, 8U);
+}
+
 TEST_F(PoolLeaseManagerTest, LargerNodeAcquiresFreePoolBeforeSmallNode) {
   TestNode &Small = addNode("small", 0.12);
   TestNode &Large = addNode("large", 0.5);
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -236,7 +236,7 @@
   HoldAnswer Refused;
   Refused.Outcome_ = OrderOutcome::Fenced;
   constexpr FencingToken Renewal = Token + 20;
-  Owner_->extendLease(Clock_.now() + std::chrono::hours(1), Renewal);
+  Owner_->extendLease(Clock_.now() + std::chrono::hours(1), Renewal, 0);
   Workers_.takeHold().Done_(Refused);
   Clock_.advance(milliseconds(500));
   tickTwice();
