Pass a worker's higher run number in few starts

Once a worker knows a higher run number of a task than the owner uses, each refused start raised the number by one, about eight times a second with two workers: 4,000 numbers take more than 8 minutes, in which the task does not run (LOST). With reserved numbers the gap no longer comes from owners of this version; an owner of an earlier version, or a lease row that could not be read, can still leave one.

Cause: the answer does not say which number the worker knows, and the retry assumed that it is the next one.

Fix: the step to the next number doubles with each refusal as stale and is one again after an accepted start, so that any gap takes at most 33 starts. A gang's member that was refused as stale no longer joins under the number that was refused.

--- a/src/scheduling/activejob.h
+++ b/src/scheduling/activejob.h
@@ -41,6 +41,9 @@
   std::string Worker_;
   /// Whether a worker refused to start the last run.
   bool WasRefused_ = false;
+  /// Starts in a row that workers refused because they know of a run with a
+  /// higher number.
+  std::uint32_t StaleStarts_ = 0;
   /// Lifetime of the worker on which a run failed last; placement prefers
   /// another worker.
   std::string LastFailedWorker_;
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -23,6 +23,9 @@
 constexpr std::chrono::milliseconds UnhealthyDelay{1000};
 /// Delay before a task whose start was refused is tried again.
 constexpr std::chrono::milliseconds RefusedStartDelay{50};
+/// Number of doublings of the step from one run number to the next. The last
+/// step exceeds the numbers that a task can have used.
+constexpr std::uint32_t MaxRunNumberDoublings = 32;
 /// An order that fails without a response after at least this time may have
 /// been delayed in this node and counts as a slow response. One that fails
 /// sooner was cut off on the network and says nothing about this node.
@@ -106,7 +109,12 @@
 
 RunNumber Dispatcher::nextRunNumber(const ActiveJob &Job,
                                     const TaskName &Name) const {
-  return std::max(Job.run(Name).Run_, Pool_.RunNumberBase_) + 1;
+  // A refusal as stale does not tell the number that the worker knows, so that
+  // the step doubles with each one.
+  const TaskRun &Run = Job.run(Name);
+  const RunNumber Step = RunNumber{1}
+                         << std::min(Run.StaleStarts_, MaxRunNumberDoublings);
+  return std::max(Run.Run_, Pool_.RunNumberBase_) + Step;
 }
 
 bool Dispatcher::dispatchGang(ActiveJob &Job,
@@ -187,7 +195,8 @@
       Now < Gang.StartedAt_ + Pool_.Settings_.GangTimeout_ / 2 &&
       std::all_of(Waiting.begin(), Waiting.end(), [&](const TaskName &Name) {
         const TaskRun &Run = Job.run(Name);
-        return Run.WasRefused_ && Run.Run_ == Gang.Run_;
+        return Run.WasRefused_ && Run.StaleStarts_ == 0 &&
+               Run.Run_ == Gang.Run_;
       });
   if (MayRejoin) {
     auto Workers = Chooser_.chooseAll(Job, Waiting, /*OnOneRack=*/false);
@@ -300,6 +309,8 @@
   switch (Answer.Outcome_) {
   case OrderOutcome::Accepted:
     Known->ConfirmedAt_ = Now;
+    if (Task != nullptr)
+      Task->StaleStarts_ = 0;
     if (!Known->ConfirmedClock_ && Answer.Clock_.count() > 0)
       Known->ConfirmedClock_ = Answer.Clock_;
     if (Task != nullptr && Task->Phase_ == TaskPhase::Starting)
@@ -330,6 +341,8 @@
     TaskRun &Run = Job->mutableRun(Name);
     Run.NotBefore_ = Now + RefusedStartDelay;
     Run.WasRefused_ = true;
+    Run.StaleStarts_ =
+        Outcome == OrderOutcome::StaleRun ? Run.StaleStarts_ + 1 : 0;
   }
   if (Outcome == OrderOutcome::Fenced)
     Pool_.onFenced(Session);
--- a/src/scheduling/tests/gangsandadvice_test.cpp
+++ b/src/scheduling/tests/gangsandadvice_test.cpp
@@ -140,6 +140,20 @@
   EXPECT_EQ(Workers_.Starts_[0].Order_.Run_, Run);
 }
 
+// Guards against a gang that waits for a member whose run number the workers
+// refuse as stale.
+TEST_F(GangsAndAdviceTest, AMemberRefusedAsStaleDoesNotKeepItsRunNumber) {
+  takeOwnership(
+      {worker("w1", "r1-1"), worker("w2", "r1-1"), worker("w3", "r1-1")});
+  ASSERT_EQ(Workers_.Starts_.size(), 2U);
+  answerStart(OrderOutcome::Accepted);
+  answerStart(OrderOutcome::StaleRun);
+  advanceTime(milliseconds(100));
+  Owner_->tick();
+  EXPECT_TRUE(Workers_.Starts_.empty());
+  EXPECT_FALSE(Workers_.Stops_.empty());
+}
+
 TEST_F(GangsAndAdviceTest, MembersAreStoppedWhenOneCannotJoin) {
   takeOwnership({worker("w1", "r1-1"), worker("w2", "r1-1")});
   ASSERT_EQ(Workers_.Starts_.size(), 2U);
--- a/src/scheduling/tests/runnumbers_test.cpp
+++ b/src/scheduling/tests/runnumbers_test.cpp
@@ -107,6 +107,26 @@
             Start.Order_.Run_);
 }
 
+// Guards against a task that is not started for minutes (LOST) because its
+// worker knows of a much higher run number, for example from an owner of an
+// earlier version, and each start is refused as stale.
+TEST_F(RunNumbersTest, ATaskIsStartedSoonAfterStartsThatAreRefusedAsStale) {
+  constexpr RunNumber Highest = 14013;
+  constexpr milliseconds MaxDelay{6000};
+  auto Node = startNode("node-1");
+  RecordingWorkers::Start Start = awaitStart(*Node, acceptedAnswer({}));
+  const TimePoint Begin = Clock_.now();
+  while (Start.Order_.Run_ <= Highest && Clock_.now() < Begin + MaxDelay) {
+    Start.Done_({OrderOutcome::StaleRun, WorkerClock(1000)});
+    Start = awaitStart(*Node, acceptedAnswer({}));
+  }
+  EXPECT_GT(Start.Order_.Run_, Highest);
+  // Afterwards the numbers rise by one again.
+  Start.Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+  HoldAnswer Failed = acceptedAnswer({}, {failureOf(Start.Order_.Run_)});
+  EXPECT_EQ(awaitStart(*Node, Failed).Order_.Run_, Start.Order_.Run_ + 1);
+}
+
 TEST_F(RunNumbersTest, RunNumbersAreRequestedBeforeTheyRunOut) {
   failRun(runnumbers::RangeSize / 2);
   EXPECT_EQ(Owner_->requestedRunNumberRange(), 1U);
