Delay the restarts of a long-running task that ends soon after each start

While a task failed at each start, its pool's owner started it 3,500 times a second. That used up the run numbers of the owner within seconds and spent the owner's and the workers' processors on nothing. The refused starts of other tasks were limited, this retry was not.

Cause: a long-running task has no limit on its failed runs, and an end made it startable at once.

Fix: the second short run in a row delays the next start by 100 ms, each further one twice as long up to 2 s, less than the 3 s that a task may wait beside free workers. A first short run is restarted at once, since its worker may be at fault, as is a run that lasted for 2 s. Runs that end as done count as well. Stopped, lapsed and broken runs do not: their causes are limited elsewhere.

--- a/src/scheduling/activejob.h
+++ b/src/scheduling/activejob.h
@@ -47,6 +47,11 @@
   /// Lifetime of the worker on which a run failed last; placement prefers
   /// another worker.
   std::string LastFailedWorker_;
+  /// When this owner last ordered a start.
+  TimePoint StartedAt_;
+  /// Runs in a row that ended soon after their start; counted for long-running
+  /// tasks only.
+  std::uint32_t ShortRuns_ = 0;
   /// Earliest time of the next start.
   TimePoint NotBefore_;
   /// Value of ActiveJob::changeCount() that includes the last recorded crash of
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -237,6 +237,7 @@
   TaskRun &Run = Job.mutableRun(Name);
   Run.Run_ = Number;
   Run.WasRefused_ = false;
+  Run.StartedAt_ = Now;
   Job.updateCapacityWait(/*IsMissing=*/false, Now);
   Run.Phase_ = TaskPhase::Starting;
   Run.Worker_ = Session.entry().lifetime();
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -16,6 +16,14 @@
 constexpr std::uint32_t MaxFailuresInRow = 3;
 constexpr std::chrono::milliseconds SetAsideDuration{3000};
 constexpr std::uint32_t MaxSetAsideFactor = 4;
+/// Delay before a long-running task is started again after its second short run
+/// in a row. It doubles with each further one.
+constexpr std::chrono::milliseconds MinRestartDelay{100};
+/// No task may wait for 3 s beside free workers. Runs that last longer than
+/// this are not short.
+constexpr std::chrono::milliseconds MaxRestartDelay{2000};
+/// Doublings of MinRestartDelay that reach MaxRestartDelay.
+constexpr std::uint32_t MaxRestartDoublings = 5;
 /// Crashes of workers by a task after which its job is given up; the last of
 /// them while the task is on trial.
 constexpr std::size_t MaxCrashedRuns =
@@ -76,6 +84,10 @@
     if (End.Kind_ != EndKind::Done && !Job->isOver())
       Job->markDirty();
   }
+  bool HasEndedByItself =
+      End.Kind_ == EndKind::Done || End.Kind_ == EndKind::Failed;
+  if (IsCurrent && IsLongRunning && HasEndedByItself)
+    delayRestart(End.Task_, Run);
   if (End.Kind_ == EndKind::Done && !IsLongRunning)
     markDone(*Job, End.Task_);
   if (End.Kind_ == EndKind::Done)
@@ -92,6 +104,28 @@
     Session.markEndProcessed(End.Sequence_);
 }
 
+void RunTracker::delayRestart(const TaskName &Name, TaskRun &Run) const {
+  const TimePoint Now = Pool_.Clock_.now();
+  if (Now >= Run.StartedAt_ + MaxRestartDelay) {
+    Run.ShortRuns_ = 0;
+    return;
+  }
+  // A single short run is likely to be its worker's fault, and the task is
+  // started on another one.
+  if (++Run.ShortRuns_ < 2)
+    return;
+  const std::uint32_t Doublings =
+      std::min(Run.ShortRuns_ - 2, MaxRestartDoublings);
+  const auto Delay =
+      std::min(MaxRestartDelay, MinRestartDelay * (1 << Doublings));
+  Run.NotBefore_ = Now + Delay;
+  Pool_.Logger_.write(LogLevel::Info,
+                      LogEvent("task.restart-delayed")
+                          .with("task", Name.text())
+                          .with("short-runs", std::uint64_t{Run.ShortRuns_})
+                          .with("delay", std::chrono::microseconds(Delay)));
+}
+
 void RunTracker::recordCheckpoint(ActiveJob &Job, const TaskName &Name,
                                   const std::string &Checkpoint) {
   auto Note = [&](const TaskName &Each) {
--- a/src/scheduling/internal/runtracker.h
+++ b/src/scheduling/internal/runtracker.h
@@ -67,6 +67,9 @@
                    const ListedEnd &End);
   void countWorkerFailure(WorkerSession &Session, const ActiveJob &Job,
                           const ListedEnd &End);
+  /// Delays the next start of a long-running task whose last run has just
+  /// ended, if it and the run before it were short.
+  void delayRestart(const TaskName &Name, TaskRun &Run) const;
   /// \returns whether no more than half of the workers would be set aside. When
   /// runs fail on most workers, the cause is more likely to be the tasks.
   bool maySetAside(const WorkerSession &Candidate) const;
