Limit the restarts of a pool instead of delaying each task

It also keeps a task back for up to 2 s after what it depends on is back.

Now a pool makes at most 400 immediate restarts a second after short runs, over all its tasks; further ones wait for the next second. No task waits longer than 1 s and the interval of dispatching.

--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -16,14 +16,15 @@
 constexpr std::uint32_t MaxFailuresInRow = 3;
 constexpr std::chrono::milliseconds SetAsideDuration{3000};
 constexpr std::uint32_t MaxSetAsideFactor = 4;
-/// Delay before a long-running task is started again after its second short run
-/// in a row. It doubles with each further one.
-constexpr std::chrono::milliseconds MinRestartDelay{100};
-/// No task may wait for 3 s beside free workers. Runs that last longer than
-/// this are not short.
-constexpr std::chrono::milliseconds MaxRestartDelay{2000};
-/// Doublings of MinRestartDelay that reach MaxRestartDelay.
-constexpr std::uint32_t MaxRestartDoublings = 5;
+/// Runs of long-running tasks that end sooner after their start are short.
+constexpr std::chrono::milliseconds ShortRunTime{2000};
+/// Interval to which the limit on immediate restarts applies, and thus the
+/// longest delay of a restart. No task may wait for 3 s beside free workers.
+constexpr std::chrono::milliseconds RestartInterval{1000};
+/// Immediate restarts after short runs in an interval, over all tasks of the
+/// pool. Bounds the processor time that tasks which fail at each start take
+/// from others.
+constexpr std::uint32_t MaxImmediateRestarts = 400;
 /// Crashes of workers by a task after which its job is given up; the last of
 /// them while the task is on trial.
 constexpr std::size_t MaxCrashedRuns =
@@ -104,9 +105,9 @@
     Session.markEndProcessed(End.Sequence_);
 }
 
-void RunTracker::delayRestart(const TaskName &Name, TaskRun &Run) const {
+void RunTracker::delayRestart(const TaskName &Name, TaskRun &Run) {
   const TimePoint Now = Pool_.Clock_.now();
-  if (Now >= Run.StartedAt_ + MaxRestartDelay) {
+  if (Now >= Run.StartedAt_ + ShortRunTime) {
     Run.ShortRuns_ = 0;
     return;
   }
@@ -114,16 +115,20 @@
   // started on another one.
   if (++Run.ShortRuns_ < 2)
     return;
-  const std::uint32_t Doublings =
-      std::min(Run.ShortRuns_ - 2, MaxRestartDoublings);
-  const auto Delay =
-      std::min(MaxRestartDelay, MinRestartDelay * (1 << Doublings));
-  Run.NotBefore_ = Now + Delay;
-  Pool_.Logger_.write(LogLevel::Info,
-                      LogEvent("task.restart-delayed")
-                          .with("task", Name.text())
-                          .with("short-runs", std::uint64_t{Run.ShortRuns_})
-                          .with("delay", std::chrono::microseconds(Delay)));
+  if (Now >= RestartIntervalEnd_) {
+    RestartIntervalEnd_ = Now + RestartInterval;
+    ImmediateRestarts_ = 0;
+  }
+  if (++ImmediateRestarts_ <= MaxImmediateRestarts)
+    return;
+  Run.NotBefore_ = RestartIntervalEnd_;
+  Pool_.Logger_.write(
+      LogLevel::Info,
+      LogEvent("task.restart-delayed")
+          .with("task", Name.text())
+          .with("short-runs", std::uint64_t{Run.ShortRuns_})
+          .with("delay", std::chrono::duration_cast<std::chrono::microseconds>(
+                             RestartIntervalEnd_ - Now)));
 }
 
 void RunTracker::recordCheckpoint(ActiveJob &Job, const TaskName &Name,
--- a/src/scheduling/internal/runtracker.h
+++ b/src/scheduling/internal/runtracker.h
@@ -4,6 +4,7 @@
 #include "scheduling/schedulingtypes.h"
 #include "scheduling/workercalls.h"
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -67,9 +68,10 @@
                    const ListedEnd &End);
   void countWorkerFailure(WorkerSession &Session, const ActiveJob &Job,
                           const ListedEnd &End);
-  /// Delays the next start of a long-running task whose last run has just
-  /// ended, if it and the run before it were short.
-  void delayRestart(const TaskName &Name, TaskRun &Run) const;
+  /// Called when a run of a long-running task has ended by itself. Delays the
+  /// next start if the task's runs are short and the pool has used up its
+  /// immediate restarts for now.
+  void delayRestart(const TaskName &Name, TaskRun &Run);
   /// \returns whether no more than half of the workers would be set aside. When
   /// runs fail on most workers, the cause is more likely to be the tasks.
   bool maySetAside(const WorkerSession &Candidate) const;
@@ -79,6 +81,9 @@
   bool hasFailed(ActiveJob &Job) const;
 
   PoolState &Pool_;
+  /// Immediate restarts after short runs in the current interval.
+  std::uint32_t ImmediateRestarts_ = 0;
+  TimePoint RestartIntervalEnd_;
 };
 
 } // namespace dragonflylock
