Space the calls for a wave while the store refuses them

What callers saw: nothing; found by looking for other retries that run hot. While a wave is open and the store refuses or does not answer, each owner of a pool read the wave's row, reported the wave or claimed the next machine again with each round of its loop, as fast as the refusals came back. The store gets the most calls when it can serve the fewest.

Cause: the only interval was that of reading a row that had been read before.

Fix: after a failed call nothing is done for the wave for 150 ms. A claim that another owner's claim has overtaken is still repeated at once, on the new row.

--- a/src/scheduling/internal/maintenancemanager.cpp
+++ b/src/scheduling/internal/maintenancemanager.cpp
@@ -20,6 +20,8 @@
 /// Interval of reading a wave's row, which the owners of other pools change
 /// as well.
 constexpr std::chrono::milliseconds WaveReadInterval{300};
+/// Delay after a failed call to the store.
+constexpr std::chrono::milliseconds RetryDelay{150};
 /// Time for which a task must have run at full speed to count as available.
 constexpr std::chrono::milliseconds MinFullSpeedTime{300};
 /// Maximum time to wait for a machine's runs to end by themselves.
@@ -101,7 +103,8 @@
 }
 
 void MaintenanceManager::advance(WaveState &State) {
-  if (State.IsBusy_ || !MachineList_.isCurrentSince(State.MachinesSeenAt_))
+  if (State.IsBusy_ || Pool_.Clock_.now() < State.NextAttempt_ ||
+      !MachineList_.isCurrentSince(State.MachinesSeenAt_))
     return;
   if (!State.IsLoaded_ || Pool_.Clock_.now() >= State.NextLoad_) {
     load(State);
@@ -147,6 +150,7 @@
   State.IsBusy_ = false;
   State.NextLoad_ = Pool_.Clock_.now() + WaveReadInterval;
   if (Read.Outcome_ != StoreOutcome::Done) {
+    State.NextAttempt_ = Pool_.Clock_.now() + RetryDelay;
     readlog::logPageFailure(Pool_.Logger_, controlrows::wave(Number), 1,
                             Read.Outcome_,
                             Pool_.Clock_.now() - State.RequestStartedAt_);
@@ -491,6 +495,8 @@
         Stored.IsBusy_ = false;
         if (End.Outcome_ != StoreOutcome::Done) {
           Stored.IsLoaded_ = false;
+          if (End.Outcome_ != StoreOutcome::ConditionFailed)
+            Stored.NextAttempt_ = Self->Pool_.Clock_.now() + RetryDelay;
           if (!Announced.empty())
             Self->OrderTracker_.onOrderSkipped(Announced);
           return;
@@ -539,6 +545,9 @@
                            return;
                          WaveState &Reported = Self->Waves_[Number];
                          Reported.IsBusy_ = false;
+                         if (!IsStored)
+                           Reported.NextAttempt_ =
+                               Self->Pool_.Clock_.now() + RetryDelay;
                          if (Reported.MachinesSeenAt_ != MachinesSeenAt)
                            return; // The report does not cover all machines.
                          Reported.IsReported_ = IsStored;
--- a/src/scheduling/internal/maintenancemanager.h
+++ b/src/scheduling/internal/maintenancemanager.h
@@ -73,6 +73,8 @@
     TimePoint MachinesSeenAt_;
     TimePoint RequestStartedAt_;
     TimePoint NextLoad_;
+    /// Nothing is done for the wave before, since a call has failed.
+    TimePoint NextAttempt_;
     /// Machine that is being drained for its maintenance; empty for none.
     std::string NextMachine_;
     TimePoint ReservedAt_;
--- a/src/scheduling/tests/maintenance_test.cpp
+++ b/src/scheduling/tests/maintenance_test.cpp
@@ -14,6 +14,9 @@
 /// wave.
 class MaintenanceTest : public OwnerTest {
 protected:
+  /// Calls that may be made in 3 s: ten a second.
+  static constexpr std::size_t MaxCalls = 30;
+
   MaintenanceTest() {
     StepSpec Step;
     Step.TaskCount_ = 1;
@@ -43,8 +46,8 @@
 
   /// Runs the owner for \p Length. The worker answers hold orders as the
   /// lifetime that was born at \p Born.
-  void runFor(milliseconds Length, milliseconds Born) {
-    constexpr milliseconds Round{50};
+  void runFor(milliseconds Length, milliseconds Born,
+              milliseconds Round = milliseconds(50)) {
     for (milliseconds Passed{0}; Passed < Length; Passed += Round) {
       Clock_.advance(Round);
       Owner_->tick();
@@ -174,6 +177,36 @@
   EXPECT_TRUE(Machines_.CompletedWaves_.contains(Wave_.Number_));
 }
 
+// Guards against a read of the wave's row with each round of the owner while
+// the store is away.
+TEST_F(MaintenanceTest, ReadsOfAWaveAreSpacedWhileTheStoreIsAway) {
+  takeOwnership(0, {workerBornAt(milliseconds(5))});
+  Store_.Outcome_ = StoreOutcome::NotDone;
+  Owner_->onWaves({Wave_});
+  runFor(milliseconds(3000), milliseconds(5), milliseconds(10));
+  EXPECT_LE(Store_.Calls_[controlrows::wave(Wave_.Number_)], MaxCalls);
+}
+
+// Guards against a report with each round of the owner while the store refuses
+// them.
+TEST_F(MaintenanceTest, ReportsOfAWaveAreSpacedWhileTheyAreRefused) {
+  Machines_.AreReportsStored_ = false;
+  takeOwnership(0, {workerBornAt(milliseconds(5))});
+  Owner_->onWaves({Wave_});
+  runFor(milliseconds(3000), milliseconds(5), milliseconds(10));
+  EXPECT_LE(Machines_.Reports_, MaxCalls);
+}
+
+// Guards against a claim with each round of the owner while the store refuses
+// them.
+TEST_F(MaintenanceTest, ClaimsOfAMachineAreSpacedWhileTheyAreRefused) {
+  takeOwnership(0, {});
+  Owner_->onWaves({Wave_});
+  Store_.MostPuts_ = 0;
+  runFor(milliseconds(3000), milliseconds(5), milliseconds(10));
+  EXPECT_LE(Store_.Calls_[controlrows::machine("machine-of-w1")], MaxCalls);
+}
+
 TEST_F(MaintenanceTest, AnUnreadableWaveRowIsNotOverwritten) {
   StoreKey Row = controlrows::wave(Wave_.Number_);
   Store_.Rows_[Row] = {Row, "{\"format\":2}", ++Store_.Version_, false};
--- a/src/scheduling/tests/mocks/fakefleet.h
+++ b/src/scheduling/tests/mocks/fakefleet.h
@@ -31,6 +31,8 @@
 class InstantStore : public IStore {
 public:
   void transact(StoreTransaction Wanted, TransactionCallback Done) override {
+    for (const StorePut &Each : Wanted.Puts_)
+      ++Calls_[Each.Name_];
     if (Outcome_ != StoreOutcome::Done) {
       Done({Outcome_, 0, {}});
       return;
@@ -73,6 +75,7 @@
   void readRange(const std::string &Table, const std::string &Part,
                  const std::string &From, const std::string &To,
                  std::size_t Most, RangeCallback Done) override {
+    ++Calls_[{Table, Part, From}];
     StoreRange Read;
     Read.Outcome_ = Outcome_;
     Read.Version_ = Version_;
@@ -92,6 +95,9 @@
   /// Whether responses to transactions are delayed until release().
   bool DelaysResponses_ = false;
   std::vector<std::function<void()>> DelayedResponses_;
+  /// Number of calls by the row that is written, or the key from which rows
+  /// are read; includes failed calls.
+  std::map<StoreKey, std::size_t> Calls_;
   /// Transactions with more rows end with an unknown outcome.
   std::size_t MostPuts_ = std::numeric_limits<std::size_t>::max();
   /// Transactions with more bytes are refused.
@@ -208,9 +214,10 @@
   }
   void reportWave(std::uint64_t Wave, bool IsCompleted,
                   ReportDone Done) override {
-    if (IsCompleted)
+    ++Reports_;
+    if (IsCompleted && AreReportsStored_)
       CompletedWaves_.insert(Wave);
-    Done(true);
+    Done(AreReportsStored_);
   }
 
   MachineList List_;
@@ -221,6 +228,9 @@
   bool IsSilent_ = false;
   std::vector<MachineOrder> Orders_;
   std::vector<Move> Moves_;
+  bool AreReportsStored_ = true;
+  /// Number of reports of waves, including those that were not stored.
+  std::uint32_t Reports_ = 0;
   /// Waves that were reported as completed.
   std::set<std::uint64_t> CompletedWaves_;
   MachineOutcome MoveOutcome_ = MachineOutcome::Accepted;
