Wait for the handler in the tests of a server that stops

Cause: the test waited until the server counted the request as pending, and then told it to refuse requests. The server counts a request before it looks whether it has to be refused, so that the first one could still be refused, which is right: its handler had not seen it. What it checks is unchanged.

--- a/src/http/tests/serverstop_test.cpp
+++ b/src/http/tests/serverstop_test.cpp
@@ -17,8 +17,10 @@
     EXPECT_TRUE(Server_.start());
   }
 
-  void awaitPending(std::size_t Count) const {
-    while (Server_.pendingAnswers() != Count)
+  /// Waits until the handler has \p Count requests. The server counts a request
+  /// as pending before it decides whether to refuse it.
+  void awaitHeld(std::size_t Count) const {
+    while (Handler_.heldCount() != Count)
       std::this_thread::yield();
   }
 
@@ -38,7 +40,7 @@
 TEST_F(ServerStopTest, AnswersARequestThatIsPendingAtTheEnd) {
   RawConnection Caller(Server_.port());
   Caller.get("/held");
-  awaitPending(1);
+  awaitHeld(1);
   Server_.stop();
   EXPECT_TRUE(Caller.readToEnd().starts_with("HTTP/1.1 504"));
 }
@@ -55,7 +57,7 @@
 TEST_F(ServerStopTest, RefusesNewRequestsWhileItWaitsForPendingOnes) {
   RawConnection Early(Server_.port());
   Early.get("/held");
-  awaitPending(1);
+  awaitHeld(1);
   Server_.refuseRequests({httpstatus::Unavailable, {{"Retry-After", "1"}}, {}});
   RawConnection Late(Server_.port());
   Late.get("/");
