Accept a row that a reader sees before its write is recorded

The checker takes an epoch that was seen for one that was written, and the record of the write for a second write. There was one.

Now the record of a write may follow the sight of the same row once.

--- a/src/trace/internal/fleetrules.cpp
+++ b/src/trace/internal/fleetrules.cpp
@@ -94,11 +94,13 @@
         Event.Number_ > Rows_[Event.Instance_].Epoch_)
       Rows_[Event.Instance_] = {Event.Number_, Event.Pool_, Event.Phase_};
     if (Event.Kind_ == TraceKind::InstanceRow) {
+      const Row Written{Event.Number_, Event.Pool_, Event.Phase_,
+                        /*IsWritten_=*/true};
       Row &Known = Rows_[Event.Instance_];
-      if (Event.Number_ <= Known.Epoch_)
+      if (Event.Number_ <= Known.Epoch_ && !Known.isSeenBefore(Written))
         return Event.Instance_ + " got epoch " + std::to_string(Event.Number_) +
                " twice";
-      Known = {Event.Number_, Event.Pool_, Event.Phase_};
+      Known = Written;
     }
     if (Event.Kind_ != TraceKind::Offered)
       return std::nullopt;
@@ -114,6 +116,15 @@
     std::uint64_t Epoch_ = 0;
     std::string Pool_;
     std::string Phase_;
+    /// Whether the event of its writer was observed.
+    bool IsWritten_ = false;
+
+    /// \returns whether this is the row of \p Written, seen by a reader before
+    /// its writer got the response and recorded the write.
+    bool isSeenBefore(const Row &Written) const {
+      return !IsWritten_ && Epoch_ == Written.Epoch_ &&
+             Pool_ == Written.Pool_ && Phase_ == Written.Phase_;
+    }
   };
   std::map<std::string, Row> Rows_;
 };
--- a/src/trace/tests/tracechecker_test.cpp
+++ b/src/trace/tests/tracechecker_test.cpp
@@ -195,6 +195,31 @@
   EXPECT_EQ(Trace.verdict(), "one-pool");
 }
 
+// Guards against a verdict on a process whose reader sees a row before its
+// writer has the response and records the write.
+TEST(TraceChecker, AcceptsARowThatIsSeenBeforeItsWriteIsRecorded) {
+  TraceBuilder Trace;
+  Trace.row("w1", 1, "rota", "serving");
+  Trace.row("w1", 2, "rota", "leaving").Kind_ = TraceKind::InstanceSeen;
+  Trace.row("w1", 2, "rota", "leaving");
+  EXPECT_EQ(Trace.verdict(), "none");
+}
+
+TEST(TraceChecker, RefusesAnEpochThatIsWrittenTwice) {
+  TraceBuilder Trace;
+  Trace.row("w1", 2, "rota", "leaving").Kind_ = TraceKind::InstanceSeen;
+  Trace.row("w1", 2, "rota", "leaving");
+  Trace.row("w1", 2, "rota", "leaving");
+  EXPECT_EQ(Trace.verdict(), "one-pool");
+}
+
+TEST(TraceChecker, RefusesAnEpochThatIsSeenWithAnotherPhase) {
+  TraceBuilder Trace;
+  Trace.row("w1", 2, "rota", "serving").Kind_ = TraceKind::InstanceSeen;
+  Trace.row("w1", 2, "rota", "leaving");
+  EXPECT_EQ(Trace.verdict(), "one-pool");
+}
+
 TEST(TraceChecker, RefusesABrokenAvailability) {
   TraceBuilder Trace;
   Trace.row("w1", 1, "rota", "serving");
