Compute run numbers only for starts that can be made

The check whether a run number is reserved looked up each waiting task of a step for which the round had already found no worker, and each member of a gang that does not fit.

--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -85,8 +85,10 @@
       Gangs[Step].push_back(Name);
       continue;
     }
+    if (Step == UnplaceableStep)
+      continue;
     const RunNumber Number = nextRunNumber(Job, Name);
-    if (Step == UnplaceableStep || !Pool_.isRunNumberReserved(Number))
+    if (!Pool_.isRunNumberReserved(Number))
       continue;
     if (!admits(1))
       return false;
@@ -154,11 +156,6 @@
                                 const std::vector<TaskName> &Members) {
   const TimePoint Now = Pool_.Clock_.now();
   const StepSpec &Step = Job.step(Members.front());
-  RunNumber Number = 0;
-  for (const TaskName &Name : Members)
-    Number = std::max(Number, nextRunNumber(Job, Name));
-  if (!Pool_.isRunNumberReserved(Number))
-    return true;
   StepRun &Gang = Job.stepRun(Members.front());
   if (Gang.CapacityWaitSince_ == TimePoint())
     Gang.CapacityWaitSince_ = Now;
@@ -181,6 +178,11 @@
   }
   if (!admits(Members.size()))
     return false;
+  RunNumber Number = 0;
+  for (const TaskName &Name : Members)
+    Number = std::max(Number, nextRunNumber(Job, Name));
+  if (!Pool_.isRunNumberReserved(Number))
+    return true;
   Gang = {Number, Now, TimePoint()};
   for (std::size_t Index = 0; Index < Members.size(); ++Index)
     start(Job, Members[Index], *Workers[Index], Number);
