Spare the tasks that a silent worker may run from maintenance

An owner records what may run on a worker that does not answer. The next owner has no runs in that worker's session and took the machine for idle: a wave ordered it into maintenance and ended long-running tasks without regard for their budget (AVAIL), though the worker was only cut off from the nodes. Maintenance now waits until the worker has answered or the leases of the previous owner have expired, for workers that left the registry too.

--- a/src/scheduling/internal/maintenancemanager.cpp
+++ b/src/scheduling/internal/maintenancemanager.cpp
@@ -190,7 +190,8 @@
   // expire.
   for (auto &[Lifetime, Session] : Pool_.Sessions_)
     if (Session->entry().Machine_ == Name && !Session->HasEnded_ &&
-        !Session->runs().empty())
+        (!Session->runs().empty() ||
+         Pool_.mayHaveUnexpiredInheritedRuns(*Session)))
       return Session.get();
   return nullptr;
 }
@@ -333,6 +334,9 @@
   WorkerSession *Session = sessionOf(Name);
   if (Session == nullptr)
     return true;
+  // It is not known which tasks the order would end.
+  if (Pool_.mayHaveUnexpiredInheritedRuns(*Session))
+    return false;
   if (!prepareForOrder(Name))
     return false;
   bool HasShortRuns = false;
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -51,6 +51,11 @@
   return WasOrdered && !Session.IsFenced_ && !Session.HasEnded_;
 }
 
+bool PoolState::mayHaveUnexpiredInheritedRuns(
+    const WorkerSession &Session) const {
+  return Clock_.now() < InheritedRunsExpireAt_ && mayHaveInheritedRuns(Session);
+}
+
 void PoolState::onFenced(const WorkerSession &Session) {
   if (Session.IsListed_)
     OrderToken_ = std::max(OrderToken_, RenewalToken_);
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -95,6 +95,9 @@
   /// started and that this owner does not know of. Lease expiry is not
   /// considered.
   bool mayHaveInheritedRuns(const WorkerSession &Session) const;
+  /// \returns the same as mayHaveInheritedRuns(), but false once the leases of
+  /// such runs have certainly expired.
+  bool mayHaveUnexpiredInheritedRuns(const WorkerSession &Session) const;
   /// Called when the worker has refused an order because it has seen a higher
   /// token, for example that of another pool's owner which did not know of the
   /// worker's move. Later orders carry the token of the last renewal.
--- a/src/scheduling/tests/disruptionbudget_test.cpp
+++ b/src/scheduling/tests/disruptionbudget_test.cpp
@@ -1,3 +1,4 @@
+#include "scheduling/controlrows.h"
 #include "scheduling/tests/mocks/poolownertest.h"
 
 namespace dragonflylock {
@@ -50,6 +51,32 @@
     EXPECT_EQ(Stop.Task_, Workers_.Stops_[0].Task_);
 }
 
+TEST_F(PoolOwnerTest, MaintenanceSparesTasksThatASilentWorkerMayRun) {
+  // The owner before has recorded that the worker runs both tasks, of which one
+  // may be unavailable.
+  storeJob(servingJob());
+  RosterRow Roster;
+  Roster.Workers_ = {worker("w1")};
+  Roster.Silent_[worker("w1").lifetime()] = {std::string(JobId) + ".0.0.0",
+                                             std::string(JobId) + ".0.0.1"};
+  Roster.Queues_ = {"queue"};
+  StoreKey Row = controlrows::roster("pool");
+  Store_.Rows_[Row] = {Row, controlrows::encode(Roster), ++Store_.Version_,
+                       false};
+  Machines_.List_ = {true, {machineOfW1()}};
+  takeOwnership(1, {worker("w1")});
+  MaintenanceWave Wave = waveOfW1();
+  Wave.Duration_ = milliseconds(4000);
+  Owner_->onWaves({Wave});
+  for (int Round = 0; Round < 40; ++Round) {
+    Owner_->tick();
+    while (!Workers_.Holds_.empty())
+      Workers_.takeHold().Done_(HoldAnswer());
+    Clock_.advance(milliseconds(100));
+  }
+  EXPECT_TRUE(Machines_.Orders_.empty());
+}
+
 TEST_F(PoolOwnerTest, MaintenanceSparesTasksOfAWorkerThatLeftTheRegistry) {
   storeJob(servingJob());
   takeOwnership(0, {worker("w1")});
