Let the next owner start what can't run on a silent worker after a release

A new owner waited with all old tasks until each worker had answered or its leases had expired, since any task could be running on a silent worker.

An owner that releases a pool knows what runs where. It now stores this with the release, as the record that exists for silent workers, so that only the tasks on workers that don't answer wait. Tasks whose ends are listed and not stored yet are included; a worker with runs that are being stopped is left out, since their tasks are not kept.

If the store refuses the rows, the pool is released without them.

The wait for inherited runs is a class of its own now, InheritedRuns, which looks only at the tasks of a worker that has answered.

--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -2,6 +2,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+#include <sstream>
+#include <stdexcept>
+
 namespace dragonflylock::controlrows {
 namespace {
 
@@ -9,11 +13,52 @@
 
 StoreKey row(const std::string &Key) { return {Table, "", Key}; }
 
+using TasksByWorker = std::map<std::string, std::set<std::string>>;
+
+/// Encodes the tasks on each worker. The ids of the jobs are listed once and
+/// replaced by their position, since a worker runs many tasks of few jobs.
+json encodeTasks(const TasksByWorker &TasksOf) {
+  std::map<std::string, std::size_t> Positions;
+  json Jobs = json::array();
+  json Workers = json::object();
+  for (const auto &[Worker, Tasks] : TasksOf) {
+    std::string Line;
+    for (const std::string &Task : Tasks) {
+      const std::size_t IdEnd = std::min(Task.find('.'), Task.size());
+      auto [Job, IsNew] =
+          Positions.try_emplace(Task.substr(0, IdEnd), Positions.size());
+      if (IsNew)
+        Jobs.push_back(Job->first);
+      Line += (Line.empty() ? "" : " ") + std::to_string(Job->second) +
+              Task.substr(IdEnd);
+    }
+    Workers[Worker] = Line;
+  }
+  return {{"jobs", Jobs}, {"workers", Workers}};
+}
+
+TasksByWorker decodeTasks(const json &Source) {
+  const json &Jobs = Source.at("jobs");
+  TasksByWorker TasksOf;
+  for (const auto &[Worker, Line] : Source.at("workers").items()) {
+    std::set<std::string> &Tasks = TasksOf[Worker];
+    std::istringstream Words(Line.get<std::string>());
+    std::size_t Position = 0;
+    std::string Rest;
+    while (Words >> Position && std::getline(Words, Rest, ' '))
+      Tasks.insert(Jobs.at(Position).get<std::string>() + Rest);
+    // Tasks that were not understood must not count as not running.
+    if (!Words.eof())
+      throw std::invalid_argument("malformed tasks");
+  }
+  return TasksOf;
+}
+
 template <typename T, typename Reader>
 std::optional<T> read(const std::string &Text, Reader Read) {
   try {
     return Read(json::parse(Text));
-  } catch (const json::exception &) {
+  } catch (const std::exception &) {
     return std::nullopt;
   }
 }
@@ -88,8 +133,12 @@
                        {"address", Worker.Address_.text()},
                        {"machine", Worker.Machine_},
                        {"born-ms", Worker.Born_.count()}});
-  return json{
-      {"workers", Workers}, {"silent", Row.Silent_}, {"queues", Row.Queues_}}
+  // Nodes of earlier versions read "silent" only, and wait for all workers that
+  // it does not name.
+  return json{{"workers", Workers},
+              {"silent", json::object()},
+              {"silent-tasks", encodeTasks(Row.Silent_)},
+              {"queues", Row.Queues_}}
       .dump();
 }
 
@@ -162,8 +211,9 @@
   return read<RosterRow>(Text, [](const json &Source) {
     RosterRow Row;
     Row.Queues_ = Source.at("queues").get<std::set<std::string>>();
-    Row.Silent_ =
-        Source.at("silent").get<std::map<std::string, std::set<std::string>>>();
+    Row.Silent_ = Source.contains("silent-tasks")
+                      ? decodeTasks(Source.at("silent-tasks"))
+                      : Source.at("silent").get<TasksByWorker>();
     for (const json &Each : Source.at("workers")) {
       WorkerEntry Worker;
       Worker.Id_ = Each.at("id").get<std::string>();
--- a/src/scheduling/internal/poolleasemanager.cpp
+++ b/src/scheduling/internal/poolleasemanager.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace dragonflylock {
 namespace {
@@ -257,7 +258,7 @@
   auto Requester = Takeovers_->requesterOf(Pool, Lease.Token_);
   if (!Requester || !couldServeFaster(*Requester, Settings_.Node_))
     return false;
-  loseLease(Pool, Lease, "handed-over");
+  stopOwning(Pool, Lease, "handed-over");
   release(Pool, Lease, *Requester);
   return true;
 }
@@ -478,23 +479,50 @@
   for (auto &[Pool, Lease] : Leases_) {
     if (!Lease.IsOwned_)
       continue;
-    loseLease(Pool, Lease, "released");
+    stopOwning(Pool, Lease, "released");
     // A renewal in flight changes the row first; onRenewal then releases it.
     if (!Lease.HasWriteInFlight_)
       release(Pool, Lease);
   }
 }
 
-void PoolLeaseManager::release(const std::string &Pool, const PoolLease &Lease,
+void PoolLeaseManager::stopOwning(const std::string &Pool, PoolLease &Lease,
+                                  const char *Cause) {
+  if (OnReleasing_)
+    Lease.RowsForRelease_ = OnReleasing_(Pool);
+  loseLease(Pool, Lease, Cause);
+}
+
+void PoolLeaseManager::release(const std::string &Pool, PoolLease &Lease,
                                const std::string &Successor) {
   OwnerRow Next = Lease.Row_;
   Next.Holder_.clear();
   Next.Successor_ = Successor;
   ++Next.Renewals_;
+  const StoreTransaction Release = makeOwnerUpdate(Pool, Lease, Next);
   // If this write fails, other nodes acquire the pool once its lease has
   // expired.
-  Store_.transact(makeOwnerUpdate(Pool, Lease, Next),
-                  [](const StoreTransactionResult &) {});
+  auto IgnoreResult = [](const StoreTransactionResult &) {};
+  if (Lease.RowsForRelease_.empty()) {
+    Store_.transact(Release, IgnoreResult);
+    return;
+  }
+  StoreTransaction WithRows = Release;
+  for (StorePut &Row : std::exchange(Lease.RowsForRelease_, {}))
+    WithRows.Puts_.push_back(std::move(Row));
+  Store_.transact(
+      std::move(WithRows), [Weak = weak_from_this(), Pool, Release,
+                            IgnoreResult](const StoreTransactionResult &End) {
+        auto Self = Weak.lock();
+        if (!Self || End.Outcome_ == StoreOutcome::Done ||
+            End.Outcome_ == StoreOutcome::ConditionFailed)
+          return;
+        Self->Logger_.write(LogLevel::Warning,
+                            LogEvent("pool.release-retried")
+                                .with("pool", Pool)
+                                .with("outcome", nameOf(End.Outcome_)));
+        Self->Store_.transact(Release, IgnoreResult);
+      });
 }
 
 std::optional<FencingToken>
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -5,6 +5,7 @@
 #include "scheduling/internal/advicecache.h"
 #include "scheduling/internal/dispatcher.h"
 #include "scheduling/internal/fillerthrottler.h"
+#include "scheduling/internal/inheritedruns.h"
 #include "scheduling/internal/jobfollower.h"
 #include "scheduling/internal/jobregistry.h"
 #include "scheduling/internal/leaserenewer.h"
@@ -28,19 +29,14 @@
 /// Maximum interval between dispatch passes, for tasks that become due or whose
 /// start delay ends.
 constexpr std::chrono::milliseconds DispatchInterval{100};
-constexpr std::chrono::milliseconds InheritedWaitLogInterval{1000};
 /// Consecutive failed hold orders after which the platform is asked for the
 /// state of the worker's machine.
 constexpr std::uint32_t FailedHoldsBeforeMachineCheck = 2;
 /// Interval between reads of the machine list while a worker does not answer.
 constexpr std::chrono::milliseconds MachineListInterval{1000};
-/// Maximum number of workers named in a log line.
-constexpr std::uint64_t MaxLoggedWorkers = 5;
 
-std::uint64_t millisecondsBetween(TimePoint From, TimePoint To) {
-  auto Elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::max(To, From) - From);
-  return static_cast<std::uint64_t>(Elapsed.count());
+bool hasPredecessor(const PoolOwnership &Ownership) {
+  return Ownership.RunNumberRange_ > 0;
 }
 
 /// The worker that was started last on a machine.
@@ -76,14 +72,14 @@
             State_.Store_, State_.Clock_, State_.Logger_,
             [this](const StoreRow &Row) { Jobs_.onRow(Row); })),
         Reporter_(State_, Demands_, *Dispatcher_, *Follower_),
-        HasPredecessor_(Ownership.RunNumberRange_ > 0) {
+        InheritedRuns_(State_, hasPredecessor(Ownership)) {
     State_.Token_ = Ownership.Token_;
     State_.OrderToken_ = Ownership.Token_;
     State_.RunNumberBase_ = runnumbers::baseOf(Ownership.RunNumberRange_);
     State_.ReservedRunNumberRange_ = Ownership.RunNumberRange_;
     State_.RequestedRunNumberRange_ = Ownership.RunNumberRange_;
     State_.LeaseEnd_ = Ownership.LeaseEnd_;
-    if (HasPredecessor_)
+    if (hasPredecessor(Ownership))
       State_.InheritedRunsExpireAt_ = State_.latestLeaseExpiry(
           Ownership.PredecessorEnd_.value_or(State_.Clock_.now()));
   }
@@ -91,15 +87,6 @@
   void onLoaded();
   void followQueues();
   void removeExpiredSessions();
-  /// \returns whether every worker that a previous owner may have used has
-  /// answered a hold order or failed to do so. This is required even after the
-  /// leases have expired, because a worker still lists the ends of runs that
-  /// expired, or that ended while the jobs were being loaded.
-  bool wereAllWorkersContacted() const;
-  /// Unblocks tasks that can't be running for a previous owner any more.
-  void settleInheritedTasks();
-  /// Logs at intervals which workers keep inherited tasks from starting.
-  void logInheritedWait();
   /// Ends the sessions of workers with a later lifetime in another pool.
   void endSessionsOfMovedWorkers();
   /// Ends sessions of unresponsive workers whose machine has a later worker.
@@ -135,15 +122,8 @@
   bool IsLoaded_ = false;
   /// Whether onWorkers() has been called.
   bool AreWorkersKnown_ = false;
-  /// Whether a previous owner may have left runs behind.
-  bool HasPredecessor_;
-  bool IsInheritedSettled_ = false;
-  /// Tasks of a previous owner that may still run on unresponsive workers.
-  std::set<std::string> InheritedTasks_;
+  InheritedRuns InheritedRuns_;
   TimePoint NextDispatch_;
-  /// Time at which the jobs were loaded and the wait for workers began.
-  TimePoint LoadedAt_;
-  TimePoint NextInheritedWaitLog_;
 };
 
 PoolOwner::Builder &
@@ -205,15 +185,7 @@
 
 void PoolOwner::Parts::onLoaded() {
   IsLoaded_ = true;
-  LoadedAt_ = State_.Clock_.now();
-  NextInheritedWaitLog_ = LoadedAt_ + InheritedWaitLogInterval;
-  for (auto &[Id, Job] : State_.Jobs_) {
-    if (!HasPredecessor_)
-      continue;
-    Job->forEachMutableTask([](const TaskName &, TaskRun &Run) {
-      Run.MayHaveInheritedRun_ = Run.Phase_ != TaskPhase::Done;
-    });
-  }
+  InheritedRuns_.onLoaded();
   State_.NeedsDispatch_ = true;
   LogEvent Event("pool.loaded");
   Event.with("pool", State_.Pool_)
@@ -230,92 +202,6 @@
     onLoaded();
 }
 
-void PoolOwner::Parts::logInheritedWait() {
-  const TimePoint Now = State_.Clock_.now();
-  if (Now < NextInheritedWaitLog_)
-    return;
-  NextInheritedWaitLog_ = Now + InheritedWaitLogInterval;
-  std::uint64_t Unanswered = 0;
-  std::uint64_t Registered = 0;
-  std::uint64_t RegisteredElsewhere = 0;
-  std::string Examples;
-  for (const auto &[Lifetime, Session] : State_.Sessions_) {
-    if (!State_.mayHaveInheritedRuns(*Session) || Session->WasDeclaredSilent_)
-      continue;
-    if (Unanswered++ < MaxLoggedWorkers)
-      Examples += (Examples.empty() ? "" : ",") + Lifetime;
-    Registered += Session->IsListed_ ? 1 : 0;
-    RegisteredElsewhere +=
-        WorkersInOtherPools_.contains(Session->entry().Id_) ? 1 : 0;
-  }
-  State_.Logger_.write(
-      LogLevel::Info,
-      LogEvent("pool.inherited-wait")
-          .with("pool", State_.Pool_)
-          .with("token", State_.Token_)
-          .with("waited-ms", millisecondsBetween(LoadedAt_, Now))
-          .with("unanswered", Unanswered)
-          .with("registered", Registered)
-          .with("registered-elsewhere", RegisteredElsewhere)
-          .with("workers", Examples));
-}
-
-bool PoolOwner::Parts::wereAllWorkersContacted() const {
-  return std::all_of(State_.Sessions_.begin(), State_.Sessions_.end(),
-                     [this](const auto &Each) {
-                       const WorkerSession &Session = *Each.second;
-                       return !State_.mayHaveInheritedRuns(Session) ||
-                              Session.WasDeclaredSilent_ ||
-                              Session.HoldFailures_ > 0 ||
-                              Session.IsSuperseded_ || !Session.IsInRoster_;
-                     });
-}
-
-void PoolOwner::Parts::settleInheritedTasks() {
-  if (IsInheritedSettled_ && InheritedTasks_.empty())
-    return;
-  const TimePoint Now = State_.Clock_.now();
-  bool HaveLeasesExpired =
-      !HasPredecessor_ || Now >= State_.InheritedRunsExpireAt_;
-  // For a worker that a previous owner recorded as silent, the tasks that may
-  // run there are known from the roster.
-  bool IsKnown =
-      std::all_of(State_.Sessions_.begin(), State_.Sessions_.end(),
-                  [this](const auto &Each) {
-                    return !State_.mayHaveInheritedRuns(*Each.second) ||
-                           Each.second->WasDeclaredSilent_;
-                  });
-  if (!IsKnown && (!HaveLeasesExpired || !wereAllWorkersContacted())) {
-    logInheritedWait();
-    return;
-  }
-  std::set<std::string> StillInDoubt;
-  for (const auto &[Lifetime, Session] : State_.Sessions_)
-    if (!HaveLeasesExpired && State_.mayHaveInheritedRuns(*Session))
-      StillInDoubt.insert(Session->InheritedTasks_.begin(),
-                          Session->InheritedTasks_.end());
-  if (IsInheritedSettled_ && StillInDoubt == InheritedTasks_)
-    return;
-  if (!IsInheritedSettled_ && HasPredecessor_)
-    State_.Logger_.write(
-        LogLevel::Info,
-        LogEvent("pool.inherited-settled")
-            .with("pool", State_.Pool_)
-            .with("token", State_.Token_)
-            .with("cause",
-                  HaveLeasesExpired ? "leases-lapsed" : "workers-known")
-            .with("waited-ms", millisecondsBetween(LoadedAt_, Now))
-            .with("doubtful-tasks", std::uint64_t{StillInDoubt.size()}));
-  IsInheritedSettled_ = true;
-  InheritedTasks_ = std::move(StillInDoubt);
-  State_.NeedsDispatch_ = true;
-  for (auto &[Id, Job] : State_.Jobs_)
-    Job->forEachMutableTask([this](const TaskName &Name, TaskRun &Run) {
-      Run.MayHaveInheritedRun_ =
-          Run.MayHaveInheritedRun_ && InheritedTasks_.contains(Name.text());
-    });
-}
-
 void PoolOwner::Parts::removeExpiredSessions() {
   std::erase_if(State_.Sessions_, [this](const auto &Each) {
     const WorkerSession &Session = *Each.second;
@@ -508,7 +394,7 @@
     Parts_->LeaseRenewer_->tick();
   Parts_->endSessionsOfReplacedWorkers();
   Parts_->releaseRunsOnStoppedMachines();
-  Parts_->settleInheritedTasks();
+  Parts_->InheritedRuns_.update();
   Parts_->Maintenance_->updateReservations();
   Parts_->Dispatcher_->stopUnwanted();
   const TimePoint Now = State.Clock_.now();
@@ -518,9 +404,7 @@
   }
   Parts_->Reporter_.tick();
   Parts_->FillerThrottler_->tick();
-  // Until every worker has been contacted, it is not known which runs a
-  // maintenance or move order would end.
-  if (Parts_->IsInheritedSettled_ && Parts_->AreWorkersKnown_) {
+  if (Parts_->AreWorkersKnown_ && Parts_->InheritedRuns_.mayOrderMachines()) {
     Parts_->Maintenance_->tick();
     Parts_->Moves_->tick();
   }
@@ -554,6 +438,13 @@
   return Pending;
 }
 
+std::vector<StorePut> PoolOwner::rowsForRelease() const {
+  std::vector<StorePut> Rows;
+  if (auto Row = Parts_->Roster_->rowForRelease())
+    Rows.push_back(std::move(*Row));
+  return Rows;
+}
+
 PoolView PoolOwner::view() const { return Parts_->Reporter_.view(); }
 
 std::optional<JobPhase> PoolOwner::stateOf(const std::string &Job) const {
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -23,6 +23,7 @@
 /// been stored.
 struct PendingAcknowledgement {
   std::string Worker_;
+  TaskName Task_;
   std::uint64_t Sequence_ = 0;
   /// Value of ActiveJob::changeCount() that includes the effects of the run
   /// end; this change must be stored first.
--- a/src/scheduling/internal/rostermanager.cpp
+++ b/src/scheduling/internal/rostermanager.cpp
@@ -20,6 +20,9 @@
 /// Bytes of a declared task or worker in addition to the name of its job or its
 /// lifetime.
 constexpr std::size_t DeclarationOverhead = 12;
+/// Most bytes of the row that is stored with a release; the store accepts
+/// 65,536.
+constexpr std::size_t MaxRowBytes = 65000;
 
 } // namespace
 
@@ -94,11 +97,14 @@
   Queues_.insert(Queues.begin(), Queues.end());
 }
 
+bool RosterManager::areRunsKnown(const WorkerSession &Session) const {
+  return Session.WasDeclaredSilent_ ||
+         !Pool_.mayHaveUnexpiredInheritedRuns(Session);
+}
+
 bool RosterManager::shouldDeclareSilent(const WorkerSession &Session) const {
-  bool IsKnown = !Pool_.mayHaveInheritedRuns(Session) ||
-                 Session.WasDeclaredSilent_ ||
-                 Pool_.Clock_.now() >= Pool_.InheritedRunsExpireAt_;
-  return Session.HoldFailures_ >= FailedHoldsUntilSilent && IsKnown;
+  return Session.HoldFailures_ >= FailedHoldsUntilSilent &&
+         areRunsKnown(Session);
 }
 
 std::set<std::string> RosterManager::lifetimesToDeclare() const {
@@ -123,18 +129,68 @@
 }
 
 std::map<std::string, std::set<std::string>>
-RosterManager::silentWorkers() const {
-  std::map<std::string, std::set<std::string>> Silent;
-  for (const std::string &Lifetime : lifetimesToDeclare()) {
+RosterManager::tasksOn(const std::set<std::string> &Lifetimes) const {
+  std::map<std::string, std::set<std::string>> TasksOf;
+  for (const std::string &Lifetime : Lifetimes) {
     const auto &Session = Pool_.Sessions_.at(Lifetime);
-    std::set<std::string> &Tasks = Silent[Lifetime];
+    std::set<std::string> &Tasks = TasksOf[Lifetime];
     for (const auto &[Name, Run] : Session->runs())
       Tasks.insert(Name.text());
     if (Pool_.mayHaveInheritedRuns(*Session))
       Tasks.insert(Session->InheritedTasks_.begin(),
                    Session->InheritedTasks_.end());
   }
-  return Silent;
+  // The next owner learns of these ends only when the worker lists them again.
+  for (const auto &[Job, Ends] : Pool_.PendingAcknowledgements_)
+    for (const PendingAcknowledgement &End : Ends)
+      if (auto Found = TasksOf.find(End.Worker_); Found != TasksOf.end())
+        Found->second.insert(End.Task_.text());
+  return TasksOf;
+}
+
+RosterRow RosterManager::rosterOfSessions() const {
+  RosterRow Roster;
+  Roster.Queues_ = Queues_;
+  for (const auto &[Lifetime, Session] : Pool_.Sessions_)
+    Roster.Workers_.push_back(Session->entry());
+  return Roster;
+}
+
+std::optional<StorePut> RosterManager::rowForRelease() const {
+  if (!IsLoaded_)
+    return std::nullopt;
+  std::set<std::string> Known;
+  for (const auto &[Lifetime, Session] : Pool_.Sessions_)
+    // The tasks of unwanted runs are not kept.
+    if (areRunsKnown(*Session) && !Session->hasUnwantedRuns())
+      Known.insert(Lifetime);
+  auto TasksOf = tasksOn(Known);
+  // Workers that do not respond now are the least likely to respond to the next
+  // owner.
+  std::vector<std::string> Order(Known.begin(), Known.end());
+  std::stable_partition(
+      Order.begin(), Order.end(), [this](const std::string &Lifetime) {
+        return Pool_.Sessions_.at(Lifetime)->HoldFailures_ > 0;
+      });
+  RosterRow Roster = rosterOfSessions();
+  Roster.Silent_ = std::move(TasksOf);
+  std::string Value = controlrows::encode(Roster);
+  while (Value.size() > MaxRowBytes && !Order.empty()) {
+    const std::size_t Kept = Order.size() * 3 / 4;
+    for (std::size_t Index = Kept; Index < Order.size(); ++Index)
+      Roster.Silent_.erase(Order[Index]);
+    Order.resize(Kept);
+    Value = controlrows::encode(Roster);
+  }
+  Pool_.Logger_.write(
+      LogLevel::Info,
+      LogEvent("roster.released")
+          .with("pool", Pool_.Pool_)
+          .with("token", Pool_.Token_)
+          .with("workers", std::uint64_t{Pool_.Sessions_.size()})
+          .with("declared", std::uint64_t{Roster.Silent_.size()})
+          .with("bytes", std::uint64_t{Value.size()}));
+  return StorePut{controlrows::roster(Pool_.Pool_), std::move(Value)};
 }
 
 void RosterManager::markStoredWorkers() {
@@ -171,12 +227,10 @@
 
 void RosterManager::write() {
   IsBusy_ = true;
-  RosterRow Roster;
-  Roster.Queues_ = Queues_;
-  Roster.Silent_ = silentWorkers();
+  RosterRow Roster = rosterOfSessions();
+  Roster.Silent_ = tasksOn(lifetimesToDeclare());
   std::set<std::string> Written;
   for (const auto &[Lifetime, Session] : Pool_.Sessions_) {
-    Roster.Workers_.push_back(Session->entry());
     Written.insert(Lifetime);
     // The declaration may take effect even if the response is lost.
     if (Roster.Silent_.contains(Lifetime))
--- a/src/scheduling/internal/rostermanager.h
+++ b/src/scheduling/internal/rostermanager.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -14,6 +15,7 @@
 class WorkerSession;
 struct PoolState;
 struct RosterRow;
+struct StorePut;
 struct StoreRange;
 
 /// Maintains the stored list of the workers that may run tasks of the pool. A
@@ -31,6 +33,11 @@
   void addQueues(const std::set<std::string> &Queues);
   /// \returns all queues whose jobs may belong to the pool.
   const std::set<std::string> &queues() const { return Queues_; }
+  /// \returns the row to store when this owner has stopped acting and releases
+  /// the pool. It declares each worker whose runs are known as silent, so that
+  /// the next owner can start the other tasks before the worker has answered.
+  /// std::nullopt if the roster of earlier owners has not been read.
+  std::optional<StorePut> rowForRelease() const;
 
 private:
   void load();
@@ -39,14 +46,22 @@
   /// Marks the sessions of workers that the stored roster contains.
   void markStoredWorkers();
   bool needsWriting() const;
+  /// \returns whether all tasks that may run on the worker are known.
+  bool areRunsKnown(const WorkerSession &Session) const;
   /// \returns whether the worker does not respond and all tasks that may run on
   /// it are known.
   bool shouldDeclareSilent(const WorkerSession &Session) const;
   /// \returns the lifetimes of the silent workers that the row declares: as
   /// many as fit into it.
   std::set<std::string> lifetimesToDeclare() const;
-  /// \returns the tasks that may run on each declared worker, by its lifetime.
-  std::map<std::string, std::set<std::string>> silentWorkers() const;
+  /// \returns the tasks that may run on each worker, by its lifetime. They
+  /// include tasks whose end the worker has listed and the store does not hold
+  /// yet.
+  /// \param Lifetimes the workers; the runs of each must be known.
+  std::map<std::string, std::set<std::string>>
+  tasksOn(const std::set<std::string> &Lifetimes) const;
+  /// \returns the row without declarations of silent workers.
+  RosterRow rosterOfSessions() const;
   void write();
   void onWritten(const std::set<std::string> &Written, const RosterRow &Roster,
                  const StoreTransactionResult &Result);
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -100,7 +100,8 @@
   // the store does not hold yet.
   if (Job->isDirty())
     Pool_.PendingAcknowledgements_[Job->id()].push_back(
-        {Session.entry().lifetime(), End.Sequence_, Job->changeCount()});
+        {Session.entry().lifetime(), End.Task_, End.Sequence_,
+         Job->changeCount()});
   else
     Session.markEndProcessed(End.Sequence_);
 }
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -103,6 +103,11 @@
           Found->second->extendLease(End, Renewal, RunNumberRange);
       },
       [this](const std::string &Pool) { onPoolLost(Pool); });
+  Ownership_->setOnReleasing([this](const std::string &Pool) {
+    auto Found = Owners_.find(Pool);
+    return Found == Owners_.end() ? std::vector<StorePut>()
+                                  : Found->second->rowsForRelease();
+  });
   Control_ = std::make_shared<TableFollower>(
       Store_, Clock_, Logger_, controlrows::Table, "", ControlReadDelay,
       [this](const std::vector<StoreRow> &Rows, bool IsSnapshot) {
--- a/src/scheduling/poolleasemanager.h
+++ b/src/scheduling/poolleasemanager.h
@@ -32,6 +32,10 @@
       std::function<void(const std::string &Pool, TimePoint End,
                          FencingToken Renewal, std::uint64_t RunNumberRange)>;
   using LostCallback = std::function<void(const std::string &Pool)>;
+  /// Called when the pool is about to be released.
+  /// \returns rows that are stored together with the release.
+  using ReleasingCallback =
+      std::function<std::vector<StorePut>(const std::string &Pool)>;
 
   /// \param Process identifies this process among all processes of the node,
   /// including earlier ones.
@@ -40,6 +44,10 @@
                    AcquiredCallback OnAcquired, RenewedCallback OnRenewed,
                    LostCallback OnLost);
 
+  /// Sets the callback that supplies the rows to store with a release.
+  void setOnReleasing(ReleasingCallback OnReleasing) {
+    OnReleasing_ = std::move(OnReleasing);
+  }
   /// Sets the pools that need an owner.
   void setPools(const std::vector<std::string> &Pools);
   /// Called when the row of a pool's owner was read.
@@ -105,6 +113,8 @@
     /// When the previous owner had stopped acting, determined at the last
     /// attempt to acquire the pool.
     std::optional<TimePoint> PredecessorEnd_;
+    /// Rows to store with the release of the pool.
+    std::vector<StorePut> RowsForRelease_;
   };
 
   /// \returns whether the store refused the last renewal.
@@ -154,8 +164,11 @@
                   StoreOutcome Outcome);
   /// Marks the pool as free in the store, so that other nodes see it.
   /// \param Successor node that acquires the pool first; empty for any.
-  void release(const std::string &Pool, const PoolLease &Lease,
+  void release(const std::string &Pool, PoolLease &Lease,
                const std::string &Successor = {});
+  /// Ends the ownership of a pool that is about to be released, and keeps the
+  /// rows to store with the release.
+  void stopOwning(const std::string &Pool, PoolLease &Lease, const char *Cause);
   /// Drops a lease that was not renewed in time.
   void expireLease(const std::string &Pool, PoolLease &Lease);
   void loseLease(const std::string &Pool, PoolLease &Lease, const char *Cause);
@@ -172,6 +185,7 @@
   AcquiredCallback OnAcquired_;
   RenewedCallback OnRenewed_;
   LostCallback OnLost_;
+  ReleasingCallback OnReleasing_;
   bool IsLoaded_ = false;
   bool IsViewCurrent_ = true;
   bool IsReleasing_ = false;
--- a/src/scheduling/poolowner.h
+++ b/src/scheduling/poolowner.h
@@ -103,6 +103,9 @@
   /// \returns the number of accepted jobs that have not started, by queue;
   /// std::nullopt until the jobs have been loaded.
   std::optional<std::map<std::string, std::uint64_t>> pendingJobs() const;
+  /// \returns the rows to store when the pool is released, which tell the next
+  /// owner what may run on which worker. This owner must not act any more.
+  std::vector<StorePut> rowsForRelease() const;
   /// \returns the pool's state as shown to operators.
   PoolView view() const;
   /// \returns the job's state, or std::nullopt if this owner does not hold the
--- a/src/scheduling/tests/poolleasemanager_test.cpp
+++ b/src/scheduling/tests/poolleasemanager_test.cpp
@@ -404,6 +404,50 @@
   EXPECT_LE(Node.LeaseEnd_, Written + Node.Settings_.OwnerLease_);
 }
 
+/// A row that an owner leaves to the next one.
+StorePut finalRow() { return {controlrows::roster("pool"), "final"}; }
+
+TEST_F(PoolLeaseManagerTest, StoresFinalRowsTogetherWithTheRelease) {
+  TestNode &Node = addNode("node-1");
+  startManagers({"pool"});
+  runFor(milliseconds(2000));
+  ASSERT_TRUE(Node.Owned_.contains("pool"));
+  bool WasOwned = false;
+  Node.Manager_->setOnReleasing([&](const std::string &Pool) {
+    WasOwned = Node.Owned_.contains(Pool);
+    return std::vector<StorePut>{finalRow()};
+  });
+  Node.Manager_->releaseAll();
+  runFor(milliseconds(200));
+  EXPECT_TRUE(WasOwned);
+  EXPECT_FALSE(Node.Owned_.contains("pool"));
+  const StoreRow &Owner = Shared_.Rows_[controlrows::owner("pool")];
+  const StoreRow &Final = Shared_.Rows_[finalRow().Name_];
+  EXPECT_EQ(Final.Value_, "final");
+  EXPECT_EQ(Final.Version_, Owner.Version_);
+  EXPECT_TRUE(controlrows::decodeOwner(Owner.Value_)->Holder_.empty());
+}
+
+TEST_F(PoolLeaseManagerTest, ReleasesThePoolIfTheStoreRefusesTheFinalRows) {
+  TestNode &Node = addNode("node-1");
+  startManagers({"pool"});
+  runFor(milliseconds(2000));
+  ASSERT_TRUE(Node.Owned_.contains("pool"));
+  constexpr std::size_t RowLimit = 1000;
+  Shared_.MostBytes_ = RowLimit;
+  Node.Manager_->setOnReleasing([](const std::string &) {
+    StorePut TooLarge = finalRow();
+    TooLarge.Value_.assign(RowLimit, 'x');
+    return std::vector<StorePut>{TooLarge};
+  });
+  Node.Manager_->releaseAll();
+  runFor(milliseconds(200));
+  auto Owner = controlrows::decodeOwner(
+      Shared_.Rows_[controlrows::owner("pool")].Value_);
+  ASSERT_TRUE(Owner);
+  EXPECT_TRUE(Owner->Holder_.empty());
+}
+
 TEST_F(PoolLeaseManagerTest, PoolReleasedDuringRenewalIsFreeAtOnce) {
   TestNode &Node = addNode("node");
   startManagers({"pool"});
