Let the next owner start later jobs at once after the loss of an owner

An owner now starts a job only once it has stored a version that is not lower than that of the job's submission. So the next owner knows that no later job has been started and starts these at once; most of what waits then was submitted while the pool had no owner. The price is a write before the first start of a job, one for all that arrived together, in a part of its own. Jobs arrive through the store only, so that starts depend on it no more than before.

Weighed: a record of each start (a write before each step, and no starts while the store is away), workers announced for starts in turn (in a peak each end would need a write), shorter leases of workers (runs would lapse while a store is away for seconds).

--- a/src/scheduling/activejob.h
+++ b/src/scheduling/activejob.h
@@ -89,10 +89,13 @@
 /// is stored and none of its runs exists any more.
 class ActiveJob {
 public:
-  ActiveJob(std::string Id, SubmittedJob Submission);
+  /// \param SubmissionVersion version of the row with the submission.
+  ActiveJob(std::string Id, SubmittedJob Submission,
+            StoreVersion SubmissionVersion = 0);
 
   const std::string &id() const { return Id_; }
   const SubmittedJob &submission() const { return Submission_; }
+  StoreVersion submissionVersion() const { return SubmissionVersion_; }
   const StepSpec &step(const TaskName &Name) const {
     return Submission_.Spec_.Steps_[Name.Step_];
   }
@@ -260,6 +263,7 @@
 
   std::string Id_;
   SubmittedJob Submission_;
+  StoreVersion SubmissionVersion_ = 0;
   JobProgress Progress_;
   StoreVersion ProgressVersion_ = 0;
   std::uint64_t ChangeCount_ = 0;
--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -68,6 +68,15 @@
   std::set<std::string> Queues_;
 };
 
+/// Version up to which the owner of a pool may have started jobs.
+struct WatermarkRow {
+  /// Token of the owner that wrote the row.
+  FencingToken Token_ = 0;
+  /// Neither this owner nor one before it has started a job whose submission
+  /// has a higher version.
+  StoreVersion Version_ = 0;
+};
+
 /// A queue that may hold jobs of a pool.
 struct QueueRow {
   std::string Pool_;
@@ -103,6 +112,7 @@
 namespace controlrows {
 
 inline constexpr const char *Table = "dragonflylock-control";
+inline constexpr const char *WatermarkTable = "dragonflylock-watermarks";
 inline constexpr const char *OwnerPrefix = "owner/";
 inline constexpr const char *NodePrefix = "node/";
 inline constexpr const char *TakeoverPrefix = "takeover/";
@@ -120,6 +130,10 @@
 StoreKey takeover(const std::string &Pool);
 StoreKey roster(const std::string &Pool);
 StoreKey pending(const std::string &Pool);
+/// This row is in a table of its own, since it changes often and only a new
+/// owner reads it, and in a part of its own, since a part takes a limited
+/// number of writes.
+StoreKey watermark(const std::string &Pool);
 StoreKey demand(const std::string &Pool);
 StoreKey queue(const std::string &Pool, const std::string &Queue);
 StoreKey wave(std::uint64_t Number);
@@ -133,6 +147,7 @@
 std::string encode(const QueueRow &Row);
 std::string encode(const WaveProgress &Row);
 std::string encode(const RosterRow &Row);
+std::string encode(const WatermarkRow &Row);
 /// The functions below return std::nullopt if the text cannot be decoded.
 std::optional<OwnerRow> decodeOwner(const std::string &Text);
 std::optional<NodeRow> decodeNode(const std::string &Text);
@@ -142,6 +157,7 @@
 std::optional<QueueRow> decodeQueue(const std::string &Text);
 std::optional<WaveProgress> decodeWave(const std::string &Text);
 std::optional<RosterRow> decodeRoster(const std::string &Text);
+std::optional<WatermarkRow> decodeWatermark(const std::string &Text);
 
 } // namespace controlrows
 } // namespace dragonflylock
--- a/src/scheduling/internal/activejob.cpp
+++ b/src/scheduling/internal/activejob.cpp
@@ -5,9 +5,10 @@
 
 namespace dragonflylock {
 
-ActiveJob::ActiveJob(std::string Id, SubmittedJob Submission)
+ActiveJob::ActiveJob(std::string Id, SubmittedJob Submission,
+                     StoreVersion SubmissionVersion)
     : Id_(std::move(Id)), Submission_(std::move(Submission)),
-      Progress_(Submission_.Spec_) {
+      SubmissionVersion_(SubmissionVersion), Progress_(Submission_.Spec_) {
   std::vector<std::vector<TaskRun>> Steps;
   for (const StepSpec &Step : Submission_.Spec_.Steps_)
     Steps.emplace_back(Step.TaskCount_);
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -72,6 +72,9 @@
 }
 StoreKey roster(const std::string &Pool) { return row(RosterPrefix + Pool); }
 StoreKey pending(const std::string &Pool) { return row(PendingPrefix + Pool); }
+StoreKey watermark(const std::string &Pool) {
+  return {WatermarkTable, Pool, "watermark"};
+}
 StoreKey demand(const std::string &Pool) { return row(DemandPrefix + Pool); }
 StoreKey queue(const std::string &Pool, const std::string &Queue) {
   return row(QueuePrefix + Pool + "/" + Queue);
@@ -142,6 +145,17 @@
       .dump();
 }
 
+std::string encode(const WatermarkRow &Row) {
+  return json{{"token", Row.Token_}, {"version", Row.Version_}}.dump();
+}
+
+std::optional<WatermarkRow> decodeWatermark(const std::string &Text) {
+  return read<WatermarkRow>(Text, [](const json &Source) {
+    return WatermarkRow{Source.at("token").get<FencingToken>(),
+                        Source.at("version").get<StoreVersion>()};
+  });
+}
+
 std::optional<OwnerRow> decodeOwner(const std::string &Text) {
   return read<OwnerRow>(Text, [](const json &Source) {
     OwnerRow Row;
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -74,6 +74,11 @@
 }
 
 bool Dispatcher::dispatchJob(ActiveJob &Job) {
+  if (Job.submissionVersion() > Pool_.StartWatermark_) {
+    // Without this, the job would not be visited again before there is room.
+    Job.updateCapacityWait(/*IsMissing=*/true, Pool_.Clock_.now());
+    return true;
+  }
   // Occurrence and step. Each occurrence of a step may use other workers.
   using StepKey = std::pair<std::uint32_t, std::uint32_t>;
   std::optional<StepKey> UnplaceableStep;
--- a/src/scheduling/internal/inheritedruns.cpp
+++ b/src/scheduling/internal/inheritedruns.cpp
@@ -19,10 +19,14 @@
   NextWaitLog_ = LoadedAt_ + WaitLogInterval;
   if (!HasPredecessor_)
     return;
-  for (auto &[Id, Job] : Pool_.Jobs_)
+  for (auto &[Id, Job] : Pool_.Jobs_) {
+    if (Pool_.InheritedWatermark_ &&
+        Job->submissionVersion() > *Pool_.InheritedWatermark_)
+      continue;
     Job->forEachMutableTask([](const TaskName &, TaskRun &Run) {
       Run.MayHaveInheritedRun_ = Run.Phase_ != TaskPhase::Done;
     });
+  }
 }
 
 void InheritedRuns::update() {
--- a/src/scheduling/internal/inheritedruns.h
+++ b/src/scheduling/internal/inheritedruns.h
@@ -20,7 +20,8 @@
 /// - If the previous owner has recorded what may run on the worker, the
 /// recorded
 ///   tasks wait, until the worker has answered or its leases have expired.
-/// - Otherwise all tasks wait, since the worker may run any of them.
+/// - Otherwise all tasks wait, since the worker may run any of them, apart from
+///   those of jobs that no previous owner can have started; see StartWatermark.
 /// This decides how long a pool stands still after a change of owner while some
 /// workers are cut off.
 class InheritedRuns {
--- a/src/scheduling/internal/jobregistry.cpp
+++ b/src/scheduling/internal/jobregistry.cpp
@@ -6,6 +6,8 @@
 #include "scheduling/istore.h"
 #include "scheduling/jobrows.h"
 
+#include <algorithm>
+
 namespace dragonflylock {
 namespace {
 
@@ -46,7 +48,9 @@
   }
   if (Stored.value().Pool_ != Pool_.Pool_)
     return;
-  Pool_.addJob(std::make_unique<ActiveJob>(Id, std::move(Stored).value()));
+  Pool_.addJob(
+      std::make_unique<ActiveJob>(Id, std::move(Stored).value(), Row.Version_));
+  Pool_.LatestSubmission_ = std::max(Pool_.LatestSubmission_, Row.Version_);
   Pool_.NeedsDispatch_ = true;
 }
 
--- a/src/scheduling/internal/poolleasemanager.cpp
+++ b/src/scheduling/internal/poolleasemanager.cpp
@@ -288,6 +288,7 @@
   bool HadOwner = Lease.Version_ > 0;
   NewRow.RunNumberRange_ = HadOwner ? Lease.Row_.RunNumberRange_ + 1 : 0;
   Lease.PredecessorEnd_ = previousOwnerEnd(Lease);
+  Lease.PredecessorToken_ = HadOwner ? tokenOf(Lease) : 0;
   Lease.HasWriteInFlight_ = true;
   Store_.transact(makeOwnerUpdate(Pool, Lease, NewRow),
                   [Weak = weak_from_this(), Pool, NewRow,
@@ -359,7 +360,7 @@
       Each.NextAttempt_ =
           std::max(Each.NextAttempt_, Clock_.now() + OwnedPoolDelay);
   OnAcquired_({Pool, Token, Lease.Row_.RunNumberRange_, Lease.LeaseEnd_,
-               Lease.PredecessorEnd_});
+               Lease.PredecessorEnd_, Lease.PredecessorToken_});
 }
 
 void PoolLeaseManager::reserveRunNumbers(const std::string &Pool,
@@ -496,6 +497,7 @@
 void PoolLeaseManager::release(const std::string &Pool, PoolLease &Lease,
                                const std::string &Successor) {
   OwnerRow Next = Lease.Row_;
+  Next.Token_ = tokenOf(Lease);
   Next.Holder_.clear();
   Next.Successor_ = Successor;
   ++Next.Renewals_;
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -17,6 +17,7 @@
 #include "scheduling/internal/progresswriter.h"
 #include "scheduling/internal/rostermanager.h"
 #include "scheduling/internal/runtracker.h"
+#include "scheduling/internal/startwatermark.h"
 #include "scheduling/poolview.h"
 #include "scheduling/runnumbers.h"
 
@@ -58,6 +59,8 @@
             std::make_shared<LeaseRenewer>(State_, Runs_, *Dispatcher_)),
         Writer_(std::make_shared<ProgressWriter>(State_, Runs_)),
         Roster_(std::make_shared<RosterManager>(State_)),
+        Watermark_(std::make_shared<StartWatermark>(
+            State_, Ownership.PredecessorToken_)),
         FillerThrottler_(std::make_shared<FillerThrottler>(State_)),
         Machines_(std::make_shared<MachineListCache>(
             *Source.Machines_, State_.Clock_, State_.Logger_)),
@@ -74,6 +77,7 @@
         Reporter_(State_, Demands_, *Dispatcher_, *Follower_),
         InheritedRuns_(State_, hasPredecessor(Ownership)) {
     State_.Token_ = Ownership.Token_;
+    State_.LatestSubmission_ = Ownership.Token_;
     State_.OrderToken_ = Ownership.Token_;
     State_.RunNumberBase_ = runnumbers::baseOf(Ownership.RunNumberRange_);
     State_.ReservedRunNumberRange_ = Ownership.RunNumberRange_;
@@ -108,6 +112,7 @@
   std::shared_ptr<LeaseRenewer> LeaseRenewer_;
   std::shared_ptr<ProgressWriter> Writer_;
   std::shared_ptr<RosterManager> Roster_;
+  std::shared_ptr<StartWatermark> Watermark_;
   std::shared_ptr<FillerThrottler> FillerThrottler_;
   std::shared_ptr<MachineListCache> Machines_;
   std::shared_ptr<MaintenanceManager> Maintenance_;
@@ -381,7 +386,8 @@
 void PoolOwner::tick() {
   PoolState &State = Parts_->State_;
   Parts_->Roster_->tick();
-  if (!Parts_->Roster_->isLoaded())
+  Parts_->Watermark_->tick(Parts_->IsLoaded_);
+  if (!Parts_->Roster_->isLoaded() || !Parts_->Watermark_->isLoaded())
     return;
   if (!Parts_->IsLoaded_)
     Parts_->endSessionsOfMovedWorkers();
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,14 @@
   /// Time by which the leases of all runs started by previous owners have
   /// certainly expired.
   TimePoint InheritedRunsExpireAt_;
+  /// Version of the latest submission that this owner knows, or its token if
+  /// that is higher.
+  StoreVersion LatestSubmission_ = 0;
+  /// Jobs with later submissions may not be started yet; see StartWatermark.
+  StoreVersion StartWatermark_ = 0;
+  /// No previous owner has started jobs with later submissions. std::nullopt if
+  /// that is not known.
+  std::optional<StoreVersion> InheritedWatermark_;
   /// Expiry of the owner's lease.
   TimePoint LeaseEnd_;
   /// By job id. Modified only by addJob() and removeJob().
--- a/src/scheduling/poolleasemanager.h
+++ b/src/scheduling/poolleasemanager.h
@@ -113,6 +113,9 @@
     /// When the previous owner had stopped acting, determined at the last
     /// attempt to acquire the pool.
     std::optional<TimePoint> PredecessorEnd_;
+    /// Token of the owner that the last attempt to acquire the pool was to
+    /// replace; 0 if there was none.
+    FencingToken PredecessorToken_ = 0;
     /// Rows to store with the release of the pool.
     std::vector<StorePut> RowsForRelease_;
   };
--- a/src/scheduling/poolowner.h
+++ b/src/scheduling/poolowner.h
@@ -38,6 +38,8 @@
   /// Time by which the previous owner had certainly stopped acting. Unset if
   /// that is certain only from the takeover on.
   std::optional<TimePoint> PredecessorEnd_;
+  /// Token of the previous owner; 0 if there was none.
+  FencingToken PredecessorToken_ = 0;
 };
 
 /// Schedules the jobs of one pool while this node owns it: places tasks on
--- a/src/scheduling/tests/handover_test.cpp
+++ b/src/scheduling/tests/handover_test.cpp
@@ -24,7 +24,7 @@
     Settings.Node_ = Name;
     auto Node = SchedulerNode::Builder()
                     .settings(Settings)
-                    .process(Name + "/1")
+                    .process(Name + "/" + std::to_string(++Processes_))
                     .clock(Clock_)
                     .store(Store_)
                     .workers(Workers_)
@@ -93,6 +93,7 @@
     Running_[Worker].clear();
   }
 
+  int Processes_ = 0;
   std::set<std::string> Silent_;
   std::map<std::string, std::vector<ListedRun>> Running_;
   std::map<std::string, std::vector<ListedEnd>> Ended_;
@@ -174,6 +175,63 @@
     EXPECT_FALSE(MayRunOnSilent.contains(Task)) << Task.text();
 }
 
+TEST_F(HandoverTest, JobsSubmittedAfterTheLossOfAnOwnerStartAtOnce) {
+  auto First = startNode("node-1");
+  runFor(*First, milliseconds(3000));
+  ASSERT_FALSE(Running_["w1"].empty());
+  First.reset();
+  const std::string Later = "00000000000000bb";
+  storeJob(jobOf(2), Later);
+  Silent_.insert("w1");
+  endRunsOn("w2");
+  Started_.clear();
+  // The store shows that an earlier process of the same node has ended.
+  auto Second = startNode("node-1");
+  runFor(*Second, milliseconds(2500));
+  // Any other task may be running on the silent worker.
+  ASSERT_EQ(Started_.size(), 2U);
+  EXPECT_EQ(Started_[0].Job_, Later);
+  EXPECT_EQ(Started_[1].Job_, Later);
+  runFor(*Second, Settings_.MaxWorkerLease_ * 2);
+  EXPECT_GT(Started_.size(), 2U);
+}
+
+TEST_F(HandoverTest, JobsWaitIfTheLostOwnerStoredNoWatermark) {
+  auto First = startNode("node-1");
+  runFor(*First, milliseconds(3000));
+  First.reset();
+  // As if the lost owner were of a version without it, and one before had it.
+  const StoreKey Row = controlrows::watermark("pool");
+  Store_.Rows_[Row] = {Row, controlrows::encode(WatermarkRow{1, 1}),
+                       ++Store_.Version_, false};
+  storeJob(jobOf(2), "00000000000000bb");
+  Silent_.insert("w1");
+  endRunsOn("w2");
+  Started_.clear();
+  auto Second = startNode("node-1");
+  runFor(*Second, milliseconds(2500));
+  EXPECT_TRUE(Started_.empty());
+}
+
+TEST_F(PoolOwnerTest, StartsNoJobBeforeItsWatermarkIsStored) {
+  storeJob(jobOf(1));
+  buildOwner(0);
+  Owner_->onWorkers({worker("w1")});
+  // The first write is that of the roster, the second that of the watermark.
+  Store_.DelaysResponses_ = true;
+  for (int Round = 0; Round < 5; ++Round)
+    Owner_->tick();
+  ASSERT_EQ(Store_.DelayedResponses_.size(), 2U);
+  Store_.DelayedResponses_[0]();
+  tickTwice();
+  answerHold(acceptedAnswer({}));
+  tickTwice();
+  EXPECT_TRUE(Workers_.Starts_.empty());
+  Store_.DelayedResponses_[1]();
+  tickTwice();
+  EXPECT_EQ(Workers_.Starts_.size(), 1U);
+}
+
 /// The row that an owner leaves behind when it releases the pool.
 class ReleasedRosterTest : public PoolOwnerTest {
 protected:
