Refuse submissions at once while the store is away

A caller that is told at once can go to another node, which the store may serve, or come back later.

After 600 ms without a successful write, and three failed ones, submissions are refused without a call, apart from one probe each 200 ms. A submission whose earlier write may have taken effect is still repeated to learn its outcome, so that a refusal stays true.

--- a/src/scheduling/internal/jobrequesthandler.cpp
+++ b/src/scheduling/internal/jobrequesthandler.cpp
@@ -100,6 +100,11 @@
     const std::shared_ptr<PendingRequest> &Request) {
   if (Request->IsFinished_)
     return;
+  // A write that may have taken effect is repeated to learn its outcome.
+  if (!Request->MayHaveTakenEffect_ && !Breaker_.admit(Clock_.now())) {
+    finishWithoutResult(Request);
+    return;
+  }
   if (!Queues_.contains(Request->Pool_, Request->Queue_)) {
     recordQueue(Request);
     return;
@@ -118,6 +123,17 @@
       });
 }
 
+void JobRequestHandler::recordWrite(StoreOutcome Outcome) {
+  const TimePoint Now = Clock_.now();
+  const bool WasOpen = Breaker_.isOpen(Now);
+  Breaker_.record(Outcome, Now);
+  if (Breaker_.isOpen(Now) != WasOpen)
+    Logger_.write(
+        WasOpen ? LogLevel::Info : LogLevel::Warning,
+        LogEvent(WasOpen ? "submissions.resumed" : "submissions.suspended")
+            .with("store-outcome", dragonflylock::nameOf(Outcome)));
+}
+
 void JobRequestHandler::recordQueue(
     const std::shared_ptr<PendingRequest> &Request) {
   StoreKey Row = controlrows::queue(Request->Pool_, Request->Queue_);
@@ -138,6 +154,7 @@
 
 void JobRequestHandler::onQueueRecorded(const StoreKey &Row,
                                         StoreOutcome Outcome) {
+  recordWrite(Outcome);
   auto Waiting = std::exchange(Recording_[Row], {});
   Recording_.erase(Row);
   for (const auto &Request : Waiting) {
@@ -154,6 +171,7 @@
     const std::shared_ptr<PendingRequest> &Request,
     const StoreTransactionResult &End) {
   Request->IsWriting_ = false;
+  recordWrite(End.Outcome_);
   switch (End.Outcome_) {
   case StoreOutcome::Done:
   case StoreOutcome::ConditionFailed:
--- a/src/scheduling/jobrequesthandler.h
+++ b/src/scheduling/jobrequesthandler.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_SCHEDULING_JOBREQUESTHANDLER_H
 
 #include "scheduling/schedulingtypes.h"
+#include "scheduling/storecircuitbreaker.h"
 #include "scheduling/storetypes.h"
 
 #include <chrono>
@@ -78,6 +79,8 @@
   begin(const char *Kind, const std::string &Queue, const std::string &Job,
         std::chrono::milliseconds Timeout, ResponseCallback OnResponse);
   void trySubmit(const std::shared_ptr<PendingRequest> &Request);
+  /// Records the outcome of a write for a submission.
+  void recordWrite(StoreOutcome Outcome);
   /// Records the request's queue, then submits this request and those that
   /// have waited for the same record.
   void recordQueue(const std::shared_ptr<PendingRequest> &Request);
@@ -102,6 +105,7 @@
   ILogger &Logger_;
   QueueDirectory &Queues_;
   LocalStateLookup LocalState_;
+  StoreCircuitBreaker Breaker_;
   /// Requests that wait until their queue is recorded, by the row of that.
   std::map<StoreKey, std::vector<std::shared_ptr<PendingRequest>>> Recording_;
   std::vector<std::pair<TimePoint, Attempt>> Retries_;
