Drain several machines of a pool for a wave at the same time

The plan allowed more at once all the time.

Up to four machines are drained at once now, within the plan's number, and one while the pool lacks machines. Budgets are checked for each order as before.

--- a/src/scheduling/internal/maintenancemanager.cpp
+++ b/src/scheduling/internal/maintenancemanager.cpp
@@ -29,6 +29,9 @@
 constexpr std::uint32_t FullSpeedPercent = 100;
 /// Planned time to drain a machine and order its maintenance.
 constexpr std::chrono::milliseconds DrainTime{1500};
+/// Maximum number of a pool's machines that are drained at the same time. They
+/// take no new tasks meanwhile.
+constexpr std::int64_t MaxDraining = 4;
 /// Tenths of a wave's remaining time that the plan uses; the rest is reserved
 /// for faults.
 constexpr int PlannedTimeTenths = 4;
@@ -79,8 +82,8 @@
   for (const auto &[Number, State] : Waves_) {
     if (State.IsCompleted_)
       continue;
-    if (!State.NextMachine_.empty())
-      Names.insert(State.NextMachine_);
+    for (const auto &[Name, Since] : State.Draining_)
+      Names.insert(Name);
     for (const auto &[Name, Holder] : State.Progress_.Down_)
       Names.insert(Name);
   }
@@ -121,14 +124,22 @@
     return;
   // If the machine has moved to another pool since, that pool's owner is
   // responsible for it.
-  if (!State.NextMachine_.empty() && !isPending(State, State.NextMachine_))
-    State.NextMachine_.clear();
-  if (State.NextMachine_.empty() && mayChooseNext(State))
+  std::erase_if(State.Draining_, [&](const auto &Each) {
+    return !isPending(State, Each.first);
+  });
+  if (mayChooseNext(State))
     chooseNextMachine(State);
-  if (!State.NextMachine_.empty() && isReady(State, State.NextMachine_) &&
-      mayOrder(State.NextMachine_) &&
-      State.Progress_.Down_.size() < State.Request_.MaxUnavailable_)
-    claim(State, State.NextMachine_, /*IsRepeat=*/false);
+  orderDrainedMachine(State);
+}
+
+void MaintenanceManager::orderDrainedMachine(WaveState &State) {
+  for (const auto &[Name, Since] : State.Draining_) {
+    if (!isReady(State, Name, Since) || !mayOrder(Name) ||
+        State.Progress_.Down_.size() >= State.Request_.MaxUnavailable_)
+      continue;
+    claim(State, std::string(Name), /*IsRepeat=*/false);
+    return;
+  }
 }
 
 void MaintenanceManager::load(WaveState &State) {
@@ -162,7 +173,7 @@
   auto Row = controlrows::decodeWave(Read.Rows_.front().Value_);
   State.IsReadable_ = Row.has_value();
   if (!Row) {
-    State.NextMachine_.clear();
+    State.Draining_.clear();
     Pool_.Logger_.write(LogLevel::Error,
                         LogEvent("wave.unreadable").with("wave", Number));
     return;
@@ -209,6 +220,7 @@
   std::size_t FewestRuns = SIZE_MAX;
   for (const std::string &Name : State.Request_.Machines_) {
     if (!isPending(State, Name) || State.Progress_.Down_.contains(Name) ||
+        State.Draining_.contains(Name) ||
         MachineList_.machines().at(Name).State_ != MachineState::Up)
       continue;
     WorkerSession *Session = sessionOf(Name);
@@ -220,8 +232,7 @@
   }
   if (Best.empty())
     return;
-  State.NextMachine_ = Best;
-  State.ReservedAt_ = Pool_.Clock_.now();
+  State.Draining_[Best] = Pool_.Clock_.now();
   updateReservations();
 }
 
@@ -308,14 +319,17 @@
   }
   auto Cycle = Pool_.Settings_.MaintenanceTime_ + DrainTime;
   auto PlannedTime = remainingTime(State) * PlannedTimeTenths / 10;
+  const auto Draining = static_cast<std::int64_t>(State.Draining_.size());
   if (PlannedTime <= Cycle)
-    return true;
+    return Draining < MaxDraining;
   std::int64_t AtOnce =
       (Pending * Cycle + PlannedTime - std::chrono::milliseconds(1)) /
       PlannedTime;
-  if (Down >= AtOnce)
+  if (Down + Draining >= AtOnce)
     return false;
-  return !Pool_.LacksMachines_ || PlannedTime < Pending * Cycle * 2;
+  if (!Pool_.LacksMachines_)
+    return Draining < MaxDraining;
+  return Draining == 0 && PlannedTime < Pending * Cycle * 2;
 }
 
 std::chrono::milliseconds
@@ -330,7 +344,7 @@
 }
 
 bool MaintenanceManager::isReady(const WaveState &State,
-                                 const std::string &Name) {
+                                 const std::string &Name, TimePoint Since) {
   WorkerSession *Session = sessionOf(Name);
   if (Session == nullptr)
     return true;
@@ -345,8 +359,7 @@
     HasShortRuns =
         HasShortRuns || (Job != nullptr && !Job->step(Task).IsLongRunning_);
   }
-  return !HasShortRuns ||
-         Pool_.Clock_.now() - State.ReservedAt_ >= gracePeriod(State);
+  return !HasShortRuns || Pool_.Clock_.now() - Since >= gracePeriod(State);
 }
 
 void MaintenanceManager::claim(WaveState &State, const std::string &Name,
@@ -356,8 +369,7 @@
   Next.Down_[Name] = Pool_.Settings_.Node_;
   store(State, Next, Name,
         [this, Name, IsRepeat, Sent = Pool_.Clock_.now()](WaveState &Claimed) {
-          if (Claimed.NextMachine_ == Name)
-            Claimed.NextMachine_.clear();
+          Claimed.Draining_.erase(Name);
           OrderTracker_.onAnnounced(Name, Claimed.Version_);
           bool IsInTime =
               Pool_.Clock_.now() < Sent + MachineOrderTracker::OrderWindow;
--- a/src/scheduling/internal/maintenancemanager.h
+++ b/src/scheduling/internal/maintenancemanager.h
@@ -75,10 +75,8 @@
     TimePoint NextLoad_;
     /// Nothing is done for the wave before, since a call has failed.
     TimePoint NextAttempt_;
-    /// Machine that is being drained for its maintenance; empty for none.
-    std::string NextMachine_;
-    TimePoint ReservedAt_;
-    TimePoint NextEvacuation_;
+    /// Machines that are being drained for their maintenance, and since when.
+    std::map<std::string, TimePoint> Draining_;
     /// Maintenance orders of this owner, by machine.
     std::map<std::string, Order> Ordered_;
   };
@@ -90,14 +88,17 @@
   std::chrono::milliseconds elapsed(const WaveState &State) const;
   /// \returns the time until the wave is due; 0 if it is overdue.
   std::chrono::milliseconds remainingTime(const WaveState &State) const;
-  /// \returns whether another machine of the pool is to be taken down now. No
-  /// more machines are down at the same time than needed to finish in time, and
-  /// none is taken while the pool lacks machines and the time allows to wait.
+  /// \returns whether another machine of the pool is to be drained now. No more
+  /// machines are drained or down at the same time than needed to finish in
+  /// time. While the pool lacks machines, one at most is drained, and none if
+  /// the time allows to wait.
   bool mayChooseNext(const WaveState &State) const;
   /// \returns whether the machine is in this pool and its maintenance is not
   /// done.
   bool isPending(const WaveState &State, const std::string &Name) const;
   void chooseNextMachine(WaveState &State);
+  /// Orders the maintenance of the first machine that is drained.
+  void orderDrainedMachine(WaveState &State);
   void claim(WaveState &State, const std::string &Name, bool IsRepeat);
   /// \returns whether the order was sent.
   bool sendOrder(WaveState &State, const std::string &Name, bool IsRepeat);
@@ -117,7 +118,10 @@
              const std::function<void(WaveState &)> &OnStored);
   void report(WaveState &State);
   bool isComplete(const WaveState &State) const;
-  bool isReady(const WaveState &State, const std::string &Name);
+  /// \returns whether a machine that is drained since \p Since can be taken
+  /// down.
+  bool isReady(const WaveState &State, const std::string &Name,
+               TimePoint Since);
   bool isAvailable(const TaskRun &Run) const;
   /// \returns the number of unavailable tasks of the step, among those that
   /// \p IsCounted selects.
--- a/src/scheduling/tests/maintenance_test.cpp
+++ b/src/scheduling/tests/maintenance_test.cpp
@@ -218,5 +218,74 @@
   EXPECT_FALSE(Workers_.Starts_.empty());
 }
 
+/// Eight workers that are each full with a task which outlasts the wave.
+class BusyPoolMaintenanceTest : public OwnerTest {
+protected:
+  static constexpr std::size_t Workers = 8;
+  static constexpr Resources Capacity{16000, 32000, 0};
+
+  BusyPoolMaintenanceTest() {
+    StepSpec Step;
+    Step.TaskCount_ = Workers;
+    Step.PerTask_ = Capacity;
+    Step.Estimate_ = milliseconds(60000);
+    JobSpec Spec;
+    Spec.Steps_ = {Step};
+    storeJob(Spec);
+    Wave_.Number_ = 1;
+    Wave_.MaxUnavailable_ = Workers;
+    std::vector<WorkerEntry> Fleet;
+    for (std::size_t Number = 0; Number < Workers; ++Number) {
+      WorkerEntry Entry = workerOf("w" + std::to_string(Number), Capacity);
+      Entry.Machine_ = "machine-of-" + Entry.Id_;
+      Fleet.push_back(Entry);
+      Machine Listed;
+      Listed.Name_ = Entry.Machine_;
+      Listed.Pool_ = "pool";
+      Listed.State_ = MachineState::Up;
+      Listed.Worker_ = Entry.Id_;
+      Machines_.List_.Machines_.push_back(Listed);
+      Wave_.Machines_.push_back(Entry.Machine_);
+    }
+    Machines_.List_.IsValid_ = true;
+    takeOwnership(0, Fleet);
+    runFor(milliseconds(1000));
+  }
+
+  void runFor(milliseconds Length) {
+    constexpr milliseconds Round{50};
+    for (milliseconds Passed{0}; Passed < Length; Passed += Round) {
+      Clock_.advance(Round);
+      Owner_->tick();
+      for (RecordingWorkers::Start &Each :
+           std::exchange(Workers_.Starts_, {})) {
+        Running_[Each.Target_.Id_] = {
+            {Each.Order_.Task_, Each.Order_.Run_, "", 100, 0}};
+        Each.Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+      }
+      for (RecordingWorkers::Hold &Each : std::exchange(Workers_.Holds_, {}))
+        Each.Done_(acceptedAnswer(Running_[Each.Target_.Id_]));
+    }
+  }
+
+  MaintenanceWave Wave_;
+  std::map<std::string, std::vector<ListedRun>> Running_;
+};
+
+TEST_F(BusyPoolMaintenanceTest, SeveralMachinesAreDrainedAtTheSameTime) {
+  ASSERT_EQ(Running_.size(), Workers);
+  Wave_.Duration_ = milliseconds(12000);
+  Owner_->onWaves({Wave_});
+  runFor(milliseconds(9000));
+  EXPECT_EQ(Machines_.Orders_.size(), Workers);
+}
+
+TEST_F(BusyPoolMaintenanceTest, FewMachinesAreDrainedIfThereIsTime) {
+  Wave_.Duration_ = milliseconds(600000);
+  Owner_->onWaves({Wave_});
+  runFor(milliseconds(9000));
+  EXPECT_LE(Machines_.Orders_.size(), 3U);
+}
+
 } // namespace
 } // namespace dragonflylock
