--- a/src/scheduling/internal/inheritedruns.cpp
+++ b/src/scheduling/internal/inheritedruns.cpp
@@ -70,7 +70,7 @@
 void InheritedRuns::settle(bool HaveLeasesExpired) {
   IsSettled_ = true;
   for (const auto &[Lifetime, Session] : Pool_.Sessions_) {
-    if (HaveLeasesExpired || !Pool_.mayHaveInheritedRuns(*Session) ||
+    if (!Pool_.mayHaveUnexpiredInheritedRuns(*Session) ||
         Session->InheritedTasks_.empty())
       continue;
     TasksInDoubt_[Lifetime] = Session->InheritedTasks_;
--- a/src/scheduling/tests/handover_test.cpp
+++ b/src/scheduling/tests/handover_test.cpp
@@ -20,25 +20,23 @@
   HandoverTest() { storeJob(jobOf(Tasks)); }
 
   std::unique_ptr<SchedulerNode> startNode(const std::string &Name) {
-    SchedulingSettings Settings;
-    Settings.Node_ = Name;
-    auto Node = SchedulerNode::Builder()
-                    .settings(Settings)
-                    .process(Name + "/" + std::to_string(++Processes_))
-                    .clock(Clock_)
-                    .store(Store_)
-                    .workers(Workers_)
-                    .machines(Machines_)
-                    .advisor(Advisor_)
-                    .logger(Logger_)
-                    .build();
-    SchedulingConfiguration Configuration;
-    Configuration.Version_ = 1;
-    Configuration.Queues_ = {Queue_};
-    Configuration.Pools_ = {{"pool", true, false}};
-    Node->onConfiguration(Configuration);
-    Node->onWorkerSnapshot({worker("w1"), worker("w2")});
-    return Node;
+    return joinNode(Name, Name + "/" + std::to_string(++Processes_),
+                    {worker("w1"), worker("w2")});
+  }
+
+  /// Makes w1 silent and frees w2, then starts the next owner.
+  std::unique_ptr<SchedulerNode> takeOverWithoutW1(const std::string &Name) {
+    Silent_.insert("w1");
+    endRunsOn("w2");
+    Started_.clear();
+    return startNode(Name);
+  }
+
+  /// Checks that tasks were started, and none of \p Excluded.
+  void expectStartsWithout(const std::set<TaskName> &Excluded) {
+    EXPECT_FALSE(Started_.empty());
+    for (const TaskName &Task : Started_)
+      EXPECT_FALSE(Excluded.contains(Task)) << Task.text();
   }
 
   /// Runs the node for \p Length while the workers answer, apart from those in
@@ -109,14 +107,9 @@
   First->release();
   First.reset();
 
-  Silent_.insert("w1");
-  endRunsOn("w2");
-  Started_.clear();
-  auto Second = startNode("node-2");
+  auto Second = takeOverWithoutW1("node-2");
   runFor(*Second, milliseconds(2500));
-  EXPECT_FALSE(Started_.empty());
-  for (const TaskName &Task : Started_)
-    EXPECT_FALSE(OnSilent.contains(Task)) << Task.text();
+  expectStartsWithout(OnSilent);
   // The tasks of the silent worker start elsewhere once its leases have ended.
   endRunsOn("w2");
   runFor(*Second, Settings_.MaxWorkerLease_ * 2);
@@ -141,9 +134,7 @@
   Started_.clear();
   auto Third = startNode("node-3");
   runFor(*Third, milliseconds(1500));
-  EXPECT_FALSE(Started_.empty());
-  for (const TaskName &Task : Started_)
-    EXPECT_FALSE(OnSilent.contains(Task)) << Task.text();
+  expectStartsWithout(OnSilent);
 }
 
 TEST_F(HandoverTest, TaskWhoseEndIsNotStoredIsNotStartedAgain) {
@@ -165,14 +156,9 @@
   MayRunOnSilent.insert(OnSilent.begin(), OnSilent.end());
   First->release();
   First.reset();
-  Silent_.insert("w1");
-  endRunsOn("w2");
-  Started_.clear();
-  auto Second = startNode("node-2");
+  auto Second = takeOverWithoutW1("node-2");
   runFor(*Second, milliseconds(2500));
-  EXPECT_FALSE(Started_.empty());
-  for (const TaskName &Task : Started_)
-    EXPECT_FALSE(MayRunOnSilent.contains(Task)) << Task.text();
+  expectStartsWithout(MayRunOnSilent);
 }
 
 TEST_F(HandoverTest, JobsSubmittedAfterTheLossOfAnOwnerStartAtOnce) {
@@ -182,11 +168,8 @@
   First.reset();
   const std::string Later = "00000000000000bb";
   storeJob(jobOf(2), Later);
-  Silent_.insert("w1");
-  endRunsOn("w2");
-  Started_.clear();
   // The store shows that an earlier process of the same node has ended.
-  auto Second = startNode("node-1");
+  auto Second = takeOverWithoutW1("node-1");
   runFor(*Second, milliseconds(2500));
   // Any other task may be running on the silent worker.
   ASSERT_EQ(Started_.size(), 2U);
@@ -205,10 +188,7 @@
   Store_.Rows_[Row] = {Row, controlrows::encode(WatermarkRow{1, 1}),
                        ++Store_.Version_, false};
   storeJob(jobOf(2), "00000000000000bb");
-  Silent_.insert("w1");
-  endRunsOn("w2");
-  Started_.clear();
-  auto Second = startNode("node-1");
+  auto Second = takeOverWithoutW1("node-1");
   runFor(*Second, milliseconds(2500));
   EXPECT_TRUE(Started_.empty());
 }
--- a/src/scheduling/tests/mocks/poolownertest.h
+++ b/src/scheduling/tests/mocks/poolownertest.h
@@ -2,9 +2,11 @@
 #define DRAGONFLYLOCK_SCHEDULING_TESTS_MOCKS_POOLOWNERTEST_H
 
 #include "scheduling/controlrows.h"
+#include "scheduling/schedulernode.h"
 #include "scheduling/tests/mocks/ownertest.h"
 
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -68,6 +70,31 @@
     return Fleet;
   }
 
+  /// \returns a node with the pool's configuration that knows \p Workers.
+  std::unique_ptr<SchedulerNode>
+  joinNode(const std::string &Name, const std::string &Process,
+           const std::vector<WorkerEntry> &Workers) {
+    SchedulingSettings Settings;
+    Settings.Node_ = Name;
+    auto Node = SchedulerNode::Builder()
+                    .settings(Settings)
+                    .process(Process)
+                    .clock(Clock_)
+                    .store(Store_)
+                    .workers(Workers_)
+                    .machines(Machines_)
+                    .advisor(Advisor_)
+                    .logger(Logger_)
+                    .build();
+    SchedulingConfiguration Configuration;
+    Configuration.Version_ = 1;
+    Configuration.Queues_ = {Queue_};
+    Configuration.Pools_ = {{"pool", true, false}};
+    Node->onConfiguration(Configuration);
+    Node->onWorkerSnapshot(Workers);
+    return Node;
+  }
+
   void answerHold(const HoldAnswer &Answer) {
     ASSERT_FALSE(Workers_.Holds_.empty());
     Workers_.takeHold().Done_(Answer);
--- a/src/scheduling/tests/runnumbers_test.cpp
+++ b/src/scheduling/tests/runnumbers_test.cpp
@@ -46,25 +46,7 @@
 
   /// \returns a node that joins as the only one and becomes the pool's owner.
   std::unique_ptr<SchedulerNode> startNode(const std::string &Name) {
-    SchedulingSettings Settings;
-    Settings.Node_ = Name;
-    auto Node = SchedulerNode::Builder()
-                    .settings(Settings)
-                    .process(Name)
-                    .clock(Clock_)
-                    .store(Store_)
-                    .workers(Workers_)
-                    .machines(Machines_)
-                    .advisor(Advisor_)
-                    .logger(Logger_)
-                    .build();
-    SchedulingConfiguration Configuration;
-    Configuration.Version_ = 1;
-    Configuration.Queues_ = {Queue_};
-    Configuration.Pools_ = {{"pool", true, false}};
-    Node->onConfiguration(Configuration);
-    Node->onWorkerSnapshot({worker("w1")});
-    return Node;
+    return joinNode(Name, Name, {worker("w1")});
   }
 
   /// Runs the node until it sends a start order. Hold orders are answered with
