Log and measure how old the configuration behind a refusal is

Decisions are unchanged.

The age counts from the time at which the store can have answered at the latest, so that an answer that waited while the machine was suspended does not look new (TableFollowerTest.ResponseReadAfterASuspensionIsNotCurrent).

--- a/src/app/schedulerdaemon.cpp
+++ b/src/app/schedulerdaemon.cpp
@@ -43,7 +43,7 @@
 /// Lines of one event in the log within a second: enough for every decision
 /// of an ordinary minute, little beside a burst of callers.
 constexpr std::uint64_t LinesPerSecond = 100;
-constexpr std::chrono::milliseconds PoolFigureInterval{1000};
+constexpr std::chrono::milliseconds FigureInterval{1000};
 constexpr std::chrono::milliseconds DrainPoll{20};
 
 } // namespace
@@ -59,12 +59,12 @@
             [this](EventLoop::Work Next) {
               return Loop_.post(std::move(Next));
             },
-            ExchangeRing, &Waits_),
+            ExchangeRing, &Waits_, &Logger_),
         LeaseClient_(
             [this](EventLoop::Work Next) {
               return Loop_.postUrgent(std::move(Next));
             },
-            LeaseRing, &Waits_),
+            LeaseRing, &Waits_, &Logger_),
         Table_(Client_, Settings_.Store_), Store_(Table_, Metrics_),
         LeaseTable_(LeaseClient_, Settings_.Store_),
         Leases_(LeaseTable_, Metrics_), WorkerCalls_(Client_),
@@ -101,19 +101,23 @@
     Feeds_.tick();
     Node_->tick();
     Waits_.tick();
-    tellPools();
+    tellFigures();
     bool IsReady = Node_->isReady();
     if (IsReady_.exchange(IsReady) != IsReady)
       Logger_.write(LogLevel::Info,
                     LogEvent(IsReady ? "node.ready" : "node.unready"));
   }
 
-  /// Puts the figures of the owned pools into the metrics.
-  void tellPools() {
+  /// Puts the figures of the configuration and the owned pools into the
+  /// metrics.
+  void tellFigures() {
     const TimePoint Now = Clock_.now();
-    if (Now < NextPoolFigures_)
+    if (Now < NextFigures_)
       return;
-    NextPoolFigures_ = Now + PoolFigureInterval;
+    NextFigures_ = Now + FigureInterval;
+    if (const auto *Configuration = Node_->configuration())
+      Metrics_.configurationSeen(Configuration->Version_,
+                                 Node_->configurationAge());
     std::set<std::string> Owned;
     for (const PoolView &View : Node_->pools()) {
       Metrics_.poolSeen(View);
@@ -154,7 +158,7 @@
   RestinioServer ReadinessServer_;
   std::optional<RestinioServer> MetricsServer_;
   std::set<std::string> OwnedPools_;
-  TimePoint NextPoolFigures_;
+  TimePoint NextFigures_;
 };
 
 SchedulerDaemon::Builder &
--- a/src/http/internal/curlasyncclient.cpp
+++ b/src/http/internal/curlasyncclient.cpp
@@ -1,4 +1,6 @@
 #include "http/internal/curlasyncclient.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
 
 namespace dragonflylock {
 namespace {
@@ -13,8 +15,8 @@
 } // namespace
 
 CurlAsyncClient::CurlAsyncClient(Poster Post, std::size_t RingCapacity,
-                                 IWaitObserver *Waits)
-    : Post_(std::move(Post)), Waits_(Waits),
+                                 IWaitObserver *Waits, ILogger *Logger)
+    : Post_(std::move(Post)), Waits_(Waits), Logger_(Logger),
       Loop_(
           {ConnectLimit, KeptConnections, KeptExchanges, RingCapacity},
           [this](Exchange &Started) { return prepare(Started); },
@@ -40,8 +42,18 @@
   return true;
 }
 
+void CurlAsyncClient::logSilentConnection(const Wanted &Unanswered) const {
+  if (Logger_ == nullptr)
+    return;
+  Logger_->write(LogLevel::Warning, LogEvent("connection.silent")
+                                        .with("server", Unanswered.BaseUrl_)
+                                        .with("timeout", Unanswered.Longest_));
+}
+
 void CurlAsyncClient::reportEnd(Exchange &Ended) {
   CurlTransfer &Transfer = Ended.Transfer_;
+  if (Transfer.hasKeptConnectionFailed())
+    logSilentConnection(Ended.Wanted_);
   ExchangeEnd End;
   End.Outcome_ = Transfer.wasOffered() ? ExchangeOutcome::AnswerLost
                                        : ExchangeOutcome::NotSent;
--- a/src/http/internal/curlasyncclient.h
+++ b/src/http/internal/curlasyncclient.h
@@ -9,6 +9,8 @@
 
 namespace dragonflylock {
 
+class ILogger;
+
 /// Exchanges requests by libcurl's multi interface, on a thread of its own.
 class CurlAsyncClient : public IAsyncHttpClient {
 public:
@@ -19,8 +21,9 @@
   /// \param RingCapacity requests that may wait for the thread.
   /// \param Waits is told how long requests wait for the thread; may be null,
   ///   must outlive the client.
+  /// \param Logger may be null, must outlive the client.
   CurlAsyncClient(Poster Post, std::size_t RingCapacity,
-                  IWaitObserver *Waits = nullptr);
+                  IWaitObserver *Waits = nullptr, ILogger *Logger = nullptr);
 
   void start() { Loop_.start(); }
   void stop() { Loop_.stop(); }
@@ -38,11 +41,13 @@
   using Exchange = CurlLoop<Wanted>::Exchange;
 
   bool prepare(Exchange &Started);
+  void logSilentConnection(const Wanted &Unanswered) const;
   void reportEnd(Exchange &Ended);
   void report(Done Ended, ExchangeEnd End);
 
   Poster Post_;
   IWaitObserver *Waits_;
+  ILogger *Logger_;
   CurlLoop<Wanted> Loop_;
 };
 
--- a/src/http/internal/curltransfer.cpp
+++ b/src/http/internal/curltransfer.cpp
@@ -177,6 +177,9 @@
   long RequestSize = 0;
   curl_easy_getinfo(Handle, CURLINFO_REQUEST_SIZE, &RequestSize);
   WasOffered_ = Code == CURLE_OK || ReadyToSend > 0 || RequestSize > 0;
+  long NewConnections = 0;
+  curl_easy_getinfo(Handle, CURLINFO_NUM_CONNECTS, &NewConnections);
+  UsedKeptConnection_ = SentCopies_ > 0 && NewConnections == 0;
   Completeness_ = judge();
 }
 
--- a/src/http/internal/curltransfer.h
+++ b/src/http/internal/curltransfer.h
@@ -54,6 +54,12 @@
   bool wasOffered() const { return WasOffered_; }
   /// \returns whether the transfer ended because its time was up.
   bool wasTimeout() const { return Code_ == CURLE_OPERATION_TIMEDOUT; }
+  /// \returns whether the transfer ended without any answer on a connection
+  /// that was kept from an earlier one, which may be dead although the server
+  /// is not.
+  bool hasKeptConnectionFailed() const {
+    return wasTimeout() && UsedKeptConnection_ && Answer_.Status_ == 0;
+  }
   /// \returns what came of the answer.
   Completeness completeness() const { return Completeness_; }
   /// \returns the answer as far as it was received.
@@ -95,6 +101,7 @@
   bool IsHeadWhole_ = false;
   bool IsTooLarge_ = false;
   bool WasOffered_ = false;
+  bool UsedKeptConnection_ = false;
   CURLcode Code_ = CURLE_OK;
   Completeness Completeness_ = Completeness::Missing;
 };
--- a/src/metrics/inodemetrics.h
+++ b/src/metrics/inodemetrics.h
@@ -32,6 +32,10 @@
                       std::chrono::microseconds Time) = 0;
   /// Counts an event of the log.
   virtual void eventLogged(const std::string &Event) = 0;
+  /// States which configuration is in force.
+  /// \param Age for which a newer one may have been stored.
+  virtual void configurationSeen(std::uint64_t Version,
+                                 std::chrono::milliseconds Age) = 0;
   /// States what the owner of a pool knows of it.
   virtual void poolSeen(const PoolView &Pool) = 0;
   /// Forgets a pool that the node does not own any more.
--- a/src/metrics/internal/prometheusnodemetrics.cpp
+++ b/src/metrics/internal/prometheusnodemetrics.cpp
@@ -24,6 +24,16 @@
             "Time for which work waited for the node's own threads")),
         Events_(Registry_.counter("dragonflylock_events_total",
                                   "Events of the log, by name")),
+        ConfigurationVersion_(
+            Registry_
+                .gauge("dragonflylock_configuration_version",
+                       "Version of the configuration in force")
+                .Add({})),
+        ConfigurationAge_(
+            Registry_
+                .gauge("dragonflylock_configuration_age_seconds",
+                       "Time for which a newer configuration may be stored")
+                .Add({})),
         Pools_(Registry_.gauge("dragonflylock_pool",
                                "Figures of the pools that this node owns")) {}
 
@@ -34,6 +44,8 @@
   HistogramFamily &CallTime_;
   HistogramFamily &WaitTime_;
   CounterFamily &Events_;
+  prometheus::Gauge &ConfigurationVersion_;
+  prometheus::Gauge &ConfigurationAge_;
   GaugeFamily &Pools_;
   std::mutex Mutex_;
   /// Gauges by pool, to be removed with it.
@@ -79,6 +91,12 @@
   Families_->Events_.Add({{"event", Event}}).Increment();
 }
 
+void PrometheusNodeMetrics::configurationSeen(std::uint64_t Version,
+                                              std::chrono::milliseconds Age) {
+  Families_->ConfigurationVersion_.Set(static_cast<double>(Version));
+  Families_->ConfigurationAge_.Set(metricSeconds(Age));
+}
+
 void PrometheusNodeMetrics::poolSeen(const PoolView &Pool) {
   const std::map<std::string, double> Figures = {
       {"token", static_cast<double>(Pool.Token_)},
--- a/src/metrics/internal/prometheusnodemetrics.h
+++ b/src/metrics/internal/prometheusnodemetrics.h
@@ -22,6 +22,8 @@
   void waited(const std::string &Place,
               std::chrono::microseconds Time) override;
   void eventLogged(const std::string &Event) override;
+  void configurationSeen(std::uint64_t Version,
+                         std::chrono::milliseconds Age) override;
   void poolSeen(const PoolView &Pool) override;
   void poolLost(const std::string &Pool) override;
   std::string serialize() override;
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -43,6 +43,13 @@
     return Clock_.now() < Control_->lastResponse() + StoreSilenceTimeout;
   }
   void tickOwnership();
+  std::chrono::milliseconds configurationAge() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        Clock_.now() - ConfigurationAsOf_);
+  }
+  /// Logs when the configuration in force becomes too old to be relied on, and
+  /// when it no longer is.
+  void watchConfigurationAge();
 
   SchedulingSettings Settings_;
   const IClock &Clock_;
@@ -53,6 +60,9 @@
   QueueDirectory Queues_;
   PoolOwner::Builder OwnerBuilder_;
   std::shared_ptr<const SchedulingConfiguration> Configuration_;
+  /// All configurations stored before this time have been read.
+  TimePoint ConfigurationAsOf_;
+  bool IsConfigurationOutdated_ = false;
   std::map<std::string, WorkerEntry> Workers_;
   bool HaveWorkersChanged_ = false;
   /// Whether Workers_ matches the registry.
@@ -214,6 +224,20 @@
   Ownership_->tick();
 }
 
+void SchedulerNode::Parts::watchConfigurationAge() {
+  if (!Configuration_)
+    return;
+  const std::chrono::milliseconds Age = configurationAge();
+  const bool IsOutdated = Age > Settings_.ConfigurationDelay_;
+  if (std::exchange(IsConfigurationOutdated_, IsOutdated) == IsOutdated)
+    return;
+  Logger_.write(
+      IsOutdated ? LogLevel::Warning : LogLevel::Info,
+      LogEvent(IsOutdated ? "configuration.outdated" : "configuration.current")
+          .with("version", Configuration_->Version_)
+          .with("age", Age));
+}
+
 SchedulerNode::Builder &
 SchedulerNode::Builder::settings(SchedulingSettings Value) {
   Settings_ = std::move(Value);
@@ -290,6 +314,10 @@
     Owner->onConfiguration(Parts_->Configuration_);
 }
 
+void SchedulerNode::onConfigurationsRead(TimePoint AsOf) {
+  Parts_->ConfigurationAsOf_ = AsOf;
+}
+
 void SchedulerNode::onWorker(const WorkerEntry &Worker) {
   WorkerEntry &Known = Parts_->Workers_[Worker.Id_];
   if (Known == Worker)
@@ -330,6 +358,7 @@
 
 void SchedulerNode::tick() {
   Parts_->Control_->tick();
+  Parts_->watchConfigurationAge();
   Parts_->JobRequests_->tick();
   if (!Parts_->IsReleased_)
     Parts_->tickOwnership();
@@ -352,6 +381,10 @@
   return Parts_->Configuration_.get();
 }
 
+std::chrono::milliseconds SchedulerNode::configurationAge() const {
+  return Parts_->configurationAge();
+}
+
 bool SchedulerNode::isReady() const {
   return Parts_->Configuration_ && !Parts_->IsReleased_ &&
          Parts_->Control_->isLoaded() && Parts_->isControlViewCurrent();
--- a/src/scheduling/internal/tablefollower.cpp
+++ b/src/scheduling/internal/tablefollower.cpp
@@ -58,8 +58,10 @@
     return;
   }
   LastResponse_ = Clock_.now();
-  if (LoadedRows_.empty())
+  if (LoadedRows_.empty()) {
     FirstPageVersion_ = Read.Version_;
+    FirstPageStart_ = CallStart_;
+  }
   LoadedRows_.insert(LoadedRows_.end(), Read.Rows_.begin(), Read.Rows_.end());
   if (Read.HasMore_ && !Read.Rows_.empty()) {
     tick();
@@ -67,6 +69,7 @@
   }
   // Changes since the first page are delivered again, which is harmless.
   Version_ = FirstPageVersion_;
+  CurrentAsOf_ = FirstPageStart_;
   NeedsFullRead_ = false;
   IsLoaded_ = true;
   std::vector<StoreRow> Rows = std::move(LoadedRows_);
@@ -76,7 +79,8 @@
 }
 
 void TableFollower::pollChanges() {
-  Store_.awaitChanges(Table_, Version_, ChangesTimeout_->timeout(),
+  Wait_ = ChangesTimeout_->timeout();
+  Store_.awaitChanges(Table_, Version_, Wait_,
                       [Weak = weak_from_this()](const StoreChanges &Changes) {
                         if (auto Self = Weak.lock())
                           Self->onChanges(Changes);
@@ -96,6 +100,9 @@
   }
   LastResponse_ = Clock_.now();
   Version_ = std::max(Version_, Changes.Version_);
+  // The store responds at the end of the wait at the latest.
+  CurrentAsOf_ =
+      std::max(CurrentAsOf_, std::min(Clock_.now(), CallStart_ + Wait_));
   std::vector<StoreRow> Rows;
   for (const StoreRow &Row : Changes.Rows_)
     if (Row.Name_.Part_ == Part_)
--- a/src/scheduling/schedulernode.h
+++ b/src/scheduling/schedulernode.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYLOCK_SCHEDULING_SCHEDULERNODE_H
 #define DRAGONFLYLOCK_SCHEDULING_SCHEDULERNODE_H
 
+#include "global/iclock.h"
 #include "scheduling/jobrequesthandler.h"
 #include "scheduling/schedulingsettings.h"
 #include "scheduling/schedulingtypes.h"
@@ -13,7 +14,6 @@
 namespace dragonflylock {
 
 class IAdvisor;
-class IClock;
 class ILogger;
 class IMachineControl;
 class IStore;
@@ -63,6 +63,8 @@
 
   /// Applies a configuration; ignored unless it is newer than the one in force.
   void onConfiguration(SchedulingConfiguration Configuration);
+  /// Called when all configurations stored before \p AsOf have been passed on.
+  void onConfigurationsRead(TimePoint AsOf);
   /// Adds or updates a worker's registry entry.
   void onWorker(const WorkerEntry &Worker);
   /// Called when a worker is no longer registered.
@@ -84,6 +86,10 @@
 
   /// \returns the configuration in force, or null before the first one.
   const SchedulingConfiguration *configuration() const;
+  /// \returns the time for which a newer configuration may have been stored
+  /// without this node knowing. Before the first read it is longer than any
+  /// limit.
+  std::chrono::milliseconds configurationAge() const;
   /// \returns whether the node can serve callers.
   bool isReady() const;
   /// \returns whether the node needs the worker registry to be followed.
--- a/src/scheduling/schedulingsettings.h
+++ b/src/scheduling/schedulingsettings.h
@@ -42,6 +42,8 @@
   std::chrono::milliseconds MoveTime_{1500};
   /// Factor by which a task is slower outside the rack that holds its data.
   double OffRackSlowdown_ = 2.0;
+  /// Time within which a stored configuration must be in force.
+  std::chrono::milliseconds ConfigurationDelay_{2000};
   /// Time from SIGTERM to SIGKILL.
   std::chrono::milliseconds StopGrace_{6000};
 };
--- a/src/scheduling/tablefollower.h
+++ b/src/scheduling/tablefollower.h
@@ -37,6 +37,9 @@
   void tick();
   /// \returns when the store last answered successfully.
   TimePoint lastResponse() const { return LastResponse_; }
+  /// \returns a time before which all changes are known. It is older than the
+  /// last response if that was read late, for example after a suspension.
+  TimePoint currentAsOf() const { return CurrentAsOf_; }
   /// \returns whether all rows of the part have been read once.
   bool isLoaded() const { return IsLoaded_; }
 
@@ -59,8 +62,11 @@
   bool IsLoaded_ = false;
   bool NeedsFullRead_ = true;
   TimePoint CallStart_;
+  /// Time that the last request for changes asked the store to wait.
+  std::chrono::milliseconds Wait_{0};
   TimePoint NextCall_;
   TimePoint LastResponse_;
+  TimePoint CurrentAsOf_;
   StoreVersion Version_ = 0;
   std::unique_ptr<ReadWindow> ReadWindow_;
   std::unique_ptr<ChangesTimeout> ChangesTimeout_;
@@ -69,6 +75,7 @@
   /// Rows of the pages that have been read so far.
   std::vector<StoreRow> LoadedRows_;
   StoreVersion FirstPageVersion_ = 0;
+  TimePoint FirstPageStart_;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/tests/followers_test.cpp
+++ b/src/scheduling/tests/followers_test.cpp
@@ -220,5 +220,19 @@
   EXPECT_EQ(Timeout_, milliseconds(1500));
 }
 
+TEST_F(TableFollowerTest, ResponseReadAfterASuspensionIsNotCurrent) {
+  addRows(1);
+  run(std::chrono::seconds(1));
+  Clock_.advance(milliseconds(200));
+  Follower_->tick();
+  ASSERT_EQ(Store_.Waits_.size(), 1U);
+  const TimePoint LatestResponse = Clock_.now() + Store_.Waits_[0].Timeout_;
+  Clock_.advance(std::chrono::seconds(10));
+  StoreChanges Changes;
+  Changes.Outcome_ = StoreOutcome::Done;
+  Store_.Waits_[0].Done_(Changes);
+  EXPECT_LE(Follower_->currentAsOf(), LatestResponse);
+}
+
 } // namespace
 } // namespace dragonflylock
--- a/src/scheduling/tests/mocks/fakefleet.h
+++ b/src/scheduling/tests/mocks/fakefleet.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_SCHEDULING_TESTS_MOCKS_FAKEFLEET_H
 
 #include "global/ilogger.h"
+#include "global/logevent.h"
 #include "global/tests/mocks/manualclock.h"
 #include "scheduling/iadvisor.h"
 #include "scheduling/imachinecontrol.h"
@@ -26,6 +27,18 @@
   void write(LogLevel, const LogEvent &) override {}
 };
 
+/// Keeps the names and lines of the events that were logged.
+class EventRecorder : public ILogger {
+public:
+  void write(LogLevel, const LogEvent &Event) override {
+    Events_.push_back(Event.name());
+    Lines_.push_back(Event.line());
+  }
+
+  std::vector<std::string> Events_;
+  std::vector<std::string> Lines_;
+};
+
 /// An in-memory store that responds synchronously, unless a test delays the
 /// responses.
 class InstantStore : public IStore {
--- a/src/scheduling/tests/schedulernode_test.cpp
+++ b/src/scheduling/tests/schedulernode_test.cpp
@@ -62,7 +62,7 @@
   }
 
   ManualClock Clock_;
-  SilentLogger Logger_;
+  EventRecorder Logger_;
   InstantStore Store_;
   RecordingWorkers Workers_;
   AcceptingMachines Machines_;
@@ -70,6 +70,24 @@
   std::unique_ptr<SchedulerNode> Node_;
 };
 
+TEST_F(SchedulerNodeTest, LogsWhenConfigurationBecomesOutdatedAndCurrent) {
+  start();
+  Node_->onConfigurationsRead(Clock_.now());
+  Node_->tick();
+  Logger_.Events_.clear();
+  Clock_.advance(SchedulingSettings().ConfigurationDelay_ + milliseconds(1));
+  Node_->tick();
+  Node_->tick();
+  Node_->onConfigurationsRead(Clock_.now());
+  Node_->tick();
+  std::erase_if(Logger_.Events_, [](const std::string &Event) {
+    return !Event.starts_with("configuration.");
+  });
+  EXPECT_EQ(Logger_.Events_,
+            (std::vector<std::string>{"configuration.outdated",
+                                      "configuration.current"}));
+}
+
 TEST_F(SchedulerNodeTest, ReportsPendingCountOfCurrentOwner) {
   putOwner(Token);
   putPendingCount(Token, 9);
--- a/src/telemetry/tests/telemetry_test.cpp
+++ b/src/telemetry/tests/telemetry_test.cpp
@@ -52,6 +52,15 @@
   PrometheusNodeMetrics Metrics_{"node-1", "zone-a"};
 };
 
+TEST_F(TelemetryTest, StatesVersionAndAgeOfTheConfiguration) {
+  Metrics_.configurationSeen(17, std::chrono::milliseconds(1500));
+  std::string Text = get("/metrics");
+  EXPECT_THAT(Text, HasSubstr("dragonflylock_configuration_version{"));
+  EXPECT_THAT(Text, HasSubstr("} 17\n"));
+  EXPECT_THAT(Text, HasSubstr("dragonflylock_configuration_age_seconds{"));
+  EXPECT_THAT(Text, HasSubstr("} 1.5\n"));
+}
+
 TEST_F(TelemetryTest, CountsCallsToTheStoreByOutcome) {
   InstantStore Inner;
   MeteredStore Store(Inner, Metrics_);
