--- a/src/http/tests/mocks/countingserver.h
+++ b/src/http/tests/mocks/countingserver.h
@@ -10,19 +10,37 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <functional>
+#include <optional>
+#include <set>
 #include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace dragonflylock {
 
-/// Answers requests without a body on all loopback addresses, except for those
-/// to "/held", and counts the connections that are made to it.
+/// Answers requests without a body on all loopback addresses and counts the
+/// connections that are made to it. Its connections can fall silent as if a
+/// device on their way had forgotten them.
 class CountingServer {
 public:
-  CountingServer() : Listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+  /// Returns the body of the answer to a request, or nothing if the request is
+  /// to be kept waiting; called on the server's thread.
+  using Responder =
+      std::function<std::optional<std::string>(std::string_view Request)>;
+
+  /// Keeps requests to "/held" waiting and answers others with an empty body.
+  CountingServer()
+      : CountingServer([](std::string_view Request) {
+          return Request.starts_with("GET /held") ? std::nullopt
+                                                  : std::optional("");
+        }) {}
+  explicit CountingServer(Responder Respond)
+      : Respond_(std::move(Respond)),
+        Listener_(socket(AF_INET, SOCK_STREAM, 0)) {
     sockaddr_in Any{};
     Any.sin_family = AF_INET;
     Any.sin_addr.s_addr = htonl(INADDR_ANY);
@@ -45,6 +63,12 @@
 
   std::uint16_t port() const { return Port_; }
   std::uint64_t connections() const { return Connections_; }
+  /// Stops answering on all connections that are open now. They stay open, and
+  /// later connections are served.
+  void silenceConnections() {
+    IsSilencing_ = true;
+    IsSilencing_.wait(true);
+  }
   /// \returns the requests that are kept waiting.
   std::uint64_t held() const { return Held_; }
 
@@ -55,6 +79,8 @@
     Open_.push_back({Listener_, POLLIN, 0});
     while (!IsStopping_) {
       poll(Open_.data(), Open_.size(), PollMilliseconds);
+      if (IsSilencing_)
+        silenceOpen();
       if ((Open_.front().revents & POLLIN) != 0) {
         Open_.push_back({accept(Listener_, nullptr, nullptr), POLLIN, 0});
         ++Connections_;
@@ -66,26 +92,42 @@
     }
   }
 
+  void silenceOpen() {
+    for (std::size_t Index = 1; Index < Open_.size(); ++Index)
+      Silent_.insert(Open_[Index].fd);
+    IsSilencing_ = false;
+    IsSilencing_.notify_all();
+  }
+
   void serve(pollfd &Each) {
-    constexpr std::string_view Answer =
-        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     std::array<char, 4096> Read{};
     ssize_t Length = recv(Each.fd, Read.data(), Read.size(), 0);
     if (Length <= 0) {
+      Silent_.erase(Each.fd);
       close(Each.fd);
       Each.fd = -1;
       return;
     }
-    std::string_view Request(Read.data(), static_cast<std::size_t>(Length));
-    if (Request.starts_with("GET /held"))
+    if (Silent_.contains(Each.fd))
+      return;
+    auto Body = Respond_({Read.data(), static_cast<std::size_t>(Length)});
+    if (!Body) {
       ++Held_;
-    else
-      send(Each.fd, Answer.data(), Answer.size(), MSG_NOSIGNAL);
+      return;
+    }
+    const std::string Answer =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(Body->size()) +
+        "\r\n\r\n" + *Body;
+    send(Each.fd, Answer.data(), Answer.size(), MSG_NOSIGNAL);
   }
 
+  Responder Respond_;
   int Listener_;
   std::uint16_t Port_ = 0;
   std::vector<pollfd> Open_;
+  /// Descriptors of the open connections that are not answered.
+  std::set<int> Silent_;
+  std::atomic<bool> IsSilencing_ = false;
   std::atomic<std::uint64_t> Connections_ = 0;
   std::atomic<std::uint64_t> Held_ = 0;
   std::atomic<bool> IsStopping_ = false;
