End idle connections to a server of which one fell silent

Seen by callers: a route that had been added is refused with 404 by a node whose connections to the store fell silent without a reset, for as long as its kept connections last, although new connections work.

Cause: all calls share a pool of kept connections. A call on a silent one costs its whole timeout and closes only that one; the next call is given the next silent one. Nothing else detects them, as TCP has nothing to send on an idle connection.

Now a call that times out without a byte of an answer on a kept connection makes the other idle connections to that server suspect; they are shut down, so that libcurl opens new ones. Calls that were sent before that share its cause and end nothing, so that the new connections stay. Connections to other servers are left alone. It is in the loop that the calls to store, workers and advice share with the offers to endpoints.

Tried: CURLOPT_MAXAGE_CONN and a fresh connection for each call in the first second. libcurl counts in whole seconds and applies the age to the connections of all servers. Weighed: TCP keep-alive of a second (a probe a second for each of up to 1,024 idle connections, beyond the 8 KB/s that control may use).

--- a/src/http/internal/curlloop.h
+++ b/src/http/internal/curlloop.h
@@ -63,7 +63,7 @@
     if (Thread_.joinable())
       Thread_.join();
     for (auto &[Transfer, Each] : Active_)
-      Poller_.remove(Transfer->handle());
+      Poller_.remove(*Transfer);
     Active_.clear();
   }
 
@@ -98,18 +98,17 @@
     CurlTransfer &Transfer = Started->Transfer_;
     curl_easy_setopt(Transfer.handle(), CURLOPT_CONNECTTIMEOUT_MS,
                      static_cast<long>(Limits_.Connect_.count()));
-    Poller_.add(Transfer.handle());
+    Poller_.add(Transfer);
     Active_.emplace(&Transfer, std::move(Started));
   }
 
   void collectEnded() {
     CURLcode Code = CURLE_OK;
-    while (CURL *Handle = Poller_.takeEnded(Code)) {
-      char *Private = nullptr;
-      curl_easy_getinfo(Handle, CURLINFO_PRIVATE, &Private);
-      auto *Transfer = reinterpret_cast<CurlTransfer *>(Private);
+    while (CurlTransfer *Transfer = Poller_.takeEnded(Code)) {
       Transfer->finish(Code);
-      Poller_.remove(Handle);
+      Poller_.remove(*Transfer);
+      if (Transfer->hasKeptConnectionFailed())
+        Poller_.endSuspectConnections(*Transfer);
       auto Found = Active_.find(Transfer);
       std::unique_ptr<Exchange> Over = std::move(Found->second);
       Active_.erase(Found);
--- a/src/http/internal/curlpoller.cpp
+++ b/src/http/internal/curlpoller.cpp
@@ -1,7 +1,9 @@
 #include "http/internal/curlpoller.h"
+#include "http/internal/curltransfer.h"
 
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -64,21 +66,39 @@
   close(Epoll_);
 }
 
-void CurlPoller::add(CURL *Transfer) {
-  curl_multi_add_handle(Multi_.get(), Transfer);
+void CurlPoller::add(CurlTransfer &Transfer) {
+  CURL *Handle = Transfer.handle();
+  curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETFUNCTION, &CurlPoller::onClose);
+  curl_easy_setopt(Handle, CURLOPT_CLOSESOCKETDATA, this);
+  curl_multi_add_handle(Multi_.get(), Handle);
 }
 
-void CurlPoller::remove(CURL *Transfer) {
-  curl_multi_remove_handle(Multi_.get(), Transfer);
+void CurlPoller::remove(CurlTransfer &Transfer) {
+  curl_multi_remove_handle(Multi_.get(), Transfer.handle());
 }
 
-int CurlPoller::onSocket(CURL *, curl_socket_t Socket, int What, void *Self,
-                         void *) {
+void CurlPoller::endSuspectConnections(const CurlTransfer &Unanswered) {
+  // libcurl closes a kept connection that has ended when it looks for one.
+  for (int Socket : Connections_.takeSuspects(
+           Unanswered.server(), Unanswered.preparedAt(), Clock::now()))
+    shutdown(Socket, SHUT_RDWR);
+}
+
+int CurlPoller::onClose(void *Self, curl_socket_t Socket) {
+  static_cast<CurlPoller *>(Self)->Connections_.onClosed(Socket);
+  return close(Socket);
+}
+
+int CurlPoller::onSocket(CURL *Handle, curl_socket_t Socket, int What,
+                         void *Self, void *) {
   auto *Poller = static_cast<CurlPoller *>(Self);
-  if (What == CURL_POLL_REMOVE)
+  if (What == CURL_POLL_REMOVE) {
     epoll_ctl(Poller->Epoll_, EPOLL_CTL_DEL, Socket, nullptr);
-  else
+    Poller->Connections_.onIdle(Socket);
+  } else {
     Poller->watch(Socket, What);
+    Poller->Connections_.onBusy(Socket, CurlTransfer::of(Handle).server());
+  }
   return 0;
 }
 
@@ -132,13 +152,13 @@
   act(CURL_SOCKET_TIMEOUT, 0);
 }
 
-CURL *CurlPoller::takeEnded(CURLcode &Code) {
+CurlTransfer *CurlPoller::takeEnded(CURLcode &Code) {
   int Left = 0;
   while (CURLMsg *Message = curl_multi_info_read(Multi_.get(), &Left)) {
     if (Message->msg != CURLMSG_DONE)
       continue;
     Code = Message->data.result;
-    return Message->easy_handle;
+    return &CurlTransfer::of(Message->easy_handle);
   }
   return nullptr;
 }
--- a/src/http/internal/curlpoller.h
+++ b/src/http/internal/curlpoller.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_HTTP_INTERNAL_CURLPOLLER_H
 
 #include "global/iwaker.h"
+#include "http/internal/serverconnections.h"
 
 #include <curl/curl.h>
 
@@ -11,6 +12,8 @@
 
 namespace dragonflylock {
 
+class CurlTransfer;
+
 /// Drives the transfers of a multi handle whose sockets or timers are ready.
 /// What a round costs does not grow with the transfers that merely wait for
 /// their answers.
@@ -23,13 +26,17 @@
   CurlPoller(const CurlPoller &) = delete;
   CurlPoller &operator=(const CurlPoller &) = delete;
 
-  void add(CURL *Transfer);
-  void remove(CURL *Transfer);
+  /// \param Transfer must outlive its removal.
+  void add(CurlTransfer &Transfer);
+  void remove(CurlTransfer &Transfer);
+  /// Ends the connections that may be dead since \p Unanswered has failed on a
+  /// kept connection.
+  void endSuspectConnections(const CurlTransfer &Unanswered);
   /// Waits until transfers can go on, at most \p Longest, and drives them.
   void drive(std::chrono::milliseconds Longest);
   /// \returns a transfer that has ended, or null.
   /// \param Code how it ended.
-  CURL *takeEnded(CURLcode &Code);
+  CurlTransfer *takeEnded(CURLcode &Code);
   void wake() override;
 
 private:
@@ -38,6 +45,7 @@
     void operator()(CURLM *Handle) const { curl_multi_cleanup(Handle); }
   };
 
+  static int onClose(void *Self, curl_socket_t Socket);
   static int onSocket(CURL *Transfer, curl_socket_t Socket, int What,
                       void *Self, void *Known);
   static int onTimer(CURLM *Multi, long Milliseconds, void *Self);
@@ -47,6 +55,7 @@
 
   int Epoll_;
   int Wakeup_;
+  ServerConnections Connections_;
   std::unique_ptr<CURLM, MultiDeleter> Multi_;
   std::optional<Clock::time_point> TimerAt_;
 };
--- a/src/http/internal/curltransfer.cpp
+++ b/src/http/internal/curltransfer.cpp
@@ -26,6 +26,12 @@
   Handle_.reset(curl_easy_init());
 }
 
+CurlTransfer &CurlTransfer::of(CURL *Handle) {
+  char *Private = nullptr;
+  curl_easy_getinfo(Handle, CURLINFO_PRIVATE, &Private);
+  return *reinterpret_cast<CurlTransfer *>(Private);
+}
+
 std::size_t CurlTransfer::onBody(char *Data, std::size_t Size,
                                  std::size_t Count, void *Self) {
   auto *Transfer = static_cast<CurlTransfer *>(Self);
@@ -106,6 +112,8 @@
                            std::size_t LargestAnswer, ConnectionPolicy Policy) {
   CURL *Handle = Handle_.get();
   curl_easy_reset(Handle);
+  Server_ = BaseUrl;
+  PreparedAt_ = std::chrono::steady_clock::now();
   Answer_ = {};
   IsTooLarge_ = false;
   IsHeadWhole_ = false;
--- a/src/http/internal/curltransfer.h
+++ b/src/http/internal/curltransfer.h
@@ -18,6 +18,8 @@
 /// connection policy of each request lets it.
 class CurlTransfer {
 public:
+  using TimePoint = std::chrono::steady_clock::time_point;
+
   /// Whether a connection may carry more than one request. A request on a
   /// reused connection may be sent twice by libcurl, so that one that is not
   /// idempotent needs a fresh one.
@@ -36,6 +38,8 @@
   };
 
   CurlTransfer();
+  /// \returns the transfer of a handle that has been prepared.
+  static CurlTransfer &of(CURL *Handle);
 
   /// Sets the handle up for \p Request, which must live until the end.
   void prepare(const std::string &BaseUrl, const HttpRequest &Request,
@@ -66,6 +70,10 @@
   HttpAnswer &answer() { return Answer_; }
   /// \returns a text for the way the transfer ended.
   const char *description() const;
+  /// \returns the URL of the server that the request is for.
+  const std::string &server() const { return Server_; }
+  /// \returns when the request was prepared.
+  TimePoint preparedAt() const { return PreparedAt_; }
   /// \returns the handle.
   CURL *handle() { return Handle_.get(); }
 
@@ -91,6 +99,8 @@
 
   std::unique_ptr<CURL, EasyDeleter> Handle_;
   std::unique_ptr<curl_slist, ListDeleter> HeaderList_;
+  std::string Server_;
+  TimePoint PreparedAt_;
   HttpAnswer Answer_;
   std::size_t LargestAnswer_ = 0;
   /// Number of times that libcurl has sent the request.
--- /dev/null
+++ b/src/http/internal/serverconnections.cpp
@@ -0,0 +1,45 @@
+#include "http/internal/serverconnections.h"
+
+namespace dragonflylock {
+namespace {
+
+/// No request takes longer.
+constexpr std::chrono::seconds LongestRequest{60};
+
+} // namespace
+
+void ServerConnections::onBusy(int Socket, const std::string &Server) {
+  auto [Entry, IsNew] = Open_.try_emplace(Socket);
+  if (IsNew)
+    Entry->second.Server_ = Server;
+  Entry->second.IsBusy_ = true;
+}
+
+void ServerConnections::onIdle(int Socket) {
+  auto Found = Open_.find(Socket);
+  if (Found != Open_.end())
+    Found->second.IsBusy_ = false;
+}
+
+void ServerConnections::onClosed(int Socket) { Open_.erase(Socket); }
+
+std::vector<int> ServerConnections::takeSuspects(const std::string &Server,
+                                                 TimePoint SentAt,
+                                                 TimePoint Now) {
+  std::erase_if(SuspectedAt_, [&](const auto &Each) {
+    return Each.second + LongestRequest < Now;
+  });
+  auto Previous = SuspectedAt_.find(Server);
+  if (Previous != SuspectedAt_.end() && SentAt < Previous->second)
+    return {};
+  SuspectedAt_[Server] = Now;
+  std::vector<int> Suspects;
+  for (const auto &[Socket, Each] : Open_)
+    if (Each.Server_ == Server && !Each.IsBusy_)
+      Suspects.push_back(Socket);
+  for (int Socket : Suspects)
+    Open_.erase(Socket);
+  return Suspects;
+}
+
+} // namespace dragonflylock
--- a/src/http/tests/silentconnections_test.cpp
+++ b/src/http/tests/silentconnections_test.cpp
@@ -57,6 +57,7 @@
   }
 
   CountingServer Server_;
+  CountingServer Other_;
   CurlAsyncClient Client_;
 };
 
@@ -80,6 +81,21 @@
   }
 }
 
+TEST_F(SilentConnectionsTest, ConnectionsToOtherServersAreKept) {
+  auto SendToOther = [this] {
+    std::promise<ExchangeOutcome> Ended;
+    Client_.send(
+        {"127.0.0.2", Other_.port()}, {"GET", "/", {}, ""}, Timeout,
+        [&](const ExchangeEnd &End) { Ended.set_value(End.Outcome_); });
+    return Ended.get_future().get();
+  };
+  EXPECT_EQ(SendToOther(), ExchangeOutcome::Answered);
+  Server_.silenceConnections();
+  EXPECT_NE(send(Timeout).get(), ExchangeOutcome::Answered);
+  EXPECT_EQ(SendToOther(), ExchangeOutcome::Answered);
+  EXPECT_EQ(Other_.connections(), 1U);
+}
+
 TEST_F(SilentConnectionsTest, ConnectionsAreKeptAgainAfterwards) {
   Server_.silenceConnections();
   EXPECT_NE(send(Timeout).get(), ExchangeOutcome::Answered);
