--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -47,6 +47,9 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(
         Clock_.now() - ConfigurationAsOf_);
   }
+  bool isConfigurationCurrent() const {
+    return configurationAge() <= Settings_.ConfigurationDelay_;
+  }
   /// Logs when the configuration in force becomes too old to be relied on, and
   /// when it no longer is.
   void watchConfigurationAge();
@@ -227,15 +230,14 @@
 void SchedulerNode::Parts::watchConfigurationAge() {
   if (!Configuration_)
     return;
-  const std::chrono::milliseconds Age = configurationAge();
-  const bool IsOutdated = Age > Settings_.ConfigurationDelay_;
+  const bool IsOutdated = !isConfigurationCurrent();
   if (std::exchange(IsConfigurationOutdated_, IsOutdated) == IsOutdated)
     return;
   Logger_.write(
       IsOutdated ? LogLevel::Warning : LogLevel::Info,
       LogEvent(IsOutdated ? "configuration.outdated" : "configuration.current")
           .with("version", Configuration_->Version_)
-          .with("age", Age));
+          .with("age", configurationAge()));
 }
 
 SchedulerNode::Builder &
@@ -385,6 +387,10 @@
   return Parts_->configurationAge();
 }
 
+bool SchedulerNode::isConfigurationCurrent() const {
+  return Parts_->isConfigurationCurrent();
+}
+
 bool SchedulerNode::isReady() const {
   return Parts_->Configuration_ && !Parts_->IsReleased_ &&
          Parts_->Control_->isLoaded() && Parts_->isControlViewCurrent();
--- a/src/scheduling/schedulernode.h
+++ b/src/scheduling/schedulernode.h
@@ -90,6 +90,10 @@
   /// without this node knowing. Before the first read it is longer than any
   /// limit.
   std::chrono::milliseconds configurationAge() const;
+  /// \returns whether the configuration in force can't miss a change that has
+  /// to be in force by now. An older one must not be the reason to refuse a
+  /// queue, nor to serve one that may have been removed.
+  bool isConfigurationCurrent() const;
   /// \returns whether the node can serve callers.
   bool isReady() const;
   /// \returns whether the node needs the worker registry to be followed.
