Ask for changed configurations in half the time in which they must be in force

A poll of the operators' table waited for 1.5 s, and one whose answer was lost cost 1.5 s and 1 s, while a configuration has to be in force within 2 s (4 s on the large site). The store is now asked to wait for half of bounds.config_apply_ms, so that a lost answer leaves time to ask again, and the age of a configuration is at most about 1.1 s of 2 s while the store answers.

FleetTableFollowerTest.LostResponseLeavesTimeToLearnOfAConfiguration failed before (1500 ms asked for, at most 1000 allowed).

--- a/src/app/schedulerdaemon.cpp
+++ b/src/app/schedulerdaemon.cpp
@@ -82,7 +82,8 @@
                   .advisor(Advisor_)
                   .logger(Logger_)
                   .build()),
-        Feeds_(Store_, Clock_, Logger_, *Node_),
+        Feeds_(Store_, Clock_, Logger_, *Node_,
+               Settings_.Scheduling_.ConfigurationDelay_),
         Callers_(
             *Node_,
             [this](EventLoop::Work Next) {
--- a/src/scheduling/internal/changestimeout.h
+++ b/src/scheduling/internal/changestimeout.h
@@ -13,6 +13,11 @@
 /// to arrive but did not arrive completely in time.
 class ChangesTimeout {
 public:
+  ChangesTimeout() = default;
+  /// \param Default the timeout unless a response takes longer to arrive.
+  explicit ChangesTimeout(std::chrono::milliseconds Default)
+      : Default_(Default), Timeout_(Default) {}
+
   /// \returns the timeout to request changes with.
   std::chrono::milliseconds timeout() const { return Timeout_; }
   /// Updates the timeout after a wait has ended.
@@ -21,7 +26,7 @@
         Changes.HasPartialResponse_)
       Timeout_ = std::min(Timeout_ * 2, MaxTimeout);
     else if (Changes.Outcome_ == StoreOutcome::Done)
-      Timeout_ = DefaultTimeout;
+      Timeout_ = Default_;
   }
 
 private:
@@ -31,6 +36,7 @@
   /// lost, and the rows are read in pages.
   static constexpr std::chrono::milliseconds MaxTimeout{12000};
 
+  std::chrono::milliseconds Default_ = DefaultTimeout;
   std::chrono::milliseconds Timeout_ = DefaultTimeout;
 };
 
--- a/src/scheduling/internal/tablefollower.cpp
+++ b/src/scheduling/internal/tablefollower.cpp
@@ -14,11 +14,13 @@
 TableFollower::TableFollower(IStore &Store, const IClock &Clock,
                              ILogger &Logger, std::string Table,
                              std::string Part,
-                             std::chrono::milliseconds BatchDelay, RowSink Sink)
+                             std::chrono::milliseconds BatchDelay, RowSink Sink,
+                             std::optional<std::chrono::milliseconds> Wait)
     : Store_(Store), Clock_(Clock), Logger_(Logger), Table_(std::move(Table)),
       Part_(std::move(Part)), BatchDelay_(BatchDelay), Sink_(std::move(Sink)),
       ReadWindow_(std::make_unique<ReadWindow>()),
-      ChangesTimeout_(std::make_unique<ChangesTimeout>()) {}
+      ChangesTimeout_(Wait ? std::make_unique<ChangesTimeout>(*Wait)
+                           : std::make_unique<ChangesTimeout>()) {}
 
 TableFollower::~TableFollower() = default;
 
--- a/src/scheduling/tablefollower.h
+++ b/src/scheduling/tablefollower.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,9 +28,12 @@
   /// \param Part the part to read; changes of other parts are ignored.
   /// \param BatchDelay time between a response and the next request for
   /// changes, in which changes accumulate.
+  /// \param Wait time for which the store is asked to wait for changes; a
+  /// default if absent.
   TableFollower(IStore &Store, const IClock &Clock, ILogger &Logger,
                 std::string Table, std::string Part,
-                std::chrono::milliseconds BatchDelay, RowSink Sink);
+                std::chrono::milliseconds BatchDelay, RowSink Sink,
+                std::optional<std::chrono::milliseconds> Wait = std::nullopt);
 
   ~TableFollower();
 
