--- a/tests/system/tcprelay.cpp
+++ b/tests/system/tcprelay.cpp
@@ -35,6 +35,8 @@
     });
   }
 
+  void silence() { IsSilent_ = true; }
+
   void close() {
     std::error_code Ignored;
     Near_.close(Ignored);
@@ -50,10 +52,11 @@
         asio::buffer(Bytes), [Self, &From, &To, &Bytes](std::error_code Failure,
                                                         std::size_t Length) {
           if (Failure) {
-            Self->close();
+            if (!Self->IsSilent_)
+              Self->close();
             return;
           }
-          if (Self->Mode_ == Mode::Swallow) {
+          if (Self->IsSilent_ || Self->Mode_ == Mode::Swallow) {
             Self->pump(From, To, Bytes);
             return;
           }
@@ -71,6 +74,7 @@
   Socket Near_;
   Socket Far_;
   const std::atomic<Mode> &Mode_;
+  bool IsSilent_ = false;
   Buffer Upward_{};
   Buffer Downward_{};
 };
@@ -103,6 +107,13 @@
     });
   }
 
+  void silenceOpenConnections() {
+    asio::post(Context_, [this] {
+      for (const auto &Each : Connections_)
+        Each->silence();
+    });
+  }
+
 private:
   void accept() {
     Acceptor_.async_accept([this](std::error_code Failure, Socket Near) {
@@ -141,4 +152,8 @@
 
 void TcpRelay::setMode(Mode Value) { Implementation_->setMode(Value); }
 
+void TcpRelay::silenceOpenConnections() {
+  Implementation_->silenceOpenConnections();
+}
+
 } // namespace dragonflylock
--- a/tests/system/tcprelay.h
+++ b/tests/system/tcprelay.h
@@ -26,6 +26,9 @@
   SocketAddress address() const;
   /// Takes effect on open connections too.
   void setMode(Mode Value);
+  /// Passes nothing more on, not even a close, on the connections that are open
+  /// now. Later ones are not affected.
+  void silenceOpenConnections();
 
 private:
   class Implementation;
