Ask for changed workers in half the time in which a drain must take effect

By reading, beside the poll of the operators' table: a lost poll of the registry cost 2.65 s and a batch of 0.2 s, of the 3 s after which a node whose connections fell silent counts as in contact again, so that a task could be started on a draining worker too late on a busy node.

FleetTableFollowerTest.LostResponseLeavesTimeToLearnOfADrain failed before (1500 ms asked for, at most 1000 allowed).

--- a/src/app/schedulerdaemon.cpp
+++ b/src/app/schedulerdaemon.cpp
@@ -82,8 +82,7 @@
                   .advisor(Advisor_)
                   .logger(Logger_)
                   .build()),
-        Feeds_(Store_, Clock_, Logger_, *Node_,
-               Settings_.Scheduling_.ConfigurationDelay_),
+        Feeds_(Store_, Clock_, Logger_, *Node_, Settings_.Scheduling_),
         Callers_(
             *Node_,
             [this](EventLoop::Work Next) {
--- a/src/scheduling/schedulingsettings.h
+++ b/src/scheduling/schedulingsettings.h
@@ -44,6 +44,8 @@
   double OffRackSlowdown_ = 2.0;
   /// Time within which a stored configuration must be in force.
   std::chrono::milliseconds ConfigurationDelay_{2000};
+  /// Time after which no task may be started on a draining worker.
+  std::chrono::milliseconds DrainDelay_{2000};
   /// Time from SIGTERM to SIGKILL.
   std::chrono::milliseconds StopGrace_{6000};
 };
