Count the end of a soak's faults as a fault of each node

A node that was frozen is bound again 3 s after its wake, and the soak did not note the wakes at its own end. The check itself is as strict as before.

--- a/tests/system/configurationsoak_test.cpp
+++ b/tests/system/configurationsoak_test.cpp
@@ -176,6 +176,7 @@
 
   void endFaults() {
     for (Node &Each : Nodes_) {
+      Each.FaultUntil_ = Clock::now();
       Each.StoreLink_->setMode(TcpRelay::Mode::Pass);
       Each.Process_->signal(SIGCONT);
     }
