--- a/src/http/internal/serverconnections.cpp
+++ b/src/http/internal/serverconnections.cpp
@@ -3,8 +3,9 @@
 namespace dragonflylock {
 namespace {
 
-/// No request takes longer.
-constexpr std::chrono::seconds LongestRequest{60};
+/// Time for which requests from before a suspicion may still fail by the same
+/// cause. One that fails later ends sound connections, which are made anew.
+constexpr std::chrono::seconds SuspicionMemory{60};
 
 } // namespace
 
@@ -27,7 +28,7 @@
                                                  TimePoint SentAt,
                                                  TimePoint Now) {
   std::erase_if(SuspectedAt_, [&](const auto &Each) {
-    return Each.second + LongestRequest < Now;
+    return Each.second + SuspicionMemory < Now;
   });
   auto Previous = SuspectedAt_.find(Server);
   if (Previous != SuspectedAt_.end() && SentAt < Previous->second)
--- a/src/scheduling/schedulernode.h
+++ b/src/scheduling/schedulernode.h
@@ -87,8 +87,7 @@
   /// \returns the configuration in force, or null before the first one.
   const SchedulingConfiguration *configuration() const;
   /// \returns the time for which a newer configuration may have been stored
-  /// without this node knowing. Before the first read it is longer than any
-  /// limit.
+  /// without this node knowing. Meaningless while there is no configuration.
   std::chrono::milliseconds configurationAge() const;
   /// \returns whether the configuration in force can't miss a change that has
   /// to be in force by now. An older one must not be the reason to refuse a
