Share the node builder, answers, ids and seeds among tests

The new tests wrote the builder of a node for the fifth time, and the stand-ins and soaks their JSON answers, job ids and range of seeds twice. Behaviour and checks are unchanged; the jobs of ConfigurationSoak keep their ids.

--- a/src/scheduling/tests/mocks/poolownertest.h
+++ b/src/scheduling/tests/mocks/poolownertest.h
@@ -4,6 +4,7 @@
 #include "scheduling/controlrows.h"
 #include "scheduling/schedulernode.h"
 #include "scheduling/tests/mocks/ownertest.h"
+#include "scheduling/tests/mocks/testnode.h"
 
 #include <cstddef>
 #include <memory>
@@ -76,16 +77,11 @@
            const std::vector<WorkerEntry> &Workers) {
     SchedulingSettings Settings;
     Settings.Node_ = Name;
-    auto Node = SchedulerNode::Builder()
-                    .settings(Settings)
-                    .process(Process)
-                    .clock(Clock_)
-                    .store(Store_)
-                    .workers(Workers_)
-                    .machines(Machines_)
-                    .advisor(Advisor_)
-                    .logger(Logger_)
-                    .build();
+    auto Node =
+        nodeBuilder(Clock_, Store_, Workers_, Machines_, Advisor_, Logger_)
+            .settings(Settings)
+            .process(Process)
+            .build();
     SchedulingConfiguration Configuration;
     Configuration.Version_ = 1;
     Configuration.Queues_ = {Queue_};
--- a/src/scheduling/tests/schedulernode_test.cpp
+++ b/src/scheduling/tests/schedulernode_test.cpp
@@ -4,6 +4,7 @@
 #include "scheduling/poolview.h"
 #include "scheduling/schedulernode.h"
 #include "scheduling/tests/mocks/fakefleet.h"
+#include "scheduling/tests/mocks/testnode.h"
 
 #include <gtest/gtest.h>
 
@@ -20,15 +21,9 @@
   void start() {
     SchedulingSettings Settings;
     Settings.Node_ = "node-1";
-    Node_ = SchedulerNode::Builder()
+    Node_ = nodeBuilder(Clock_, Store_, Workers_, Machines_, Advisor_, Logger_)
                 .settings(Settings)
                 .process("process-1")
-                .clock(Clock_)
-                .store(Store_)
-                .workers(Workers_)
-                .machines(Machines_)
-                .advisor(Advisor_)
-                .logger(Logger_)
                 .build();
     SchedulingConfiguration Configuration;
     Configuration.Version_ = 1;
--- a/tests/system/configurationsoak_test.cpp
+++ b/tests/system/configurationsoak_test.cpp
@@ -47,18 +47,10 @@
       const std::uint64_t Recent = std::min<std::uint64_t>(Next + 1, 12);
       const std::string Name = "q" + std::to_string(Next - Random() % Recent);
       const bool IsSubmission = Random() % 4 == 0;
-      checkCall(Client, Node, Name, IsSubmission ? nextJob() : "");
+      checkCall(Client, Node, Name, IsSubmission ? soakJobId(0, ++Jobs_) : "");
     }
   }
 
-  std::string nextJob() {
-    const std::uint64_t Number = ++Jobs_;
-    std::array<char, 17> Id{};
-    std::snprintf(Id.data(), Id.size(), "%016llx",
-                  static_cast<unsigned long long>(Number));
-    return Id.data();
-  }
-
   /// \param Job the job to submit; empty to ask for the pending count.
   void checkCall(CurlClient &Client, std::size_t Node, const std::string &Name,
                  const std::string &Job) {
@@ -155,9 +147,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, ConfigurationSoak,
-                         testing::Range(numberFrom("SOAK_FIRST", 1),
-                                        numberFrom("SOAK_FIRST", 1) +
-                                            numberFrom("SOAK_COUNT", 3)));
+                         testing::Range(soakSeeds().first, soakSeeds().second));
 
 } // namespace
 } // namespace dragonflylock
--- a/tests/system/jobsoak_test.cpp
+++ b/tests/system/jobsoak_test.cpp
@@ -37,10 +37,7 @@
     CurlClient Client;
     for (std::uint64_t Number = 0; !IsOver; ++Number) {
       std::this_thread::sleep_for(milliseconds(Random() % 200));
-      std::array<char, 17> Id{};
-      std::snprintf(Id.data(), Id.size(), "%08zx%08llx", Node,
-                    static_cast<unsigned long long>(Number));
-      const std::string Path = std::string("/q0/") + Id.data();
+      const std::string Path = "/q0/" + soakJobId(Node, Number);
       const std::uint64_t WorkMs = 50 + Random() % 1500;
       const nlohmann::json Step = {
           {"count", 2}, {"cpu", 500}, {"mem_mb", 10}, {"estimate_ms", WorkMs}};
@@ -138,9 +135,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, JobSoak,
-                         testing::Range(numberFrom("SOAK_FIRST", 1),
-                                        numberFrom("SOAK_FIRST", 1) +
-                                            numberFrom("SOAK_COUNT", 3)));
+                         testing::Range(soakSeeds().first, soakSeeds().second));
 
 } // namespace
 } // namespace dragonflylock
--- a/tests/system/soakfleet.cpp
+++ b/tests/system/soakfleet.cpp
@@ -21,6 +21,19 @@
   return Text == nullptr ? Default : std::strtoull(Text, nullptr, 10);
 }
 
+std::pair<std::uint64_t, std::uint64_t> soakSeeds() {
+  const std::uint64_t First = numberFrom("SOAK_FIRST", 1);
+  return {First, First + numberFrom("SOAK_COUNT", 3)};
+}
+
+std::string soakJobId(std::uint64_t Caller, std::uint64_t Number) {
+  std::array<char, 17> Id{};
+  std::snprintf(Id.data(), Id.size(), "%08llx%08llx",
+                static_cast<unsigned long long>(Caller),
+                static_cast<unsigned long long>(Number));
+  return Id.data();
+}
+
 SoakFleet::SoakFleet(std::uint64_t Seed) : Random_(Seed) {
   auto Ports = freeAddresses(2 * NodeCount);
   Directory_ = ::testing::TempDir() + "/soak-" + std::to_string(Seed) + "-" +
--- a/tests/system/soakfleet.h
+++ b/tests/system/soakfleet.h
@@ -18,6 +18,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 
 namespace dragonflylock {
 
@@ -103,6 +104,13 @@
   std::array<Node, NodeCount> Nodes_;
 };
 
+/// \returns the id of a job.
+/// \param Caller tells jobs of several callers apart.
+std::string soakJobId(std::uint64_t Caller, std::uint64_t Number);
+
+/// \returns the first seed to play and the one after the last.
+std::pair<std::uint64_t, std::uint64_t> soakSeeds();
+
 /// \returns the number in an environment variable, or \p Default.
 std::uint64_t numberFrom(const char *Variable, std::uint64_t Default);
 
--- a/tests/system/standinpool.cpp
+++ b/tests/system/standinpool.cpp
@@ -1,5 +1,6 @@
 #include "standinpool.h"
 
+#include "jsonanswer.h"
 #include "standinstore.h"
 
 #include "http/ihttpresponder.h"
@@ -18,10 +19,6 @@
 constexpr std::chrono::milliseconds TimerInterval{5};
 constexpr int MisdirectedRequest = 421;
 
-HttpAnswer json(int Status, const Json &Body) {
-  return {Status, {{"Content-Type", "application/json"}}, Body.dump()};
-}
-
 } // namespace
 
 StandInPool::Member::Member(StandInPool &Pool, const std::string &Id)
@@ -38,7 +35,7 @@
   const std::lock_guard Lock(Pool_.Mutex_);
   const std::string *Target = findHeader(Request.Headers_, "Target-Instance");
   if (Target != nullptr && *Target != Worker_.id()) {
-    Responder->answer(json(MisdirectedRequest, Json::object()));
+    Responder->answer(jsonAnswer(MisdirectedRequest, Json::object()));
     return;
   }
   const Json Body = Json::parse(Request.Body_);
@@ -52,7 +49,7 @@
     Pool_.Waits_.push_back(
         {&Worker_, Clock::now() + Longest, std::move(Responder)});
   else
-    Responder->answer(json(Status, Answer));
+    Responder->answer(jsonAnswer(Status, Answer));
 }
 
 StandInPool::StandInPool(StandInStore &Store, std::size_t Workers) {
@@ -92,7 +89,8 @@
   std::erase_if(Waits_, [](const Wait &Each) {
     const bool IsDue = Clock::now() >= Each.Until_ || Each.Worker_->hasEnds();
     if (IsDue)
-      Each.Responder_->answer(json(httpstatus::Ok, Each.Worker_->lists()));
+      Each.Responder_->answer(
+          jsonAnswer(httpstatus::Ok, Each.Worker_->lists()));
     return IsDue;
   });
 }
--- a/tests/system/standinstore.cpp
+++ b/tests/system/standinstore.cpp
@@ -1,5 +1,7 @@
 #include "standinstore.h"
 
+#include "jsonanswer.h"
+
 #include "global/base64.h"
 #include "http/httptypes.h"
 #include "http/ihttpresponder.h"
@@ -31,10 +33,6 @@
   return Result;
 }
 
-HttpAnswer json(int Status, const Json &Body) {
-  return {Status, {{"Content-Type", "application/json"}}, Body.dump()};
-}
-
 } // namespace
 
 StandInStore::StandInStore()
@@ -102,14 +100,14 @@
     Current.push_back(std::move(Row));
   }
   if (!Holds)
-    return json(httpstatus::PreconditionFailed,
-                {{"rows", Current}, {"ver", Version_}});
+    return jsonAnswer(httpstatus::PreconditionFailed,
+                      {{"rows", Current}, {"ver", Version_}});
   ++Version_;
   for (const Json &Each : Wanted.at("puts"))
     Rows_[NameOf(Each)] = {Each.at("value"), Version_, false};
   for (const Json &Each : Wanted.at("remove"))
     Rows_[NameOf(Each)] = {"", Version_, true};
-  return json(httpstatus::Ok, {{"ver", Version_}});
+  return jsonAnswer(httpstatus::Ok, {{"ver", Version_}});
 }
 
 HttpAnswer StandInStore::read(const HttpRequest &Request) const {
@@ -133,8 +131,8 @@
     Rows.push_back(
         {{"key", Key}, {"value", Each.EncodedValue_}, {"ver", Each.Version_}});
   }
-  return json(httpstatus::Ok,
-              {{"rows", Rows}, {"has_more", HasMore}, {"ver", Version_}});
+  return jsonAnswer(httpstatus::Ok,
+                    {{"rows", Rows}, {"has_more", HasMore}, {"ver", Version_}});
 }
 
 bool StandInStore::hasChanges(const std::string &Table,
@@ -162,7 +160,7 @@
   for (const auto &[Version, Changed] : InOrder)
     for (const Json &Row : Changed)
       Rows.push_back(Row);
-  return json(httpstatus::Ok, {{"rows", Rows}, {"ver", Version_}});
+  return jsonAnswer(httpstatus::Ok, {{"rows", Rows}, {"ver", Version_}});
 }
 
 void StandInStore::answerWaits() {
