Log which lifetime answers a hold, how long calls took, and returned workers

The logs could not tell whether an order reached a later lifetime of a worker, or whether a call outlasted its timeout. hold.answered-by-other-lifetime names both lifetimes, worker.returned the runs that are released and those in doubt, worker.unanswered the duration of the call, and run.ordered the lifetime and the token.

--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -266,7 +266,8 @@
                       LogEvent("run.ordered")
                           .with("task", Name.text())
                           .with("run", Run.Run_)
-                          .with("worker", Session.entry().Id_));
+                          .with("lifetime", Session.entry().lifetime())
+                          .with("token", Pool_.OrderToken_));
   StartOrder Order;
   Order.Task_ = Name;
   Order.Run_ = Run.Run_;
--- a/src/scheduling/internal/leaserenewer.cpp
+++ b/src/scheduling/internal/leaserenewer.cpp
@@ -116,13 +116,14 @@
   bool IsOtherLifetime =
       Answer.Born_.count() > 0 && Born.count() > 0 && Answer.Born_ != Born;
   if (IsOtherLifetime) {
-    onHoldFailed(*Session, OrderOutcome::OtherLifetime);
+    logOtherLifetime(*Session, Sent, Answer.Born_);
+    onHoldFailed(*Session, Sent, OrderOutcome::OtherLifetime);
     Session->HasEnded_ = Answer.Born_ > Born;
   } else if (Answer.Outcome_ == OrderOutcome::Accepted) {
     Session->setAcknowledged(std::max(Session->acknowledged(), Acknowledged));
     applyLists(*Session, Sent, Answer);
   } else {
-    onHoldFailed(*Session, Answer.Outcome_);
+    onHoldFailed(*Session, Sent, Answer.Outcome_);
     // Only one worker uses an address at a time, so the earlier lifetime has
     // ended.
     if (Answer.Outcome_ == OrderOutcome::OtherLifetime)
@@ -200,7 +201,23 @@
     Runs_.release(Session, Name);
 }
 
-void LeaseRenewer::onHoldFailed(WorkerSession &Session, OrderOutcome Outcome) {
+void LeaseRenewer::logOtherLifetime(const WorkerSession &Session,
+                                    TimePoint Sent,
+                                    std::chrono::milliseconds Born) {
+  Pool_.Logger_.write(
+      LogLevel::Warning,
+      LogEvent("hold.answered-by-other-lifetime")
+          .with("worker", Session.entry().Id_)
+          .with("born",
+                static_cast<std::uint64_t>(Session.entry().Born_.count()))
+          .with("answered-by", static_cast<std::uint64_t>(Born.count()))
+          .with("took", std::chrono::duration_cast<std::chrono::microseconds>(
+                            Pool_.Clock_.now() - Sent))
+          .with("runs", std::uint64_t{Session.runs().size()}));
+}
+
+void LeaseRenewer::onHoldFailed(WorkerSession &Session, TimePoint Sent,
+                                OrderOutcome Outcome) {
   const TimePoint Now = Pool_.Clock_.now();
   ++Session.HoldFailures_;
   Session.NextHoldAt_ = Now + FailureDelay * std::min(Session.HoldFailures_,
@@ -211,6 +228,8 @@
         LogEvent("worker.unanswered")
             .with("worker", Session.entry().Id_)
             .with("outcome", static_cast<std::uint64_t>(Outcome))
+            .with("took", std::chrono::duration_cast<std::chrono::microseconds>(
+                              Now - Sent))
             .with("runs", std::uint64_t{Session.runs().size()}));
   // A refusal because of a higher fencing token says nothing about this pool's
   // lease: the responder may be a later lifetime of the worker id, in another
--- a/src/scheduling/internal/leaserenewer.h
+++ b/src/scheduling/internal/leaserenewer.h
@@ -41,7 +41,11 @@
   void stopUnwanted(WorkerSession &Session, const HoldAnswer &Answer);
   void releaseUnlisted(WorkerSession &Session, TimePoint Sent,
                        const HoldAnswer &Answer);
-  void onHoldFailed(WorkerSession &Session, OrderOutcome Outcome);
+  /// \param Sent when the order was sent.
+  void onHoldFailed(WorkerSession &Session, TimePoint Sent,
+                    OrderOutcome Outcome);
+  void logOtherLifetime(const WorkerSession &Session, TimePoint Sent,
+                        std::chrono::milliseconds Born);
   void releaseExpired(WorkerSession &Session);
 
   PoolState &Pool_;
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -384,7 +384,18 @@
 void RunTracker::transferRuns(WorkerSession &Session,
                               WorkerSession &Successor) {
   recordCrash(Session);
+  const std::size_t Runs = Session.runs().size();
   releaseEndedLifetime(Session);
+  Pool_.Logger_.write(
+      LogLevel::Info,
+      LogEvent("worker.returned")
+          .with("worker", Session.entry().Id_)
+          .with("born",
+                static_cast<std::uint64_t>(Successor.entry().Born_.count()))
+          .with("former",
+                static_cast<std::uint64_t>(Session.entry().Born_.count()))
+          .with("released", std::uint64_t{Runs - Session.runs().size()})
+          .with("in-doubt", std::uint64_t{Session.runs().size()}));
   while (!Session.runs().empty()) {
     auto First = Session.runs().begin();
     TaskName Name = First->first;
