--- /dev/null
+++ b/src/scheduling/tests/mocks/leasedworker.h
@@ -0,0 +1,79 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_TESTS_MOCKS_LEASEDWORKER_H
+#define DRAGONFLYLOCK_SCHEDULING_TESTS_MOCKS_LEASEDWORKER_H
+
+#include "global/iclock.h"
+#include "scheduling/workercalls.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+
+namespace dragonflylock {
+
+/// One lifetime of a worker that carries out orders when they arrive: checks
+/// the fencing token, and runs tasks until its lease expires.
+class LeasedWorker {
+public:
+  /// \param ClockAtStart the worker's own clock, which may be slow, at the
+  ///   start of the lifetime.
+  LeasedWorker(const IClock &Clock, std::chrono::milliseconds Born,
+               WorkerClock ClockAtStart)
+      : Clock_(Clock), Born_(Born), ClockAtStart_(ClockAtStart),
+        StartedAt_(Clock.now()) {}
+
+  OrderAnswer carryOut(const StartOrder &Order) {
+    if (Order.Token_ < Token_)
+      return {OrderOutcome::Fenced, clock()};
+    Token_ = Order.Token_;
+    grantLease(Order.LeaseEnd_);
+    Running_[Order.Task_] = Order.Run_;
+    return {OrderOutcome::Accepted, clock()};
+  }
+
+  HoldAnswer carryOut(const HoldOrder &Order) {
+    HoldAnswer Answer;
+    Answer.Clock_ = clock();
+    Answer.Outcome_ = OrderOutcome::Fenced;
+    if (Order.Token_ < Token_)
+      return Answer;
+    Token_ = Order.Token_;
+    grantLease(Order.LeaseEnd_);
+    Answer.Outcome_ = OrderOutcome::Accepted;
+    Answer.Born_ = Born_;
+    if (isLeased())
+      for (const auto &[Task, Run] : Running_)
+        Answer.Running_.push_back({Task, Run, "", 100, 0});
+    return Answer;
+  }
+
+  bool isRunning(const TaskName &Task) const {
+    return isLeased() && Running_.contains(Task);
+  }
+
+private:
+  static constexpr WorkerClock MaxLease{6000};
+  /// The clock runs 2% slow.
+  static constexpr int ClockPercent = 98;
+
+  WorkerClock clock() const {
+    auto Passed =
+        std::chrono::duration_cast<WorkerClock>(Clock_.now() - StartedAt_);
+    return ClockAtStart_ + Passed * ClockPercent / 100;
+  }
+  void grantLease(WorkerClock End) {
+    LeaseEnd_ = std::max(LeaseEnd_, std::min(End, clock() + MaxLease));
+  }
+  bool isLeased() const { return clock() < LeaseEnd_; }
+
+  const IClock &Clock_;
+  std::chrono::milliseconds Born_;
+  WorkerClock ClockAtStart_;
+  TimePoint StartedAt_;
+  FencingToken Token_ = 0;
+  WorkerClock LeaseEnd_{0};
+  std::map<TaskName, RunNumber> Running_;
+};
+
+} // namespace dragonflylock
+
+#endif
