--- a/src/http/tests/mocks/countingserver.h
+++ b/src/http/tests/mocks/countingserver.h
@@ -69,8 +69,13 @@
     IsSilencing_ = true;
     IsSilencing_.wait(true);
   }
-  /// \returns the requests that are kept waiting.
+  /// \returns the requests that were read and kept waiting.
   std::uint64_t held() const { return Held_; }
+  /// Closes the connections on which requests wait, without an answer.
+  void closeHeld() {
+    IsClosingHeld_ = true;
+    IsClosingHeld_.wait(true);
+  }
 
 private:
   static constexpr int PollMilliseconds = 20;
@@ -81,6 +86,8 @@
       poll(Open_.data(), Open_.size(), PollMilliseconds);
       if (IsSilencing_)
         silenceOpen();
+      if (IsClosingHeld_)
+        closeWaiting();
       if ((Open_.front().revents & POLLIN) != 0) {
         Open_.push_back({accept(Listener_, nullptr, nullptr), POLLIN, 0});
         ++Connections_;
@@ -99,19 +106,34 @@
     IsSilencing_.notify_all();
   }
 
+  void closeWaiting() {
+    for (std::size_t Index = 1; Index < Open_.size(); ++Index)
+      if (Waiting_.contains(Open_[Index].fd))
+        end(Open_[Index]);
+    std::erase_if(Open_, [](const pollfd &Each) { return Each.fd < 0; });
+    IsClosingHeld_ = false;
+    IsClosingHeld_.notify_all();
+  }
+
+  void end(pollfd &Each) {
+    Silent_.erase(Each.fd);
+    Waiting_.erase(Each.fd);
+    close(Each.fd);
+    Each.fd = -1;
+  }
+
   void serve(pollfd &Each) {
     std::array<char, 4096> Read{};
     ssize_t Length = recv(Each.fd, Read.data(), Read.size(), 0);
     if (Length <= 0) {
-      Silent_.erase(Each.fd);
-      close(Each.fd);
-      Each.fd = -1;
+      end(Each);
       return;
     }
     if (Silent_.contains(Each.fd))
       return;
     auto Body = Respond_({Read.data(), static_cast<std::size_t>(Length)});
     if (!Body) {
+      Waiting_.insert(Each.fd);
       ++Held_;
       return;
     }
@@ -127,7 +149,10 @@
   std::vector<pollfd> Open_;
   /// Descriptors of the open connections that are not answered.
   std::set<int> Silent_;
+  /// Descriptors of the connections on which a request waits.
+  std::set<int> Waiting_;
   std::atomic<bool> IsSilencing_ = false;
+  std::atomic<bool> IsClosingHeld_ = false;
   std::atomic<std::uint64_t> Connections_ = 0;
   std::atomic<std::uint64_t> Held_ = 0;
   std::atomic<bool> IsStopping_ = false;
