Send no order twice from the HTTP clients

Cause: libcurl repeats a request by itself when a kept connection closes without an answer, on a new connection, whatever the method, and starts the timeout anew with the copy. So far we only recognised that afterwards.

Evidence: RepeatedRequestsTest counts what a server reads after it has closed the connection. Now: no copy and no new connection for it, and the call ends in time.

The callbacks of libcurl before it connects and before it sends refuse the second copy of what is not a read, so that such a request is offered once and its loss is known at once; the caller decides what to do. An order that finds its kept connection closed while idle still goes out on a new one, which a test shows. Header and body leave together as before. Reads are still repeated, and the poller has libcurl look at them when the time of the first copy is up.

The tests of a refused repeat demand now that the server reads the request once and that its loss is reported, instead of a second copy; no answer to a second copy has to be judged any more.

--- a/src/http/httperrors.h
+++ b/src/http/httperrors.h
@@ -9,8 +9,7 @@
 enum class HttpErrc {
   /// No byte of the request left this process.
   NotSent = 1,
-  /// The request was sent, wholly or in part, and no whole answer came, or the
-  /// answer refuses only a repeated copy of the request.
+  /// The request was sent, wholly or in part, and no whole answer came.
   AnswerLost,
   /// A server could not listen on its address.
   CannotListen,
--- a/src/http/iasynchttpclient.h
+++ b/src/http/iasynchttpclient.h
@@ -15,8 +15,7 @@
   Answered,
   /// No byte of the request left this process.
   NotSent,
-  /// The request may have arrived; no whole answer came, or the answer refuses
-  /// only a repeated copy of the request.
+  /// The request may have arrived, or may still do so; no whole answer came.
   AnswerLost,
 };
 
@@ -32,8 +31,9 @@
   using Done = std::function<void(ExchangeEnd)>;
 
   virtual ~IAsyncHttpClient() = default;
-  /// Sends \p Request to \p Address. Connections are reused, so that a request
-  /// may arrive twice; it must be harmless to repeat.
+  /// Sends \p Request to \p Address. Connections are reused. A request that is
+  /// not a read is sent at most once: where its connection closes without an
+  /// answer, only the caller can tell whether it may be repeated.
   /// \param Longest the time after which the exchange is given up.
   /// \param Ended is called once, on the thread that the client was built for.
   virtual void send(const SocketAddress &Address, HttpRequest Request,
--- a/src/http/ihttpclient.h
+++ b/src/http/ihttpclient.h
@@ -16,7 +16,8 @@
 public:
   virtual ~IHttpClient() = default;
   /// Sends \p Request to \p BaseUrl, for example "http://127.0.0.1:80", and
-  /// waits for the whole answer.
+  /// waits for the whole answer. A request that is not a read is sent at most
+  /// once.
   /// \param Longest the time after which the exchange is given up.
   /// \returns the answer, HttpErrc::NotSent or HttpErrc::AnswerLost.
   virtual Result<HttpAnswer> exchange(const std::string &BaseUrl,
--- a/src/http/internal/curlasyncclient.cpp
+++ b/src/http/internal/curlasyncclient.cpp
@@ -57,8 +57,7 @@
   ExchangeEnd End;
   End.Outcome_ = Transfer.wasOffered() ? ExchangeOutcome::AnswerLost
                                        : ExchangeOutcome::NotSent;
-  if (Transfer.completeness() == CurlTransfer::Completeness::Whole &&
-      Transfer.isAnswerConclusive())
+  if (Transfer.completeness() == CurlTransfer::Completeness::Whole)
     End.Outcome_ = ExchangeOutcome::Answered;
   End.Answer_ = std::move(Transfer.answer());
   report(std::move(Ended.Wanted_.Ended_), std::move(End));
--- a/src/http/internal/curlclient.cpp
+++ b/src/http/internal/curlclient.cpp
@@ -20,8 +20,7 @@
   Transfer_->prepare(BaseUrl, Request, Longest, LargestAnswer,
                      CurlTransfer::ConnectionPolicy::Reuse);
   Transfer_->finish(curl_easy_perform(Transfer_->handle()));
-  if (Transfer_->completeness() == CurlTransfer::Completeness::Whole &&
-      Transfer_->isAnswerConclusive())
+  if (Transfer_->completeness() == CurlTransfer::Completeness::Whole)
     return std::move(Transfer_->answer());
   std::string Detail = Request.Method_ + " " + BaseUrl + Request.Target_ +
                        ": " + Transfer_->description();
--- a/src/http/internal/curlpoller.cpp
+++ b/src/http/internal/curlpoller.cpp
@@ -17,6 +17,8 @@
 
 /// Sockets handled between two looks for new transfers.
 constexpr std::size_t EventsPerRound = 64;
+/// libcurl counts time in whole milliseconds.
+constexpr std::chrono::milliseconds ClockTolerance{2};
 
 int checked(int Descriptor, const char *Call) {
   if (Descriptor < 0)
@@ -96,8 +98,11 @@
     epoll_ctl(Poller->Epoll_, EPOLL_CTL_DEL, Socket, nullptr);
     Poller->Connections_.onIdle(Socket);
   } else {
+    const CurlTransfer &Transfer = CurlTransfer::of(Handle);
     Poller->watch(Socket, What);
-    Poller->Connections_.onBusy(Socket, CurlTransfer::of(Handle).server());
+    Poller->Connections_.onBusy(Socket, Transfer.server());
+    if (Transfer.isRepeated())
+      Poller->Deadlines_.emplace(Transfer.deadline(), Socket);
   }
   return 0;
 }
@@ -125,6 +130,10 @@
   if (TimerAt_)
     Wait = std::min(Wait, std::chrono::ceil<std::chrono::milliseconds>(
                               *TimerAt_ - Clock::now()));
+  if (!Deadlines_.empty())
+    Wait = std::min(
+        Wait, std::chrono::ceil<std::chrono::milliseconds>(
+                  Deadlines_.begin()->first + ClockTolerance - Clock::now()));
   return static_cast<int>(std::max<std::int64_t>(0, Wait.count()));
 }
 
@@ -133,6 +142,16 @@
   curl_multi_socket_action(Multi_.get(), Socket, Flags, &Running);
 }
 
+void CurlPoller::endOverdue() {
+  // libcurl starts its timer anew for each copy of a request, but compares its
+  // clock with the first whenever it has a look at the transfer.
+  while (!Deadlines_.empty() &&
+         Deadlines_.begin()->first + ClockTolerance <= Clock::now()) {
+    act(Deadlines_.begin()->second, 0);
+    Deadlines_.erase(Deadlines_.begin());
+  }
+}
+
 void CurlPoller::drive(std::chrono::milliseconds Longest) {
   std::array<epoll_event, EventsPerRound> Ready{};
   int Count =
@@ -146,6 +165,7 @@
     eventfd_t Wakes = 0;
     eventfd_read(Wakeup_, &Wakes);
   }
+  endOverdue();
   if (!TimerAt_ || Clock::now() < *TimerAt_)
     return;
   TimerAt_.reset();
--- a/src/http/internal/curlpoller.h
+++ b/src/http/internal/curlpoller.h
@@ -9,6 +9,8 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <set>
+#include <utility>
 
 namespace dragonflylock {
 
@@ -52,12 +54,17 @@
   void watch(curl_socket_t Socket, int What) const;
   int waitTime(std::chrono::milliseconds Longest) const;
   void act(curl_socket_t Socket, int Flags);
+  /// Lets transfers end whose time is up.
+  void endOverdue();
 
   int Epoll_;
   int Wakeup_;
   ServerConnections Connections_;
   std::unique_ptr<CURLM, MultiDeleter> Multi_;
   std::optional<Clock::time_point> TimerAt_;
+  /// Ends of the time of transfers that libcurl has repeated, with their
+  /// sockets.
+  std::set<std::pair<Clock::time_point, curl_socket_t>> Deadlines_;
 };
 
 } // namespace dragonflylock
--- a/src/http/internal/curltransfer.cpp
+++ b/src/http/internal/curltransfer.cpp
@@ -6,8 +6,6 @@
 namespace dragonflylock {
 namespace {
 
-constexpr int FirstRedirection = 300;
-
 void initializeOnce() {
   static std::once_flag Once;
   std::call_once(Once, [] { curl_global_init(CURL_GLOBAL_DEFAULT); });
@@ -66,8 +64,21 @@
   return Size * Count;
 }
 
+bool CurlTransfer::mayContinue() {
+  IsRepeated_ = WasSent_;
+  return !IsRepeated_ || IsRead_;
+}
+
+int CurlTransfer::onConnect(void *Self, curl_socket_t, curlsocktype) {
+  return static_cast<CurlTransfer *>(Self)->mayContinue() ? CURL_SOCKOPT_OK
+                                                          : CURL_SOCKOPT_ERROR;
+}
+
 int CurlTransfer::onSend(void *Self, char *, char *, int, int) {
-  ++static_cast<CurlTransfer *>(Self)->SentCopies_;
+  auto *Transfer = static_cast<CurlTransfer *>(Self);
+  if (!Transfer->mayContinue())
+    return CURL_PREREQFUNC_ABORT;
+  Transfer->WasSent_ = true;
   return CURL_PREREQFUNC_OK;
 }
 
@@ -114,11 +125,13 @@
   curl_easy_reset(Handle);
   Server_ = BaseUrl;
   PreparedAt_ = std::chrono::steady_clock::now();
+  Longest_ = Longest;
   Answer_ = {};
   IsTooLarge_ = false;
   IsHeadWhole_ = false;
   WasOffered_ = false;
-  SentCopies_ = 0;
+  WasSent_ = false;
+  IsRepeated_ = false;
   LargestAnswer_ = LargestAnswer;
   Completeness_ = Completeness::Missing;
   std::string Url = BaseUrl + Request.Target_;
@@ -133,6 +146,8 @@
   curl_easy_setopt(Handle, CURLOPT_WRITEDATA, this);
   curl_easy_setopt(Handle, CURLOPT_HEADERFUNCTION, &CurlTransfer::onHeader);
   curl_easy_setopt(Handle, CURLOPT_HEADERDATA, this);
+  curl_easy_setopt(Handle, CURLOPT_SOCKOPTFUNCTION, &CurlTransfer::onConnect);
+  curl_easy_setopt(Handle, CURLOPT_SOCKOPTDATA, this);
   curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION, &CurlTransfer::onSend);
   curl_easy_setopt(Handle, CURLOPT_PREREQDATA, this);
   curl_easy_setopt(Handle, CURLOPT_PRIVATE, this);
@@ -162,15 +177,9 @@
   return isFramed() ? Completeness::Whole : Completeness::Unframed;
 }
 
-bool CurlTransfer::isAnswerConclusive() const {
-  bool IsSuccess =
-      Answer_.Status_ >= httpstatus::Ok && Answer_.Status_ < FirstRedirection;
-  return SentCopies_ <= 1 || IsRead_ || IsSuccess;
-}
-
 const char *CurlTransfer::description() const {
-  if (Code_ == CURLE_OK && !isAnswerConclusive())
-    return "a copy of the request got no answer, the repeat was refused";
+  if (IsRepeated_ && !IsRead_)
+    return "the connection closed before an answer came";
   return curl_easy_strerror(Code_);
 }
 
@@ -184,10 +193,11 @@
   curl_easy_getinfo(Handle, CURLINFO_PRETRANSFER_TIME_T, &ReadyToSend);
   long RequestSize = 0;
   curl_easy_getinfo(Handle, CURLINFO_REQUEST_SIZE, &RequestSize);
-  WasOffered_ = Code == CURLE_OK || ReadyToSend > 0 || RequestSize > 0;
+  WasOffered_ =
+      Code == CURLE_OK || WasSent_ || ReadyToSend > 0 || RequestSize > 0;
   long NewConnections = 0;
   curl_easy_getinfo(Handle, CURLINFO_NUM_CONNECTS, &NewConnections);
-  UsedKeptConnection_ = SentCopies_ > 0 && NewConnections == 0;
+  UsedKeptConnection_ = WasSent_ && NewConnections == 0;
   Completeness_ = judge();
 }
 
--- a/src/http/internal/curltransfer.h
+++ b/src/http/internal/curltransfer.h
@@ -21,8 +21,8 @@
   using TimePoint = std::chrono::steady_clock::time_point;
 
   /// Whether a connection may carry more than one request. A request on a
-  /// reused connection may be sent twice by libcurl, so that one that is not
-  /// idempotent needs a fresh one.
+  /// reused connection is lost more often, since the connection may close while
+  /// the request is on its way.
   enum class ConnectionPolicy { Reuse, FreshOnly };
 
   /// What came of the answer.
@@ -41,7 +41,8 @@
   /// \returns the transfer of a handle that has been prepared.
   static CurlTransfer &of(CURL *Handle);
 
-  /// Sets the handle up for \p Request, which must live until the end.
+  /// Sets the handle up for \p Request, which must live until the end. A
+  /// request that is not a read is sent at most once.
   void prepare(const std::string &BaseUrl, const HttpRequest &Request,
                std::chrono::milliseconds Longest, std::size_t LargestAnswer,
                ConnectionPolicy Policy);
@@ -49,11 +50,6 @@
   /// Reads the result of the transfer after libcurl has ended it.
   void finish(CURLcode Code);
 
-  /// \returns whether the answer tells what became of the request. libcurl
-  /// repeats a request by itself when a reused connection closes without an
-  /// answer; a refusal of the repeat says nothing of the first copy, which may
-  /// have taken effect or may still do so.
-  bool isAnswerConclusive() const;
   /// \returns whether any byte of the request may have left this process.
   bool wasOffered() const { return WasOffered_; }
   /// \returns whether the transfer ended because its time was up.
@@ -74,6 +70,11 @@
   const std::string &server() const { return Server_; }
   /// \returns when the request was prepared.
   TimePoint preparedAt() const { return PreparedAt_; }
+  /// \returns when the transfer is given up, all copies of the request
+  /// included.
+  TimePoint deadline() const { return PreparedAt_ + Longest_; }
+  /// \returns whether libcurl has begun to repeat the request.
+  bool isRepeated() const { return IsRepeated_; }
   /// \returns the handle.
   CURL *handle() { return Handle_.get(); }
 
@@ -89,9 +90,15 @@
                             void *Self);
   static std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
                               void *Self);
+  /// Called by libcurl each time that it is about to connect.
+  static int onConnect(void *Self, curl_socket_t Socket, curlsocktype Purpose);
   /// Called by libcurl each time that it is about to send the request.
   static int onSend(void *Self, char *ServerAddress, char *LocalAddress,
                     int ServerPort, int LocalPort);
+  /// Notes whether the request is repeated, as libcurl does by itself when a
+  /// reused connection closes without an answer.
+  /// \returns whether that is allowed.
+  bool mayContinue();
   void setMethod(const HttpRequest &Request);
   void setHeaders(const HttpRequest &Request);
   Completeness judge() const;
@@ -101,10 +108,12 @@
   std::unique_ptr<curl_slist, ListDeleter> HeaderList_;
   std::string Server_;
   TimePoint PreparedAt_;
+  std::chrono::milliseconds Longest_{0};
   HttpAnswer Answer_;
   std::size_t LargestAnswer_ = 0;
-  /// Number of times that libcurl has sent the request.
-  int SentCopies_ = 0;
+  /// Whether libcurl has begun to send the request.
+  bool WasSent_ = false;
+  bool IsRepeated_ = false;
   /// Whether the request only reads.
   bool IsRead_ = false;
   bool IsHead_ = false;
--- a/src/http/tests/curlasyncclient_test.cpp
+++ b/src/http/tests/curlasyncclient_test.cpp
@@ -94,8 +94,7 @@
 TEST_F(CurlAsyncClientTest, RefusedRepeatDoesNotHideThatTheRequestMayHaveRun) {
   exchange(Server_.port(), "/echo");
   ExchangeEnd End = exchange(Server_.port(), "/lost");
-  ASSERT_EQ(Handler_.RequestsToLost_, 2)
-      << "libcurl did not repeat the request";
+  EXPECT_EQ(Handler_.RequestsToLost_, 1);
   EXPECT_EQ(End.Outcome_, ExchangeOutcome::AnswerLost);
 }
 
@@ -105,8 +104,7 @@
   CurlClient Blocking;
   ASSERT_TRUE(Blocking.exchange(Url, {"POST", "/echo", {}, "body"}, Timeout));
   auto Answer = Blocking.exchange(Url, {"POST", "/lost", {}, "body"}, Timeout);
-  ASSERT_EQ(Handler_.RequestsToLost_, 2)
-      << "libcurl did not repeat the request";
+  EXPECT_EQ(Handler_.RequestsToLost_, 1);
   ASSERT_FALSE(Answer);
   EXPECT_EQ(Answer.error().kind(), HttpErrc::AnswerLost);
 }
--- a/src/http/tests/mocks/countingserver.h
+++ b/src/http/tests/mocks/countingserver.h
@@ -71,10 +71,11 @@
   }
   /// \returns the requests that were read and kept waiting.
   std::uint64_t held() const { return Held_; }
-  /// Closes the connections on which requests wait, without an answer.
-  void closeHeld() {
-    IsClosingHeld_ = true;
-    IsClosingHeld_.wait(true);
+  /// Closes all connections that are open now; requests that wait get no
+  /// answer.
+  void closeConnections() {
+    IsClosing_ = true;
+    IsClosing_.wait(true);
   }
 
 private:
@@ -86,8 +87,8 @@
       poll(Open_.data(), Open_.size(), PollMilliseconds);
       if (IsSilencing_)
         silenceOpen();
-      if (IsClosingHeld_)
-        closeWaiting();
+      if (IsClosing_)
+        closeOpen();
       if ((Open_.front().revents & POLLIN) != 0) {
         Open_.push_back({accept(Listener_, nullptr, nullptr), POLLIN, 0});
         ++Connections_;
@@ -106,18 +107,16 @@
     IsSilencing_.notify_all();
   }
 
-  void closeWaiting() {
+  void closeOpen() {
     for (std::size_t Index = 1; Index < Open_.size(); ++Index)
-      if (Waiting_.contains(Open_[Index].fd))
-        end(Open_[Index]);
-    std::erase_if(Open_, [](const pollfd &Each) { return Each.fd < 0; });
-    IsClosingHeld_ = false;
-    IsClosingHeld_.notify_all();
+      end(Open_[Index]);
+    Open_.resize(1);
+    IsClosing_ = false;
+    IsClosing_.notify_all();
   }
 
   void end(pollfd &Each) {
     Silent_.erase(Each.fd);
-    Waiting_.erase(Each.fd);
     close(Each.fd);
     Each.fd = -1;
   }
@@ -133,7 +132,6 @@
       return;
     auto Body = Respond_({Read.data(), static_cast<std::size_t>(Length)});
     if (!Body) {
-      Waiting_.insert(Each.fd);
       ++Held_;
       return;
     }
@@ -149,10 +147,8 @@
   std::vector<pollfd> Open_;
   /// Descriptors of the open connections that are not answered.
   std::set<int> Silent_;
-  /// Descriptors of the connections on which a request waits.
-  std::set<int> Waiting_;
   std::atomic<bool> IsSilencing_ = false;
-  std::atomic<bool> IsClosingHeld_ = false;
+  std::atomic<bool> IsClosing_ = false;
   std::atomic<std::uint64_t> Connections_ = 0;
   std::atomic<std::uint64_t> Held_ = 0;
   std::atomic<bool> IsStopping_ = false;
--- a/src/http/tests/repeatedrequests_test.cpp
+++ b/src/http/tests/repeatedrequests_test.cpp
@@ -60,7 +60,7 @@
   /// \returns how many more requests the server reads after that.
   std::uint64_t closeAndCount() {
     const std::uint64_t Before = Server_.held();
-    Server_.closeHeld();
+    Server_.closeConnections();
     std::this_thread::sleep_for(ArrivalTime);
     return Server_.held() - Before;
   }
@@ -84,8 +84,9 @@
     awaitHeld(Before + 1);
     ASSERT_EQ(Server_.connections(), Connections) << "no connection was kept";
     EXPECT_EQ(closeAndCount(), 0U) << Order.Method_ << " " << Order.Body_;
+    EXPECT_EQ(Server_.connections(), Connections) << "connected for nothing";
     // Ends the second copy, if there is one.
-    Server_.closeHeld();
+    Server_.closeConnections();
     EXPECT_EQ(Outcome.get(), ExchangeOutcome::AnswerLost) << Order.Method_;
   }
 }
@@ -101,20 +102,31 @@
     });
     awaitHeld(Before + 1);
     EXPECT_EQ(closeAndCount(), 0U) << Order.Method_ << " " << Order.Body_;
-    Server_.closeHeld();
+    Server_.closeConnections();
     auto Answer = Outcome.get();
     ASSERT_FALSE(Answer);
     EXPECT_EQ(Answer.error().kind(), HttpErrc::AnswerLost);
   }
 }
 
+TEST_F(RepeatedRequestsTest, OrderIsNotLostToAConnectionThatClosedWhileIdle) {
+  const std::uint64_t Connections = Server_.connections();
+  for (int Call = 0; Call < 3; ++Call) {
+    EXPECT_EQ(send({"POST", "/", {}, "body"}, LongTimeout).get(),
+              ExchangeOutcome::Answered);
+    Server_.closeConnections();
+    std::this_thread::sleep_for(milliseconds(50));
+  }
+  EXPECT_EQ(Server_.connections(), Connections + 3);
+}
+
 TEST_F(RepeatedRequestsTest, ReadIsRepeatedOnANewConnection) {
   ASSERT_EQ(send({"GET", "/", {}, ""}, LongTimeout).get(),
             ExchangeOutcome::Answered);
   auto Outcome = send({"GET", "/held", {}, ""}, LongTimeout);
   awaitHeld(1);
   EXPECT_EQ(closeAndCount(), 1U);
-  Server_.closeHeld();
+  Server_.closeConnections();
   EXPECT_EQ(Outcome.get(), ExchangeOutcome::AnswerLost);
 }
 
@@ -128,7 +140,7 @@
     const auto Start = Clock::now();
     auto Outcome = send({Method, "/held", {}, ""}, Timeout);
     std::this_thread::sleep_for(CloseAfter);
-    Server_.closeHeld();
+    Server_.closeConnections();
     EXPECT_EQ(Outcome.get(), ExchangeOutcome::AnswerLost);
     EXPECT_LE(Clock::now() - Start, Timeout + Tolerance) << Method;
   }
