Take no run of a later lifetime for one of the former

The owner took the confirmation for the former lifetime's: it counted the 2.5 s that the start had asked for, although a clock that began anew makes the worker grant the longest lease, or dropped the run with the former lifetime or by a list of machines that was read before the return. A new owner forgot the former lifetime as soon as the later one had answered, without reading what runs there.

A run now counts as one of a lifetime only once that lifetime has listed it. Any other may be on a later lifetime of the id: it is not released as dead, and its lease is counted from the end of the last order that may have granted one. A later lifetime that is known takes such runs over, its predecessor gets no more orders, and the next owner waits until it has been asked.

The time after which a task that a silent worker has listed is given up has not changed.

--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -260,6 +260,7 @@
       WorkerSession::CrashedRunsBeforeTrial)
     Session.setRunOnTrial(Name);
   Session.recordLease(Entry.OrderExpires_);
+  Session.recordLeaseOfUnlistedRuns(Pool_.latestLeaseExpiry(Now));
   Chooser_.onStarted(Session, Step);
 
   Pool_.Logger_.write(LogLevel::Debug,
@@ -306,6 +307,7 @@
   WorkerSession *Session = Pool_.session(Lifetime);
   if (Session == nullptr)
     return;
+  Pool_.onOrderEnded(*Session);
   const TimePoint Now = Pool_.Clock_.now();
   bool IsOtherLifetime = Answer.Outcome_ == OrderOutcome::OtherLifetime;
   if (Answer.Clock_.count() > 0 && !IsOtherLifetime)
@@ -368,7 +370,7 @@
   if (Outcome == OrderOutcome::OtherLifetime) {
     Session.IsListed_ = false;
     Runs_.recordCrash(Session);
-    Runs_.releaseEndedLifetime(Session);
+    Runs_.releaseListed(Session);
   }
   Pool_.Logger_.write(
       LogLevel::Warning,
--- a/src/scheduling/internal/inheritedruns.cpp
+++ b/src/scheduling/internal/inheritedruns.cpp
@@ -55,8 +55,13 @@
 }
 
 bool InheritedRuns::isContacted(const WorkerSession &Session) const {
-  return !Pool_.mayHaveInheritedRuns(Session) || Session.HoldFailures_ > 0 ||
-         Session.IsSuperseded_ || !Session.IsInRoster_;
+  if (!Pool_.mayHaveInheritedRuns(Session) || Session.HoldFailures_ > 0 ||
+      !Session.IsInRoster_)
+    return true;
+  if (!Session.IsSuperseded_)
+    return false;
+  const WorkerSession *Successor = Pool_.successorOf(Session);
+  return Successor == nullptr || Successor->HoldFailures_ > 0;
 }
 
 bool InheritedRuns::areWorkersContacted() {
--- a/src/scheduling/internal/leaserenewer.cpp
+++ b/src/scheduling/internal/leaserenewer.cpp
@@ -85,12 +85,13 @@
     Session.recordLease(Pool_.latestLeaseExpiry(Now));
   }
   Session.IsHoldPending_ = true;
+  const SentHold Sent{Now, Order.AcknowledgedEnd_, Order.LeaseEnd_.count() > 0};
   Pool_.Workers_.hold(
       Session.target(), Order,
-      [Weak = weak_from_this(), Now, Acknowledged = Order.AcknowledgedEnd_,
+      [Weak = weak_from_this(), Sent,
        Lifetime = Session.entry().lifetime()](const HoldAnswer &Answer) {
         if (auto Self = Weak.lock())
-          Self->onAnswer(Lifetime, Now, Acknowledged, Answer);
+          Self->onAnswer(Lifetime, Sent, Answer);
       });
 }
 
@@ -105,8 +106,7 @@
   return Settled > Session.acknowledged() && IsSameLifetime ? Settled : 0;
 }
 
-void LeaseRenewer::onAnswer(const std::string &Lifetime, TimePoint Sent,
-                            std::uint64_t Acknowledged,
+void LeaseRenewer::onAnswer(const std::string &Lifetime, const SentHold &Sent,
                             const HoldAnswer &Answer) {
   WorkerSession *Session = Pool_.session(Lifetime);
   if (Session == nullptr)
@@ -115,15 +115,24 @@
   auto Born = Session->entry().Born_;
   bool IsOtherLifetime =
       Answer.Born_.count() > 0 && Born.count() > 0 && Answer.Born_ != Born;
+  bool IsAccepted =
+      Answer.Outcome_ == OrderOutcome::Accepted && !IsOtherLifetime;
+  if (Sent.GrantsLease_ && !IsAccepted)
+    Pool_.onOrderEnded(*Session);
   if (IsOtherLifetime) {
-    logOtherLifetime(*Session, Sent, Answer.Born_);
-    onHoldFailed(*Session, Sent, OrderOutcome::OtherLifetime);
+    logOtherLifetime(*Session, Sent.At_, Answer.Born_);
+    onHoldFailed(*Session, Sent.At_, OrderOutcome::OtherLifetime);
     Session->HasEnded_ = Answer.Born_ > Born;
-  } else if (Answer.Outcome_ == OrderOutcome::Accepted) {
-    Session->setAcknowledged(std::max(Session->acknowledged(), Acknowledged));
-    applyLists(*Session, Sent, Answer);
+    Session->HasSuccessor_ = Session->HasEnded_;
+  } else if (IsAccepted) {
+    Session->setAcknowledged(
+        std::max(Session->acknowledged(), Sent.Acknowledged_));
+    if (Session->HasSuccessor_)
+      recordEnds(*Session, Answer);
+    else
+      applyLists(*Session, Sent, Answer);
   } else {
-    onHoldFailed(*Session, Sent, Answer.Outcome_);
+    onHoldFailed(*Session, Sent.At_, Answer.Outcome_);
     // Only one worker uses an address at a time, so the earlier lifetime has
     // ended.
     if (Answer.Outcome_ == OrderOutcome::OtherLifetime)
@@ -131,7 +140,7 @@
   }
 }
 
-void LeaseRenewer::applyLists(WorkerSession &Session, TimePoint Sent,
+void LeaseRenewer::applyLists(WorkerSession &Session, const SentHold &Sent,
                               const HoldAnswer &Answer) {
   const TimePoint Now = Pool_.Clock_.now();
   Session.updateClock(Answer.Clock_, Now);
@@ -146,6 +155,18 @@
   Session.IsFenced_ = true;
   Session.HoldFailures_ = 0;
   Session.HasEnded_ = false;
+  recordEnds(Session, Answer);
+  stopUnwanted(Session, Answer);
+  releaseUnlisted(Session, Sent.At_, Answer);
+  Session.NextHoldAt_ = Now;
+  if (Session.hasUnwantedRuns())
+    Session.NextHoldAt_ = Now + UnwantedRunsDelay;
+  if (Session.hasPendingEnds())
+    Session.NextHoldAt_ = Now + PendingEndsDelay;
+}
+
+void LeaseRenewer::recordEnds(WorkerSession &Session,
+                              const HoldAnswer &Answer) {
   std::vector<ListedEnd> Ends = Answer.Ended_;
   std::sort(Ends.begin(), Ends.end(),
             [](const ListedEnd &Left, const ListedEnd &Right) {
@@ -153,13 +174,6 @@
             });
   for (const ListedEnd &End : Ends)
     Runs_.onRunEnded(Session, End);
-  stopUnwanted(Session, Answer);
-  releaseUnlisted(Session, Sent, Answer);
-  Session.NextHoldAt_ = Now;
-  if (Session.hasUnwantedRuns())
-    Session.NextHoldAt_ = Now + UnwantedRunsDelay;
-  if (Session.hasPendingEnds())
-    Session.NextHoldAt_ = Now + PendingEndsDelay;
 }
 
 void LeaseRenewer::stopUnwanted(WorkerSession &Session,
@@ -240,20 +254,29 @@
     return;
   Session.IsListed_ = false;
   Runs_.recordCrash(Session);
-  Runs_.releaseEndedLifetime(Session);
+  Runs_.releaseListed(Session);
 }
 
 void LeaseRenewer::releaseExpired(WorkerSession &Session) {
-  if (Session.runs().empty() || Pool_.Clock_.now() < Session.leasesExpireAt())
+  const TimePoint Now = Pool_.Clock_.now();
+  if (Session.runs().empty() || Now < Session.leasesExpireAt())
     return;
-  Pool_.Logger_.write(LogLevel::Warning,
-                      LogEvent("worker.lapsed")
-                          .with("worker", Session.entry().Id_)
-                          .with("runs", std::uint64_t{Session.runs().size()}));
+  const std::size_t Runs = Session.runs().size();
   std::map<TaskName, RunNumber> Young = Session.youngRuns();
+  Runs_.releaseExpired(Session);
+  if (Session.runs().size() == Runs)
+    return;
+  std::erase_if(Young, [&Session](const auto &Each) {
+    return Session.runs().contains(Each.first);
+  });
   Young.merge(Session.YoungExpiredRuns_);
   Session.YoungExpiredRuns_ = std::move(Young);
-  Runs_.releaseAll(Session);
+  Pool_.Logger_.write(
+      LogLevel::Warning,
+      LogEvent("worker.lapsed")
+          .with("worker", Session.entry().Id_)
+          .with("runs", std::uint64_t{Runs - Session.runs().size()})
+          .with("in-doubt", std::uint64_t{Session.runs().size()}));
 }
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/leaserenewer.h
+++ b/src/scheduling/internal/leaserenewer.h
@@ -32,10 +32,18 @@
   /// \returns the sequence number up to which the next hold order acknowledges
   /// run ends; 0 to acknowledge none.
   std::uint64_t endToAcknowledge(const WorkerSession &Session) const;
-  void onAnswer(const std::string &Lifetime, TimePoint Sent,
-                std::uint64_t Acknowledged, const HoldAnswer &Answer);
-  void applyLists(WorkerSession &Session, TimePoint Sent,
+  /// What the order was that an answer is for.
+  struct SentHold {
+    TimePoint At_;
+    std::uint64_t Acknowledged_ = 0;
+    bool GrantsLease_ = false;
+  };
+
+  void onAnswer(const std::string &Lifetime, const SentHold &Sent,
+                const HoldAnswer &Answer);
+  void applyLists(WorkerSession &Session, const SentHold &Sent,
                   const HoldAnswer &Answer);
+  void recordEnds(WorkerSession &Session, const HoldAnswer &Answer);
   /// Stops the listed runs that should not exist. They count against the
   /// capacity of the worker until it no longer lists them.
   void stopUnwanted(WorkerSession &Session, const HoldAnswer &Answer);
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -223,10 +223,11 @@
         Session->entry().Born_ >= Moved->second)
       continue;
     Session->IsSuperseded_ = true;
+    Session->HasSuccessor_ = true;
     Session->IsListed_ = false;
-    // An unconfirmed start may still reach the later lifetime; its run stays
-    // until its lease has expired.
-    Runs_.releaseConfirmed(*Session);
+    // The later lifetime may have carried out the start of any other run, or
+    // may still do so. Such a run stays until its lease has expired.
+    Runs_.releaseListed(*Session);
     // Runs that previous owners started on this lifetime no longer exist.
     Session->IsFenced_ = true;
   }
@@ -261,7 +262,11 @@
             .with("runs", std::uint64_t{Session->runs().size()}));
     Session->HasEnded_ = true;
     Runs_.recordCrash(*Session);
-    Runs_.releaseConfirmed(*Session);
+    // Workers refuse orders to other ids.
+    if (Found->second.Id_ != Entry.Id_)
+      Runs_.releaseAll(*Session);
+    else
+      Runs_.releaseListed(*Session);
     State_.NeedsDispatch_ = true;
   }
 }
@@ -297,20 +302,18 @@
             .with("machine", Session->entry().Machine_)
             .with("runs", std::uint64_t{Session->runs().size()}));
     Runs_.recordCrash(*Session);
-    // An unanswered order may still reach a later lifetime of the same id.
-    Runs_.releaseConfirmed(*Session);
+    // An unanswered order may still reach a later lifetime of the same id, and
+    // one that was confirmed later than the list may have started a run there.
+    Runs_.releaseConfirmedBefore(*Session, Machines_->listedAt());
     State_.NeedsDispatch_ = true;
   }
 }
 
 void PoolOwner::Parts::transferRunsFromEarlierLifetimes(WorkerSession &Latest) {
   const WorkerEntry &Entry = Latest.entry();
-  for (auto &[Lifetime, Session] : State_.Sessions_) {
-    bool IsEarlier = Session->entry().Id_ == Entry.Id_ &&
-                     Session->entry().Born_ < Entry.Born_;
-    if (IsEarlier && !Session->runs().empty())
+  for (WorkerSession *Session : State_.lifetimesOf(Entry.Id_))
+    if (Session->entry().Born_ < Entry.Born_ && !Session->runs().empty())
       Runs_.transferRuns(*Session, Latest);
-  }
 }
 
 void PoolOwner::extendLease(TimePoint End, FencingToken Renewal,
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -41,14 +41,70 @@
     // Until the worker has answered, it may be executing runs that a previous
     // owner started.
     Place->second->recordLease(InheritedRunsExpireAt_);
+    supersedeEarlierLifetimes(Entry.Id_);
     NeedsDispatch_ = true;
   }
   return *Place->second;
 }
 
+std::vector<WorkerSession *> PoolState::lifetimesOf(const std::string &Id) {
+  std::vector<WorkerSession *> Found;
+  // Lifetimes are ordered by id first.
+  for (auto Each = Sessions_.lower_bound(Id);
+       Each != Sessions_.end() && Each->first.starts_with(Id); ++Each)
+    if (Each->second != nullptr && Each->second->entry().Id_ == Id)
+      Found.push_back(Each->second.get());
+  return Found;
+}
+
+const WorkerSession *
+PoolState::successorOf(const WorkerSession &Session) const {
+  const std::string &Id = Session.entry().Id_;
+  const WorkerSession *Latest = &Session;
+  for (auto Each = Sessions_.lower_bound(Id);
+       Each != Sessions_.end() && Each->first.starts_with(Id); ++Each)
+    if (Each->second->entry().Id_ == Id &&
+        Each->second->entry().Born_ > Latest->entry().Born_)
+      Latest = Each->second.get();
+  return Latest == &Session ? nullptr : Latest;
+}
+
+void PoolState::supersedeEarlierLifetimes(const std::string &Id) {
+  std::vector<WorkerSession *> Lifetimes = lifetimesOf(Id);
+  auto Latest =
+      std::max_element(Lifetimes.begin(), Lifetimes.end(),
+                       [](const auto *Left, const auto *Right) {
+                         return Left->entry().Born_ < Right->entry().Born_;
+                       });
+  for (WorkerSession *Each : Lifetimes) {
+    if (Each == *Latest)
+      continue;
+    Each->IsSuperseded_ = true;
+    Each->HasEnded_ = true;
+    Each->HasSuccessor_ = true;
+  }
+}
+
+void PoolState::onOrderEnded(const WorkerSession &Session) {
+  const TimePoint LeaseEnd = latestLeaseExpiry(Clock_.now());
+  for (WorkerSession *Each : lifetimesOf(Session.entry().Id_)) {
+    const bool IsLater = Each->entry().Born_ > Session.entry().Born_;
+    if (Each == &Session || IsLater)
+      Each->recordLeaseOfUnlistedRuns(LeaseEnd);
+  }
+}
+
 bool PoolState::mayHaveInheritedRuns(const WorkerSession &Session) const {
   bool WasOrdered = Session.IsInherited_ || !IsRosterKnown_;
-  return WasOrdered && !Session.IsFenced_ && !Session.HasEnded_;
+  if (!WasOrdered || Session.IsFenced_)
+    return false;
+  if (!Session.HasSuccessor_)
+    return !Session.HasEnded_;
+  // Late orders of the previous owner may have started runs on the later
+  // lifetime.
+  const WorkerSession *Successor = successorOf(Session);
+  return Successor == nullptr ||
+         (!Successor->IsFenced_ && !Successor->HasEnded_);
 }
 
 bool PoolState::mayHaveUnexpiredInheritedRuns(
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -101,6 +101,15 @@
   bool isRunNumberReserved(RunNumber Number);
   /// \returns the session of the worker's lifetime, creating it if necessary.
   WorkerSession &findOrCreateSession(const WorkerEntry &Entry);
+  /// \returns the sessions of all lifetimes of the worker id.
+  std::vector<WorkerSession *> lifetimesOf(const std::string &Id);
+  /// \returns the session of the lifetime of the same id that started last, if
+  /// it started after that of \p Session; null otherwise.
+  const WorkerSession *successorOf(const WorkerSession &Session) const;
+  /// Called when an order that may grant a lease has been answered or has
+  /// failed. Unless the worker's lifetime is known to have carried it out, a
+  /// later lifetime of the same id may just have done so.
+  void onOrderEnded(const WorkerSession &Session);
   /// \returns whether the worker may be executing runs that a previous owner
   /// started and that this owner does not know of. Lease expiry is not
   /// considered.
@@ -125,6 +134,10 @@
   /// certainly expired.
   TimePoint latestLeaseExpiry(TimePoint Now) const;
   std::chrono::milliseconds wallTime() const;
+
+private:
+  /// Marks the earlier ones of the id's lifetimes as superseded.
+  void supersedeEarlierLifetimes(const std::string &Id);
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -268,6 +268,7 @@
   }
   SessionRun &Known = *Entry;
   Known.Run_ = Listed.Run_;
+  Known.WasListed_ = true;
   Known.Measurement_ = Listed.Measurement_;
   // A run of a previous owner has outlived its start.
   if (!Known.ConfirmedClock_)
@@ -368,16 +369,22 @@
     release(Session, Name);
 }
 
-void RunTracker::releaseConfirmed(WorkerSession &Session) {
-  releaseMatching(Session, [](const SessionRun &Run) {
-    return Run.ConfirmedAt_.has_value();
+void RunTracker::releaseListed(WorkerSession &Session) {
+  releaseMatching(Session,
+                  [](const SessionRun &Run) { return Run.WasListed_; });
+}
+
+void RunTracker::releaseConfirmedBefore(WorkerSession &Session,
+                                        TimePoint Time) {
+  releaseMatching(Session, [Time](const SessionRun &Run) {
+    return Run.WasListed_ || (Run.ConfirmedAt_ && *Run.ConfirmedAt_ < Time);
   });
 }
 
-void RunTracker::releaseEndedLifetime(WorkerSession &Session) {
+void RunTracker::releaseExpired(WorkerSession &Session) {
   releaseMatching(Session,
-                  [Listed = Session.LastListsAt_](const SessionRun &Run) {
-                    return Run.ConfirmedAt_ && *Run.ConfirmedAt_ <= Listed;
+                  [&Session, Now = Pool_.Clock_.now()](const SessionRun &Run) {
+                    return Now >= Session.leaseExpiresAt(Run);
                   });
 }
 
@@ -385,7 +392,7 @@
                               WorkerSession &Successor) {
   recordCrash(Session);
   const std::size_t Runs = Session.runs().size();
-  releaseEndedLifetime(Session);
+  releaseListed(Session);
   Pool_.Logger_.write(
       LogLevel::Info,
       LogEvent("worker.returned")
@@ -412,6 +419,7 @@
     Pool_.NeedsStopCheck_ = true;
     Successor.changeRuns()[Name] = Unconfirmed;
     Successor.recordLease(Pool_.latestLeaseExpiry(Pool_.Clock_.now()));
+    Unconfirmed.WasListed_ = false;
     TaskRun &Run = Job->mutableRun(Name);
     Run.Worker_ = Successor.entry().lifetime();
     Run.Phase_ = TaskPhase::Stopping;
--- a/src/scheduling/internal/runtracker.h
+++ b/src/scheduling/internal/runtracker.h
@@ -39,13 +39,15 @@
   /// Removes all runs of a lifetime, because their leases have expired or
   /// because a machine order has ended them.
   void releaseAll(WorkerSession &Session);
-  /// Removes the runs whose start the worker has confirmed.
-  void releaseConfirmed(WorkerSession &Session);
   /// Removes the runs that ended with their worker's lifetime. A start that
   /// this lifetime has not listed may have reached a later lifetime, which uses
   /// the same worker id, so that run stays until the later lifetime has been
   /// asked.
-  void releaseEndedLifetime(WorkerSession &Session);
+  void releaseListed(WorkerSession &Session);
+  /// Removes the runs of a worker id that had no lifetime at \p Time.
+  void releaseConfirmedBefore(WorkerSession &Session, TimePoint Time);
+  /// Removes the runs whose leases have expired.
+  void releaseExpired(WorkerSession &Session);
   /// Removes the runs that ended with \p Session. Runs that may have reached \p
   /// Successor instead, a later lifetime of the same worker id, move there and
   /// are marked to be stopped.
--- a/src/scheduling/internal/workersession.cpp
+++ b/src/scheduling/internal/workersession.cpp
@@ -68,6 +68,16 @@
   LeasesExpireAt_ = std::max(LeasesExpireAt_, End);
 }
 
+void WorkerSession::recordLeaseOfUnlistedRuns(TimePoint End) {
+  LeasesOfUnlistedRunsExpireAt_ = std::max(LeasesOfUnlistedRunsExpireAt_, End);
+}
+
+TimePoint WorkerSession::leaseExpiresAt(const SessionRun &Run) const {
+  if (Run.WasListed_)
+    return LeasesExpireAt_;
+  return std::max(LeasesExpireAt_, LeasesOfUnlistedRunsExpireAt_);
+}
+
 const SessionUsage &WorkerSession::usage() const {
   if (Usage_)
     return *Usage_;
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -26,6 +26,9 @@
   /// The worker's clock when it confirmed the start or first listed the run;
   /// absent until then.
   std::optional<WorkerClock> ConfirmedClock_;
+  /// Whether the worker's lifetime has listed the run. A start may be confirmed
+  /// by a later lifetime of the same id, which then runs the task.
+  bool WasListed_ = false;
   /// Time from which a start without a response can no longer take effect.
   TimePoint OrderExpires_;
   std::uint32_t Percent_ = 100;
@@ -97,9 +100,14 @@
 
   /// Records that an order grants a lease until \p End.
   void recordLease(TimePoint End);
-  /// \returns the time at which all leases on the worker have certainly
-  /// expired.
+  /// Records that an order may grant a lease until \p End to runs on a later
+  /// lifetime of the worker that carries it out.
+  void recordLeaseOfUnlistedRuns(TimePoint End);
+  /// \returns the time at which the leases of all runs that this lifetime has
+  /// listed have certainly expired.
   TimePoint leasesExpireAt() const { return LeasesExpireAt_; }
+  /// \returns the time at which the lease of \p Run has certainly expired.
+  TimePoint leaseExpiresAt(const SessionRun &Run) const;
 
   const std::map<TaskName, SessionRun> &runs() const { return Runs_; }
   /// \returns whether the worker is being drained for maintenance or for a move
@@ -156,9 +164,8 @@
   /// Whether the worker has responded under this owner's fencing token, or need
   /// not because nothing that a previous owner started can run there any more.
   bool IsFenced_ = false;
-  /// Whether a later lifetime of the worker is registered in another pool. No
-  /// orders are sent to this lifetime then, because the other one would receive
-  /// them.
+  /// Whether a later lifetime of the worker is registered. No orders are sent
+  /// to this lifetime then, because the other one would receive them.
   bool IsSuperseded_ = false;
   /// Whether the roster of a previous owner allowed it to send orders to the
   /// worker.
@@ -166,6 +173,9 @@
   /// Whether the lifetime is known to have ended, so that nothing runs there
   /// any more.
   bool HasEnded_ = false;
+  /// Whether a later lifetime of the same id is known. It may be executing runs
+  /// that were started by orders to this one.
+  bool HasSuccessor_ = false;
   /// Whether the crash that ended the lifetime was recorded.
   bool IsCrashRecorded_ = false;
   /// Runs that were young when their leases expired. They count if the worker
@@ -212,6 +222,7 @@
   WorkerClock LatestClock_{0};
   std::optional<TaskName> RunOnTrial_;
   TimePoint LeasesExpireAt_;
+  TimePoint LeasesOfUnlistedRunsExpireAt_;
   std::map<TaskName, SessionRun> Runs_;
   /// Cached usage; absent after a change of the runs until it is needed.
   mutable std::optional<SessionUsage> Usage_;
