Fence the orders for former lifetimes of a worker

Both lifetimes got orders with one fencing token, and the lease of such an order is a time on the former clock, so that the worker grants up to the longest lease from the arrival, to everything that runs there, also where it refuses the start as old. The owner noted that lease for the former lifetime, which has no runs.

Orders to a lifetime now carry a token that is higher than that of any order to an earlier lifetime of the id: that of the last renewal of the pool's lease, which costs no call. Before the worker has responded under it, it gets no starts; from then on it refuses late orders, and the lease that one may have granted before is counted from the response. If the worker returns twice between two renewals, it is used after the next one, at most a third of the lease later. A token is raised for the worker that refused one, no longer for the whole pool.

Two tests of returning workers now renew the lease, as a real owner does, and one of them checks that nothing is sent before that.

--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -268,13 +268,13 @@
                           .with("task", Name.text())
                           .with("run", Run.Run_)
                           .with("lifetime", Session.entry().lifetime())
-                          .with("token", Pool_.OrderToken_));
+                          .with("token", Session.Token_));
   StartOrder Order;
   Order.Task_ = Name;
   Order.Run_ = Run.Run_;
   Order.Payload_ = Job.submission().Spec_.Payload_;
   Order.LeaseEnd_ = Session.workerTimeAt(Now) + StartLease;
-  Order.Token_ = Pool_.OrderToken_;
+  Order.Token_ = Session.Token_;
   Order.Checkpoint_ = Job.progress().task(Name).Checkpoint_;
   if (Advice_.isNeededFor(Job))
     Order.Ticket_ = Advice_.ticketFor(Name, Session);
@@ -439,7 +439,7 @@
     Known->IsStopPending_ = true;
   StopLimiter_.onSent();
   Pool_.Workers_.stop(
-      Session.target(), Name, Run, Pool_.OrderToken_,
+      Session.target(), Name, Run, Session.Token_,
       [Weak = weak_from_this(), Name, Run,
        Lifetime = Session.entry().lifetime()](const OrderAnswer &Answer) {
         if (auto Self = Weak.lock())
--- a/src/scheduling/internal/fillerthrottler.cpp
+++ b/src/scheduling/internal/fillerthrottler.cpp
@@ -76,7 +76,7 @@
   const std::uint32_t ShareOnFailure =
       NewShare > Filler.Percent_ ? Filler.Percent_ : FullShare;
   Filler.Percent_ = NewShare;
-  Pool_.Workers_.pace(Session.target(), Name, Run, NewShare, Pool_.OrderToken_,
+  Pool_.Workers_.pace(Session.target(), Name, Run, NewShare, Session.Token_,
                       [Weak = weak_from_this(),
                        Lifetime = Session.entry().lifetime(), Name, Run,
                        ShareOnFailure](const OrderAnswer &Answer) {
--- a/src/scheduling/internal/leaserenewer.cpp
+++ b/src/scheduling/internal/leaserenewer.cpp
@@ -48,12 +48,13 @@
 
 bool LeaseRenewer::isHoldDue(const WorkerSession &Session) const {
   if (Session.IsHoldPending_ || Session.IsSuperseded_ || !Session.IsInRoster_ ||
-      Session.NextHoldAt_ > Pool_.Clock_.now())
+      Session.Token_ == 0 || Session.NextHoldAt_ > Pool_.Clock_.now())
     return false;
   if (Session.HasEnded_ && !Session.IsListed_ && Session.runs().empty())
     return false;
-  return !Session.IsFenced_ || !Session.runs().empty() ||
-         Session.HoldFailures_ > 0 || Session.hasUnwantedRuns() ||
+  return !Session.IsFenced_ || Session.ConfirmedToken_ < Session.Token_ ||
+         !Session.runs().empty() || Session.HoldFailures_ > 0 ||
+         Session.hasUnwantedRuns() ||
          Session.acknowledgeableUpTo() > Session.acknowledged();
 }
 
@@ -74,7 +75,7 @@
 void LeaseRenewer::sendHold(WorkerSession &Session) {
   const TimePoint Now = Pool_.Clock_.now();
   HoldOrder Order;
-  Order.Token_ = Pool_.OrderToken_;
+  Order.Token_ = Session.Token_;
   Order.AcknowledgedEnd_ = endToAcknowledge(Session);
   Order.Wait_ = holdWaitFor(Session);
   // The lease of a worker that does not respond is not extended, so that its
@@ -85,7 +86,9 @@
     Session.recordLease(Pool_.latestLeaseExpiry(Now));
   }
   Session.IsHoldPending_ = true;
-  const SentHold Sent{Now, Order.AcknowledgedEnd_, Order.LeaseEnd_.count() > 0};
+  Session.IsTokenSent_ = true;
+  const SentHold Sent{Now, Order.Token_, Order.AcknowledgedEnd_,
+                      Order.LeaseEnd_.count() > 0};
   Pool_.Workers_.hold(
       Session.target(), Order,
       [Weak = weak_from_this(), Sent,
@@ -149,9 +152,13 @@
     Pool_.NeedsDispatch_ = true;
   if (!Session.IsFenced_)
     Pool_.NeedsStopCheck_ = true;
-  // Runs that a previous owner started may hold a lease of full length.
-  if (!Session.IsFenced_)
+  // Runs may hold a lease of full length that a previous owner granted, or an
+  // order to an earlier lifetime of the id. From now on the worker refuses
+  // orders of both.
+  if (Session.ConfirmedToken_ < Sent.Token_) {
     Session.recordLease(Pool_.latestLeaseExpiry(Now));
+    Session.ConfirmedToken_ = Sent.Token_;
+  }
   Session.IsFenced_ = true;
   Session.HoldFailures_ = 0;
   Session.HasEnded_ = false;
--- a/src/scheduling/internal/leaserenewer.h
+++ b/src/scheduling/internal/leaserenewer.h
@@ -35,6 +35,7 @@
   /// What the order was that an answer is for.
   struct SentHold {
     TimePoint At_;
+    FencingToken Token_ = 0;
     std::uint64_t Acknowledged_ = 0;
     bool GrantsLease_ = false;
   };
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -78,7 +78,6 @@
         InheritedRuns_(State_, hasPredecessor(Ownership)) {
     State_.Token_ = Ownership.Token_;
     State_.LatestSubmission_ = Ownership.Token_;
-    State_.OrderToken_ = Ownership.Token_;
     State_.RunNumberBase_ = runnumbers::baseOf(Ownership.RunNumberRange_);
     State_.ReservedRunNumberRange_ = Ownership.RunNumberRange_;
     State_.RequestedRunNumberRange_ = Ownership.RunNumberRange_;
@@ -321,6 +320,7 @@
   PoolState &State = Parts_->State_;
   State.LeaseEnd_ = End;
   State.RenewalToken_ = Renewal;
+  State.assignTokens();
   if (RunNumberRange <= State.ReservedRunNumberRange_)
     return;
   State.ReservedRunNumberRange_ = RunNumberRange;
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -42,6 +42,7 @@
     // owner started.
     Place->second->recordLease(InheritedRunsExpireAt_);
     supersedeEarlierLifetimes(Entry.Id_);
+    assignToken(*Place->second);
     NeedsDispatch_ = true;
   }
   return *Place->second;
@@ -85,11 +86,27 @@
   }
 }
 
+void PoolState::assignToken(WorkerSession &Session) {
+  if (Session.Token_ != 0)
+    return;
+  const FencingToken Latest = std::max(Token_, RenewalToken_);
+  for (const WorkerSession *Each : lifetimesOf(Session.entry().Id_))
+    if (Each->IsTokenSent_ && Each->Token_ >= Latest)
+      return;
+  Session.Token_ = Latest;
+}
+
+void PoolState::assignTokens() {
+  for (auto &[Lifetime, Session] : Sessions_)
+    assignToken(*Session);
+}
+
 void PoolState::onOrderEnded(const WorkerSession &Session) {
   const TimePoint LeaseEnd = latestLeaseExpiry(Clock_.now());
   for (WorkerSession *Each : lifetimesOf(Session.entry().Id_)) {
     const bool IsLater = Each->entry().Born_ > Session.entry().Born_;
-    if (Each == &Session || IsLater)
+    // A later lifetime that has seen its own token refuses the order.
+    if (Each == &Session || (IsLater && Each->ConfirmedToken_ == 0))
       Each->recordLeaseOfUnlistedRuns(LeaseEnd);
   }
 }
@@ -112,9 +129,9 @@
   return Clock_.now() < InheritedRunsExpireAt_ && mayHaveInheritedRuns(Session);
 }
 
-void PoolState::onFenced(const WorkerSession &Session) {
-  if (Session.IsListed_)
-    OrderToken_ = std::max(OrderToken_, RenewalToken_);
+void PoolState::onFenced(WorkerSession &Session) {
+  if (Session.IsListed_ && !Session.IsSuperseded_)
+    Session.Token_ = std::max(Session.Token_, RenewalToken_);
 }
 
 void PoolState::addJob(std::unique_ptr<ActiveJob> Job) {
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -49,10 +49,8 @@
 
   /// Token of this owner.
   FencingToken Token_ = 0;
-  /// Token that orders to workers carry: that of this owner, or that of a
-  /// renewal of its lease.
-  FencingToken OrderToken_ = 0;
-  /// Version of the last renewal of the lease.
+  /// Version of the last renewal of the lease; 0 before the first one. It is
+  /// higher than any token that orders have carried so far.
   FencingToken RenewalToken_ = 0;
   /// All run numbers of this owner are higher than this.
   RunNumber RunNumberBase_ = 0;
@@ -106,6 +104,9 @@
   /// \returns the session of the lifetime of the same id that started last, if
   /// it started after that of \p Session; null otherwise.
   const WorkerSession *successorOf(const WorkerSession &Session) const;
+  /// Gives each worker without a token one that is higher than those of the
+  /// orders to its earlier lifetimes, if the last renewal provides it.
+  void assignTokens();
   /// Called when an order that may grant a lease has been answered or has
   /// failed. Unless the worker's lifetime is known to have carried it out, a
   /// later lifetime of the same id may just have done so.
@@ -119,8 +120,9 @@
   bool mayHaveUnexpiredInheritedRuns(const WorkerSession &Session) const;
   /// Called when the worker has refused an order because it has seen a higher
   /// token, for example that of another pool's owner which did not know of the
-  /// worker's move. Later orders carry the token of the last renewal.
-  void onFenced(const WorkerSession &Session);
+  /// worker's move. Later orders to the worker carry the token of the last
+  /// renewal.
+  void onFenced(WorkerSession &Session);
   void addJob(std::unique_ptr<ActiveJob> Job);
   void removeJob(ActiveJob &Job);
   ActiveJob *job(const std::string &Id);
@@ -138,6 +140,7 @@
 private:
   /// Marks the earlier ones of the id's lifetimes as superseded.
   void supersedeEarlierLifetimes(const std::string &Id);
+  void assignToken(WorkerSession &Session);
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -269,7 +269,14 @@
   WorkerEntry Restarted = worker("w1");
   Restarted.Born_ = milliseconds(900);
   Owner_->onWorkers({Restarted});
-  Owner_->tick();
+  tickTwice();
+  EXPECT_TRUE(Workers_.Holds_.empty());
+  // Only the token of a renewal is higher than that of the unanswered start.
+  constexpr FencingToken Renewal = Token + 20;
+  Owner_->extendLease(Clock_.now() + std::chrono::hours(1), Renewal, 0);
+  tickTwice();
+  ASSERT_FALSE(Workers_.Holds_.empty());
+  EXPECT_EQ(Workers_.Holds_.front().Order_.Token_, Renewal);
   // The later lifetime may have received the start, so the task waits until
   // that lifetime has been ordered to stop it.
   EXPECT_TRUE(Workers_.Starts_.empty());
@@ -323,6 +330,7 @@
   WorkerEntry After = worker("w1");
   After.Born_ = milliseconds(6);
   Owner_->onWorkers({After});
+  Owner_->extendLease(Clock_.now() + std::chrono::hours(1), Token + 20, 0);
   Store_.DelaysResponses_ = true;
   for (int Round = 0; Round < 30; ++Round) {
     Clock_.advance(milliseconds(100));
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -161,6 +161,14 @@
   std::uint64_t acknowledged() const { return Acknowledged_; }
   void setAcknowledged(std::uint64_t Sequence) { Acknowledged_ = Sequence; }
 
+  /// Token that orders to the worker carry: higher than that of any order to an
+  /// earlier lifetime of the same id, so that once the worker has seen it, it
+  /// refuses those orders. 0 until the owner has such a token.
+  FencingToken Token_ = 0;
+  /// Highest token under which the worker has responded; 0 if there is none.
+  FencingToken ConfirmedToken_ = 0;
+  /// Whether an order with Token_ has been sent.
+  bool IsTokenSent_ = false;
   /// Whether the worker has responded under this owner's fencing token, or need
   /// not because nothing that a previous owner started can run there any more.
   bool IsFenced_ = false;
