--- a/src/emulator/simulation.h
+++ b/src/emulator/simulation.h
@@ -1,14 +1,15 @@
 #ifndef DRAGONFLYLOCK_EMULATOR_SIMULATION_H
 #define DRAGONFLYLOCK_EMULATOR_SIMULATION_H
 
+#include "emulator/randomgenerator.h"
 #include "global/iclock.h"
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
-#include <random>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -22,7 +23,7 @@
   using Event = std::function<void()>;
   using Duration = std::chrono::milliseconds;
 
-  explicit Simulation(std::uint64_t Seed) : Random_(Seed) {}
+  explicit Simulation(std::uint64_t Seed) : Seed_(Seed), Random_(Seed) {}
 
   TimePoint now() const override { return Now_; }
   WallTime wallNow() const override;
@@ -36,9 +37,18 @@
   Duration elapsed() const;
 
   /// \returns a random number from \p Low to \p High, both included.
-  std::int64_t randomInRange(std::int64_t Low, std::int64_t High);
+  std::int64_t randomInRange(std::int64_t Low, std::int64_t High) {
+    return Random_.inRange(Low, High);
+  }
   /// \returns true with the given probability.
-  bool withProbability(double Probability);
+  bool withProbability(double Probability) {
+    return Random_.withProbability(Probability);
+  }
+  /// \returns a generator whose draws don't change the sequence of this
+  /// simulation.
+  RandomGenerator separateGenerator(std::string_view Purpose) const {
+    return RandomGenerator(Seed_, Purpose);
+  }
 
   /// Records that an invariant was violated, with the current time.
   void reportViolation(const std::string &Invariant, const std::string &Detail);
@@ -51,7 +61,8 @@
   TimePoint Now_ = startTime();
   std::uint64_t Sequence_ = 0;
   std::map<std::pair<TimePoint, std::uint64_t>, Event> Events_;
-  std::mt19937_64 Random_;
+  std::uint64_t Seed_;
+  RandomGenerator Random_;
   std::vector<std::string> Violations_;
 };
 
