--- a/src/emulator/internal/emulatednode.cpp
+++ b/src/emulator/internal/emulatednode.cpp
@@ -229,11 +229,11 @@
   });
 }
 
-void EmulatedNode::pace(const WorkerTarget &, const TaskName &, RunNumber,
-                        std::uint32_t, FencingToken,
+void EmulatedNode::pace(const WorkerTarget &Target, const TaskName &, RunNumber,
+                        std::uint32_t, FencingToken Token,
                         IWorkerControl::OrderCallback Done) {
-  Context_.Simulation_.schedule(CallLatency, [Respond = responder(), Done] {
-    Respond([Done] { Done({OrderOutcome::Accepted, WorkerClock(0)}); });
+  queueOnCpu(Incarnation_, [=, this, Respond = responder()] {
+    Context_.Workers_.pace(Name_, Respond, Target, Token, Done);
   });
 }
 
