Emulator: play crashes after which workers return and are cut off

All workers of a rack or a part of a pool crash at one moment, start again under their old ids before the registry notices, and are cut off soon after, several times in a row, while orders for their former lifetimes are held up and owners are killed, frozen or stopped. Options add long jobs; both are off by default and draw from sequences of their own.

--- a/src/emulator/emulator.h
+++ b/src/emulator/emulator.h
@@ -31,6 +31,11 @@
   std::chrono::milliseconds CompletionTimeout_{40000};
   /// Number of faults that begin during the traffic period.
   std::uint32_t Faults_ = 6;
+  /// Number of additional faults in which workers crash, come back under their
+  /// old ids and are cut off soon after.
+  std::uint32_t ReturningWorkersFaults_ = 0;
+  /// Share of the jobs with a step whose tasks take about 10 s.
+  double LongJobShare_ = 0;
   /// Whether a maintenance wave is announced.
   bool HasMaintenanceWave_ = true;
   /// Number of waves, if there are any. They are announced one after the other
--- a/src/emulator/internal/emulatednode.cpp
+++ b/src/emulator/internal/emulatednode.cpp
@@ -1,6 +1,7 @@
 #include "emulator/internal/emulatednode.h"
 #include "emulator/simulation.h"
 #include "global/logevent.h"
+#include "scheduling/poolview.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -73,6 +74,14 @@
   return IsServing ? Node_.get() : nullptr;
 }
 
+bool EmulatedNode::ownsPool(const std::string &Pool) const {
+  if (!Node_)
+    return false;
+  std::vector<PoolView> Owned = Node_->pools();
+  return std::any_of(Owned.begin(), Owned.end(),
+                     [&](const PoolView &Each) { return Each.Pool_ == Pool; });
+}
+
 ModelStore::Responder EmulatedNode::responder() {
   return [this, Incarnation = Incarnation_](const Work &Next) {
     deliver(Incarnation, Next);
--- a/src/emulator/internal/emulatednode.h
+++ b/src/emulator/internal/emulatednode.h
@@ -56,6 +56,8 @@
   void stopGracefully();
   bool isUp() const { return Node_ != nullptr; }
   const std::string &name() const { return Name_; }
+  /// \returns whether the node owns the pool as far as it knows.
+  bool ownsPool(const std::string &Pool) const;
   /// \returns the scheduler node, or null if it is down, frozen or not ready.
   SchedulerNode *readyScheduler();
   /// Delivers the configuration that is in force \p Delay later, unless the
--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -35,6 +35,8 @@
 /// Jobs that callers submit to a queue when it has been added.
 constexpr int JobsPerAddedQueue = 3;
 constexpr std::uint32_t MaxQueuesAddedAtOnce = 100;
+constexpr milliseconds MinLongEstimate{8000};
+constexpr milliseconds MaxLongEstimate{12000};
 
 } // namespace
 
@@ -42,6 +44,7 @@
   explicit Impl(EmulatorOptions Chosen)
       : Options_(Chosen), Simulation_(Chosen.Seed_), Store_(Simulation_),
         Checker_(Simulation_), Workers_(Simulation_, Checker_),
+        LongJobRandom_(Simulation_.separateGenerator("long jobs")),
         Context_{Simulation_,           Store_, Workers_, {}, {}, false,
                  Chosen.CpuTimePerCall_} {}
 
@@ -67,6 +70,7 @@
   ModelStore Store_;
   InvariantChecker Checker_;
   ModelWorkers Workers_;
+  RandomGenerator LongJobRandom_;
   EmulationContext Context_;
   std::vector<std::unique_ptr<EmulatedNode>> Nodes_;
   std::unique_ptr<FaultInjector> Faults_;
@@ -77,6 +81,7 @@
 
 void Emulator::Impl::setUp() {
   Context_.IsLogging_ = std::getenv("EMULATOR_LOG") != nullptr;
+  Workers_.IsLogging_ = Context_.IsLogging_;
   Context_.Configuration_.Version_ = 1;
   for (std::uint32_t Number = 0; Number < Options_.Pools_; ++Number) {
     std::string Pool = "pool" + std::to_string(Number);
@@ -144,6 +149,13 @@
                static_cast<std::int64_t>(Workers_.workers().size()) /
                    WorkersPerRack,
                /*IsFreeToPlace=*/!NeedsAdvice);
+  if (Options_.LongJobShare_ > 0 &&
+      LongJobRandom_.withProbability(Options_.LongJobShare_)) {
+    auto Last = static_cast<std::int64_t>(Job.Steps_.size()) - 1;
+    auto Number = static_cast<std::size_t>(LongJobRandom_.inRange(0, Last));
+    Job.Steps_[Number].Estimate_ = milliseconds(LongJobRandom_.inRange(
+        MinLongEstimate.count(), MaxLongEstimate.count()));
+  }
   return Job;
 }
 
@@ -342,6 +354,7 @@
   Impl &Emulation = *Impl_;
   Emulation.Checker_.HasNoDisruptions_ =
       Emulation.Options_.Faults_ == 0 &&
+      Emulation.Options_.ReturningWorkersFaults_ == 0 &&
       !Emulation.Options_.HasMaintenanceWave_;
   Emulation.Store_.setLinkBandwidth(Emulation.Options_.LinkBytesPerSecond_);
   Emulation.setUp();
@@ -354,6 +367,9 @@
   };
   Emulation.Faults_->scheduleFaults(Emulation.Options_.Faults_, TrafficStart,
                                     Emulation.Options_.TrafficDuration_);
+  Emulation.Faults_->scheduleReturningWorkers(
+      Emulation.Options_.ReturningWorkersFaults_, TrafficStart,
+      Emulation.Options_.TrafficDuration_);
   if (Emulation.Options_.PowerLossAt_)
     Emulation.Simulation_.schedule(
         *Emulation.Options_.PowerLossAt_,
--- a/src/emulator/internal/faultinjector.cpp
+++ b/src/emulator/internal/faultinjector.cpp
@@ -16,6 +16,20 @@
 
 } // namespace
 
+FaultInjector::FaultInjector(Simulation &Sim, ModelStore &Store,
+                             ModelWorkers &Workers, Nodes &AllNodes)
+    : Simulation_(Sim), Store_(Store), Workers_(Workers), Nodes_(AllNodes),
+      ReturningWorkers_(Sim, Workers, AllNodes,
+                        [this](const std::string &What, milliseconds Duration) {
+                          record(What, Duration);
+                        }) {}
+
+void FaultInjector::scheduleReturningWorkers(std::uint32_t Count,
+                                             milliseconds From,
+                                             milliseconds Duration) {
+  ReturningWorkers_.schedule(Count, From, Duration);
+}
+
 void FaultInjector::scheduleFaults(std::uint32_t Count, milliseconds From,
                                    milliseconds Duration) {
   for (std::uint32_t Number = 0; Number < Count; ++Number)
--- a/src/emulator/internal/faultinjector.h
+++ b/src/emulator/internal/faultinjector.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYLOCK_EMULATOR_INTERNAL_FAULTINJECTOR_H
 #define DRAGONFLYLOCK_EMULATOR_INTERNAL_FAULTINJECTOR_H
 
+#include "emulator/internal/returningworkersfault.h"
 #include "global/iclock.h"
 
 #include <chrono>
@@ -23,13 +24,17 @@
   using Nodes = std::vector<std::unique_ptr<EmulatedNode>>;
 
   FaultInjector(Simulation &Sim, ModelStore &Store, ModelWorkers &Workers,
-                Nodes &AllNodes)
-      : Simulation_(Sim), Store_(Store), Workers_(Workers), Nodes_(AllNodes) {}
+                Nodes &AllNodes);
 
   /// Schedules \p Count faults that begin between \p From and \p From +
   /// \p Duration.
   void scheduleFaults(std::uint32_t Count, std::chrono::milliseconds From,
                       std::chrono::milliseconds Duration);
+  /// Schedules \p Count faults of the kind ReturningWorkersFault that begin
+  /// between \p From and \p From + \p Duration.
+  void scheduleReturningWorkers(std::uint32_t Count,
+                                std::chrono::milliseconds From,
+                                std::chrono::milliseconds Duration);
   /// Kills all nodes and restarts each at \p Duration to \p Duration + 500 ms
   /// later.
   void killAllNodes(std::chrono::milliseconds Duration);
@@ -52,6 +57,7 @@
   ModelStore &Store_;
   ModelWorkers &Workers_;
   Nodes &Nodes_;
+  ReturningWorkersFault ReturningWorkers_;
   std::vector<std::string> InjectedFaults_;
   TimePoint LastFaultEnd_;
 };
--- a/tools/emulator/main.cpp
+++ b/tools/emulator/main.cpp
@@ -20,6 +20,9 @@
   --nodes=N      Number of nodes [default: 5].
   --small=N      Number of nodes that are small [default: 0].
   --faults=N     Faults for each seed [default: 6].
+  --returns=N    Faults in which workers crash, come back under their old ids
+                 and are cut off soon after [default: 0].
+  --long=N       Percentage of jobs with a step of about 10 s [default: 0].
   --jobs=N       Jobs per second [default: 6].
   --pools=N      Number of pools [default: 2].
   --workers=N    Workers of each pool [default: 6].
@@ -56,6 +59,10 @@
         static_cast<std::uint32_t>(numberOf(Arguments.at("--small")));
     Options.Faults_ =
         static_cast<std::uint32_t>(numberOf(Arguments.at("--faults")));
+    Options.ReturningWorkersFaults_ =
+        static_cast<std::uint32_t>(numberOf(Arguments.at("--returns")));
+    Options.LongJobShare_ =
+        static_cast<double>(numberOf(Arguments.at("--long"))) / 100;
     Options.Pools_ =
         static_cast<std::uint32_t>(numberOf(Arguments.at("--pools")));
     Options.WorkersPerPool_ =
