--- a/src/emulator/tests/emulator_test.cpp
+++ b/src/emulator/tests/emulator_test.cpp
@@ -1,26 +1,10 @@
-#include "emulator/emulator.h"
+#include "emulator/tests/emulatorrun.h"
 
 #include <gtest/gtest.h>
 
 namespace dragonflylock {
 namespace {
 
-std::string joined(const std::vector<std::string> &Lines) {
-  std::string Text;
-  for (const std::string &Line : Lines)
-    Text += Line + "\n";
-  return Text;
-}
-
-EmulatorReport runEmulator(const EmulatorOptions &Options) {
-  EmulatorReport Report = Emulator(Options).run();
-  EXPECT_TRUE(Report.Violations_.empty())
-      << "seed " << Options.Seed_ << "\nbroken:\n"
-      << joined(Report.Violations_) << "faults:\n"
-      << joined(Report.Faults_);
-  return Report;
-}
-
 TEST(EmulatorTest, AllJobsCompleteWithoutFaults) {
   EmulatorOptions Options;
   Options.Faults_ = 0;
