Play workers that return under their old ids, and show that tasks run twice

The stand-in workers of the soaks never came back. Now each lifetime of a worker has a clock of its own, ahead of the former's or behind and up to 2% slow, a `born` of its own, and knows no token, runs or ends of before; a start whose deadline has passed is refused as late, and leases are checked before each order as well as by the timer. Orders on their way to a worker that crashes arrive at its next lifetime, at once or up to 8 s after its return.

ReturningWorkersSoak crashes five of eight workers or all of them while tasks of 8 to 12 s run, brings them back after 0.3 to 2 s, cuts them off 0.3 to 4 s later, and fails, pauses and kills daemons beside that.

Jobs of which callers hear `failed` count as ended there: a task that was under way when workers crashed three times is given up, which is another fault.

Submitting and awaiting jobs moves from JobSoak to SoakFleet; its checks are unchanged.

--- a/tests/system/jobsoak_test.cpp
+++ b/tests/system/jobsoak_test.cpp
@@ -1,7 +1,6 @@
 #include "soakfleet.h"
 #include "standinpool.h"
 
-#include "http/httptypes.h"
 #include "http/internal/curlclient.h"
 
 #include <gtest/gtest.h>
@@ -43,14 +42,7 @@
           {"count", 2}, {"cpu", 500}, {"mem_mb", 10}, {"estimate_ms", WorkMs}};
       const nlohmann::json Job = {{"spec", std::to_string(WorkMs)},
                                   {"steps", nlohmann::json::array({Step})}};
-      auto Answer =
-          Client.exchange("http://" + Fleet_.callers(Node).text(),
-                          {"POST",
-                           Path,
-                           {{"Host", "host"}, {"Deadline-Ms", "1000"}},
-                           Job.dump()},
-                          milliseconds(1500));
-      if (!Answer || Answer.value().Status_ != httpstatus::Ok)
+      if (!Fleet_.submit(Client, Node, Path, Job.dump()))
         continue;
       const std::lock_guard Lock(Mutex_);
       Accepted_.push_back(Path);
@@ -92,20 +84,6 @@
       Pool_.link(Worker).setMode(TcpRelay::Mode::Pass);
   }
 
-  /// \returns the accepted jobs that have not completed by \p Until.
-  std::vector<std::string> awaitCompletion(TimePoint Until) {
-    std::vector<std::string> Open = Accepted_;
-    while (!Open.empty() && Clock::now() < Until) {
-      std::erase_if(Open, [this](const std::string &Path) {
-        const std::size_t Node = Fleet_.pick(0, SoakFleet::NodeCount - 1);
-        return Fleet_.get(Node, Path).Body_.find("completed") !=
-               std::string::npos;
-      });
-      std::this_thread::sleep_for(milliseconds(100));
-    }
-    return Open;
-  }
-
   SoakFleet Fleet_;
   StandInPool Pool_;
   std::mutex Mutex_;
@@ -123,7 +101,8 @@
   IsOver = true;
   for (std::thread &Each : Callers)
     Each.join();
-  for (const std::string &Path : awaitCompletion(FaultsEnded + CompletionLimit))
+  for (const std::string &Path : Fleet_.awaitJobs(
+           Accepted_, {"completed"}, FaultsEnded + CompletionLimit))
     ADD_FAILURE() << "seed " << GetParam() << ": " << Path
                   << " was accepted and has not completed; logs in "
                   << Fleet_.directory();
--- a/tests/system/soakfleet.cpp
+++ b/tests/system/soakfleet.cpp
@@ -7,10 +7,12 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <thread>
 
 namespace dragonflylock {
 
@@ -171,6 +173,31 @@
   }
 }
 
+bool SoakFleet::submit(IHttpClient &Client, std::size_t Node,
+                       const std::string &Path, const std::string &Job) const {
+  auto Answer = Client.exchange(
+      "http://" + callers(Node).text(),
+      {"POST", Path, {{"Host", "host"}, {"Deadline-Ms", "1000"}}, Job},
+      milliseconds(1500));
+  return Answer && Answer.value().Status_ == httpstatus::Ok;
+}
+
+std::vector<std::string>
+SoakFleet::awaitJobs(std::vector<std::string> Paths,
+                     const std::vector<std::string> &States, TimePoint Until) {
+  while (!Paths.empty() && Clock::now() < Until) {
+    std::erase_if(Paths, [&](const std::string &Path) {
+      const std::string Body = get(pick(0, NodeCount - 1), Path).Body_;
+      return std::any_of(States.begin(), States.end(),
+                         [&](const std::string &State) {
+                           return Body.find(State) != std::string::npos;
+                         });
+    });
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  return Paths;
+}
+
 HttpAnswer SoakFleet::get(std::size_t Index, const std::string &Path) const {
   CurlClient Client;
   auto Answer = Client.exchange("http://" + Nodes_[Index].Callers_.text(),
--- a/tests/system/soakfleet.h
+++ b/tests/system/soakfleet.h
@@ -6,6 +6,7 @@
 #include "tcprelay.h"
 
 #include "http/httptypes.h"
+#include "http/ihttpclient.h"
 
 #include <array>
 #include <atomic>
@@ -19,6 +20,7 @@
 #include <random>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace dragonflylock {
 
@@ -58,8 +60,22 @@
   /// \returns the number of queues that were added so far.
   std::uint64_t queueCount();
 
+  /// Submits a job to a node.
+  /// \param Client of the caller, which keeps its connections.
+  /// \returns whether it was accepted.
+  bool submit(IHttpClient &Client, std::size_t Node, const std::string &Path,
+              const std::string &Job) const;
+  /// Waits until jobs are in one of \p States.
+  /// \param Paths of the jobs.
+  /// \returns the paths of those that are not by \p Until.
+  std::vector<std::string> awaitJobs(std::vector<std::string> Paths,
+                                     const std::vector<std::string> &States,
+                                     TimePoint Until);
+
   /// Begins or ends a fault on a node.
   void playFault(std::size_t Node);
+  /// Kills a node's process and starts it again.
+  void restart(std::size_t Node) { start(Nodes_[Node]); }
   /// Ends the faults on all nodes.
   void endFaults();
   /// \returns when the last fault on a node began or ended.
--- a/tests/system/standinworker.cpp
+++ b/tests/system/standinworker.cpp
@@ -15,12 +15,46 @@
 } // namespace
 
 StandInWorker::StandInWorker(std::string Id, RunLedger &Ledger)
-    : Id_(std::move(Id)), Ledger_(Ledger), BornMs_(nowMs()) {}
+    : Id_(std::move(Id)), Ledger_(Ledger) {}
 
-std::int64_t StandInWorker::nowMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             Clock::now().time_since_epoch())
-      .count();
+void StandInWorker::crash() {
+  for (const auto &[Task, Each] : Runs_) {
+    auto Found = Ledger_.Running_.find(Task);
+    if (Found != Ledger_.Running_.end() && Found->second == Id_)
+      Ledger_.Running_.erase(Found);
+    note(Task, Each.Number_, "crashed");
+  }
+  Runs_.clear();
+  Over_.clear();
+  Ends_.clear();
+  Token_ = 0;
+  LeaseEndMs_ = 0;
+  NextEnd_ = 1;
+}
+
+void StandInWorker::begin(std::chrono::milliseconds ClockStart,
+                          double ClockRate) {
+  BornMs_ = std::chrono::duration_cast<std::chrono::milliseconds>(
+                std::chrono::system_clock::now().time_since_epoch())
+                .count();
+  Began_ = Clock::now();
+  ClockStart_ = ClockStart;
+  ClockRate_ = ClockRate;
+  Ledger_.note(Id_ + " begins, born " + std::to_string(BornMs_) + ", clock " +
+               std::to_string(nowMs()) + ", rate " + std::to_string(ClockRate));
+}
+
+std::int64_t StandInWorker::nowMs() const {
+  const std::chrono::duration<double, std::milli> Lived = Clock::now() - Began_;
+  return ClockStart_.count() +
+         static_cast<std::int64_t>(Lived.count() * ClockRate_);
+}
+
+void StandInWorker::note(const std::string &Task, std::uint64_t Run,
+                         const std::string &What) {
+  Ledger_.note(Id_ + " " + What + ": " + Task + " run " + std::to_string(Run) +
+               ", clock " + std::to_string(nowMs()) + ", lease until " +
+               std::to_string(LeaseEndMs_));
 }
 
 std::pair<int, StandInWorker::Json>
@@ -57,6 +91,8 @@
     return {httpstatus::Ok, {{"clock_ms", nowMs()}}};
   if (Number <= Over_[Task] || Found != Runs_.end())
     return {httpstatus::Conflict, {{"clock_ms", nowMs()}, {"reason", "old"}}};
+  if (Body.at("deadline_ms").get<std::int64_t>() <= nowMs())
+    return {httpstatus::Conflict, {{"clock_ms", nowMs()}, {"reason", "late"}}};
   const std::string What =
       Task + " run " + std::to_string(Number) + " on " + Id_;
   if (Ledger_.Running_.contains(Task))
@@ -64,6 +100,7 @@
   if (Ledger_.Done_.contains(Task))
     Ledger_.Faults_.push_back(What + " after its end was acknowledged");
   Ledger_.Running_[Task] = Id_;
+  note(Task, Number, "starts");
   const std::int64_t WorkMs = std::stoll(Body.at("spec").get<std::string>());
   Runs_[Task] = {Number, nowMs() + WorkMs};
   return {httpstatus::Ok, {{"clock_ms", nowMs()}}};
@@ -71,6 +108,7 @@
 
 void StandInWorker::finish(const std::string &Task, const std::string &How) {
   const std::uint64_t Number = Runs_.at(Task).Number_;
+  note(Task, Number, How);
   Runs_.erase(Task);
   auto Found = Ledger_.Running_.find(Task);
   if (Found != Ledger_.Running_.end() && Found->second == Id_)
