--- a/tools/emulator/main.cpp
+++ b/tools/emulator/main.cpp
@@ -50,6 +50,8 @@
   std::uint64_t First = numberOf(Arguments.at("--first"));
   std::uint64_t Seeds = numberOf(Arguments.at("--count"));
   std::uint64_t FailedSeeds = 0;
+  std::uint64_t CrashesByTasks = 0;
+  std::uint64_t GivenUpWithoutCause = 0;
   for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed) {
     EmulatorOptions Options;
     Options.Seed_ = Seed;
@@ -82,6 +84,8 @@
     Options.HasVariedJobs_ = Arguments.at("--varied").asBool();
     Options.ChecksIdleCapacity_ = Arguments.at("--idle").asBool();
     EmulatorReport Report = Emulator(Options).run();
+    CrashesByTasks += Report.CrashesByTasks_;
+    GivenUpWithoutCause += Report.GivenUpWithoutCause_;
     if (Report.Violations_.empty())
       continue;
     ++FailedSeeds;
@@ -93,7 +97,9 @@
     for (const std::string &Violation : Report.Violations_)
       std::cout << "  broken: " << Violation << "\n";
   }
-  std::cout << Seeds << " seeds, " << FailedSeeds << " with a broken rule\n";
+  std::cout << Seeds << " seeds, " << FailedSeeds << " with a broken rule; "
+            << CrashesByTasks << " crashes by tasks, " << GivenUpWithoutCause
+            << " jobs given up without cause\n";
   return FailedSeeds == 0 ? 0 : 1;
 }
 
