--- a/src/scheduling/tests/deadlytasks_test.cpp
+++ b/src/scheduling/tests/deadlytasks_test.cpp
@@ -38,6 +38,38 @@
     answerHolds({});
   }
 
+  /// Crashes all workers of the zone at the same moment.
+  void crashZone(const std::string &Zone) {
+    std::set<std::string> Crashed;
+    for (WorkerEntry &Each : Fleet_) {
+      if (Each.Zone_ != Zone)
+        continue;
+      Crashed.insert(Each.Id_);
+      Each.Id_ = "again-" + Each.Id_;
+      Each.Born_ += milliseconds(4000);
+    }
+    answerHolds(Crashed);
+    Owner_->onWorkers(Fleet_);
+    tickTwice();
+    answerHolds({});
+  }
+
+  /// \returns the zone of the worker.
+  std::string zoneOf(const std::string &Id) const {
+    for (const WorkerEntry &Each : Fleet_)
+      if (Each.Id_ == Id)
+        return Each.Zone_;
+    return "";
+  }
+
+  /// Takes ownership of two zones of four workers each.
+  void takeOwnershipOfZones() {
+    Fleet_ = takeOwnershipOfFleet(8);
+    for (std::size_t Index = 0; Index < Fleet_.size(); ++Index)
+      Fleet_[Index].Zone_ = Index < Fleet_.size() / 2 ? "zone-a" : "zone-b";
+    Owner_->onWorkers(Fleet_);
+  }
+
   /// Answers the hold orders that are waiting, except those to workers in \p
   /// Failing, which fail.
   void answerHolds(const std::set<std::string> &Failing,
@@ -155,5 +187,37 @@
   }
 }
 
+TEST_F(DeadlyTasksTest, LongRunningTaskIsNotGivenUpForCrashesOfItsZone) {
+  storeJob(servingJob());
+  takeOwnershipOfZones();
+  for (int Crash = 0; Crash < 5; ++Crash) {
+    waitForStart();
+    auto Started = confirmStarts();
+    ASSERT_FALSE(Started.empty()) << "given up after " << Crash << " crashes";
+    crashZone(zoneOf(Started.front().Target_.Id_));
+  }
+  EXPECT_EQ(storedState().find("\"failed\""), std::string::npos);
+}
+
+TEST_F(DeadlyTasksTest, CrashLongAfterALapseIsNotBlamedOnTheLapsedRuns) {
+  storeJob(jobOf(2));
+  Fleet_ = takeOwnershipOfFleet(1);
+  waitForStart();
+  ASSERT_EQ(confirmStarts().size(), 2U);
+  for (int Wait = 0; Wait < 80; ++Wait) {
+    advance(milliseconds(100));
+    answerHolds({Fleet_.front().Id_});
+  }
+  waitForStart();
+  std::vector<ListedRun> Running;
+  for (const RecordingWorkers::Start &Each : confirmStarts())
+    Running.push_back({Each.Order_.Task_, Each.Order_.Run_, "", 100, 0});
+  ASSERT_EQ(Running.size(), 2U);
+  advance(milliseconds(1000));
+  answerHolds({}, Running);
+  crash(Fleet_.front().Id_);
+  EXPECT_EQ(storedState().find("crashed"), std::string::npos);
+}
+
 } // namespace
 } // namespace dragonflylock
