Forget lapsed runs once their worker answers again

Cause: runs that are young when their leases expire are kept, since a worker that does not answer may have crashed from them. They were kept after the worker had answered again as well, so that any later crash of it was charged to them, even as the verdict of a trial.

An answer of the same lifetime proves that the worker has survived the starts, so nothing that lapsed before it can have caused a later crash.

--- a/src/scheduling/internal/leaserenewer.cpp
+++ b/src/scheduling/internal/leaserenewer.cpp
@@ -162,6 +162,8 @@
   Session.IsFenced_ = true;
   Session.HoldFailures_ = 0;
   Session.HasEnded_ = false;
+  // The worker has outlived them.
+  Session.YoungExpiredRuns_.clear();
   recordEnds(Session, Answer);
   stopUnwanted(Session, Answer);
   releaseUnlisted(Session, Sent.At_, Answer);
