Do not give up a task for a crash that its zone or rack shares

Cause: each crash is judged alone. A task that was young in two crashes of a zone starts on trial, and a third crash of the zone during the trial counts as proof, although all workers of the zone went down together. Class of fault: evidence from events that are not independent.

The third crash is now judged a second after it was noticed, by CrashBlame, which compares it with the crashes of other workers of the same zone or rack within a second. The task is not blamed if one of them had started nothing, since no task can have crashed that worker, or if no worker of the zone or rack survived and on one of the crashed ones no task was on trial. Deadly tasks only crash workers that have just started them, so that they meet the first condition only by chance, and the second only where they take down a whole zone or rack. The task waits for the verdict. The first two crashes count as before: they only put the task on trial.

Deadly tasks are still given up.

--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -364,8 +364,10 @@
     auto Found = BornOfId.find(Session->entry().Id_);
     auto Born = Session->entry().Born_;
     bool IsListed = Found != BornOfId.end() && Found->second == Born;
-    if (Session->IsListed_ && !IsListed)
+    if (Session->IsListed_ && !IsListed) {
       Parts_->State_.NeedsDispatch_ = true;
+      Parts_->Runs_.noteGone(*Session);
+    }
     Session->IsListed_ = IsListed;
   }
   for (const WorkerEntry &Worker : Workers) {
@@ -403,6 +405,7 @@
     Parts_->LeaseRenewer_->tick();
   Parts_->endSessionsOfReplacedWorkers();
   Parts_->releaseRunsOnStoppedMachines();
+  Parts_->Runs_.judgeTrials();
   Parts_->InheritedRuns_.update();
   Parts_->Maintenance_->updateReservations();
   Parts_->Dispatcher_->stopUnwanted();
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -30,6 +30,13 @@
 constexpr std::size_t MaxCrashedRuns =
     WorkerSession::CrashedRunsBeforeTrial + 1;
 
+/// \returns whether the worker leaves by itself or is taken down by an order,
+/// so that its end is no crash.
+bool isLeaving(const WorkerSession &Session) {
+  return Session.entry().State_ == WorkerState::Draining ||
+         Session.isBeingDrained();
+}
+
 const char *nameOf(EndKind Kind) {
   switch (Kind) {
   case EndKind::Done:
@@ -289,13 +296,16 @@
 void RunTracker::recordCrash(WorkerSession &Session) {
   if (std::exchange(Session.IsCrashRecorded_, true))
     return;
-  // Workers that drain leave by themselves; those that are being drained are
-  // taken down by an order.
-  if (Session.entry().State_ == WorkerState::Draining ||
-      Session.isBeingDrained())
+  if (isLeaving(Session))
     return;
   std::map<TaskName, RunNumber> Young = Session.youngRuns();
   Young.merge(Session.YoungExpiredRuns_);
+  bool HadRunOnTrial =
+      std::any_of(Young.begin(), Young.end(), [&](const auto &Each) {
+        return Session.wasOnTrial(Each.first);
+      });
+  Blame_.addCrash(
+      {Session.entry(), Pool_.Clock_.now(), !Young.empty(), HadRunOnTrial});
   if (Young.empty())
     return;
   Pool_.Logger_.write(
@@ -309,6 +319,15 @@
     suspect(Session, Name, Run);
 }
 
+void RunTracker::noteGone(const WorkerSession &Session) {
+  if (Session.IsCrashRecorded_ || isLeaving(Session))
+    return;
+  bool HadYoungRuns =
+      !Session.youngRuns().empty() || !Session.YoungExpiredRuns_.empty();
+  Blame_.addCrash({Session.entry(), Pool_.Clock_.now(), HadYoungRuns,
+                   Session.hasRunOnTrial()});
+}
+
 void RunTracker::suspect(const WorkerSession &Session, const TaskName &Name,
                          RunNumber Run) {
   ActiveJob *Job = Pool_.job(Name.Job_);
@@ -317,23 +336,56 @@
     return;
   // A task that is suspected of several crashes is to blame for another one
   // only if no other task could be.
-  TaskProgress &Task = Job->mutableProgress().task(Name);
-  if (Task.CrashedRuns_.size() >= WorkerSession::CrashedRunsBeforeTrial &&
-      !Session.wasOnTrial(Name))
+  if (Job->progress().task(Name).CrashedRuns_.size() <
+      WorkerSession::CrashedRunsBeforeTrial) {
+    addCrashedRun(*Job, Name, Run);
     return;
+  }
+  if (!Session.wasOnTrial(Name))
+    return;
+  Blame_.addTrial({Name, Run, Session.entry().lifetime()});
+  Job->mutableRun(Name).NotBefore_ = Pool_.Clock_.now() + CrashBlame::Window;
+}
+
+void RunTracker::addCrashedRun(ActiveJob &Job, const TaskName &Name,
+                               RunNumber Run) {
+  TaskProgress &Task = Job.mutableProgress().task(Name);
   Task.recordCrash(Run);
-  Job->markDirty();
+  Job.markDirty();
   // After a first crash the task need not wait: most crashes have another
   // cause, and the store may be away.
   if (Task.CrashedRuns_.size() >= WorkerSession::CrashedRunsBeforeTrial)
-    Job->mutableRun(Name).CrashChange_ = Job->changeCount();
-  if (Task.CrashedRuns_.size() >= MaxCrashedRuns)
-    Pool_.Logger_.write(
-        LogLevel::Warning,
-        LogEvent("task.given-up")
-            .with("task", Name.text())
-            .with("crashes", std::uint64_t{Task.CrashedRuns_.size()}));
-  updateJobState(*Job);
+    Job.mutableRun(Name).CrashChange_ = Job.changeCount();
+  updateJobState(Job);
+}
+
+void RunTracker::judgeTrials() {
+  if (!Blame_.hasTrials())
+    return;
+  std::vector<WorkerEntry> Present;
+  for (const auto &[Lifetime, Session] : Pool_.Sessions_)
+    if (Session->IsListed_ && Session->HoldFailures_ == 0)
+      Present.push_back(Session->entry());
+  for (const CrashVerdict &Verdict :
+       Blame_.takeDue(Pool_.Clock_.now(), Present))
+    applyVerdict(Verdict);
+}
+
+void RunTracker::applyVerdict(const CrashVerdict &Verdict) {
+  const TaskName &Name = Verdict.Trial_.Task_;
+  ActiveJob *Job = Pool_.job(Name.Job_);
+  if (Job == nullptr || Job->isOver() || Job->progress().task(Name).IsDone_)
+    return;
+  if (Verdict.IsBlamed_)
+    addCrashedRun(*Job, Name, Verdict.Trial_.Run_);
+  Pool_.Logger_.write(
+      LogLevel::Warning,
+      LogEvent(Verdict.IsBlamed_ ? "task.given-up" : "task.not-blamed")
+          .with("task", Name.text())
+          .with("crashes",
+                std::uint64_t{Job->progress().task(Name).CrashedRuns_.size()})
+          .with("worker", Verdict.Worker_)
+          .with("other-crashes", std::uint64_t{Verdict.OtherCrashes_}));
 }
 
 void RunTracker::release(WorkerSession &Session, const TaskName &Name) {
--- a/src/scheduling/internal/runtracker.h
+++ b/src/scheduling/internal/runtracker.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYLOCK_SCHEDULING_INTERNAL_RUNTRACKER_H
 #define DRAGONFLYLOCK_SCHEDULING_INTERNAL_RUNTRACKER_H
 
+#include "scheduling/internal/crashblame.h"
 #include "scheduling/schedulingtypes.h"
 #include "scheduling/workercalls.h"
 
@@ -33,6 +34,10 @@
   /// are removed. If the worker has crashed, the tasks that it had just started
   /// are suspected; a task that is suspected too often is given up.
   void recordCrash(WorkerSession &Session);
+  /// Called when the registry no longer lists the worker's lifetime.
+  void noteGone(const WorkerSession &Session);
+  /// Gives up the tasks that are to blame for crashes during their trials.
+  void judgeTrials();
   /// Removes a run that certainly no longer exists, so that its task may start
   /// again.
   void release(WorkerSession &Session, const TaskName &Name);
@@ -80,9 +85,13 @@
   /// Records that the worker crashed shortly after it had started the run.
   void suspect(const WorkerSession &Session, const TaskName &Name,
                RunNumber Run);
+  /// Records that the task is to blame for another crash.
+  void addCrashedRun(ActiveJob &Job, const TaskName &Name, RunNumber Run);
+  void applyVerdict(const CrashVerdict &Verdict);
   bool hasFailed(ActiveJob &Job) const;
 
   PoolState &Pool_;
+  CrashBlame Blame_;
   /// Immediate restarts after short runs in the current interval.
   std::uint32_t ImmediateRestarts_ = 0;
   TimePoint RestartIntervalEnd_;
--- a/src/scheduling/tests/deadlytasks_test.cpp
+++ b/src/scheduling/tests/deadlytasks_test.cpp
@@ -38,28 +38,30 @@
     answerHolds({});
   }
 
-  /// Crashes all workers of the zone at the same moment.
-  void crashZone(const std::string &Zone) {
-    std::set<std::string> Crashed;
+  /// Crashes the workers at the same moment.
+  void crashTogether(const std::set<std::string> &Ids) {
     for (WorkerEntry &Each : Fleet_) {
-      if (Each.Zone_ != Zone)
+      if (!Ids.contains(Each.Id_))
         continue;
-      Crashed.insert(Each.Id_);
       Each.Id_ = "again-" + Each.Id_;
       Each.Born_ += milliseconds(4000);
     }
-    answerHolds(Crashed);
+    answerHolds(Ids);
     Owner_->onWorkers(Fleet_);
     tickTwice();
     answerHolds({});
   }
 
-  /// \returns the zone of the worker.
-  std::string zoneOf(const std::string &Id) const {
+  /// \returns the workers in the zone of the given worker.
+  std::set<std::string> neighboursOf(const std::string &Id) const {
+    auto Found =
+        std::find_if(Fleet_.begin(), Fleet_.end(),
+                     [&](const WorkerEntry &Each) { return Each.Id_ == Id; });
+    std::set<std::string> Ids;
     for (const WorkerEntry &Each : Fleet_)
-      if (Each.Id_ == Id)
-        return Each.Zone_;
-    return "";
+      if (Each.Zone_ == Found->Zone_)
+        Ids.insert(Each.Id_);
+    return Ids;
   }
 
   /// Takes ownership of two zones of four workers each.
@@ -194,11 +196,26 @@
     waitForStart();
     auto Started = confirmStarts();
     ASSERT_FALSE(Started.empty()) << "given up after " << Crash << " crashes";
-    crashZone(zoneOf(Started.front().Target_.Id_));
+    crashTogether(neighboursOf(Started.front().Target_.Id_));
   }
   EXPECT_EQ(storedState().find("\"failed\""), std::string::npos);
 }
 
+TEST_F(DeadlyTasksTest, TasksThatCrashWorkersOfAZoneTogetherAreGivenUp) {
+  storeJob(jobOf(4));
+  takeOwnershipOfZones();
+  std::size_t Crashes = 0;
+  for (waitForStart(); !Workers_.Starts_.empty(); waitForStart()) {
+    std::set<std::string> Started;
+    for (const RecordingWorkers::Start &Each : confirmStarts())
+      Started.insert(Each.Target_.Id_);
+    Crashes += Started.size();
+    ASSERT_LE(Crashes, 16U);
+    crashTogether(Started);
+  }
+  EXPECT_NE(storedState().find("\"failed\""), std::string::npos);
+}
+
 TEST_F(DeadlyTasksTest, CrashLongAfterALapseIsNotBlamedOnTheLapsedRuns) {
   storeJob(jobOf(2));
   Fleet_ = takeOwnershipOfFleet(1);
