--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -259,6 +259,7 @@
   if (Job.progress().task(Name).CrashedRuns_.size() >=
       WorkerSession::CrashedRunsBeforeTrial)
     Session.setRunOnTrial(Name);
+  Session.IsTokenUsed_ = true;
   Session.recordLease(Entry.OrderExpires_);
   Session.recordLeaseOfUnlistedRuns(Pool_.latestLeaseExpiry(Now));
   Chooser_.onStarted(Session, Step);
@@ -307,7 +308,7 @@
   WorkerSession *Session = Pool_.session(Lifetime);
   if (Session == nullptr)
     return;
-  Pool_.onOrderEnded(*Session);
+  Pool_.onOrderEnded(*Session, Answer.Outcome_);
   const TimePoint Now = Pool_.Clock_.now();
   bool IsOtherLifetime = Answer.Outcome_ == OrderOutcome::OtherLifetime;
   if (Answer.Clock_.count() > 0 && !IsOtherLifetime)
@@ -407,7 +408,8 @@
   for (auto &[Lifetime, Session] : Pool_.Sessions_) {
     // A worker that does not respond to hold orders gets the stop order once it
     // responds again; otherwise the leases of its runs expire.
-    if (!Session->IsFenced_ || Session->HoldFailures_ > 0)
+    if (!Session->IsFenced_ || Session->IsSuperseded_ ||
+        Session->HoldFailures_ > 0)
       continue;
     for (const auto &[Name, Run] : Session->runs()) {
       if (!Run.MustStop_ && !isUnwanted(*Session, Name))
--- a/src/scheduling/internal/fillerthrottler.cpp
+++ b/src/scheduling/internal/fillerthrottler.cpp
@@ -37,7 +37,8 @@
     return;
   const TimePoint Now = Pool_.Clock_.now();
   for (auto &[Lifetime, Session] : Pool_.Sessions_)
-    if (Session->IsFenced_ && Session->NextPaceAt_ <= Now)
+    if (Session->IsFenced_ && !Session->IsSuperseded_ &&
+        Session->NextPaceAt_ <= Now)
       adjust(*Session);
 }
 
--- a/src/scheduling/internal/leaserenewer.cpp
+++ b/src/scheduling/internal/leaserenewer.cpp
@@ -47,8 +47,11 @@
 }
 
 bool LeaseRenewer::isHoldDue(const WorkerSession &Session) const {
-  if (Session.IsHoldPending_ || Session.IsSuperseded_ || !Session.IsInRoster_ ||
-      Session.Token_ == 0 || Session.NextHoldAt_ > Pool_.Clock_.now())
+  if (Session.IsHoldPending_ || Session.IsSuperseded_ || Session.Token_ == 0 ||
+      Session.NextHoldAt_ > Pool_.Clock_.now())
+    return false;
+  // The first hold, which grants no lease, need not wait for the roster.
+  if (!Session.IsInRoster_ && Session.ConfirmedToken_ == Session.Token_)
     return false;
   if (Session.HasEnded_ && !Session.IsListed_ && Session.runs().empty())
     return false;
@@ -86,9 +89,10 @@
     Session.recordLease(Pool_.latestLeaseExpiry(Now));
   }
   Session.IsHoldPending_ = true;
-  Session.IsTokenSent_ = true;
   const SentHold Sent{Now, Order.Token_, Order.AcknowledgedEnd_,
                       Order.LeaseEnd_.count() > 0};
+  Session.IsTokenUsed_ =
+      Session.IsTokenUsed_ || Sent.GrantsLease_ || Order.AcknowledgedEnd_ > 0;
   Pool_.Workers_.hold(
       Session.target(), Order,
       [Weak = weak_from_this(), Sent,
@@ -103,9 +107,10 @@
   std::uint64_t Settled = Session.acknowledgeableUpTo();
   // A later lifetime of the same worker id numbers its run ends from the
   // beginning, so an acknowledgement meant for the earlier lifetime would make
-  // it forget ends that no owner has seen. A worker takes longer than
-  // MaxListsAge to restart.
-  bool IsSameLifetime = Pool_.Clock_.now() < Session.LastListsAt_ + MaxListsAge;
+  // it forget ends that no owner has seen. After a hold that failed, the worker
+  // may have restarted.
+  bool IsSameLifetime = Session.HoldFailures_ == 0 &&
+                        Pool_.Clock_.now() < Session.LastListsAt_ + MaxListsAge;
   return Settled > Session.acknowledged() && IsSameLifetime ? Settled : 0;
 }
 
@@ -121,12 +126,12 @@
   bool IsAccepted =
       Answer.Outcome_ == OrderOutcome::Accepted && !IsOtherLifetime;
   if (Sent.GrantsLease_ && !IsAccepted)
-    Pool_.onOrderEnded(*Session);
+    Pool_.onOrderEnded(*Session, Answer.Outcome_);
   if (IsOtherLifetime) {
     logOtherLifetime(*Session, Sent.At_, Answer.Born_);
     onHoldFailed(*Session, Sent.At_, OrderOutcome::OtherLifetime);
     Session->HasEnded_ = Answer.Born_ > Born;
-    Session->HasSuccessor_ = Session->HasEnded_;
+    Session->HasSuccessor_ = Session->HasSuccessor_ || Session->HasEnded_;
   } else if (IsAccepted) {
     Session->setAcknowledged(
         std::max(Session->acknowledged(), Sent.Acknowledged_));
--- a/src/scheduling/internal/maintenancemanager.cpp
+++ b/src/scheduling/internal/maintenancemanager.cpp
@@ -200,7 +200,8 @@
   // A worker that is cut off leaves the registry and runs on until its leases
   // expire.
   for (auto &[Lifetime, Session] : Pool_.Sessions_)
-    if (Session->entry().Machine_ == Name && !Session->HasEnded_ &&
+    if (Session->entry().Machine_ == Name &&
+        (!Session->HasEnded_ || Session->HasSuccessor_) &&
         (!Session->runs().empty() ||
          Pool_.mayHaveUnexpiredInheritedRuns(*Session)))
       return Session.get();
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -213,6 +213,16 @@
            Session.runs().empty() && !Session.hasPendingEnds() &&
            State_.Clock_.now() >= Session.leasesExpireAt();
   });
+  // A registered worker whose start is dated before that of an earlier
+  // lifetime, because its time of day was changed.
+  for (auto &[Lifetime, Session] : State_.Sessions_) {
+    if (!Session->IsSuperseded_ || !Session->IsListed_ ||
+        State_.successorOf(*Session) != nullptr)
+      continue;
+    Session->IsSuperseded_ = false;
+    Session->HasSuccessor_ = false;
+    Session->HasEnded_ = false;
+  }
 }
 
 void PoolOwner::Parts::endSessionsOfMovedWorkers() {
@@ -294,16 +304,19 @@
     Machines_->refresh(MachineListInterval);
     if (!hasLeftItsMachine(*Session))
       continue;
+    const std::size_t Runs = Session->runs().size();
+    Runs_.recordCrash(*Session);
+    // An unanswered order may still reach a later lifetime of the same id, and
+    // one that was confirmed later than the list may have started a run there.
+    Runs_.releaseConfirmedBefore(*Session, Machines_->listedAt());
+    if (Session->runs().size() == Runs)
+      continue;
     State_.Logger_.write(
         LogLevel::Info,
         LogEvent("worker.stopped")
             .with("worker", Session->entry().Id_)
             .with("machine", Session->entry().Machine_)
-            .with("runs", std::uint64_t{Session->runs().size()}));
-    Runs_.recordCrash(*Session);
-    // An unanswered order may still reach a later lifetime of the same id, and
-    // one that was confirmed later than the list may have started a run there.
-    Runs_.releaseConfirmedBefore(*Session, Machines_->listedAt());
+            .with("runs", std::uint64_t{Runs - Session->runs().size()}));
     State_.NeedsDispatch_ = true;
   }
 }
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -48,37 +48,37 @@
   return *Place->second;
 }
 
-std::vector<WorkerSession *> PoolState::lifetimesOf(const std::string &Id) {
+std::vector<WorkerSession *>
+PoolState::lifetimesOf(const std::string &Id) const {
   std::vector<WorkerSession *> Found;
   // Lifetimes are ordered by id first.
   for (auto Each = Sessions_.lower_bound(Id);
        Each != Sessions_.end() && Each->first.starts_with(Id); ++Each)
-    if (Each->second != nullptr && Each->second->entry().Id_ == Id)
+    if (Each->second->entry().Id_ == Id)
       Found.push_back(Each->second.get());
   return Found;
 }
 
-const WorkerSession *
-PoolState::successorOf(const WorkerSession &Session) const {
-  const std::string &Id = Session.entry().Id_;
-  const WorkerSession *Latest = &Session;
-  for (auto Each = Sessions_.lower_bound(Id);
-       Each != Sessions_.end() && Each->first.starts_with(Id); ++Each)
-    if (Each->second->entry().Id_ == Id &&
-        Each->second->entry().Born_ > Latest->entry().Born_)
-      Latest = Each->second.get();
-  return Latest == &Session ? nullptr : Latest;
-}
-
-void PoolState::supersedeEarlierLifetimes(const std::string &Id) {
+WorkerSession *PoolState::latestOf(const std::string &Id) const {
   std::vector<WorkerSession *> Lifetimes = lifetimesOf(Id);
   auto Latest =
       std::max_element(Lifetimes.begin(), Lifetimes.end(),
                        [](const auto *Left, const auto *Right) {
                          return Left->entry().Born_ < Right->entry().Born_;
                        });
-  for (WorkerSession *Each : Lifetimes) {
-    if (Each == *Latest)
+  return Latest == Lifetimes.end() ? nullptr : *Latest;
+}
+
+const WorkerSession *
+PoolState::successorOf(const WorkerSession &Session) const {
+  const WorkerSession *Latest = latestOf(Session.entry().Id_);
+  return Latest == &Session ? nullptr : Latest;
+}
+
+void PoolState::supersedeEarlierLifetimes(const std::string &Id) {
+  const WorkerSession *Latest = latestOf(Id);
+  for (WorkerSession *Each : lifetimesOf(Id)) {
+    if (Each == Latest)
       continue;
     Each->IsSuperseded_ = true;
     Each->HasEnded_ = true;
@@ -91,7 +91,7 @@
     return;
   const FencingToken Latest = std::max(Token_, RenewalToken_);
   for (const WorkerSession *Each : lifetimesOf(Session.entry().Id_))
-    if (Each->IsTokenSent_ && Each->Token_ >= Latest)
+    if (Each->IsTokenUsed_ && Each->Token_ >= Latest)
       return;
   Session.Token_ = Latest;
 }
@@ -101,7 +101,13 @@
     assignToken(*Session);
 }
 
-void PoolState::onOrderEnded(const WorkerSession &Session) {
+void PoolState::onOrderEnded(const WorkerSession &Session,
+                             OrderOutcome Outcome) {
+  const bool WasRefused =
+      Outcome == OrderOutcome::NotSent || Outcome == OrderOutcome::Unhealthy ||
+      Outcome == OrderOutcome::Fenced || Outcome == OrderOutcome::OtherLifetime;
+  if (WasRefused)
+    return;
   const TimePoint LeaseEnd = latestLeaseExpiry(Clock_.now());
   for (WorkerSession *Each : lifetimesOf(Session.entry().Id_)) {
     const bool IsLater = Each->entry().Born_ > Session.entry().Born_;
@@ -121,7 +127,8 @@
   // lifetime.
   const WorkerSession *Successor = successorOf(Session);
   return Successor == nullptr ||
-         (!Successor->IsFenced_ && !Successor->HasEnded_);
+         (!Successor->IsFenced_ &&
+          (Successor->HasSuccessor_ || !Successor->HasEnded_));
 }
 
 bool PoolState::mayHaveUnexpiredInheritedRuns(
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -49,8 +49,7 @@
 
   /// Token of this owner.
   FencingToken Token_ = 0;
-  /// Version of the last renewal of the lease; 0 before the first one. It is
-  /// higher than any token that orders have carried so far.
+  /// Version of the last renewal of the lease; 0 before the first one.
   FencingToken RenewalToken_ = 0;
   /// All run numbers of this owner are higher than this.
   RunNumber RunNumberBase_ = 0;
@@ -100,7 +99,7 @@
   /// \returns the session of the worker's lifetime, creating it if necessary.
   WorkerSession &findOrCreateSession(const WorkerEntry &Entry);
   /// \returns the sessions of all lifetimes of the worker id.
-  std::vector<WorkerSession *> lifetimesOf(const std::string &Id);
+  std::vector<WorkerSession *> lifetimesOf(const std::string &Id) const;
   /// \returns the session of the lifetime of the same id that started last, if
   /// it started after that of \p Session; null otherwise.
   const WorkerSession *successorOf(const WorkerSession &Session) const;
@@ -108,9 +107,9 @@
   /// orders to its earlier lifetimes, if the last renewal provides it.
   void assignTokens();
   /// Called when an order that may grant a lease has been answered or has
-  /// failed. Unless the worker's lifetime is known to have carried it out, a
-  /// later lifetime of the same id may just have done so.
-  void onOrderEnded(const WorkerSession &Session);
+  /// failed, unless the worker's lifetime has listed its runs in response. A
+  /// later lifetime of the same id may just have carried it out.
+  void onOrderEnded(const WorkerSession &Session, OrderOutcome Outcome);
   /// \returns whether the worker may be executing runs that a previous owner
   /// started and that this owner does not know of. Lease expiry is not
   /// considered.
@@ -140,6 +139,7 @@
 private:
   /// Marks the earlier ones of the id's lifetimes as superseded.
   void supersedeEarlierLifetimes(const std::string &Id);
+  WorkerSession *latestOf(const std::string &Id) const;
   void assignToken(WorkerSession &Session);
 };
 
--- a/src/scheduling/internal/rostermanager.cpp
+++ b/src/scheduling/internal/rostermanager.cpp
@@ -103,7 +103,9 @@
 }
 
 bool RosterManager::shouldDeclareSilent(const WorkerSession &Session) const {
-  return Session.HoldFailures_ >= FailedHoldsUntilSilent &&
+  // A superseded lifetime is sent no holds that could fail.
+  return (Session.HoldFailures_ >= FailedHoldsUntilSilent ||
+          Session.IsSuperseded_) &&
          areRunsKnown(Session);
 }
 
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -471,7 +471,6 @@
     Pool_.NeedsStopCheck_ = true;
     Successor.changeRuns()[Name] = Unconfirmed;
     Successor.recordLease(Pool_.latestLeaseExpiry(Pool_.Clock_.now()));
-    Unconfirmed.WasListed_ = false;
     TaskRun &Run = Job->mutableRun(Name);
     Run.Worker_ = Successor.entry().lifetime();
     Run.Phase_ = TaskPhase::Stopping;
--- a/src/scheduling/internal/runtracker.h
+++ b/src/scheduling/internal/runtracker.h
@@ -49,7 +49,8 @@
   /// the same worker id, so that run stays until the later lifetime has been
   /// asked.
   void releaseListed(WorkerSession &Session);
-  /// Removes the runs of a worker id that had no lifetime at \p Time.
+  /// Removes the runs that no lifetime of the worker id can be executing.
+  /// \param Time when the id had no lifetime, by the list of machines.
   void releaseConfirmedBefore(WorkerSession &Session, TimePoint Time);
   /// Removes the runs whose leases have expired.
   void releaseExpired(WorkerSession &Session);
--- a/src/scheduling/internal/workerchooser.cpp
+++ b/src/scheduling/internal/workerchooser.cpp
@@ -11,7 +11,7 @@
 bool WorkerChooser::isUsable(const WorkerSession &Session,
                              const PoolState &Pool) {
   return Session.IsFenced_ && Session.ConfirmedToken_ == Session.Token_ &&
-         Session.IsInRoster_ && Session.IsListed_ &&
+         !Session.HasSuccessor_ && Session.IsInRoster_ && Session.IsListed_ &&
          !Session.isBeingDrained() && !Session.hasRunOnTrial() &&
          !Session.IsDeclaredSilent_ && Session.hasClock() &&
          Session.HoldFailures_ == 0 &&
--- a/src/scheduling/tests/returnedworkers_test.cpp
+++ b/src/scheduling/tests/returnedworkers_test.cpp
@@ -223,6 +223,39 @@
   expectNoStartWhileItRuns({});
 }
 
+// Guards against a pool that waits for a former lifetime after a takeover.
+TEST_F(ReturnedWorkersTest, FormerLifetimeIsDeclaredSilentForTheNextOwner) {
+  takeOwnership(0, {worker("w1")});
+  Former_.emplace(Clock_, milliseconds(5), FormerClock);
+  serve(*Former_);
+  Owner_->onWorkers({returnedWorker()});
+  tickTwice();
+  auto Roster = controlrows::decodeRoster(
+      Store_.Rows_[controlrows::roster("pool")].Value_);
+  ASSERT_TRUE(Roster);
+  EXPECT_TRUE(Roster->Silent_.contains(worker("w1").lifetime()));
+  EXPECT_FALSE(Roster->Silent_.contains(returnedWorker().lifetime()));
+}
+
+// Guards against the loss of a worker whose time of day was set back.
+TEST_F(ReturnedWorkersTest, WorkerWithAnEarlierStartTimeThanBeforeIsUsed) {
+  storeJob(jobOf(1));
+  WorkerEntry Busy = returnedWorker();
+  Busy.State_ = WorkerState::Draining;
+  takeOwnership(0, {Busy});
+  Former_.emplace(Clock_, LaterBorn, FormerClock);
+  serve(*Former_);
+  Later_.emplace(Clock_, milliseconds(5), LaterClock);
+  renewLease();
+  for (int Round = 0; Round < 100 && Workers_.Starts_.empty(); ++Round) {
+    Owner_->onWorkers({worker("w1")});
+    Clock_.advance(milliseconds(100));
+    tickTwice();
+    serve(*Later_);
+  }
+  EXPECT_EQ(Workers_.Starts_.size(), 1U);
+}
+
 /// Takeover of a pool whose previous owner has used the former lifetime of w1.
 class ReturnedWorkerTakeoverTest : public ReturnedWorkersTest {
 protected:
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -29,7 +29,8 @@
   /// Whether the worker's lifetime has listed the run. A start may be confirmed
   /// by a later lifetime of the same id, which then runs the task.
   bool WasListed_ = false;
-  /// Time from which a start without a response can no longer take effect.
+  /// Time from which a start without a response can no longer take effect on
+  /// the lifetime that it was sent to.
   TimePoint OrderExpires_;
   std::uint32_t Percent_ = 100;
   std::int64_t Measurement_ = 0;
@@ -167,13 +168,15 @@
   FencingToken Token_ = 0;
   /// Highest token under which the worker has responded; 0 if there is none.
   FencingToken ConfirmedToken_ = 0;
-  /// Whether an order with Token_ has been sent.
-  bool IsTokenSent_ = false;
+  /// Whether Token_ has been sent in an order that grants a lease or
+  /// acknowledges ends.
+  bool IsTokenUsed_ = false;
   /// Whether the worker has responded under this owner's fencing token, or need
   /// not because nothing that a previous owner started can run there any more.
   bool IsFenced_ = false;
-  /// Whether a later lifetime of the worker is registered. No orders are sent
-  /// to this lifetime then, because the other one would receive them.
+  /// Whether a later lifetime of the worker is registered, in this pool or
+  /// another one. No orders are sent to this lifetime then, because the other
+  /// one would receive them. Implies HasSuccessor_.
   bool IsSuperseded_ = false;
   /// Whether the roster of a previous owner allowed it to send orders to the
   /// worker.
@@ -181,8 +184,9 @@
   /// Whether the lifetime is known to have ended, so that nothing runs there
   /// any more.
   bool HasEnded_ = false;
-  /// Whether a later lifetime of the same id is known. It may be executing runs
-  /// that were started by orders to this one.
+  /// Whether a later lifetime of the same id is known, from the registry or
+  /// because it has responded. That lifetime may be executing runs that were
+  /// started by orders to this one.
   bool HasSuccessor_ = false;
   /// Whether the crash that ended the lifetime was recorded.
   bool IsCrashRecorded_ = false;
