--- a/src/emulator/tests/returningworkers_test.cpp
+++ b/src/emulator/tests/returningworkers_test.cpp
@@ -7,21 +7,31 @@
 
 /// Workers crash together, come back under their old ids and are cut off soon
 /// after, while long tasks run and orders are held up.
-void runWithReturningWorkers(int Seed) {
+EmulatorOptions returningWorkers(std::uint64_t Seed) {
   EmulatorOptions Options;
-  Options.Seed_ = static_cast<std::uint64_t>(Seed);
+  Options.Seed_ = Seed;
   Options.Faults_ = 0;
   Options.HasMaintenanceWave_ = false;
   Options.ReturningWorkersFaults_ = 3;
   Options.LongJobShare_ = 0.25;
   Options.CompletionTimeout_ = std::chrono::seconds(90);
-  runEmulator(Options);
+  return Options;
 }
 
-class OrdersForFormerLifetimes : public testing::TestWithParam<int> {};
+TEST(ReturningWorkersTest, SameSeedGivesSameReport) {
+  EmulatorReport First = Emulator(returningWorkers(7)).run();
+  EmulatorReport Second = Emulator(returningWorkers(7)).run();
+  EXPECT_FALSE(First.Faults_.empty());
+  EXPECT_EQ(First.Completed_, Second.Completed_);
+  EXPECT_EQ(First.Faults_, Second.Faults_);
+  EXPECT_EQ(First.Violations_, Second.Violations_);
+}
+
+class OrdersForFormerLifetimes : public testing::TestWithParam<std::uint64_t> {
+};
 
 TEST_P(OrdersForFormerLifetimes, StartNoTaskTwice) {
-  runWithReturningWorkers(GetParam());
+  runEmulator(returningWorkers(GetParam()));
 }
 
 INSTANTIATE_TEST_SUITE_P(ReturningWorkers, OrdersForFormerLifetimes,
@@ -29,10 +39,10 @@
                                          79, 137),
                          testing::PrintToStringParamName());
 
-class CrashesOfManyWorkers : public testing::TestWithParam<int> {};
+class CrashesOfManyWorkers : public testing::TestWithParam<std::uint64_t> {};
 
 TEST_P(CrashesOfManyWorkers, AreNotBlamedOnHealthyTasks) {
-  runWithReturningWorkers(GetParam());
+  runEmulator(returningWorkers(GetParam()));
 }
 
 INSTANTIATE_TEST_SUITE_P(ReturningWorkers, CrashesOfManyWorkers,
