--- a/src/emulator/tests/modelworkers_test.cpp
+++ b/src/emulator/tests/modelworkers_test.cpp
@@ -184,7 +184,7 @@
   EXPECT_EQ(worker().EndedRuns_[Task_], 3U);
 }
 
-TEST_F(ModelWorkersTest, HeldUpOrderIsAnsweredOnceEvenIfItArrivesInTime) {
+TEST_F(ModelWorkersTest, HeldUpOrderIsAnsweredOnce) {
   beginCrash();
   Workers_.crash("w0", milliseconds(0));
   int Answers = 0;
@@ -205,7 +205,7 @@
   EXPECT_EQ(worker().Token_, 0U);
 }
 
-TEST_F(ModelWorkersTest, LateHoldIsCarriedOutSecondsLaterWithoutAnAnswer) {
+TEST_F(ModelWorkersTest, LateHoldIsCarriedOutLater) {
   Workers_.delivery().LateProbability_ = 1;
   hold(FarDeadline);
   run(CallDuration);
