Reset connections of requests that were given up

A connection is now reset when it is closed, which discards what the other side has not received. Connections are kept between requests, so that they close after a failure, when they are surplus, and when the process ends.

RepeatedRequestsTest.ConnectionOfARequestThatWasGivenUpIsReset failed before.

--- a/src/http/internal/curltransfer.cpp
+++ b/src/http/internal/curltransfer.cpp
@@ -1,5 +1,7 @@
 #include "http/internal/curltransfer.h"
 
+#include <sys/socket.h>
+
 #include <mutex>
 #include <string_view>
 
@@ -69,9 +71,16 @@
   return !IsRepeated_ || IsRead_;
 }
 
-int CurlTransfer::onConnect(void *Self, curl_socket_t, curlsocktype) {
-  return static_cast<CurlTransfer *>(Self)->mayContinue() ? CURL_SOCKOPT_OK
-                                                          : CURL_SOCKOPT_ERROR;
+int CurlTransfer::onConnect(void *Self, curl_socket_t Socket, curlsocktype) {
+  if (!static_cast<CurlTransfer *>(Self)->mayContinue())
+    return CURL_SOCKOPT_ERROR;
+  // Otherwise the kernel goes on sending a request that was given up, and
+  // delivers it when the way to the server is open again.
+  const linger DiscardOnClose{/*l_onoff=*/1, /*l_linger=*/0};
+  return setsockopt(Socket, SOL_SOCKET, SO_LINGER, &DiscardOnClose,
+                    sizeof(DiscardOnClose)) == 0
+             ? CURL_SOCKOPT_OK
+             : CURL_SOCKOPT_ERROR;
 }
 
 int CurlTransfer::onSend(void *Self, char *, char *, int, int) {
--- a/src/http/internal/curltransfer.h
+++ b/src/http/internal/curltransfer.h
@@ -90,7 +90,8 @@
                             void *Self);
   static std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
                               void *Self);
-  /// Called by libcurl each time that it is about to connect.
+  /// Called by libcurl each time that it is about to connect. Lets the
+  /// connection be reset when it is closed.
   static int onConnect(void *Self, curl_socket_t Socket, curlsocktype Purpose);
   /// Called by libcurl each time that it is about to send the request.
   static int onSend(void *Self, char *ServerAddress, char *LocalAddress,
--- a/src/http/tests/mocks/countingserver.h
+++ b/src/http/tests/mocks/countingserver.h
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -71,6 +72,8 @@
   }
   /// \returns the requests that were read and kept waiting.
   std::uint64_t held() const { return Held_; }
+  /// \returns the connections that clients have reset.
+  std::uint64_t resets() const { return Resets_; }
   /// Closes all connections that are open now; requests that wait get no
   /// answer.
   void closeConnections() {
@@ -125,6 +128,7 @@
     std::array<char, 4096> Read{};
     ssize_t Length = recv(Each.fd, Read.data(), Read.size(), 0);
     if (Length <= 0) {
+      Resets_ += Length < 0 && errno == ECONNRESET ? 1 : 0;
       end(Each);
       return;
     }
@@ -151,6 +155,7 @@
   std::atomic<bool> IsClosing_ = false;
   std::atomic<std::uint64_t> Connections_ = 0;
   std::atomic<std::uint64_t> Held_ = 0;
+  std::atomic<std::uint64_t> Resets_ = 0;
   std::atomic<bool> IsStopping_ = false;
   std::thread Thread_;
 };
--- a/src/http/tests/repeatedrequests_test.cpp
+++ b/src/http/tests/repeatedrequests_test.cpp
@@ -146,5 +146,16 @@
   }
 }
 
+// Guards against an order that its sender has given up and the kernel delivers
+// seconds later.
+TEST_F(RepeatedRequestsTest, ConnectionOfARequestThatWasGivenUpIsReset) {
+  EXPECT_EQ(send({"POST", "/held", {}, "body"}, milliseconds(200)).get(),
+            ExchangeOutcome::AnswerLost);
+  const auto Limit = Clock::now() + std::chrono::seconds(5);
+  while (Server_.resets() == 0 && Clock::now() < Limit)
+    std::this_thread::sleep_for(milliseconds(1));
+  EXPECT_EQ(Server_.resets(), 1U);
+}
+
 } // namespace
 } // namespace dragonflylock
