Do not excuse a crash by workers that were down before it

Now a worker that went down earlier counts as one that did not share the crash.

CrashBlameTest.DownWorkersDoNotMakeItACrashOfTheWholeZone states the rule.

--- a/src/scheduling/internal/crashblame.cpp
+++ b/src/scheduling/internal/crashblame.cpp
@@ -37,12 +37,12 @@
 }
 
 std::vector<CrashVerdict>
-CrashBlame::takeDue(TimePoint Now, const std::vector<WorkerEntry> &Present) {
+CrashBlame::takeDue(TimePoint Now, const std::vector<WorkerEntry> &Known) {
   std::vector<CrashVerdict> Verdicts;
   std::erase_if(Trials_, [&](const CrashedTrial &Trial) {
     if (Now < Crashes_.at(Trial.Lifetime_).NoticedAt_ + Window)
       return false;
-    Verdicts.push_back(judge(Trial, Present));
+    Verdicts.push_back(judge(Trial, Known));
     return true;
   });
   return Verdicts;
@@ -50,7 +50,7 @@
 
 CrashBlame::Surroundings
 CrashBlame::surroundingsOf(const WorkerCrash &Crash, IsSamePlace IsNear,
-                           const std::vector<WorkerEntry> &Present) const {
+                           const std::vector<WorkerEntry> &Known) const {
   Surroundings Found;
   std::set<std::string> CrashedHosts{hostOf(Crash.Worker_)};
   for (const auto &[Lifetime, Other] : Crashes_) {
@@ -63,8 +63,8 @@
     Found.WithoutTrial_ += Other.HadRunOnTrial_ ? 0 : 1;
     Found.WithoutYoungRuns_ += Other.HadYoungRuns_ ? 0 : 1;
   }
-  Found.HasSurvivors_ = std::any_of(
-      Present.begin(), Present.end(), [&](const WorkerEntry &Worker) {
+  Found.HasOthers_ =
+      std::any_of(Known.begin(), Known.end(), [&](const WorkerEntry &Worker) {
         return IsNear(Worker, Crash.Worker_) &&
                !CrashedHosts.contains(hostOf(Worker));
       });
@@ -72,10 +72,10 @@
 }
 
 CrashVerdict CrashBlame::judge(const CrashedTrial &Trial,
-                               const std::vector<WorkerEntry> &Present) const {
+                               const std::vector<WorkerEntry> &Known) const {
   const WorkerCrash &Crash = Crashes_.at(Trial.Lifetime_);
-  Surroundings Zone = surroundingsOf(Crash, isSameZone, Present);
-  Surroundings Rack = surroundingsOf(Crash, isSameRack, Present);
+  Surroundings Zone = surroundingsOf(Crash, isSameZone, Known);
+  Surroundings Rack = surroundingsOf(Crash, isSameRack, Known);
   CrashVerdict Verdict;
   Verdict.Trial_ = Trial;
   Verdict.Worker_ = Crash.Worker_.Id_;
--- a/src/scheduling/internal/crashblame.h
+++ b/src/scheduling/internal/crashblame.h
@@ -55,10 +55,11 @@
   void addTrial(const CrashedTrial &Trial);
   bool hasTrials() const { return !Trials_.empty(); }
   /// Removes the trials whose verdict is due.
-  /// \param Present the workers that are registered and answer.
+  /// \param Known the workers of the pool, including those that are down. A
+  ///   worker that went down earlier did not share the crash.
   /// \returns the verdicts.
   std::vector<CrashVerdict> takeDue(TimePoint Now,
-                                    const std::vector<WorkerEntry> &Present);
+                                    const std::vector<WorkerEntry> &Known);
 
 private:
   /// The workers of one zone or rack at the time of a crash.
@@ -69,19 +70,20 @@
     std::size_t WithoutTrial_ = 0;
     /// Those of them that had started nothing.
     std::size_t WithoutYoungRuns_ = 0;
-    bool HasSurvivors_ = false;
+    /// Whether there are workers that did not crash then.
+    bool HasOthers_ = false;
 
     bool explainCrash() const {
-      return WithoutYoungRuns_ > 0 || (WithoutTrial_ > 0 && !HasSurvivors_);
+      return WithoutYoungRuns_ > 0 || (WithoutTrial_ > 0 && !HasOthers_);
     }
   };
   using IsSamePlace = bool (*)(const WorkerEntry &, const WorkerEntry &);
 
   /// \returns the crashes, beside \p Crash, of workers of the same place.
   Surroundings surroundingsOf(const WorkerCrash &Crash, IsSamePlace IsNear,
-                              const std::vector<WorkerEntry> &Present) const;
+                              const std::vector<WorkerEntry> &Known) const;
   CrashVerdict judge(const CrashedTrial &Trial,
-                     const std::vector<WorkerEntry> &Present) const;
+                     const std::vector<WorkerEntry> &Known) const;
   void forgetOldCrashes(TimePoint Now);
 
   /// By lifetime.
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -362,12 +362,10 @@
 void RunTracker::judgeTrials() {
   if (!Blame_.hasTrials())
     return;
-  std::vector<WorkerEntry> Present;
+  std::vector<WorkerEntry> Known;
   for (const auto &[Lifetime, Session] : Pool_.Sessions_)
-    if (Session->IsListed_ && Session->HoldFailures_ == 0)
-      Present.push_back(Session->entry());
-  for (const CrashVerdict &Verdict :
-       Blame_.takeDue(Pool_.Clock_.now(), Present))
+    Known.push_back(Session->entry());
+  for (const CrashVerdict &Verdict : Blame_.takeDue(Pool_.Clock_.now(), Known))
     applyVerdict(Verdict);
 }
 
--- a/src/scheduling/tests/crashblame_test.cpp
+++ b/src/scheduling/tests/crashblame_test.cpp
@@ -64,6 +64,13 @@
   EXPECT_FALSE(isBlamed({worker("w2", "z1", "r2")}));
 }
 
+TEST_F(CrashBlameTest, DownWorkersDoNotMakeItACrashOfTheWholeZone) {
+  Blame_.addCrash({worker("w2"), Crashed_ - milliseconds(2000), true, false});
+  crashDuringTrial(worker("w0"));
+  Blame_.addCrash({worker("w1"), Crashed_, true, false});
+  EXPECT_TRUE(isBlamed({worker("w0"), worker("w1"), worker("w2")}));
+}
+
 TEST_F(CrashBlameTest, LaterLifetimesOfCrashedWorkersAreNotSurvivors) {
   crashDuringTrial(worker("w0"));
   Blame_.addCrash({worker("w1"), Crashed_, true, false});
