Blame deadly tasks for crashes in a zone that others have survived

Cause: CrashBlame excused a crash if any other worker of the zone had crashed within a second that had started nothing. Such a crash now has another cause only if the whole zone or rack crashed.

CrashBlameTest.CrashIsBlamedIfAnotherWorkerOfTheZoneDidNotCrash failed before; it replaces the test that asked for the excuse. The test of a zone that crashes three times (DeadlyTasksTest) passes as before.

--- a/src/scheduling/internal/crashblame.cpp
+++ b/src/scheduling/internal/crashblame.cpp
@@ -28,7 +28,6 @@
   auto [Found, IsNew] = Crashes_.emplace(Crash.Worker_.lifetime(), Crash);
   if (IsNew)
     return;
-  Found->second.HadYoungRuns_ |= Crash.HadYoungRuns_;
   Found->second.HadRunOnTrial_ |= Crash.HadRunOnTrial_;
 }
 
@@ -61,7 +60,6 @@
       continue;
     ++Found.Crashed_;
     Found.WithoutTrial_ += Other.HadRunOnTrial_ ? 0 : 1;
-    Found.WithoutYoungRuns_ += Other.HadYoungRuns_ ? 0 : 1;
   }
   Found.HasOthers_ =
       std::any_of(Known.begin(), Known.end(), [&](const WorkerEntry &Worker) {
--- a/src/scheduling/internal/crashblame.h
+++ b/src/scheduling/internal/crashblame.h
@@ -14,10 +14,7 @@
 struct WorkerCrash {
   WorkerEntry Worker_;
   TimePoint NoticedAt_;
-  /// Whether the worker had just started a task, which may have caused the
-  /// crash.
-  bool HadYoungRuns_ = false;
-  /// Whether such a task was on trial.
+  /// Whether a task that the worker had just started was on trial.
   bool HadRunOnTrial_ = false;
 };
 
@@ -38,8 +35,8 @@
 };
 
 /// Decides whether tasks on trial are to blame for the crashes of their
-/// workers. A crash has another cause if the whole zone or rack shares it, or a
-/// worker there that had started nothing. The crashes of other workers are
+/// workers. A crash has another cause if the whole zone or rack shares it and
+/// no task was on trial on one of the other workers there. Their crashes are
 /// often noticed later, so a verdict takes a while.
 class CrashBlame {
 public:
@@ -68,14 +65,10 @@
     std::size_t Crashed_ = 0;
     /// Those of them on which no task was on trial.
     std::size_t WithoutTrial_ = 0;
-    /// Those of them that had started nothing.
-    std::size_t WithoutYoungRuns_ = 0;
     /// Whether there are workers that did not crash then.
     bool HasOthers_ = false;
 
-    bool explainCrash() const {
-      return WithoutYoungRuns_ > 0 || (WithoutTrial_ > 0 && !HasOthers_);
-    }
+    bool explainCrash() const { return WithoutTrial_ > 0 && !HasOthers_; }
   };
   using IsSamePlace = bool (*)(const WorkerEntry &, const WorkerEntry &);
 
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -304,8 +304,7 @@
       std::any_of(Young.begin(), Young.end(), [&](const auto &Each) {
         return Session.wasOnTrial(Each.first);
       });
-  Blame_.addCrash(
-      {Session.entry(), Pool_.Clock_.now(), !Young.empty(), HadRunOnTrial});
+  Blame_.addCrash({Session.entry(), Pool_.Clock_.now(), HadRunOnTrial});
   if (Young.empty())
     return;
   Pool_.Logger_.write(
@@ -322,10 +321,8 @@
 void RunTracker::noteGone(const WorkerSession &Session) {
   if (Session.IsCrashRecorded_ || isLeaving(Session))
     return;
-  bool HadYoungRuns =
-      !Session.youngRuns().empty() || !Session.YoungExpiredRuns_.empty();
-  Blame_.addCrash({Session.entry(), Pool_.Clock_.now(), HadYoungRuns,
-                   Session.hasRunOnTrial()});
+  Blame_.addCrash(
+      {Session.entry(), Pool_.Clock_.now(), Session.hasRunOnTrial()});
 }
 
 void RunTracker::suspect(const WorkerSession &Session, const TaskName &Name,
--- a/src/scheduling/tests/crashblame_test.cpp
+++ b/src/scheduling/tests/crashblame_test.cpp
@@ -22,7 +22,7 @@
   }
 
   void crashDuringTrial(const WorkerEntry &Worker) {
-    Blame_.addCrash({Worker, Crashed_, true, true});
+    Blame_.addCrash({Worker, Crashed_, true});
     Blame_.addTrial({{"job", 0, 0, 0}, 3, Worker.lifetime()});
   }
 
@@ -46,34 +46,35 @@
   EXPECT_TRUE(isBlamed({}));
 }
 
-TEST_F(CrashBlameTest, CrashIsNotBlamedIfAWorkerCrashedThatHadStartedNothing) {
+// Guards against deadly tasks that are excused by each other's crashes.
+TEST_F(CrashBlameTest, CrashIsBlamedIfAnotherWorkerOfTheZoneDidNotCrash) {
   crashDuringTrial(worker("w0"));
-  Blame_.addCrash({worker("w1"), Crashed_ + milliseconds(900), false, false});
-  EXPECT_FALSE(isBlamed({worker("w2")}));
+  Blame_.addCrash({worker("w1"), Crashed_ + milliseconds(900), false});
+  EXPECT_TRUE(isBlamed({worker("w2")}));
 }
 
 TEST_F(CrashBlameTest, CrashOfTheWholeZoneIsNotBlamed) {
   crashDuringTrial(worker("w0"));
-  Blame_.addCrash({worker("w1"), Crashed_, true, false});
+  Blame_.addCrash({worker("w1"), Crashed_, false});
   EXPECT_FALSE(isBlamed({worker("w2", "z2")}));
 }
 
 TEST_F(CrashBlameTest, CrashOfTheWholeRackIsNotBlamed) {
   crashDuringTrial(worker("w0", "z1", "r1"));
-  Blame_.addCrash({worker("w1", "z1", "r1"), Crashed_, true, false});
+  Blame_.addCrash({worker("w1", "z1", "r1"), Crashed_, false});
   EXPECT_FALSE(isBlamed({worker("w2", "z1", "r2")}));
 }
 
 TEST_F(CrashBlameTest, DownWorkersDoNotMakeItACrashOfTheWholeZone) {
-  Blame_.addCrash({worker("w2"), Crashed_ - milliseconds(2000), true, false});
+  Blame_.addCrash({worker("w2"), Crashed_ - milliseconds(2000), false});
   crashDuringTrial(worker("w0"));
-  Blame_.addCrash({worker("w1"), Crashed_, true, false});
+  Blame_.addCrash({worker("w1"), Crashed_, false});
   EXPECT_TRUE(isBlamed({worker("w0"), worker("w1"), worker("w2")}));
 }
 
 TEST_F(CrashBlameTest, LaterLifetimesOfCrashedWorkersAreNotSurvivors) {
   crashDuringTrial(worker("w0"));
-  Blame_.addCrash({worker("w1"), Crashed_, true, false});
+  Blame_.addCrash({worker("w1"), Crashed_, false});
   WorkerEntry Later = worker("w1");
   Later.Id_ = "later-w1";
   EXPECT_FALSE(isBlamed({Later}));
@@ -81,21 +82,21 @@
 
 TEST_F(CrashBlameTest, DeadlyTasksOnTrialOnAllWorkersAreBlamed) {
   crashDuringTrial(worker("w0"));
-  Blame_.addCrash({worker("w1"), Crashed_, true, true});
+  Blame_.addCrash({worker("w1"), Crashed_, true});
   EXPECT_TRUE(isBlamed({}));
 }
 
 TEST_F(CrashBlameTest, CrashesOfSomeWorkersThatHadStartedTasksAreBlamed) {
   crashDuringTrial(worker("w0"));
-  Blame_.addCrash({worker("w1"), Crashed_, true, false});
-  Blame_.addCrash({worker("w2"), Crashed_, true, false});
+  Blame_.addCrash({worker("w1"), Crashed_, false});
+  Blame_.addCrash({worker("w2"), Crashed_, false});
   EXPECT_TRUE(isBlamed({worker("w3")}));
 }
 
 TEST_F(CrashBlameTest, CrashesElsewhereOrAtAnotherTimeExplainNothing) {
   crashDuringTrial(worker("w0"));
-  Blame_.addCrash({worker("w1", "z2"), Crashed_, false, false});
-  Blame_.addCrash({worker("w2"), Crashed_ - milliseconds(1001), false, false});
+  Blame_.addCrash({worker("w1", "z2"), Crashed_, false});
+  Blame_.addCrash({worker("w2"), Crashed_ - milliseconds(1001), false});
   EXPECT_TRUE(isBlamed({worker("w3")}));
 }
 
@@ -103,13 +104,13 @@
   crashDuringTrial(worker("w0"));
   WorkerEntry Later = worker("w0");
   Later.Born_ += milliseconds(600);
-  Blame_.addCrash({Later, Crashed_ + milliseconds(600), false, false});
+  Blame_.addCrash({Later, Crashed_ + milliseconds(600), false});
   EXPECT_TRUE(isBlamed({}));
 }
 
 TEST_F(CrashBlameTest, WorkersWithoutAPlaceShareNoCause) {
   crashDuringTrial(worker("w0", ""));
-  Blame_.addCrash({worker("w1", ""), Crashed_, false, false});
+  Blame_.addCrash({worker("w1", ""), Crashed_, false});
   EXPECT_TRUE(isBlamed({}));
 }
 
