Share the loop over waiting holds in a test, and name what restores workers

returnedworkers_test answered the waiting holds in four loops of its own. removeExpiredSessions also made workers usable whose time of day went back, which has a function of its own now.

--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -90,6 +90,9 @@
   void onLoaded();
   void followQueues();
   void removeExpiredSessions();
+  /// Makes registered workers usable whose start is dated before that of an
+  /// earlier lifetime, once its session is gone. Their time of day was changed.
+  void restoreMisdatedWorkers();
   /// Ends the sessions of workers with a later lifetime in another pool.
   void endSessionsOfMovedWorkers();
   /// Ends sessions of unresponsive workers whose machine has a later worker.
@@ -213,8 +216,9 @@
            Session.runs().empty() && !Session.hasPendingEnds() &&
            State_.Clock_.now() >= Session.leasesExpireAt();
   });
-  // A registered worker whose start is dated before that of an earlier
-  // lifetime, because its time of day was changed.
+}
+
+void PoolOwner::Parts::restoreMisdatedWorkers() {
   for (auto &[Lifetime, Session] : State_.Sessions_) {
     if (!Session->IsSuperseded_ || !Session->IsListed_ ||
         State_.successorOf(*Session) != nullptr)
@@ -440,6 +444,7 @@
   // not been contacted.
   if (Parts_->AreWorkersKnown_)
     Parts_->removeExpiredSessions();
+  Parts_->restoreMisdatedWorkers();
 }
 
 const std::string &PoolOwner::pool() const { return Parts_->State_.Pool_; }
--- a/src/scheduling/tests/returnedworkers_test.cpp
+++ b/src/scheduling/tests/returnedworkers_test.cpp
@@ -2,6 +2,7 @@
 #include "scheduling/tests/mocks/poolownertest.h"
 
 #include <deque>
+#include <functional>
 #include <optional>
 
 namespace dragonflylock {
@@ -58,21 +59,25 @@
     Owner_->extendLease(Clock_.now() + std::chrono::hours(1), ++Renewal_, 0);
   }
 
-  /// Answers the holds that wait.
-  void serve(LeasedWorker &Worker) {
+  /// Answers the holds that wait, and none that follow.
+  void answerHolds(
+      const std::function<HoldAnswer(const RecordingWorkers::Hold &)> &Answer) {
     std::deque<RecordingWorkers::Hold> Holds;
     Holds.swap(Workers_.Holds_);
     for (RecordingWorkers::Hold &Each : Holds)
-      Each.Done_(Worker.carryOut(Each.Order_));
+      Each.Done_(Answer(Each));
+  }
+
+  void serve(LeasedWorker &Worker) {
+    answerHolds([&Worker](const RecordingWorkers::Hold &Each) {
+      return Worker.carryOut(Each.Order_);
+    });
     Owner_->tick();
   }
 
   /// Lets the holds that wait fail.
   void failHolds() {
-    std::deque<RecordingWorkers::Hold> Holds;
-    Holds.swap(Workers_.Holds_);
-    for (RecordingWorkers::Hold &Each : Holds)
-      Each.Done_(HoldAnswer());
+    answerHolds([](const RecordingWorkers::Hold &) { return HoldAnswer(); });
   }
 
   /// Cuts w1 off and lists w2, and expects that the task starts on w2, and not
@@ -85,11 +90,9 @@
     for (milliseconds Passed{0}; Passed < Longest; Passed += Step) {
       Clock_.advance(Step);
       Owner_->tick();
-      std::deque<RecordingWorkers::Hold> Holds;
-      Holds.swap(Workers_.Holds_);
-      for (RecordingWorkers::Hold &Each : Holds)
-        Each.Done_(Each.Target_.Id_ == "w2" ? acceptedAnswer({})
-                                            : HoldAnswer());
+      answerHolds([](const RecordingWorkers::Hold &Each) {
+        return Each.Target_.Id_ == "w2" ? acceptedAnswer({}) : HoldAnswer();
+      });
       if (Workers_.Starts_.empty())
         continue;
       EXPECT_EQ(Workers_.Starts_.front().Target_.Id_, "w2");
@@ -272,11 +275,10 @@
   }
 
   void answerAllHolds() {
-    std::deque<RecordingWorkers::Hold> Holds;
-    Holds.swap(Workers_.Holds_);
-    for (RecordingWorkers::Hold &Each : Holds)
-      Each.Done_(Each.Target_.Id_ == "w1" ? Later_->carryOut(Each.Order_)
-                                          : acceptedAnswer({}));
+    answerHolds([this](const RecordingWorkers::Hold &Each) {
+      return Each.Target_.Id_ == "w1" ? Later_->carryOut(Each.Order_)
+                                      : acceptedAnswer({});
+    });
   }
 };
 
