Types and settings for customers, their limits and admission

Configurations name customers with keys, weights and limits, and the settings file says by its contracts which of the parts act. Jobs store whose they are. Nothing acts on this yet.

--- a/src/scheduling/internal/jobrowcodec.cpp
+++ b/src/scheduling/internal/jobrowcodec.cpp
@@ -109,6 +109,7 @@
               {"payload", Job.Spec_.Payload_},
               {"steps", Steps}};
   encodePolicy(Job.Policy_, Row);
+  putUnlessDefault(Row, "customer", Job.Spec_.Customer_);
   putUnlessDefault(Row, "times", Job.Spec_.OccurrenceCount_);
   putUnlessDefault(Row, "first-due-ms", Job.Spec_.FirstDue_.count());
   putUnlessDefault(Row, "interval-ms", Job.Spec_.Interval_.count());
@@ -124,6 +125,7 @@
     Job.Policy_ = decodePolicy(Row);
     Job.AcceptedAt_ = milliseconds(Row.value("accepted-ms", std::int64_t{0}));
     Job.Spec_.Payload_ = Row.at("payload").get<std::string>();
+    Job.Spec_.Customer_ = Row.value("customer", "");
     for (const json &Step : Row.at("steps"))
       Job.Spec_.Steps_.push_back(decodeStep(Step));
     Job.Spec_.OccurrenceCount_ = Row.value("times", 0U);
--- a/src/scheduling/internal/schedulingtypes.cpp
+++ b/src/scheduling/internal/schedulingtypes.cpp
@@ -26,25 +26,6 @@
 
 } // namespace
 
-bool Resources::canFit(const Resources &Wanted) const {
-  return CpuMillis_ >= Wanted.CpuMillis_ && MemoryMb_ >= Wanted.MemoryMb_ &&
-         Gpus_ >= Wanted.Gpus_;
-}
-
-Resources &Resources::operator+=(const Resources &Other) {
-  CpuMillis_ += Other.CpuMillis_;
-  MemoryMb_ += Other.MemoryMb_;
-  Gpus_ += Other.Gpus_;
-  return *this;
-}
-
-Resources &Resources::operator-=(const Resources &Other) {
-  CpuMillis_ -= Other.CpuMillis_;
-  MemoryMb_ -= Other.MemoryMb_;
-  Gpus_ -= Other.Gpus_;
-  return *this;
-}
-
 std::string TaskName::text() const {
   return Job_ + "." + std::to_string(Occurrence_) + "." +
          std::to_string(Step_) + "." + std::to_string(Index_);
--- a/src/scheduling/schedulingsettings.h
+++ b/src/scheduling/schedulingsettings.h
@@ -2,6 +2,8 @@
 #define DRAGONFLYLOCK_SCHEDULING_SCHEDULINGSETTINGS_H
 
 #include <chrono>
+#include <cstdint>
+#include <optional>
 #include <string>
 
 namespace dragonflylock {
@@ -48,6 +50,21 @@
   std::chrono::milliseconds DrainDelay_{2000};
   /// Time from SIGTERM to SIGKILL.
   std::chrono::milliseconds StopGrace_{6000};
+  /// Whether calls on queues that are not public need a customer's key.
+  bool HasCustomers_ = false;
+  /// Whether the limits of customers are enforced.
+  bool HasCustomerLimits_ = false;
+  /// Whether jobs that cannot be served in time are refused.
+  bool RefusesUnderPressure_ = false;
+  /// Time after which a key that was taken away must have no effect on any
+  /// node; unset if nodes without a current configuration may accept keys.
+  std::optional<std::chrono::milliseconds> RevocationDelay_;
+  /// Share of its limit by which a customer may exceed it.
+  double LimitOverage_ = 0;
+  /// Memory that the process may use, in MB; 0 if not known.
+  std::uint64_t MemoryLimitMb_ = 0;
+  /// Descriptors that the process may use; 0 if not known.
+  std::uint64_t MaxDescriptors_ = 0;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/schedulingtypes.h
+++ b/src/scheduling/schedulingtypes.h
@@ -1,7 +1,9 @@
 #ifndef DRAGONFLYLOCK_SCHEDULING_SCHEDULINGTYPES_H
 #define DRAGONFLYLOCK_SCHEDULING_SCHEDULINGTYPES_H
 
+#include "customers/customer.h"
 #include "global/iclock.h"
+#include "global/resources.h"
 #include "global/socketaddress.h"
 
 #include <chrono>
@@ -18,20 +20,6 @@
 /// Number of a run of one task; it increases with each start.
 using RunNumber = std::uint64_t;
 
-/// Resources that a task requires or that a worker has.
-struct Resources {
-  /// Thousandths of a core.
-  std::int64_t CpuMillis_ = 0;
-  std::int64_t MemoryMb_ = 0;
-  std::int64_t Gpus_ = 0;
-
-  bool operator==(const Resources &) const = default;
-  /// \returns whether \p Wanted fits into these resources.
-  bool canFit(const Resources &Wanted) const;
-  Resources &operator+=(const Resources &Other);
-  Resources &operator-=(const Resources &Other);
-};
-
 /// One step of a job: a number of identical tasks.
 struct StepSpec {
   std::uint32_t TaskCount_ = 1;
@@ -69,6 +57,9 @@
 struct JobSpec {
   /// Opaque to the scheduler; passed to the workers.
   std::string Payload_;
+  /// Name of the customer whose key the caller presented; empty for a job of a
+  /// public queue.
+  std::string Customer_;
   std::vector<StepSpec> Steps_;
   /// Number of times that the steps run; 0 for once, without a due time.
   std::uint32_t OccurrenceCount_ = 0;
@@ -152,6 +143,8 @@
   std::string Host_;
   std::string PathPrefix_;
   std::string Pool_;
+  /// Whether calls need no key of a customer.
+  bool IsPublic_ = false;
 
   bool operator==(const QueueSetting &) const = default;
 };
@@ -172,6 +165,9 @@
   std::uint64_t Version_ = 0;
   std::vector<QueueSetting> Queues_;
   std::vector<SchedulingPool> Pools_;
+  std::vector<Customer> Customers_;
+  /// A line for each entry of the document that is odd, with how it is taken.
+  std::vector<std::string> Problems_;
 
   /// \returns the queue of that name, or null.
   const QueueSetting *queue(const std::string &Name) const;
