Access to queues by the keys of customers

Cause: queues that are not public were open to everybody; no key was read, and none could be taken away.

Change: AccessController decides each call on such a queue by the digest of its key. A key is good only while the node can prove that its configuration was the newest one within the revocation delay, less a margin for clocks; the proof is the time at which the last answered store call was sent. An unknown key is final only for a node whose configuration is current. Odd customers in a document leave the others in force and are logged as customer.invalid.

--- a/src/http/httptypes.h
+++ b/src/http/httptypes.h
@@ -62,6 +62,10 @@
 const std::string *findHeader(const HttpHeaders &Headers,
                               std::string_view Name);
 
+/// \returns all values of the field \p Name, compared without case.
+std::vector<std::string_view> headerValues(const HttpHeaders &Headers,
+                                           std::string_view Name);
+
 /// \returns \p Headers without those that concern one connection only
 /// (RFC 9110, section 7.6.1) and without Content-Length, Host and Expect,
 /// which each connection states anew.
--- a/src/http/internal/httptypes.cpp
+++ b/src/http/internal/httptypes.cpp
@@ -82,6 +82,15 @@
   return nullptr;
 }
 
+std::vector<std::string_view> headerValues(const HttpHeaders &Headers,
+                                           std::string_view Name) {
+  std::vector<std::string_view> Values;
+  for (const HttpHeader &Header : Headers)
+    if (equalsIgnoringCase(Header.Name_, Name))
+      Values.emplace_back(Header.Value_);
+  return Values;
+}
+
 HttpHeaders withoutHopByHop(const HttpHeaders &Headers) {
   std::vector<std::string_view> Dropped(PerConnectionFields.begin(),
                                         PerConnectionFields.end());
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/schedulernode.h"
+#include "access/accesscontroller.h"
 #include "global/ilogger.h"
 #include "global/logevent.h"
 #include "scheduling/controlrows.h"
@@ -63,6 +64,7 @@
   QueueDirectory Queues_;
   PoolOwner::Builder OwnerBuilder_;
   std::shared_ptr<const SchedulingConfiguration> Configuration_;
+  AccessController Access_;
   /// All configurations stored before this time have been read.
   TimePoint ConfigurationAsOf_;
   bool IsConfigurationOutdated_ = false;
@@ -86,7 +88,8 @@
 SchedulerNode::Parts::Parts(const Builder &Source)
     : Settings_(Source.Settings_), Clock_(*Source.Clock_),
       Store_(*Source.Store_), Logger_(*Source.Logger_),
-      MachineOrders_(Settings_.Node_, Clock_) {
+      MachineOrders_(Settings_.Node_, Clock_),
+      Access_(Settings_.ConfigurationDelay_, Settings_.RevocationDelay_) {
   OwnerBuilder_.settings(Settings_)
       .clock(Clock_)
       .store(Store_)
@@ -308,6 +311,11 @@
           .with("queues", std::uint64_t{Configuration.Queues_.size()}));
   Parts_->Configuration_ =
       std::make_shared<SchedulingConfiguration>(std::move(Configuration));
+  for (const std::string &Problem :
+       Parts_->Access_.setCustomers(Parts_->Configuration_->Customers_))
+    Parts_->Logger_.write(
+        LogLevel::Warning,
+        LogEvent("customer.invalid").with("problem", Problem));
   std::vector<std::string> Pools;
   for (const SchedulingPool &Pool : Parts_->Configuration_->Pools_)
     Pools.push_back(Pool.Name_);
@@ -320,6 +328,10 @@
   Parts_->ConfigurationAsOf_ = AsOf;
 }
 
+void SchedulerNode::onConfigurationProven(TimePoint AsOf) {
+  Parts_->Access_.setProof({AsOf});
+}
+
 void SchedulerNode::onWorker(const WorkerEntry &Worker) {
   WorkerEntry &Known = Parts_->Workers_[Worker.Id_];
   if (Known == Worker)
@@ -391,6 +403,14 @@
   return Parts_->isConfigurationCurrent();
 }
 
+AccessDecision SchedulerNode::authorize(
+    const QueueSetting &Queue,
+    const std::vector<std::string_view> &Authorization) const {
+  if (Queue.IsPublic_ || !Parts_->Settings_.HasCustomers_)
+    return {};
+  return Parts_->Access_.decide(Authorization, Parts_->Clock_.now());
+}
+
 bool SchedulerNode::isReady() const {
   return Parts_->Configuration_ && !Parts_->IsReleased_ &&
          Parts_->Control_->isLoaded() && Parts_->isControlViewCurrent();
--- a/src/scheduling/internal/tablefollower.cpp
+++ b/src/scheduling/internal/tablefollower.cpp
@@ -72,6 +72,7 @@
   // Changes since the first page are delivered again, which is harmless.
   Version_ = FirstPageVersion_;
   CurrentAsOf_ = FirstPageStart_;
+  ProvenAsOf_ = FirstPageStart_;
   NeedsFullRead_ = false;
   IsLoaded_ = true;
   std::vector<StoreRow> Rows = std::move(LoadedRows_);
@@ -105,6 +106,7 @@
   // The store responds at the end of the wait at the latest.
   CurrentAsOf_ =
       std::max(CurrentAsOf_, std::min(Clock_.now(), CallStart_ + Wait_));
+  ProvenAsOf_ = CallStart_;
   std::vector<StoreRow> Rows;
   for (const StoreRow &Row : Changes.Rows_)
     if (Row.Name_.Part_ == Part_)
--- a/src/scheduling/schedulernode.h
+++ b/src/scheduling/schedulernode.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace dragonflylock {
@@ -18,6 +19,7 @@
 class IMachineControl;
 class IStore;
 class IWorkerControl;
+struct AccessDecision;
 struct PoolView;
 
 /// The scheduling logic of one node: acquires pools, schedules their tasks and
@@ -65,6 +67,9 @@
   void onConfiguration(SchedulingConfiguration Configuration);
   /// Called when all configurations stored before \p AsOf have been passed on.
   void onConfigurationsRead(TimePoint AsOf);
+  /// Called when the store has shown that the configuration in force was the
+  /// newest one at \p AsOf.
+  void onConfigurationProven(TimePoint AsOf);
   /// Adds or updates a worker's registry entry.
   void onWorker(const WorkerEntry &Worker);
   /// Called when a worker is no longer registered.
@@ -93,6 +98,11 @@
   /// to be in force by now. An older one must not be the reason to refuse a
   /// queue, nor to serve one that may have been removed.
   bool isConfigurationCurrent() const;
+  /// Decides whether a call may use a queue of the configuration in force.
+  /// \param Authorization the values of all such headers of the call.
+  AccessDecision
+  authorize(const QueueSetting &Queue,
+            const std::vector<std::string_view> &Authorization) const;
   /// \returns whether the node can serve callers.
   bool isReady() const;
   /// \returns whether the node needs the worker registry to be followed.
--- a/src/scheduling/tablefollower.h
+++ b/src/scheduling/tablefollower.h
@@ -44,6 +44,10 @@
   /// \returns a time before which all changes are known. It is older than the
   /// last response if that was read late, for example after a suspension.
   TimePoint currentAsOf() const { return CurrentAsOf_; }
+  /// \returns a time before which all changes are certainly known: when the
+  /// last call that the store answered was sent. Unlike currentAsOf(), it is
+  /// not moved by a response that was under way for long.
+  TimePoint provenAsOf() const { return ProvenAsOf_; }
   /// \returns whether all rows of the part have been read once.
   bool isLoaded() const { return IsLoaded_; }
 
@@ -71,6 +75,7 @@
   TimePoint NextCall_;
   TimePoint LastResponse_;
   TimePoint CurrentAsOf_;
+  TimePoint ProvenAsOf_;
   StoreVersion Version_ = 0;
   std::unique_ptr<ReadWindow> ReadWindow_;
   std::unique_ptr<ChangesTimeout> ChangesTimeout_;
