--- a/src/scheduling/tests/followers_test.cpp
+++ b/src/scheduling/tests/followers_test.cpp
@@ -234,5 +234,22 @@
   EXPECT_LE(Follower_->currentAsOf(), LatestResponse);
 }
 
+// Guards against a proof that covers changes which the store acknowledged while
+// its response was under way.
+TEST_F(TableFollowerTest, ProofDatesFromWhenTheCallWasSent) {
+  addRows(1);
+  run(std::chrono::seconds(1));
+  Follower_->tick();
+  ASSERT_EQ(Store_.Waits_.size(), 1U);
+  const TimePoint LatestSend = Clock_.now();
+  const TimePoint Before = Follower_->provenAsOf();
+  Clock_.advance(milliseconds(100));
+  StoreChanges Changes;
+  Changes.Outcome_ = StoreOutcome::Done;
+  Store_.Waits_[0].Done_(Changes);
+  EXPECT_GT(Follower_->provenAsOf(), Before);
+  EXPECT_LE(Follower_->provenAsOf(), LatestSend);
+}
+
 } // namespace
 } // namespace dragonflylock
