Customers above their share go last within a priority class

ShareTracker follows what the customers run and wait for. The scan merges the customers' jobs with the share as part of the order of its cursors, so that a customer that goes over its share moves no job in any set; where a start changes the order, the cursors are sorted again.

Each customer has a turn from time to time: the job that has waited longest, for at least 3 s, counts as within the share, until it starts a task or for 6 s, and then none for 3 s. The pause is needed: with a long backlog, every job of the hot customer has waited for 3 s.

Where jobs are refused under pressure, jobs past three times their objective go after other late ones; they have the same turns.

--- a/src/scheduling/internal/jobindex.cpp
+++ b/src/scheduling/internal/jobindex.cpp
@@ -18,15 +18,18 @@
          Job.remainingWork() / WorkPerWaitMs;
 }
 
-/// \returns the latest start time at which the job still meets its objective,
-/// since 1970.
-std::chrono::milliseconds latestStartOf(const ActiveJob &Job,
-                                        const QueuePolicy &Policy) {
+/// Multiple of its objective after which a job's end is worth nothing.
+constexpr int WorthlessAfter = 3;
+
+/// \returns the latest start time, since 1970, at which the job still ends
+/// within \p Multiple times its objective.
+std::chrono::milliseconds
+latestStartOf(const ActiveJob &Job, const QueuePolicy &Policy, int Multiple) {
   auto Objective =
       std::chrono::duration_cast<std::chrono::milliseconds>(
           Policy.Stretch_ * Job.criticalPathTime(/*OnlyRemaining=*/false)) +
       Policy.TargetLatency_;
-  return Job.submission().AcceptedAt_ + Objective -
+  return Job.submission().AcceptedAt_ + Multiple * Objective -
          Job.criticalPathTime(/*OnlyRemaining=*/true);
 }
 
@@ -55,7 +58,8 @@
 
 bool JobRank::operator<(const JobRank &Other) const {
   auto Order = [](const JobRank &Each) {
-    return std::tie(Each.IsBatch_, Each.Priority_, Each.IsLate_, Each.Urgency_);
+    return std::tie(Each.IsBatch_, Each.Priority_, Each.Lateness_,
+                    Each.Urgency_);
   };
   if (Order(*this) != Order(Other))
     return Order(*this) < Order(Other);
@@ -70,6 +74,7 @@
 void JobIndex::add(ActiveJob &Job) {
   JobEntry &Entry = Entries_[Job.id()];
   Entry.Job_ = &Job;
+  Entry.Wait_.Job_ = &Job;
   Job.setObserver(*this);
   markChanged(Entry);
 }
@@ -79,6 +84,7 @@
   removeFromSets(Found->second);
   if (!customerOf(Job).empty())
     Pool_.Usage_.remove(Job.id());
+  Shares_.remove(Found->second.Wait_);
   std::erase(Changed_, &Found->second);
   Entries_.erase(Found);
 }
@@ -186,8 +192,13 @@
 }
 
 void JobIndex::onStarted(const ActiveJob &Job, const StepSpec &Step) {
+  if (!Shares_.isCounted(Job))
+    return;
+  const Resources Started = requiredResources(Step);
   if (!customerOf(Job).empty())
-    Pool_.Usage_.add(Job.id(), customerOf(Job), requiredResources(Step));
+    Pool_.Usage_.add(Job.id(), customerOf(Job), Started);
+  if (Shares_.onStarted(Entries_.at(Job.id()).Wait_, Started))
+    reorderCursors();
 }
 
 void JobIndex::insertIntoSets(JobEntry &Entry) {
@@ -202,10 +213,16 @@
     Removable_.insert(&Job);
   if (hasUnwantedRuns(Job))
     Pool_.NeedsStopCheck_ = true;
-  if (Job.isOver())
+  if (Job.isOver()) {
+    Shares_.remove(Entry.Wait_);
     return;
+  }
   Entry.Keys_ = keysOf(Job);
   const IndexKeys &New = Entry.Keys_;
+  if (New.Needs_.empty())
+    Shares_.remove(Entry.Wait_);
+  else if (Shares_.isCounted(Job))
+    Shares_.add(Entry.Wait_, New.Waiting_);
   if (New.NextWall_)
     ByWall_.insert({*New.NextWall_, &Job});
   if (New.NextTime_)
@@ -223,11 +240,22 @@
   const QueuePolicy &Policy = Pool_.policyOf(Job);
   IndexKeys Found;
   collectNeeds(Job, Found);
-  std::chrono::milliseconds LatestStart = latestStartOf(Job, Policy);
-  Found.Rank_ = {!Job.isLongRunning(), Policy.Priority_,
-                 LastWall_ > LatestStart, urgencyOf(Job), &Job};
-  if (!Found.Rank_.IsLate_)
+  Lateness Late = Lateness::InTime;
+  const auto LatestStart = latestStartOf(Job, Policy, 1);
+  if (LastWall_ <= LatestStart) {
     updateEarliest(Found.NextWall_, LatestStart + std::chrono::milliseconds(1));
+  } else {
+    Late = Lateness::Late;
+    if (Pool_.Settings_.RefusesUnderPressure_ && !Job.isLongRunning()) {
+      const auto LastUse = latestStartOf(Job, Policy, WorthlessAfter);
+      if (LastWall_ <= LastUse)
+        updateEarliest(Found.NextWall_, LastUse + std::chrono::milliseconds(1));
+      else
+        Late = Lateness::Worthless;
+    }
+  }
+  Found.Rank_ = {!Job.isLongRunning(), Policy.Priority_, Late, urgencyOf(Job),
+                 &Job};
   // The advice service is asked which workers are allowed even if no worker
   // has the free resources.
   if (Policy.NeedsAdvice_ && !Found.Needs_.empty())
@@ -240,23 +268,27 @@
   Job.forEachReadyStep(
       LastWall_,
       [&](std::uint32_t Step, const std::vector<TaskRun> &Runs) {
-        bool HasStartable = false;
+        std::int64_t Startable = 0;
         for (const TaskRun &Run : Runs) {
           if (Run.Phase_ != TaskPhase::Waiting || Run.MayHaveInheritedRun_)
             continue;
           if (Run.NotBefore_ > Now)
             updateEarliest(Into.NextTime_, Run.NotBefore_);
           else
-            HasStartable = true;
+            ++Startable;
         }
-        if (!HasStartable)
+        if (Startable == 0)
           return;
         const StepSpec &Spec = Job.submission().Spec_.Steps_[Step];
+        const Resources PerTask = requiredResources(Spec);
+        Into.Waiting_ +=
+            {PerTask.CpuMillis_ * Startable, PerTask.MemoryMb_ * Startable,
+             PerTask.Gpus_ * Startable};
         // A gang that does not fit may still keep less urgent tasks from
         // starting.
         Into.IsUnconditional_ = Into.IsUnconditional_ || Spec.IsGang_;
         const bool IsLimitedGang = Spec.IsGang_ && !customerOf(Job).empty();
-        JobNeed Need{{requiredResources(Spec), Spec.RequiredLabel_},
+        JobNeed Need{{PerTask, Spec.RequiredLabel_},
                      IsLimitedGang ? Spec.TaskCount_ : 0};
         if (std::find(Into.Needs_.begin(), Into.Needs_.end(), Need) ==
             Into.Needs_.end())
@@ -267,21 +299,47 @@
       });
 }
 
-void JobIndex::pushCursor(const ScanCursor &Wanted) {
+void JobIndex::pushCursor(ScanCursor Wanted) {
   if (Wanted.Set_->empty())
     return;
+  Wanted.Position_ = Wanted.Set_->begin();
+  Wanted.IsOverShare_ =
+      !Wanted.IsTurn_ && Shares_.isOverShare(*Wanted.Customer_);
   Cursors_.push_back(Wanted);
-  Cursors_.back().Position_ = Wanted.Set_->begin();
   std::push_heap(Cursors_.begin(), Cursors_.end(), isLater);
 }
 
+void JobIndex::reorderCursors() {
+  for (ScanCursor &Each : Cursors_)
+    Each.IsOverShare_ = !Each.IsTurn_ && Shares_.isOverShare(*Each.Customer_);
+  std::make_heap(Cursors_.begin(), Cursors_.end(), isLater);
+}
+
+void JobIndex::collectTurns() {
+  Turns_.clear();
+  Shares_.forEachTurn([this](const std::string &Customer, ActiveJob &Job) {
+    JobRank Rank = Entries_.at(Job.id()).Keys_.Rank_;
+    if (Pool_.Settings_.RefusesUnderPressure_)
+      Rank.Lateness_ = Lateness::InTime;
+    Turns_[Customer] = {Rank};
+  });
+  for (auto &[Customer, Of] : Turns_)
+    pushCursor({.Set_ = &Of,
+                .Position_ = {},
+                .Customer_ = &Customer,
+                .IsTurn_ = true});
+}
+
 void JobIndex::beginScan(CapacityCheck HasCapacity) {
   refresh();
+  Shares_.update();
   HasCapacity_ = std::move(HasCapacity);
   Cursors_.clear();
   Refused_.clear();
+  Returned_.clear();
   LastJob_ = nullptr;
   PendingVisit_.reset();
+  collectTurns();
   for (auto &[Customer, Of] : Unconditional_)
     pushCursor({.Set_ = &Of, .Position_ = {}, .Customer_ = &Customer});
   for (auto &[Customer, Of] : Unvisited_)
@@ -304,6 +362,7 @@
 void JobIndex::refuse(const ActiveJob &Job, const WorkerRequirements &Need,
                       std::uint32_t GangSize) {
   Refused_[{customerOf(Job), GangSize}].insert(Need);
+  Shares_.onRefused(customerOf(Job));
 }
 
 bool JobIndex::isRefused(const ScanCursor &Cursor) const {
@@ -319,6 +378,14 @@
   return First != Refused_.end() && First->first.first == *Cursor.Customer_;
 }
 
+bool JobIndex::markReturned(ActiveJob *Job) {
+  const bool IsNew = (customerOf(*Job).empty() && Turns_.empty())
+                         ? Job != LastJob_
+                         : Returned_.insert(Job).second;
+  LastJob_ = Job;
+  return IsNew;
+}
+
 ActiveJob *JobIndex::next() {
   auto MarkVisited = [this](const JobRank &Rank) {
     Unvisited_.find(customerOf(*Rank.Job_))->second.erase(Rank);
@@ -341,15 +408,13 @@
       Cursors_.pop_back();
     else
       std::push_heap(Cursors_.begin(), Cursors_.end(), isLater);
-    // A job may be in several sets; the scan returns it once.
-    if (Rank.Job_ == LastJob_) {
+    if (!markReturned(Rank.Job_)) {
       if (IsUnvisited)
         MarkVisited(Rank);
       continue;
     }
     if (IsUnvisited)
       PendingVisit_ = Rank;
-    LastJob_ = Rank.Job_;
     ++VisitCount_;
     return Rank.Job_;
   }
--- a/src/scheduling/internal/jobindex.h
+++ b/src/scheduling/internal/jobindex.h
@@ -3,6 +3,8 @@
 
 #include "scheduling/internal/ijobobserver.h"
 #include "scheduling/internal/jobrank.h"
+#include "scheduling/internal/sharetracker.h"
+#include "scheduling/internal/waitingjob.h"
 #include "scheduling/internal/workerrequirements.h"
 #include "scheduling/schedulingtypes.h"
 
@@ -14,7 +16,9 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -33,7 +37,7 @@
   using JobSet = std::set<ActiveJob *, ById>;
   using CapacityCheck = std::function<bool(const WorkerRequirements &)>;
 
-  explicit JobIndex(PoolState &Pool) : Pool_(Pool) {}
+  explicit JobIndex(PoolState &Pool) : Pool_(Pool), Shares_(Pool) {}
   JobIndex(const JobIndex &) = delete;
   JobIndex &operator=(const JobIndex &) = delete;
 
@@ -50,6 +54,7 @@
   const JobSet &removable() const { return Removable_; }
 
   /// Begins a scan of the jobs with startable tasks, the most urgent first.
+  /// Within a priority class, jobs of customers above their share come last.
   /// The scan skips jobs for which no worker has the free resources, unless
   /// they are new to the wait for resources, or their requirements changed, and
   /// no scan has visited them since.
@@ -86,6 +91,8 @@
     std::vector<JobNeed> Needs_;
     /// Whether scans visit the job even if no worker has the free resources.
     bool IsUnconditional_ = false;
+    /// Sum over the startable tasks of a job that ShareTracker counts.
+    Resources Waiting_;
     /// When the keys have to be computed again even if the job does not change:
     /// wall-clock time since 1970, and steady time.
     std::optional<std::chrono::milliseconds> NextWall_;
@@ -95,6 +102,7 @@
     ActiveJob *Job_ = nullptr;
     bool IsChanged_ = false;
     IndexKeys Keys_;
+    WaitingJob Wait_;
   };
   using Ranks = std::set<JobRank>;
   /// Customer and JobNeed::GangSize_. The limit of a customer admits all or
@@ -109,10 +117,21 @@
     const WorkerRequirements *Need_ = nullptr;
     std::uint32_t GangSize_ = 0;
     bool IsUnvisited_ = false;
+    bool IsTurn_ = false;
+    /// Whether the customer is above its share. Part of the order only here, so
+    /// that no set changes with it.
+    bool IsOverShare_ = false;
   };
 
   static bool isLater(const ScanCursor &Left, const ScanCursor &Right) {
-    return *Right.Position_ < *Left.Position_;
+    auto Class = [](const ScanCursor &Each) {
+      const JobRank &Rank = *Each.Position_;
+      return std::make_tuple(Rank.IsBatch_, Rank.Priority_, Each.IsOverShare_);
+    };
+    const auto LeftClass = Class(Left);
+    const auto RightClass = Class(Right);
+    return RightClass != LeftClass ? RightClass < LeftClass
+                                   : *Right.Position_ < *Left.Position_;
   }
   void markChanged(JobEntry &Entry);
   void markAllChanged();
@@ -122,16 +141,24 @@
   void enterTasks(JobEntry &Entry);
   IndexKeys keysOf(ActiveJob &Job) const;
   void collectNeeds(const ActiveJob &Job, IndexKeys &Into) const;
+  /// Collects the jobs that have their turn.
+  void collectTurns();
   /// Records what the job runs for its customer.
   void updateUsage(const ActiveJob &Job);
   void eraseRank(std::map<std::string, Ranks> &From, const JobRank &Rank);
   bool isUnvisited(const JobRank &Rank) const;
-  void pushCursor(const ScanCursor &Wanted);
+  void pushCursor(ScanCursor Wanted);
+  /// Sorts the cursors again after the order of the customers has changed.
+  void reorderCursors();
+  /// \returns whether the scan has not returned the job yet. A job may be in
+  /// several sets.
+  bool markReturned(ActiveJob *Job);
   /// \returns whether the limit of the cursor's customer has refused such
   /// starts in this scan.
   bool isRefused(const ScanCursor &Cursor) const;
 
   PoolState &Pool_;
+  ShareTracker Shares_;
   std::unordered_map<std::string, JobEntry> Entries_;
   std::vector<JobEntry *> Changed_;
   std::map<std::string, JobSet> Dirty_;
@@ -153,6 +180,12 @@
   /// What the limits of customers have refused in this scan.
   std::map<LimitKey, std::set<WorkerRequirements>> Refused_;
   const ActiveJob *LastJob_ = nullptr;
+  /// The jobs with customers, and those that had their turn, that the scan has
+  /// returned. The order may change during the scan, so that LastJob_ does not
+  /// suffice for them.
+  std::unordered_set<const ActiveJob *> Returned_;
+  /// The jobs that have their turn in this scan, by customer.
+  std::map<std::string, Ranks> Turns_;
   /// The job of Unvisited_ that the scan returned last. It leaves that set only
   /// when the scan goes on, so that it stays there if the scan is abandoned at
   /// this job.
