Ask the limits of customers before each start

PoolState counts what each customer runs in the pool and holds the limits, null where there are none. The index replaces a job's sum whenever the job has changed; the dispatcher adds starts at once, so that the starts of one round count. Starts that a limit refuses are skipped: no gang reservation, no wait for capacity, no machines requested for them. JobIndex keeps the waiting jobs by customer, and the scan drops the sets for which the limit has refused a start, so that 1,000 waiting jobs of a customer at its limit cost a round at most two visits and two questions.

A refused gang leaves its customer's other tasks in the scan: a gang larger than the limit must not keep them from starting for good. The load counts only those waiting tasks that the limit admits in addition to what runs.

--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -73,6 +73,22 @@
   return Now < Job.holdBack(Now) + MaxHoldBack;
 }
 
+bool Dispatcher::isWithinLimit(const ActiveJob &Job, const TaskName &Name,
+                               std::size_t Tasks) {
+  if (Pool_.Limits_ == nullptr)
+    return true;
+  const StepSpec &Step = Job.step(Name);
+  const Resources PerTask = requiredResources(Step);
+  Resources Needed;
+  for (std::size_t Task = 0; Task < Tasks; ++Task)
+    Needed += PerTask;
+  if (Pool_.mayStart(Job, Needed))
+    return true;
+  Pool_.Index_.refuse(Job, {PerTask, Step.RequiredLabel_},
+                      Step.IsGang_ ? Step.TaskCount_ : 0);
+  return false;
+}
+
 bool Dispatcher::dispatchJob(ActiveJob &Job) {
   if (Job.submissionVersion() > Pool_.StartWatermark_) {
     // Without this, the job would not be visited again before there is room.
@@ -95,6 +111,10 @@
     const RunNumber Number = nextRunNumber(Job, Name);
     if (!Pool_.isRunNumberReserved(Number))
       continue;
+    if (!isWithinLimit(Job, Name, 1)) {
+      UnplaceableStep = Step;
+      continue;
+    }
     if (!admits(1))
       return false;
     WorkerSession *Session = workerFor(Job, Name);
@@ -160,6 +180,8 @@
 bool Dispatcher::startWholeGang(ActiveJob &Job,
                                 const std::vector<TaskName> &Members) {
   const TimePoint Now = Pool_.Clock_.now();
+  if (!isWithinLimit(Job, Members.front(), Members.size()))
+    return true;
   const StepSpec &Step = Job.step(Members.front());
   StepRun &Gang = Job.stepRun(Members.front());
   if (Gang.CapacityWaitSince_ == TimePoint())
@@ -206,6 +228,8 @@
                Run.Run_ == Gang.Run_;
       });
   if (MayRejoin) {
+    if (!isWithinLimit(Job, Waiting.front(), Waiting.size()))
+      return;
     auto Workers = Chooser_.chooseAll(Job, Waiting, /*OnOneRack=*/false);
     for (std::size_t Index = 0; Index < Workers.size(); ++Index)
       start(Job, Waiting[Index], *Workers[Index], Gang.Run_);
@@ -263,6 +287,7 @@
   Session.recordLease(Entry.OrderExpires_);
   Session.recordLeaseOfUnlistedRuns(Pool_.latestLeaseExpiry(Now));
   Chooser_.onStarted(Session, Step);
+  Pool_.Index_.onStarted(Job, Step);
 
   Pool_.Logger_.write(LogLevel::Debug,
                       LogEvent("run.ordered")
--- a/src/scheduling/internal/dispatcher.h
+++ b/src/scheduling/internal/dispatcher.h
@@ -44,6 +44,11 @@
 private:
   /// \returns whether less urgent jobs may start tasks in this round as well.
   bool dispatchJob(ActiveJob &Job);
+  /// Asks the limit of the job's customer for the start of \p Tasks tasks of
+  /// the step of \p Name. A refusal is passed on to the scan.
+  /// \returns whether they may start.
+  bool isWithinLimit(const ActiveJob &Job, const TaskName &Name,
+                     std::size_t Tasks);
   /// \returns whether the job leaves free resources to a gang, for which it is
   /// kept back for a limited time.
   bool isHeldBack(ActiveJob &Job) const;
--- a/src/scheduling/internal/jobindex.cpp
+++ b/src/scheduling/internal/jobindex.cpp
@@ -47,6 +47,10 @@
   return Found;
 }
 
+const std::string &customerOf(const ActiveJob &Job) {
+  return Job.submission().Spec_.Customer_;
+}
+
 } // namespace
 
 bool JobRank::operator<(const JobRank &Other) const {
@@ -73,6 +77,8 @@
 void JobIndex::remove(ActiveJob &Job) {
   auto Found = Entries_.find(Job.id());
   removeFromSets(Found->second);
+  if (!customerOf(Job).empty())
+    Pool_.Usage_.remove(Job.id());
   std::erase(Changed_, &Found->second);
   Entries_.erase(Found);
 }
@@ -134,23 +140,62 @@
     ByWall_.erase({*Old.NextWall_, Job});
   if (Old.NextTime_)
     ByTime_.erase({*Old.NextTime_, Job});
-  Unconditional_.erase(Old.Rank_);
-  Unvisited_.erase(Old.Rank_);
-  for (const WorkerRequirements &Need : Old.Needs_) {
-    auto Of = ByNeed_.find(Need);
-    Of->second.erase(Old.Rank_);
+  eraseRank(Unconditional_, Old.Rank_);
+  eraseRank(Unvisited_, Old.Rank_);
+  for (const JobNeed &Need : Old.Needs_) {
+    auto Of = ByNeed_.find(Need.Worker_);
+    auto Set = Of->second.find({customerOf(*Job), Need.GangSize_});
+    Set->second.erase(Old.Rank_);
+    if (Set->second.empty())
+      Of->second.erase(Set);
     if (Of->second.empty())
       ByNeed_.erase(Of);
   }
   Old = {};
 }
 
+void JobIndex::eraseRank(std::map<std::string, Ranks> &From,
+                         const JobRank &Rank) {
+  auto Of = From.find(customerOf(*Rank.Job_));
+  if (Of == From.end())
+    return;
+  Of->second.erase(Rank);
+  if (Of->second.empty())
+    From.erase(Of);
+}
+
+bool JobIndex::isUnvisited(const JobRank &Rank) const {
+  if (Rank.Job_ == nullptr)
+    return false;
+  auto Of = Unvisited_.find(customerOf(*Rank.Job_));
+  return Of != Unvisited_.end() && Of->second.contains(Rank);
+}
+
+void JobIndex::updateUsage(const ActiveJob &Job) {
+  if (customerOf(Job).empty())
+    return;
+  Resources Running;
+  const std::vector<StepSpec> &Steps = Job.submission().Spec_.Steps_;
+  Job.forEachStep([&](std::uint32_t Step, const std::vector<TaskRun> &Runs) {
+    const Resources PerTask = requiredResources(Steps[Step]);
+    for (const TaskRun &Run : Runs)
+      if (!Run.Worker_.empty() || Run.MayHaveInheritedRun_)
+        Running += PerTask;
+  });
+  Pool_.Usage_.set(Job.id(), customerOf(Job), Running);
+}
+
+void JobIndex::onStarted(const ActiveJob &Job, const StepSpec &Step) {
+  if (!customerOf(Job).empty())
+    Pool_.Usage_.add(Job.id(), customerOf(Job), requiredResources(Step));
+}
+
 void JobIndex::insertIntoSets(JobEntry &Entry) {
   ActiveJob &Job = *Entry.Job_;
-  const std::vector<WorkerRequirements> OldNeeds = Entry.Keys_.Needs_;
-  const bool WasUnvisited = Entry.Keys_.Rank_.Job_ != nullptr &&
-                            Unvisited_.contains(Entry.Keys_.Rank_);
+  const std::vector<JobNeed> OldNeeds = Entry.Keys_.Needs_;
+  const bool WasUnvisited = isUnvisited(Entry.Keys_.Rank_);
   removeFromSets(Entry);
+  updateUsage(Job);
   if (Job.isDirty())
     Dirty_[Job.submission().Queue_].insert(&Job);
   else if (isFinal(Job.progress().state()) && Job.runCount() == 0)
@@ -165,13 +210,13 @@
     ByWall_.insert({*New.NextWall_, &Job});
   if (New.NextTime_)
     ByTime_.insert({*New.NextTime_, &Job});
-  for (const WorkerRequirements &Need : New.Needs_)
-    ByNeed_[Need].insert(New.Rank_);
+  for (const JobNeed &Need : New.Needs_)
+    ByNeed_[Need.Worker_][{customerOf(Job), Need.GangSize_}].insert(New.Rank_);
   if (New.IsUnconditional_)
-    Unconditional_.insert(New.Rank_);
+    Unconditional_[customerOf(Job)].insert(New.Rank_);
   else if (!New.Needs_.empty() &&
            (WasUnvisited || !Job.capacityWaitSince() || New.Needs_ != OldNeeds))
-    Unvisited_.insert(New.Rank_);
+    Unvisited_[customerOf(Job)].insert(New.Rank_);
 }
 
 JobIndex::IndexKeys JobIndex::keysOf(ActiveJob &Job) const {
@@ -210,7 +255,9 @@
         // A gang that does not fit may still keep less urgent tasks from
         // starting.
         Into.IsUnconditional_ = Into.IsUnconditional_ || Spec.IsGang_;
-        WorkerRequirements Need{requiredResources(Spec), Spec.RequiredLabel_};
+        const bool IsLimitedGang = Spec.IsGang_ && !customerOf(Job).empty();
+        JobNeed Need{{requiredResources(Spec), Spec.RequiredLabel_},
+                     IsLimitedGang ? Spec.TaskCount_ : 0};
         if (std::find(Into.Needs_.begin(), Into.Needs_.end(), Need) ==
             Into.Needs_.end())
           Into.Needs_.push_back(std::move(Need));
@@ -220,10 +267,11 @@
       });
 }
 
-void JobIndex::pushCursor(Ranks &Of, const WorkerRequirements *Need) {
-  if (Of.empty() || (Need != nullptr && !HasCapacity_(*Need)))
+void JobIndex::pushCursor(const ScanCursor &Wanted) {
+  if (Wanted.Set_->empty())
     return;
-  Cursors_.push_back({&Of, Of.begin(), Need});
+  Cursors_.push_back(Wanted);
+  Cursors_.back().Position_ = Wanted.Set_->begin();
   std::push_heap(Cursors_.begin(), Cursors_.end(), isLater);
 }
 
@@ -231,27 +279,63 @@
   refresh();
   HasCapacity_ = std::move(HasCapacity);
   Cursors_.clear();
+  Refused_.clear();
   LastJob_ = nullptr;
   PendingVisit_.reset();
-  pushCursor(Unconditional_, nullptr);
-  pushCursor(Unvisited_, nullptr);
-  for (auto &[Need, Of] : ByNeed_)
-    pushCursor(Of, &Need);
+  for (auto &[Customer, Of] : Unconditional_)
+    pushCursor({.Set_ = &Of, .Position_ = {}, .Customer_ = &Customer});
+  for (auto &[Customer, Of] : Unvisited_)
+    pushCursor({.Set_ = &Of,
+                .Position_ = {},
+                .Customer_ = &Customer,
+                .IsUnvisited_ = true});
+  for (auto &[Need, Sets] : ByNeed_) {
+    if (!HasCapacity_(Need))
+      continue;
+    for (auto &[Key, Of] : Sets)
+      pushCursor({.Set_ = &Of,
+                  .Position_ = {},
+                  .Customer_ = &Key.first,
+                  .Need_ = &Need,
+                  .GangSize_ = Key.second});
+  }
+}
+
+void JobIndex::refuse(const ActiveJob &Job, const WorkerRequirements &Need,
+                      std::uint32_t GangSize) {
+  Refused_[{customerOf(Job), GangSize}].insert(Need);
+}
+
+bool JobIndex::isRefused(const ScanCursor &Cursor) const {
+  if (Refused_.empty() || Cursor.Customer_->empty())
+    return false;
+  if (Cursor.Need_ != nullptr) {
+    auto Found = Refused_.find({*Cursor.Customer_, Cursor.GangSize_});
+    return Found != Refused_.end() && Found->second.contains(*Cursor.Need_);
+  }
+  // The other sets hold jobs with any requirements. Those that the limit may
+  // admit are also in the sets of their requirements.
+  auto First = Refused_.lower_bound({*Cursor.Customer_, 0});
+  return First != Refused_.end() && First->first.first == *Cursor.Customer_;
 }
 
 ActiveJob *JobIndex::next() {
+  auto MarkVisited = [this](const JobRank &Rank) {
+    Unvisited_.find(customerOf(*Rank.Job_))->second.erase(Rank);
+  };
   if (PendingVisit_)
-    Unvisited_.erase(*PendingVisit_);
+    MarkVisited(*PendingVisit_);
   PendingVisit_.reset();
   while (!Cursors_.empty()) {
     std::pop_heap(Cursors_.begin(), Cursors_.end(), isLater);
     ScanCursor &First = Cursors_.back();
-    if (First.Need_ != nullptr && !HasCapacity_(*First.Need_)) {
+    if ((First.Need_ != nullptr && !HasCapacity_(*First.Need_)) ||
+        isRefused(First)) {
       Cursors_.pop_back();
       continue;
     }
     const JobRank Rank = *First.Position_;
-    const bool IsUnvisited = First.Set_ == &Unvisited_;
+    const bool IsUnvisited = First.IsUnvisited_;
     ++First.Position_;
     if (First.Position_ == First.Set_->end())
       Cursors_.pop_back();
@@ -260,7 +344,7 @@
     // A job may be in several sets; the scan returns it once.
     if (Rank.Job_ == LastJob_) {
       if (IsUnvisited)
-        Unvisited_.erase(Rank);
+        MarkVisited(Rank);
       continue;
     }
     if (IsUnvisited)
--- a/src/scheduling/internal/jobindex.h
+++ b/src/scheduling/internal/jobindex.h
@@ -58,14 +58,32 @@
   void beginScan(CapacityCheck HasCapacity);
   /// \returns the next job of the scan, or null after the last.
   ActiveJob *next();
+  /// Called when the limit of the customer of \p Job refuses the start of tasks
+  /// with these requirements. The scan goes on without the customer's jobs that
+  /// need the same.
+  /// \param GangSize number of tasks of the gang; 0 for a single task.
+  void refuse(const ActiveJob &Job, const WorkerRequirements &Need,
+              std::uint32_t GangSize);
+  /// Called when a task of \p Job is started: adds it to what the customer
+  /// runs.
+  void onStarted(const ActiveJob &Job, const StepSpec &Step);
   /// \returns the number of jobs that all scans together have returned.
   std::uint64_t visitCount() const { return VisitCount_; }
 
 private:
+  /// What a startable task of a job needs.
+  struct JobNeed {
+    WorkerRequirements Worker_;
+    /// Number of tasks of the gang; 0 for other tasks and for jobs without a
+    /// customer.
+    std::uint32_t GangSize_ = 0;
+
+    bool operator==(const JobNeed &) const = default;
+  };
   /// The keys under which a job is in the sets of the index.
   struct IndexKeys {
     JobRank Rank_;
-    std::vector<WorkerRequirements> Needs_;
+    std::vector<JobNeed> Needs_;
     /// Whether scans visit the job even if no worker has the free resources.
     bool IsUnconditional_ = false;
     /// When the keys have to be computed again even if the job does not change:
@@ -79,12 +97,18 @@
     IndexKeys Keys_;
   };
   using Ranks = std::set<JobRank>;
+  /// Customer and JobNeed::GangSize_. The limit of a customer admits all or
+  /// none of the starts with the same key and requirements.
+  using LimitKey = std::pair<std::string, std::uint32_t>;
   /// Position in one of the sets that a scan merges.
   struct ScanCursor {
     Ranks *Set_ = nullptr;
     Ranks::iterator Position_;
+    const std::string *Customer_ = nullptr;
     /// Null for a set that is scanned regardless of free resources.
     const WorkerRequirements *Need_ = nullptr;
+    std::uint32_t GangSize_ = 0;
+    bool IsUnvisited_ = false;
   };
 
   static bool isLater(const ScanCursor &Left, const ScanCursor &Right) {
@@ -98,7 +122,14 @@
   void enterTasks(JobEntry &Entry);
   IndexKeys keysOf(ActiveJob &Job) const;
   void collectNeeds(const ActiveJob &Job, IndexKeys &Into) const;
-  void pushCursor(Ranks &Of, const WorkerRequirements *Need);
+  /// Records what the job runs for its customer.
+  void updateUsage(const ActiveJob &Job);
+  void eraseRank(std::map<std::string, Ranks> &From, const JobRank &Rank);
+  bool isUnvisited(const JobRank &Rank) const;
+  void pushCursor(const ScanCursor &Wanted);
+  /// \returns whether the limit of the cursor's customer has refused such
+  /// starts in this scan.
+  bool isRefused(const ScanCursor &Cursor) const;
 
   PoolState &Pool_;
   std::unordered_map<std::string, JobEntry> Entries_;
@@ -106,18 +137,21 @@
   std::map<std::string, JobSet> Dirty_;
   JobSet Removable_;
   /// Jobs with startable tasks, by the requirements of one of these tasks.
-  std::map<WorkerRequirements, Ranks> ByNeed_;
-  Ranks Unconditional_;
+  std::map<WorkerRequirements, std::map<LimitKey, Ranks>> ByNeed_;
+  /// By customer.
+  std::map<std::string, Ranks> Unconditional_;
   /// Jobs that do not wait for free resources yet or whose requirements
   /// changed, and that no scan has visited since. A scan visits them even if no
-  /// worker has the free resources.
-  Ranks Unvisited_;
+  /// worker has the free resources. By customer.
+  std::map<std::string, Ranks> Unvisited_;
   std::set<std::pair<std::chrono::milliseconds, ActiveJob *>> ByWall_;
   std::set<std::pair<TimePoint, ActiveJob *>> ByTime_;
   std::chrono::milliseconds LastWall_{0};
   std::shared_ptr<const SchedulingConfiguration> LastConfiguration_;
   CapacityCheck HasCapacity_;
   std::vector<ScanCursor> Cursors_;
+  /// What the limits of customers have refused in this scan.
+  std::map<LimitKey, std::set<WorkerRequirements>> Refused_;
   const ActiveJob *LastJob_ = nullptr;
   /// The job of Unvisited_ that the scan returned last. It leaves that set only
   /// when the scan goes on, so that it stays there if the scan is abandoned at
--- a/src/scheduling/internal/loadmeter.cpp
+++ b/src/scheduling/internal/loadmeter.cpp
@@ -1,9 +1,12 @@
 #include "scheduling/internal/loadmeter.h"
+#include "customers/icustomerlimits.h"
 #include "global/iclock.h"
 #include "scheduling/internal/poolstate.h"
 #include "scheduling/placement.h"
 
 #include <algorithm>
+#include <map>
+#include <string>
 
 namespace dragonflylock {
 namespace {
@@ -73,18 +76,72 @@
          std::min(1.0, secondsOf(Step) / Clear);
 }
 
-void addTasks(PoolLoad &Load, const ActiveJob &Job,
-              const Resources &MeanCapacity, const PoolState &Pool) {
+/// Finds out how much of the waiting work the limits of customers admit. Work
+/// that waits for its customer's limit needs no machines.
+class LimitCheck {
+public:
+  explicit LimitCheck(const PoolState &Pool) : Pool_(Pool) {}
+
+  /// \param Tasks number of startable tasks of the step.
+  /// \returns how many of these tasks the limit of the job's customer admits in
+  ///   addition to the tasks of earlier calls; for a gang, all or none.
+  std::size_t countAdmitted(const ActiveJob &Job, const StepSpec &Step,
+                            std::size_t Tasks) {
+    const std::string &Customer = Job.submission().Spec_.Customer_;
+    if (Pool_.Limits_ == nullptr || Customer.empty() || Tasks == 0)
+      return Tasks;
+    const Resources PerTask = requiredResources(Step);
+    auto Known = Expected_.try_emplace(Customer, Pool_.Usage_.of(Customer));
+    Resources &Running = Known.first->second;
+    std::size_t Admitted = 0;
+    for (std::size_t Part = Tasks; Part > 0;) {
+      const Resources Needed = times(PerTask, Part);
+      if (Pool_.Limits_->mayStart(Customer, Running, Needed)) {
+        Running += Needed;
+        Admitted += Part;
+        Part = std::min(Part, Tasks - Admitted);
+      } else {
+        Part = Step.IsGang_ ? 0 : Part / 2;
+      }
+    }
+    return Admitted;
+  }
+
+private:
+  static Resources times(const Resources &PerTask, std::size_t Tasks) {
+    const auto Count = static_cast<std::int64_t>(Tasks);
+    return {PerTask.CpuMillis_ * Count, PerTask.MemoryMb_ * Count,
+            PerTask.Gpus_ * Count};
+  }
+
+  const PoolState &Pool_;
+  /// What each customer would run if the admitted tasks had started.
+  std::map<std::string, Resources> Expected_;
+};
+
+/// \returns whether the limit of the job's customer keeps some of its tasks
+/// waiting.
+bool addTasks(PoolLoad &Load, const ActiveJob &Job,
+              const Resources &MeanCapacity, const PoolState &Pool,
+              LimitCheck &Limits) {
   const std::vector<StepSpec> &Steps = Job.submission().Spec_.Steps_;
+  bool IsLimited = false;
   Job.forEachStep([&](std::uint32_t Number, const std::vector<TaskRun> &Runs) {
     const StepSpec &Step = Steps[Number];
     const double Share = machineShareOf(Step, MeanCapacity);
-    for (const TaskRun &Run : Runs) {
-      if (Step.IsLongRunning_)
-        Load.LongRunningLoad_ += Share;
-      else if (!Run.Worker_.empty())
-        Load.RunningLoad_ += Share;
+    const auto Placed = static_cast<std::size_t>(
+        std::count_if(Runs.begin(), Runs.end(), [](const TaskRun &Run) {
+          return !Run.Worker_.empty() || Run.MayHaveInheritedRun_;
+        }));
+    if (Step.IsLongRunning_) {
+      const std::size_t Waiting = Runs.size() - Placed;
+      const std::size_t Admitted = Limits.countAdmitted(Job, Step, Waiting);
+      IsLimited = IsLimited || Admitted < Waiting;
+      Load.LongRunningLoad_ += static_cast<double>(Placed + Admitted) * Share;
+      return;
     }
+    for (const TaskRun &Run : Runs)
+      Load.RunningLoad_ += Run.Worker_.empty() ? 0 : Share;
   });
   const TimePoint Now = Pool.Clock_.now();
   Job.forEachReadyStep(
@@ -94,11 +151,17 @@
           return;
         const double MachinesNeeded =
             machinesPerWaitingTask(Steps[Number], MeanCapacity);
-        for (const TaskRun &Run : Runs)
-          Load.WaitingLoad_ +=
-              Run.mayStart(Now, Job.storedChangeCount()) ? MachinesNeeded : 0;
+        const auto Startable = static_cast<std::size_t>(
+            std::count_if(Runs.begin(), Runs.end(), [&](const TaskRun &Run) {
+              return Run.mayStart(Now, Job.storedChangeCount());
+            }));
+        const std::size_t Admitted =
+            Limits.countAdmitted(Job, Steps[Number], Startable);
+        IsLimited = IsLimited || Admitted < Startable;
+        Load.WaitingLoad_ += static_cast<double>(Admitted) * MachinesNeeded;
       },
       [](std::chrono::milliseconds) {});
+  return IsLimited;
 }
 
 } // namespace
@@ -107,10 +170,12 @@
   PoolLoad Load;
   const Resources MeanCapacity = countMachines(Load, Pool);
   const std::chrono::milliseconds Wall = Pool.wallTime();
+  LimitCheck Limits(Pool);
   for (const auto &[Id, Job] : Pool.Jobs_) {
     if (Job->isOver())
       continue;
-    addTasks(Load, *Job, MeanCapacity, Pool);
+    if (addTasks(Load, *Job, MeanCapacity, Pool, Limits))
+      continue;
     if (auto Since = Job->capacityWaitSince())
       Load.LongestWait_ =
           std::max(Load.LongestWait_,
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/internal/poolstate.h"
+#include "customers/icustomerlimits.h"
 #include "global/ilogger.h"
 #include "global/logevent.h"
 #include "scheduling/runnumbers.h"
@@ -154,6 +155,12 @@
 
 ActiveJob *PoolState::job(const std::string &Id) { return Index_.find(Id); }
 
+bool PoolState::mayStart(const ActiveJob &Job, const Resources &Needed) const {
+  const std::string &Customer = Job.submission().Spec_.Customer_;
+  return Limits_ == nullptr || Customer.empty() ||
+         Limits_->mayStart(Customer, Usage_.of(Customer), Needed);
+}
+
 WorkerSession *PoolState::session(const std::string &Lifetime) {
   auto Found = Sessions_.find(Lifetime);
   return Found == Sessions_.end() ? nullptr : Found->second.get();
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYLOCK_SCHEDULING_INTERNAL_POOLSTATE_H
 #define DRAGONFLYLOCK_SCHEDULING_INTERNAL_POOLSTATE_H
 
+#include "customers/customerusage.h"
 #include "scheduling/activejob.h"
 #include "scheduling/internal/jobindex.h"
 #include "scheduling/schedulingsettings.h"
@@ -16,6 +17,7 @@
 namespace dragonflylock {
 
 class IClock;
+class ICustomerLimits;
 class ILogger;
 class IStore;
 class IWorkerControl;
@@ -73,6 +75,11 @@
   /// By job id. Modified only by addJob() and removeJob().
   std::map<std::string, std::unique_ptr<ActiveJob>> Jobs_;
   JobIndex Index_;
+  /// What the customers run. The index keeps it up to date; jobs without a
+  /// customer are not counted.
+  CustomerUsage Usage_;
+  /// Limits of the customers; null if there are none.
+  ICustomerLimits *Limits_ = nullptr;
   /// By worker lifetime.
   std::map<std::string, std::unique_ptr<WorkerSession>> Sessions_;
   std::shared_ptr<const SchedulingConfiguration> Configuration_;
@@ -125,6 +132,9 @@
   void addJob(std::unique_ptr<ActiveJob> Job);
   void removeJob(ActiveJob &Job);
   ActiveJob *job(const std::string &Id);
+  /// \returns whether the limit of the job's customer admits the start of tasks
+  /// that need \p Needed in total.
+  bool mayStart(const ActiveJob &Job, const Resources &Needed) const;
   WorkerSession *session(const std::string &Lifetime);
   /// \returns the registered worker on the machine, or null.
   WorkerSession *sessionOn(const std::string &Machine);
