--- a/tests/system/childprocess.h
+++ b/tests/system/childprocess.h
@@ -25,6 +25,8 @@
   /// Waits for the end.
   /// \returns the exit status, or -1 for one that was killed.
   int wait();
+  /// \returns the process id; 0 after the process has ended.
+  pid_t id() const { return Id_; }
 
 private:
   pid_t Id_ = 0;
