HTTP server: bounds for unfinished requests and connections

Cause: RESTinio keeps every byte of an unfinished request, and a record of 16 bytes for each chunk, for as long as the connection stays open, and accepts any number of connections.

Change: TrackedSocket follows the requests of its connection (RequestMeter) before RESTinio gets the bytes, and refuses heads and bodies over the limit with 431 and 413. RequestBudget bounds the bytes that RESTinio holds for all connections and names the connections to close. ConnectionRegistry closes them, bounds the number of connections, enforces the times of a head, of a body and of idling, and returns freed memory. Connections with a request that the handler has are not closed.

RESTinio's limit of 60 s for a whole request is now enforced by the registry.

--- a/src/http/ihttpserver.h
+++ b/src/http/ihttpserver.h
@@ -9,6 +9,7 @@
 namespace dragonflylock {
 
 struct HttpAnswer;
+struct RequestLimits;
 
 /// A listening HTTP server with a thread of its own.
 class IHttpServer {
@@ -17,6 +18,9 @@
   /// Starts to listen.
   /// \returns HttpErrc::CannotListen where the address is taken.
   virtual Result<void> start() = 0;
+  /// Sets what is accepted of each request, from its next byte on. Callable
+  /// from any thread, also before start().
+  virtual void setLimits(const RequestLimits &Limits) = 0;
   /// Closes each connection with its next answer, and those that wait for a
   /// request, from now on. New connections are still served.
   virtual void closeConnectionsAfterAnswers() = 0;
--- a/src/http/internal/restinioserver.cpp
+++ b/src/http/internal/restinioserver.cpp
@@ -1,4 +1,6 @@
 #include "http/internal/restinioserver.h"
+#include "global/ilogger.h"
+#include "global/logevent.h"
 #include "global/units.h"
 #include "http/httperrors.h"
 #include "http/httptypes.h"
@@ -8,7 +10,9 @@
 
 #include <restinio/all.hpp>
 
+#include <algorithm>
 #include <atomic>
+#include <iterator>
 #include <mutex>
 #include <optional>
 #include <thread>
@@ -20,8 +24,14 @@
 
 /// Longest time that a handler may take; deadlines of requests are shorter.
 constexpr std::chrono::hours HandlerTimeLimit{24};
-constexpr std::chrono::seconds IdleConnectionLimit{60};
-constexpr std::size_t LargestFieldValue = 64U << 10U;
+/// RESTinio's own limit, which is above those that ConnectionRegistry enforces.
+constexpr std::chrono::hours ReadTimeLimit{1};
+/// RESTinio's own limit; ConnectionRegistry enforces the one of the
+/// configuration, which may be any number.
+constexpr std::size_t LargestReadableBody = 64U << 20U;
+constexpr std::chrono::milliseconds SweepInterval{250};
+/// Interval of the lines about closed connections.
+constexpr std::chrono::seconds ReportInterval{1};
 /// Time without a request after which a connection is closed while the server
 /// is closing its connections. The request of a caller that has just connected
 /// arrives sooner.
@@ -228,12 +238,48 @@
     });
   }
 
+  /// Closes connections whose time has run out, from now on.
+  /// \param Logger may be null.
+  void sweepConnections(ILogger *Logger) {
+    const TimePoint Now = std::chrono::steady_clock::now();
+    Registry_.sweep(Now);
+    if (Logger != nullptr && Now >= NextReport_)
+      report(*Logger, Now);
+    SweepTimer_.expires_after(SweepInterval);
+    SweepTimer_.async_wait([this, Logger](const asio::error_code &Failure) {
+      if (!Failure)
+        sweepConnections(Logger);
+    });
+  }
+
+  /// Logs how many connections were closed since the last line.
+  void report(ILogger &Logger, TimePoint Now) {
+    const auto Counts = Registry_.takeShedCounts();
+    const auto Most = std::max_element(Counts.begin(), Counts.end());
+    if (*Most == 0)
+      return;
+    NextReport_ = Now + ReportInterval;
+    std::uint64_t Total = 0;
+    for (std::uint64_t Each : Counts)
+      Total += Each;
+    LogEvent Line("connections.shed");
+    Line.with("count", Total)
+        .with("cause", nameOf(static_cast<ShedCause>(
+                           std::distance(Counts.begin(), Most))));
+    for (std::size_t Cause = 0; Cause < Counts.size(); ++Cause)
+      if (Counts[Cause] > 0 && Counts[Cause] != Total)
+        Line.with(nameOf(static_cast<ShedCause>(Cause)), Counts[Cause]);
+    Logger.write(LogLevel::Warning, Line);
+  }
+
   std::shared_ptr<Shared> State_ = std::make_shared<Shared>();
   std::uint16_t Port_ = 0;
   asio::io_context Context_;
   ConnectionRegistry &Registry_ =
       asio::use_service<ConnectionRegistry>(Context_);
   asio::steady_timer Timer_{Context_};
+  asio::steady_timer SweepTimer_{Context_};
+  TimePoint NextReport_;
   std::unique_ptr<Server> Instance_;
   /// Belongs to the instance.
   asio::ip::tcp::acceptor *Acceptor_ = nullptr;
@@ -241,14 +287,22 @@
 };
 
 RestinioServer::RestinioServer(SocketAddress Address, IHttpHandler &Handler,
-                               std::size_t LargestBody)
-    : Address_(std::move(Address)), Handler_(Handler),
-      LargestBody_(LargestBody) {}
+                               std::size_t LargestBody,
+                               const ServerCapacity &Capacity, ILogger *Logger)
+    : Address_(std::move(Address)), Handler_(Handler), Capacity_(Capacity),
+      Logger_(Logger) {
+  Limits_.MaxBodyBytes_ = LargestBody;
+}
 
 RestinioServer::~RestinioServer() { stop(); }
 
 Result<void> RestinioServer::start() {
-  Running_ = std::make_unique<Running>();
+  {
+    const std::lock_guard Lock(LimitsMutex_);
+    Running_ = std::make_unique<Running>();
+    Running_->Registry_.setCapacity(Capacity_);
+    Running_->Registry_.setLimits(Limits_);
+  }
   auto State = Running_->State_;
   auto Handle = [this, State](const restinio::request_handle_t &Request) {
     auto Answerer = Responder::make(Request, State);
@@ -274,24 +328,35 @@
       .connection_state_listener(std::make_shared<ConnectionCounter>(State))
       .acceptor_post_bind_hook(RecordPort)
       .handle_request_timeout(HandlerTimeLimit)
-      .read_next_http_message_timelimit(IdleConnectionLimit)
-      .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t()
-                                    .max_body_size(LargestBody_)
-                                    .max_field_value_size(LargestFieldValue));
+      .read_next_http_message_timelimit(ReadTimeLimit)
+      .incoming_http_msg_limits(
+          restinio::incoming_http_msg_limits_t().max_body_size(
+              LargestReadableBody));
   try {
     Running_->Instance_ = restinio::run_async<Traits>(
         restinio::external_io_context(Running_->Context_), std::move(Settings),
         1);
   } catch (const std::exception &Failure) {
+    const std::lock_guard Lock(LimitsMutex_);
     Running_.reset();
     return Error(HttpErrc::CannotListen,
                  "cannot listen on " + Address_.text() + " (" + Failure.what() +
                      ")",
                  "free the port or choose another address");
   }
+  asio::post(Running_->Context_, [this, Started = Running_.get()] {
+    Started->sweepConnections(Logger_);
+  });
   return {};
 }
 
+void RestinioServer::setLimits(const RequestLimits &Limits) {
+  const std::lock_guard Lock(LimitsMutex_);
+  Limits_ = Limits;
+  if (Running_)
+    Running_->Registry_.setLimits(Limits);
+}
+
 void RestinioServer::closeConnectionsAfterAnswers() {
   if (!Running_ || Running_->State_->IsClosing_.exchange(true))
     return;
--- a/src/http/internal/restinioserver.h
+++ b/src/http/internal/restinioserver.h
@@ -3,24 +3,34 @@
 
 #include "global/socketaddress.h"
 #include "http/ihttpserver.h"
+#include "global/requestlimits.h"
+#include "http/servercapacity.h"
 
 #include <memory>
+#include <mutex>
 
 namespace dragonflylock {
 
 class IHttpHandler;
+class ILogger;
 
 /// An HTTP server by RESTinio.
 class RestinioServer : public IHttpServer {
 public:
   /// \param Address where to listen; port 0 takes a free one.
   /// \param Handler receives the requests; must outlive the server.
-  /// \param LargestBody bytes; a larger request body closes its connection.
+  /// \param LargestBody bytes; a larger request body is refused until
+  ///   setLimits() sets another limit.
+  /// \param Capacity what all connections may use together.
+  /// \param Logger gets a line when connections are closed to keep within the
+  ///   limits; must outlive the server; null for no log.
   RestinioServer(SocketAddress Address, IHttpHandler &Handler,
-                 std::size_t LargestBody);
+                 std::size_t LargestBody, const ServerCapacity &Capacity = {},
+                 ILogger *Logger = nullptr);
   ~RestinioServer() override;
 
   Result<void> start() override;
+  void setLimits(const RequestLimits &Limits) override;
   void closeConnectionsAfterAnswers() override;
   void refuseRequests(HttpAnswer Refusal) override;
   void stop() override;
@@ -39,7 +49,11 @@
 
   SocketAddress Address_;
   IHttpHandler &Handler_;
-  std::size_t LargestBody_;
+  ServerCapacity Capacity_;
+  ILogger *Logger_;
+  /// Guards the limits and whether the server runs.
+  std::mutex LimitsMutex_;
+  RequestLimits Limits_;
   std::unique_ptr<Running> Running_;
 };
 
