Apply the documented request limits and the process's capacity

Cause: the daemon ignored the configuration's limits of heads, bodies and times and knew no bound for all callers together.

--- a/src/app/daemonmain.cpp
+++ b/src/app/daemonmain.cpp
@@ -55,6 +55,10 @@
                                  requests [20ms].
   --drain-grace=TIME             Time after SIGTERM for which requests are
                                  still accepted [3s].
+  --memory-limit-mb=COUNT        Memory that the process may use; requests
+                                 that are being read use an eighth of it.
+  --max-descriptors=COUNT        Descriptors that the process may use; callers
+                                 use less than half of them.
   --trace=FILE                   Record events as lines of JSON.
   --log-level=LEVEL              debug, info, warning or error [info].
   --check-settings               Check all settings and exit.
--- a/src/app/schedulerdaemon.cpp
+++ b/src/app/schedulerdaemon.cpp
@@ -91,16 +91,23 @@
             Logger_),
         MeteredCallers_(Callers_, Metrics_),
         Readiness_([this] { return IsReady_.load(); }), MetricsPort_(Metrics_),
-        CallerServer_(Settings_.Callers_, MeteredCallers_, LargestBody),
-        ReadinessServer_(Settings_.Readiness_, Readiness_, LargestBody) {
+        CallerServer_(
+            Settings_.Callers_, MeteredCallers_, LargestBody,
+            ServerCapacity::ofCallers(Settings_.Scheduling_.MemoryLimitMb_,
+                                      Settings_.Scheduling_.MaxDescriptors_),
+            &Logger_),
+        ReadinessServer_(Settings_.Readiness_, Readiness_, LargestBody,
+                         ServerCapacity::internal(), &Logger_) {
     if (Settings_.Metrics_)
-      MetricsServer_.emplace(*Settings_.Metrics_, MetricsPort_, LargestBody);
+      MetricsServer_.emplace(*Settings_.Metrics_, MetricsPort_, LargestBody,
+                             ServerCapacity::internal(), &Logger_);
   }
 
   void tick() {
     Feeds_.tick();
     Node_->tick();
     Waits_.tick();
+    applyRequestLimits();
     tellFigures();
     bool IsReady = Node_->isReady();
     if (IsReady_.exchange(IsReady) != IsReady)
@@ -108,6 +115,16 @@
                     LogEvent(IsReady ? "node.ready" : "node.unready"));
   }
 
+  /// Passes the request limits of a configuration that has come into force to
+  /// the callers' port.
+  void applyRequestLimits() {
+    const auto *Configuration = Node_->configuration();
+    if (Configuration == nullptr || Configuration->Version_ == LimitsVersion_)
+      return;
+    LimitsVersion_ = Configuration->Version_;
+    CallerServer_.setLimits(Configuration->RequestLimits_);
+  }
+
   /// Puts the figures of the configuration and the owned pools into the
   /// metrics.
   void tellFigures() {
@@ -158,6 +175,8 @@
   RestinioServer ReadinessServer_;
   std::optional<RestinioServer> MetricsServer_;
   std::set<std::string> OwnedPools_;
+  /// Version of the configuration whose request limits are in force.
+  std::optional<std::uint64_t> LimitsVersion_;
   TimePoint NextFigures_;
 };
 
--- a/src/entry/internal/entry.cpp
+++ b/src/entry/internal/entry.cpp
@@ -51,6 +51,24 @@
   return Content.str();
 }
 
+/// \returns the capacity of the callers' port. Where the memory is not known, a
+/// body of the largest size is accepted in any chunks of ordinary size.
+ServerCapacity callerCapacity(const DaemonSettings &Settings) {
+  ServerCapacity Capacity = ServerCapacity::ofCallers(Settings.MemoryLimitMb_,
+                                                      Settings.MaxDescriptors_);
+  if (Settings.MemoryLimitMb_ == 0)
+    Capacity.RequestBytes_ = 3 * LargestCallerBody;
+  return Capacity;
+}
+
+/// \returns the capacity of the operators' port. The parser holds up to twice
+/// the bytes of a body that arrives in chunks.
+ServerCapacity operatorCapacity() {
+  ServerCapacity Capacity = ServerCapacity::internal();
+  Capacity.RequestBytes_ = 4 * LargestOperatorBody;
+  return Capacity;
+}
+
 } // namespace
 
 struct Entry::Parts {
@@ -85,9 +103,10 @@
         CallerPort_(Loop_, Jobs_, Clock_, Metrics_),
         OperatorPort_(makePlatform(), Parser_, Clock_, Loop_, Metrics_, Trace_,
                       Settings_.OperatorToken_),
-        CallerServer_(Settings_.Callers_, CallerPort_, LargestCallerBody),
+        CallerServer_(Settings_.Callers_, CallerPort_, LargestCallerBody,
+                      callerCapacity(Settings_), &Logger_),
         OperatorServer_(Settings_.Operators_, OperatorPort_,
-                        LargestOperatorBody) {}
+                        LargestOperatorBody, operatorCapacity(), &Logger_) {}
 
   /// \returns a platform for one more thread.
   std::shared_ptr<IPlatform> makePlatform() {
--- a/src/global/requestlimits.h
+++ b/src/global/requestlimits.h
@@ -10,8 +10,8 @@
 /// deployments document for their callers.
 struct RequestLimits {
   /// Bytes of the head, with empty lines before it and trailing fields after
-  /// the body. The parser accepts at most 80 KiB.
-  std::size_t MaxHeadBytes_ = 64U << 10U;
+  /// the body. The parser accepts no more than the default.
+  std::size_t MaxHeadBytes_ = 80U << 10U;
   /// Bytes of the body without its encoding.
   std::size_t MaxBodyBytes_ = 1U << 20U;
   /// Time from the first byte of a head to its end.
--- a/src/scheduling/schedulingtypes.h
+++ b/src/scheduling/schedulingtypes.h
@@ -3,6 +3,7 @@
 
 #include "customers/customer.h"
 #include "global/iclock.h"
+#include "global/requestlimits.h"
 #include "global/resources.h"
 #include "global/socketaddress.h"
 
@@ -168,6 +169,10 @@
   std::vector<Customer> Customers_;
   /// A line for each entry of the document that is odd, with how it is taken.
   std::vector<std::string> Problems_;
+  /// What is accepted of each request of a caller.
+  RequestLimits RequestLimits_;
+  /// A line for each of the request limits that is invalid.
+  std::vector<std::string> LimitProblems_;
 
   /// \returns the queue of that name, or null.
   const QueueSetting *queue(const std::string &Name) const;
--- a/src/settings/daemonsettings.h
+++ b/src/settings/daemonsettings.h
@@ -7,6 +7,7 @@
 #include "platformservices/platformtypes.h"
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,10 @@
   std::chrono::milliseconds ClaimInterval_{20};
   /// Time after SIGTERM during which requests are still accepted.
   std::chrono::milliseconds DrainGrace_{3000};
+  /// Memory that the process may use, in MB; 0 if not known.
+  std::uint64_t MemoryLimitMb_ = 0;
+  /// Descriptors that the process may use; 0 if not known.
+  std::uint64_t MaxDescriptors_ = 0;
   /// Path of the trace file to record; empty if no trace is recorded.
   std::string Trace_;
   LogLevel LogLevel_ = LogLevel::Info;
--- a/src/settings/internal/daemonsettingsreader.cpp
+++ b/src/settings/internal/daemonsettingsreader.cpp
@@ -20,6 +20,7 @@
   readAddresses();
   readPlatform();
   readDurations();
+  readCapacity();
   readLog();
   readSecrets();
   return std::move(Result_);
@@ -108,6 +109,11 @@
       duration("drain-grace", Settings.DrainGrace_, milliseconds{0});
 }
 
+void DaemonSettingsReader::readCapacity() {
+  Result_.Settings_.MemoryLimitMb_ = number("memory-limit-mb");
+  Result_.Settings_.MaxDescriptors_ = number("max-descriptors");
+}
+
 void DaemonSettingsReader::readLog() {
   Result_.Settings_.Trace_ = optional("trace");
   std::string Level = optional("log-level");
@@ -195,6 +201,18 @@
   return Parsed.value();
 }
 
+std::uint64_t DaemonSettingsReader::number(const std::string &Name) {
+  auto Text = Source_.find(Name);
+  if (!Text)
+    return 0;
+  auto Parsed = parseNumber(*Text);
+  if (Parsed)
+    return Parsed.value();
+  addError(SettingsErrc::Malformed, Name, Parsed.error().detail(),
+           Parsed.error().remedy());
+  return 0;
+}
+
 void DaemonSettingsReader::addError(SettingsErrc Kind, const std::string &Name,
                                     const std::string &Detail,
                                     const std::string &Remedy) {
--- a/src/settings/internal/daemonsettingsreader.h
+++ b/src/settings/internal/daemonsettingsreader.h
@@ -21,6 +21,7 @@
   void readAddresses();
   void readPlatform();
   void readDurations();
+  void readCapacity();
   void readLog();
   void readSecrets();
   /// Replaces the host of \p Address, unless it is loopback, by 127.0.0.1 and
@@ -37,6 +38,8 @@
   std::chrono::milliseconds duration(const std::string &Name,
                                      std::chrono::milliseconds Default,
                                      std::chrono::milliseconds Min);
+  /// \returns the number; 0 if it is not set.
+  std::uint64_t number(const std::string &Name);
   /// Reads one instance of the form ID=IP:PORT@ZONE/POOL.
   void readEmbeddedInstance(const std::string &Text);
   void addError(SettingsErrc Kind, const std::string &Name,
