Refuse announced bodies before their head is passed on

Cause: a callback at the end of a head that returns 1 tells the parser that no body follows, so RequestMeter took an announced body over the limit for a request that had ended, and RESTinio got its head. In this way a request could reach the handler although its body was over the limit.

Change: the callback returns -1.

--- a/src/http/internal/requestmeter.cpp
+++ b/src/http/internal/requestmeter.cpp
@@ -117,7 +117,8 @@
 
 int RequestMeter::exceed(Verdict Kind) {
   Verdict_ = Kind;
-  return 1;
+  // At the end of a head, 1 would mean that no body follows.
+  return -1;
 }
 
 int RequestMeter::onHeadText(std::size_t Bytes) {
--- a/src/http/tests/requestmeter_test.cpp
+++ b/src/http/tests/requestmeter_test.cpp
@@ -49,6 +49,8 @@
 TEST_F(RequestMeterTest, RefusesABodyByItsAnnouncedLength) {
   EXPECT_EQ(read("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n"),
             Verdict::BodyTooLarge);
+  // The request must not seem to end with its head.
+  EXPECT_EQ(Meter_.finishedRequests(), 0U);
 }
 
 // Guards against chunks that exceed the limit only together.
