--- a/src/http/internal/connectionregistry.h
+++ b/src/http/internal/connectionregistry.h
@@ -2,10 +2,10 @@
 #define DRAGONFLYLOCK_HTTP_INTERNAL_CONNECTIONREGISTRY_H
 
 #include "global/iclock.h"
+#include "global/requestlimits.h"
 #include "http/internal/heaptrimmer.h"
 #include "http/internal/shedcause.h"
 #include "http/requestbudget.h"
-#include "global/requestlimits.h"
 #include "http/servercapacity.h"
 
 #include <asio/execution_context.hpp>
--- a/src/http/internal/restinioserver.h
+++ b/src/http/internal/restinioserver.h
@@ -1,9 +1,9 @@
 #ifndef DRAGONFLYLOCK_HTTP_INTERNAL_RESTINIOSERVER_H
 #define DRAGONFLYLOCK_HTTP_INTERNAL_RESTINIOSERVER_H
 
+#include "global/requestlimits.h"
 #include "global/socketaddress.h"
 #include "http/ihttpserver.h"
-#include "global/requestlimits.h"
 #include "http/servercapacity.h"
 
 #include <memory>
--- a/src/settings/tests/daemonsettings_test.cpp
+++ b/src/settings/tests/daemonsettings_test.cpp
@@ -65,6 +65,20 @@
   EXPECT_TRUE(Protected.Settings_.Notices_.empty());
 }
 
+// Guards against a capacity that is set but not used, or read from no number.
+TEST(DaemonSettings, ReadsTheCapacityOfTheProcess) {
+  StringMap Flags = Complete;
+  EXPECT_EQ(read(Flags).Settings_.MemoryLimitMb_, 0U);
+  Flags["memory-limit-mb"] = "160";
+  DaemonSettingsResult Read =
+      read(Flags, {{"DRAGONFLYLOCK_MAX_DESCRIPTORS", "4100"}});
+  EXPECT_TRUE(Read.Faults_.empty());
+  EXPECT_EQ(Read.Settings_.MemoryLimitMb_, 160U);
+  EXPECT_EQ(Read.Settings_.MaxDescriptors_, 4100U);
+  Flags["memory-limit-mb"] = "much";
+  EXPECT_EQ(read(Flags).Faults_.size(), 1U);
+}
+
 TEST(DaemonSettings, ReadsEmbeddedInstances) {
   StringMap Flags = Complete;
   Flags["embedded-instances"] = "w1=127.0.0.1:9001@a/rota";
