--- a/src/app/schedulerdaemon.cpp
+++ b/src/app/schedulerdaemon.cpp
@@ -6,6 +6,7 @@
 #include "http/internal/curlasyncclient.h"
 #include "http/internal/restinioserver.h"
 #include "http/plannedstop.h"
+#include "limits/limitledger.h"
 #include "metrics/internal/prometheusnodemetrics.h"
 #include "node/eventloop.h"
 #include "platform/adviceclient.h"
@@ -70,18 +71,7 @@
         Leases_(LeaseTable_, Metrics_), WorkerCalls_(Client_),
         Workers_(WorkerCalls_, Metrics_),
         Machines_(Client_, Settings_.Machines_, Store_),
-        Advisor_(Client_, Settings_.Advice_),
-        Node_(SchedulerNode::Builder()
-                  .settings(Settings_.Scheduling_)
-                  .process(randomId(ProcessIdBytes))
-                  .clock(Clock_)
-                  .store(Store_)
-                  .leaseStore(Leases_)
-                  .workers(Workers_)
-                  .machines(Machines_)
-                  .advisor(Advisor_)
-                  .logger(Logger_)
-                  .build()),
+        Advisor_(Client_, Settings_.Advice_), Node_(buildNode()),
         Feeds_(Store_, Clock_, Logger_, *Node_, Settings_.Scheduling_),
         Callers_(
             *Node_,
@@ -91,16 +81,42 @@
             Logger_),
         MeteredCallers_(Callers_, Metrics_),
         Readiness_([this] { return IsReady_.load(); }), MetricsPort_(Metrics_),
-        CallerServer_(Settings_.Callers_, MeteredCallers_, LargestBody),
-        ReadinessServer_(Settings_.Readiness_, Readiness_, LargestBody) {
+        CallerServer_(
+            Settings_.Callers_, MeteredCallers_, LargestBody,
+            ServerCapacity::ofCallers(Settings_.Scheduling_.MemoryLimitMb_,
+                                      Settings_.Scheduling_.MaxDescriptors_),
+            &Logger_),
+        ReadinessServer_(Settings_.Readiness_, Readiness_, LargestBody,
+                         ServerCapacity::internal(), &Logger_) {
     if (Settings_.Metrics_)
-      MetricsServer_.emplace(*Settings_.Metrics_, MetricsPort_, LargestBody);
+      MetricsServer_.emplace(*Settings_.Metrics_, MetricsPort_, LargestBody,
+                             ServerCapacity::internal(), &Logger_);
+  }
+
+  std::unique_ptr<SchedulerNode> buildNode() {
+    SchedulerNode::Builder Builder;
+    Builder.settings(Settings_.Scheduling_)
+        .process(randomId(ProcessIdBytes))
+        .clock(Clock_)
+        .store(Store_)
+        .leaseStore(Leases_)
+        .workers(Workers_)
+        .machines(Machines_)
+        .advisor(Advisor_)
+        .logger(Logger_);
+    if (Settings_.Scheduling_.HasCustomerLimits_) {
+      Limits_ =
+          LimitLedger::create(Settings_.Scheduling_, Store_, Clock_, Logger_);
+      Builder.limits(*Limits_);
+    }
+    return Builder.build();
   }
 
   void tick() {
     Feeds_.tick();
     Node_->tick();
     Waits_.tick();
+    applyRequestLimits();
     tellFigures();
     bool IsReady = Node_->isReady();
     if (IsReady_.exchange(IsReady) != IsReady)
@@ -108,6 +124,16 @@
                     LogEvent(IsReady ? "node.ready" : "node.unready"));
   }
 
+  /// Passes the request limits of a configuration that has come into force to
+  /// the callers' port.
+  void applyRequestLimits() {
+    const auto *Configuration = Node_->configuration();
+    if (Configuration == nullptr || Configuration->Version_ == LimitsVersion_)
+      return;
+    LimitsVersion_ = Configuration->Version_;
+    CallerServer_.setLimits(Configuration->RequestLimits_);
+  }
+
   /// Puts the figures of the configuration and the owned pools into the
   /// metrics.
   void tellFigures() {
@@ -147,6 +173,8 @@
   MeteredWorkerControl Workers_;
   MachineClient Machines_;
   AdviceClient Advisor_;
+  /// Null if customers have no limits.
+  std::shared_ptr<LimitLedger> Limits_;
   std::unique_ptr<SchedulerNode> Node_;
   FleetTableFollower Feeds_;
   JobHttpHandler Callers_;
@@ -158,6 +186,8 @@
   RestinioServer ReadinessServer_;
   std::optional<RestinioServer> MetricsServer_;
   std::set<std::string> OwnedPools_;
+  /// Version of the configuration whose request limits are in force.
+  std::optional<std::uint64_t> LimitsVersion_;
   TimePoint NextFigures_;
 };
 
