--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -124,11 +124,13 @@
       continue;
     }
     start(Job, Name, *Session, Number);
+    if (Pool_.Index_.postpone(Job))
+      return true;
   }
   bool MayGoOn = true;
   for (const auto &[Step, Waiting] : Gangs) {
     MayGoOn = dispatchGang(Job, Waiting) && MayGoOn;
-    if (WasLimited_)
+    if (WasLimited_ || Pool_.Index_.postpone(Job))
       break;
   }
   return MayGoOn;
--- a/src/scheduling/internal/jobindex.cpp
+++ b/src/scheduling/internal/jobindex.cpp
@@ -197,6 +197,7 @@
   const Resources Started = requiredResources(Step);
   if (!customerOf(Job).empty())
     Pool_.Usage_.add(Job.id(), customerOf(Job), Started);
+  HasLastStarted_ = true;
   if (Shares_.onStarted(Entries_.at(Job.id()).Wait_, Started))
     reorderCursors();
 }
@@ -315,6 +316,18 @@
   std::make_heap(Cursors_.begin(), Cursors_.end(), isLater);
 }
 
+bool JobIndex::postpone(ActiveJob &Job) {
+  if (!HasLastStarted_ || !IsLastWithinShare_ ||
+      !Shares_.isOverShare(customerOf(Job)))
+    return false;
+  Returned_.erase(&Job);
+  Postponed_.push_back({Entries_.at(Job.id()).Keys_.Rank_});
+  pushCursor({.Set_ = &Postponed_.back(),
+              .Position_ = {},
+              .Customer_ = &customerOf(Job)});
+  return true;
+}
+
 void JobIndex::collectTurns() {
   Turns_.clear();
   Shares_.forEachTurn([this](const std::string &Customer, ActiveJob &Job) {
@@ -337,6 +350,7 @@
   Cursors_.clear();
   Refused_.clear();
   Returned_.clear();
+  Postponed_.clear();
   LastJob_ = nullptr;
   PendingVisit_.reset();
   collectTurns();
@@ -403,6 +417,7 @@
     }
     const JobRank Rank = *First.Position_;
     const bool IsUnvisited = First.IsUnvisited_;
+    const bool IsWithinShare = !First.IsOverShare_;
     ++First.Position_;
     if (First.Position_ == First.Set_->end())
       Cursors_.pop_back();
@@ -415,6 +430,8 @@
     }
     if (IsUnvisited)
       PendingVisit_ = Rank;
+    IsLastWithinShare_ = IsWithinShare;
+    HasLastStarted_ = false;
     ++VisitCount_;
     return Rank.Job_;
   }
--- a/src/scheduling/internal/jobindex.h
+++ b/src/scheduling/internal/jobindex.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -72,6 +73,12 @@
   /// Called when a task of \p Job is started: adds it to what the customer
   /// runs.
   void onStarted(const ActiveJob &Job, const StepSpec &Step);
+  /// Called after a task of \p Job, the job that the scan returned last, was
+  /// started. A job with many tasks must not take all that is free.
+  /// \returns whether the start has put the customer above its share, so that
+  ///   the scan goes on with other jobs. It returns this job again, among those
+  ///   of customers above their share.
+  bool postpone(ActiveJob &Job);
   /// \returns the number of jobs that all scans together have returned.
   std::uint64_t visitCount() const { return VisitCount_; }
 
@@ -184,6 +191,12 @@
   /// returned. The order may change during the scan, so that LastJob_ does not
   /// suffice for them.
   std::unordered_set<const ActiveJob *> Returned_;
+  /// Whether the job that the scan returned last counted as one of a customer
+  /// within its share, and whether it has started a task since.
+  bool IsLastWithinShare_ = false;
+  bool HasLastStarted_ = false;
+  /// Sets of one postponed job each.
+  std::list<Ranks> Postponed_;
   /// The jobs that have their turn in this scan, by customer.
   std::map<std::string, Ranks> Turns_;
   /// The job of Unvisited_ that the scan returned last. It leaves that set only
--- a/src/scheduling/tests/shares_test.cpp
+++ b/src/scheduling/tests/shares_test.cpp
@@ -114,6 +114,18 @@
   EXPECT_NEAR(Large / (Small + Large), 0.75, 0.03);
 }
 
+// Guards against a job with many tasks that takes all that is free at once,
+// though another customer waits as well.
+TEST_F(SharesTest, AJobOfManyTasksLeavesTheOthersTheirShare) {
+  addCustomer("large", 3);
+  addCustomer("small", 1);
+  submit("small", stepOf(100, milliseconds(10000)));
+  submit("large", stepOf(100, milliseconds(10000)));
+  tick();
+  EXPECT_EQ(runningCpu("large"), 12 * Core);
+  EXPECT_EQ(runningCpu("small"), 4 * Core);
+}
+
 // Guards against capacity that is kept free for customers without work.
 TEST_F(SharesTest, UnusedCapacityIsAvailableAtOnce) {
   addCustomer("busy", 1);
