Reserve resources for a gang in its turn, and anew after a limit admits it

A gang of a customer above its share was overtaken for the time in which resources may be reserved for it, 1 to 6 s after it became startable, so that its later turns had no effect. Resources are now reserved in each turn. A gang that its customer's limit has refused begins that time anew.

The queue of the test fixture has a long target latency: with none, each job was in time for 1 ms and late afterwards, and went before the older ones.

--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -182,10 +182,14 @@
 bool Dispatcher::startWholeGang(ActiveJob &Job,
                                 const std::vector<TaskName> &Members) {
   const TimePoint Now = Pool_.Clock_.now();
-  if (!isWithinLimit(Job, Members.front(), Members.size()))
-    return true;
   const StepSpec &Step = Job.step(Members.front());
   StepRun &Gang = Job.stepRun(Members.front());
+  if (!isWithinLimit(Job, Members.front(), Members.size())) {
+    // The time for which resources may be reserved begins when the limit admits
+    // the gang.
+    Gang.CapacityWaitSince_ = TimePoint();
+    return true;
+  }
   if (Gang.CapacityWaitSince_ == TimePoint())
     Gang.CapacityWaitSince_ = Now;
   bool WaitsForRack = Step.PrefersSameRack_ && mayWaitForRack(Step, Gang) &&
@@ -197,11 +201,13 @@
     Job.updateCapacityWait(/*IsMissing=*/true, Now);
     // Resources that become free piece by piece are reserved for a gang that
     // has waited for some time, but only for a limited time: a gang that never
-    // comes to fit must not block other tasks.
-    bool ReservesResources =
+    // comes to fit must not block other tasks. A gang that was overtaken has
+    // resources reserved in each of its turns.
+    bool IsTimeToReserve =
         Now >= Gang.CapacityWaitSince_ + GangReservationDelay &&
-        Now < Gang.CapacityWaitSince_ + MaxGangReservation &&
-        Chooser_.couldFitLater(Job, Members, WaitsForRack);
+        Now < Gang.CapacityWaitSince_ + MaxGangReservation;
+    bool ReservesResources = (IsTimeToReserve || Pool_.Index_.hasTurn(Job)) &&
+                             Chooser_.couldFitLater(Job, Members, WaitsForRack);
     IsReserving_ = IsReserving_ || ReservesResources;
     return !ReservesResources;
   }
--- a/src/scheduling/internal/jobindex.h
+++ b/src/scheduling/internal/jobindex.h
@@ -79,6 +79,8 @@
   ///   the scan goes on with other jobs. It returns this job again, among those
   ///   of customers above their share.
   bool postpone(ActiveJob &Job);
+  /// \returns whether the job has its turn among those of its customer.
+  bool hasTurn(const ActiveJob &Job) const { return Shares_.hasTurn(Job); }
   /// \returns the number of jobs that all scans together have returned.
   std::uint64_t visitCount() const { return VisitCount_; }
 
--- a/src/scheduling/internal/sharetracker.cpp
+++ b/src/scheduling/internal/sharetracker.cpp
@@ -210,6 +210,12 @@
   });
 }
 
+bool ShareTracker::hasTurn(const ActiveJob &Job) const {
+  auto Found = Queues_.find(Job.submission().Spec_.Customer_);
+  return Found != Queues_.end() && Found->second.Turn_ != nullptr &&
+         Found->second.Turn_->Job_ == &Job;
+}
+
 void ShareTracker::forEachTurn(const TurnVisitor &Visit) const {
   for (const auto &[Customer, Queue] : Queues_)
     if (Queue.Turn_ != nullptr)
--- a/src/scheduling/internal/sharetracker.h
+++ b/src/scheduling/internal/sharetracker.h
@@ -57,6 +57,8 @@
   bool isOverShare(const std::string &Customer) const {
     return !Customer.empty() && Order_.shareOf(Customer).IsExceeded_;
   }
+  /// \returns whether it is the job's turn.
+  bool hasTurn(const ActiveJob &Job) const;
   /// Calls \p Visit for each customer whose job has its turn. The customer is
   /// empty for jobs without one.
   void forEachTurn(const TurnVisitor &Visit) const;
--- a/src/scheduling/tests/customerlimits_test.cpp
+++ b/src/scheduling/tests/customerlimits_test.cpp
@@ -120,6 +120,25 @@
   EXPECT_EQ(Starts_["limited"], 0U);
 }
 
+// Guards against a gang whose time for a reservation has passed when its
+// customer's limit admits it.
+TEST_F(CustomerLimitsTest, AGangGetsItsReservationWhenTheLimitAdmitsIt) {
+  addWorker("w1", 4 * Core);
+  for (int Job = 0; Job < 4; ++Job)
+    submit("", stepOf(1, milliseconds(300 + 20 * Job)));
+  tick();
+  Limits_.Limits_["limited"] = 4 * Core;
+  const std::string Gang = submit("limited", gangOf(4, milliseconds(1000)));
+  auto Arrivals = [this] { submit("", stepOf(1, milliseconds(300))); };
+  play(milliseconds(100), Arrivals);
+  Limits_.Limits_["limited"] = 0;
+  play(milliseconds(8000), Arrivals);
+  EXPECT_FALSE(hasStarted(Gang));
+  Limits_.Limits_["limited"] = 4 * Core;
+  play(milliseconds(3000), Arrivals);
+  EXPECT_TRUE(hasStarted(Gang));
+}
+
 // Guards against a gang larger than the limit that keeps all other jobs of its
 // customer from starting.
 TEST_F(CustomerLimitsTest, ARefusedGangDoesNotHoldBackItsCustomersTasks) {
--- a/src/scheduling/tests/mocks/sharedpooltest.h
+++ b/src/scheduling/tests/mocks/sharedpooltest.h
@@ -49,7 +49,8 @@
         Dispatcher_(std::make_shared<Dispatcher>(Pool_, Runs_, *Advice_)) {
     Pool_.LeaseEnd_ = Clock_.now() + std::chrono::hours(10);
     Pool_.Token_ = 1;
-    addQueue("queue", 1);
+    // Jobs of this queue are never late, so that lateness does not hide shares.
+    addQueue("queue", 1, std::chrono::hours(1));
   }
 
   void addQueue(const std::string &Name, std::uint32_t Priority,
--- a/src/scheduling/tests/shares_test.cpp
+++ b/src/scheduling/tests/shares_test.cpp
@@ -185,6 +185,20 @@
   EXPECT_LE(StartedJobs_[Gang] - Submitted, milliseconds(5000));
 }
 
+// Guards against a gang that has its turn but for which no resources are
+// reserved, because it has waited for longer than a reservation usually lasts.
+TEST_F(SharesTest, ResourcesAreReservedForAGangInItsTurn) {
+  submit("gang", stepOf(10, milliseconds(60000)));
+  for (milliseconds Estimate{7000}; Estimate < milliseconds(7600);
+       Estimate += milliseconds(100))
+    submitTasks("a", 1, Estimate);
+  play(milliseconds(100));
+  const std::string Gang = submit("gang", gangOf(4, milliseconds(500)));
+  play(milliseconds(6200));
+  play(milliseconds(1800), [this] { submitTasks("b", 1, milliseconds(2000)); });
+  EXPECT_TRUE(hasStarted(Gang));
+}
+
 // Guards against a customer above its share that starts nothing for as long as
 // the others have work.
 TEST_F(SharesTest, ACustomerAboveItsShareHasATurnFromTimeToTime) {
