--- a/src/scheduling/tests/shares_test.cpp
+++ b/src/scheduling/tests/shares_test.cpp
@@ -114,6 +114,18 @@
   EXPECT_NEAR(Large / (Small + Large), 0.75, 0.03);
 }
 
+// Guards against a job with many tasks that takes all that is free at once,
+// though another customer waits as well.
+TEST_F(SharesTest, AJobOfManyTasksLeavesTheOthersTheirShare) {
+  addCustomer("large", 3);
+  addCustomer("small", 1);
+  submit("small", stepOf(100, milliseconds(10000)));
+  submit("large", stepOf(100, milliseconds(10000)));
+  tick();
+  EXPECT_EQ(runningCpu("large"), 12 * Core);
+  EXPECT_EQ(runningCpu("small"), 4 * Core);
+}
+
 // Guards against capacity that is kept free for customers without work.
 TEST_F(SharesTest, UnusedCapacityIsAvailableAtOnce) {
   addCustomer("busy", 1);
@@ -173,6 +185,20 @@
   EXPECT_LE(StartedJobs_[Gang] - Submitted, milliseconds(5000));
 }
 
+// Guards against a gang that has its turn but for which no resources are
+// reserved, because it has waited for longer than a reservation usually lasts.
+TEST_F(SharesTest, ResourcesAreReservedForAGangInItsTurn) {
+  submit("gang", stepOf(10, milliseconds(60000)));
+  for (milliseconds Estimate{7000}; Estimate < milliseconds(7600);
+       Estimate += milliseconds(100))
+    submitTasks("a", 1, Estimate);
+  play(milliseconds(100));
+  const std::string Gang = submit("gang", gangOf(4, milliseconds(500)));
+  play(milliseconds(6200));
+  play(milliseconds(1800), [this] { submitTasks("b", 1, milliseconds(2000)); });
+  EXPECT_TRUE(hasStarted(Gang));
+}
+
 // Guards against a customer above its share that starts nothing for as long as
 // the others have work.
 TEST_F(SharesTest, ACustomerAboveItsShareHasATurnFromTimeToTime) {
