--- /dev/null
+++ b/src/scheduling/icustomerlimitsregistry.h
@@ -0,0 +1,45 @@
+#ifndef DRAGONFLYLOCK_SCHEDULING_ICUSTOMERLIMITSREGISTRY_H
+#define DRAGONFLYLOCK_SCHEDULING_ICUSTOMERLIMITSREGISTRY_H
+
+#include "global/iclock.h"
+#include "scheduling/schedulingtypes.h"
+#include "scheduling/storetypes.h"
+
+#include <set>
+#include <string>
+
+namespace dragonflylock {
+
+class CustomerUsage;
+class ICustomerLimits;
+
+/// The limits of customers, as enforced by one node for the pools that it owns.
+/// Used only by the decision thread.
+class ICustomerLimitsRegistry {
+public:
+  virtual ~ICustomerLimitsRegistry() = default;
+  /// Called with each row of the control table that was read.
+  virtual void onControlRow(const StoreRow &Row) = 0;
+  virtual void onConfiguration(const SchedulingConfiguration &Applied) = 0;
+  /// Called when this node has acquired a pool, before it starts anything.
+  /// \returns the limits for the pool, which exist until onPoolLost().
+  virtual ICustomerLimits *onPoolAcquired(const std::string &Pool,
+                                          FencingToken Token) = 0;
+  /// Called when the jobs of an owned pool have been loaded.
+  /// \param Usage what the pool's customers run; read until onPoolLost().
+  virtual void onPoolLoaded(const std::string &Pool,
+                            const CustomerUsage &Usage) = 0;
+  virtual void onPoolLost(const std::string &Pool) = 0;
+  /// Writes the changes that are due. Must be called after each pass over the
+  /// pools.
+  /// \param ProvenAsOf all changes of the control table before this time have
+  ///   been passed on.
+  virtual void tick(TimePoint ProvenAsOf) = 0;
+  /// \returns the pools in which starts may have become possible since the last
+  /// call.
+  virtual std::set<std::string> takeRaisedPools() = 0;
+};
+
+} // namespace dragonflylock
+
+#endif
