Pass the limits of customers to the owners of pools

SchedulerNode takes an ICustomerLimitsRegistry, null by default, and passes on to it the rows of the control table, configurations, pools and what their customers run. The daemon creates a LimitLedger where the settings ask for limits.

ICustomerLimits gains two calls. mayStartGang() names the size of one task: a gang may exceed the limit by one task only, which the sum does not show. hasRoom() is for planning: loadmeter asked mayStart() about all waiting tasks at once, which a ledger takes for the next start and would ask a grant for.

--- a/src/app/schedulerdaemon.cpp
+++ b/src/app/schedulerdaemon.cpp
@@ -6,6 +6,7 @@
 #include "http/internal/curlasyncclient.h"
 #include "http/internal/restinioserver.h"
 #include "http/plannedstop.h"
+#include "limits/limitledger.h"
 #include "metrics/internal/prometheusnodemetrics.h"
 #include "node/eventloop.h"
 #include "platform/adviceclient.h"
@@ -70,18 +71,7 @@
         Leases_(LeaseTable_, Metrics_), WorkerCalls_(Client_),
         Workers_(WorkerCalls_, Metrics_),
         Machines_(Client_, Settings_.Machines_, Store_),
-        Advisor_(Client_, Settings_.Advice_),
-        Node_(SchedulerNode::Builder()
-                  .settings(Settings_.Scheduling_)
-                  .process(randomId(ProcessIdBytes))
-                  .clock(Clock_)
-                  .store(Store_)
-                  .leaseStore(Leases_)
-                  .workers(Workers_)
-                  .machines(Machines_)
-                  .advisor(Advisor_)
-                  .logger(Logger_)
-                  .build()),
+        Advisor_(Client_, Settings_.Advice_), Node_(buildNode()),
         Feeds_(Store_, Clock_, Logger_, *Node_, Settings_.Scheduling_),
         Callers_(
             *Node_,
@@ -97,6 +87,25 @@
       MetricsServer_.emplace(*Settings_.Metrics_, MetricsPort_, LargestBody);
   }
 
+  std::unique_ptr<SchedulerNode> buildNode() {
+    SchedulerNode::Builder Builder;
+    Builder.settings(Settings_.Scheduling_)
+        .process(randomId(ProcessIdBytes))
+        .clock(Clock_)
+        .store(Store_)
+        .leaseStore(Leases_)
+        .workers(Workers_)
+        .machines(Machines_)
+        .advisor(Advisor_)
+        .logger(Logger_);
+    if (Settings_.Scheduling_.HasCustomerLimits_) {
+      Limits_ =
+          LimitLedger::create(Settings_.Scheduling_, Store_, Clock_, Logger_);
+      Builder.limits(*Limits_);
+    }
+    return Builder.build();
+  }
+
   void tick() {
     Feeds_.tick();
     Node_->tick();
@@ -147,6 +156,8 @@
   MeteredWorkerControl Workers_;
   MachineClient Machines_;
   AdviceClient Advisor_;
+  /// Null if customers have no limits.
+  std::shared_ptr<LimitLedger> Limits_;
   std::unique_ptr<SchedulerNode> Node_;
   FleetTableFollower Feeds_;
   JobHttpHandler Callers_;
--- a/src/scheduling/icustomerlimitsregistry.h
+++ b/src/scheduling/icustomerlimitsregistry.h
@@ -25,10 +25,12 @@
   /// \returns the limits for the pool, which exist until onPoolLost().
   virtual ICustomerLimits *onPoolAcquired(const std::string &Pool,
                                           FencingToken Token) = 0;
-  /// Called when the jobs of an owned pool have been loaded.
+  /// Called before each tick() once the jobs of an owned pool are loaded.
   /// \param Usage what the pool's customers run; read until onPoolLost().
-  virtual void onPoolLoaded(const std::string &Pool,
-                            const CustomerUsage &Usage) = 0;
+  /// \param IsExact whether it is known which tasks previous owners may have
+  ///   left running. Before, \p Usage counts all tasks that may be.
+  virtual void onUsage(const std::string &Pool, const CustomerUsage &Usage,
+                       bool IsExact) = 0;
   virtual void onPoolLost(const std::string &Pool) = 0;
   /// Writes the changes that are due. Must be called after each pass over the
   /// pools.
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -79,10 +79,7 @@
     return true;
   const StepSpec &Step = Job.step(Name);
   const Resources PerTask = requiredResources(Step);
-  Resources Needed;
-  for (std::size_t Task = 0; Task < Tasks; ++Task)
-    Needed += PerTask;
-  if (Pool_.mayStart(Job, Needed))
+  if (Pool_.mayStart(Job, PerTask, Tasks))
     return true;
   Pool_.Index_.refuse(Job, {PerTask, Step.RequiredLabel_},
                       Step.IsGang_ ? Step.TaskCount_ : 0);
--- a/src/scheduling/internal/inheritedruns.h
+++ b/src/scheduling/internal/inheritedruns.h
@@ -36,6 +36,9 @@
   /// Lets the tasks start that no worker can be running any more. Call it after
   /// onLoaded() whenever workers may have answered or leases expired.
   void update();
+  /// \returns whether it is known which tasks may still run for previous
+  /// owners; before, all tasks that they may have started count.
+  bool isSettled() const { return IsSettled_; }
   /// \returns whether machines may be maintained and moved: before every worker
   /// has been contacted, it is not known which runs such an order would end.
   bool mayOrderMachines() { return IsSettled_ && areWorkersContacted(); }
--- a/src/scheduling/internal/loadmeter.cpp
+++ b/src/scheduling/internal/loadmeter.cpp
@@ -96,7 +96,7 @@
     std::size_t Admitted = 0;
     for (std::size_t Part = Tasks; Part > 0;) {
       const Resources Needed = times(PerTask, Part);
-      if (Pool_.Limits_->mayStart(Customer, Running, Needed)) {
+      if (Pool_.Limits_->hasRoom(Customer, Running, Needed)) {
         Running += Needed;
         Admitted += Part;
         Part = std::min(Part, Tasks - Admitted);
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -76,6 +76,7 @@
             [this](const StoreRow &Row) { Jobs_.onRow(Row); })),
         Reporter_(State_, Demands_, *Dispatcher_, *Follower_),
         InheritedRuns_(State_, hasPredecessor(Ownership)) {
+    State_.Limits_ = Source.Limits_;
     State_.Token_ = Ownership.Token_;
     State_.LatestSubmission_ = Ownership.Token_;
     State_.RunNumberBase_ = runnumbers::baseOf(Ownership.RunNumberRange_);
@@ -175,6 +176,11 @@
   return *this;
 }
 
+PoolOwner::Builder &PoolOwner::Builder::limits(ICustomerLimits *Value) {
+  Limits_ = Value;
+  return *this;
+}
+
 PoolOwner::Builder &PoolOwner::Builder::logger(ILogger &Value) {
   Logger_ = &Value;
   return *this;
@@ -468,6 +474,19 @@
   return Pending;
 }
 
+const CustomerUsage *PoolOwner::customerUsage() {
+  if (!Parts_->IsLoaded_)
+    return nullptr;
+  Parts_->State_.Index_.refresh();
+  return &Parts_->State_.Usage_;
+}
+
+bool PoolOwner::isUsageExact() const {
+  return Parts_->InheritedRuns_.isSettled();
+}
+
+void PoolOwner::requestDispatch() { Parts_->State_.NeedsDispatch_ = true; }
+
 std::vector<StorePut> PoolOwner::rowsForRelease() const {
   std::vector<StorePut> Rows;
   if (auto Row = Parts_->Roster_->rowForRelease())
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -155,10 +155,14 @@
 
 ActiveJob *PoolState::job(const std::string &Id) { return Index_.find(Id); }
 
-bool PoolState::mayStart(const ActiveJob &Job, const Resources &Needed) const {
+bool PoolState::mayStart(const ActiveJob &Job, const Resources &PerTask,
+                         std::size_t Tasks) const {
   const std::string &Customer = Job.submission().Spec_.Customer_;
-  return Limits_ == nullptr || Customer.empty() ||
-         Limits_->mayStart(Customer, Usage_.of(Customer), Needed);
+  if (Limits_ == nullptr || Customer.empty())
+    return true;
+  const Resources Running = Usage_.of(Customer);
+  return Tasks == 1 ? Limits_->mayStart(Customer, Running, PerTask)
+                    : Limits_->mayStartGang(Customer, Running, PerTask, Tasks);
 }
 
 WorkerSession *PoolState::session(const std::string &Lifetime) {
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -132,9 +132,10 @@
   void addJob(std::unique_ptr<ActiveJob> Job);
   void removeJob(ActiveJob &Job);
   ActiveJob *job(const std::string &Id);
-  /// \returns whether the limit of the job's customer admits the start of tasks
-  /// that need \p Needed in total.
-  bool mayStart(const ActiveJob &Job, const Resources &Needed) const;
+  /// \returns whether the limit of the job's customer admits the start of \p
+  /// Tasks tasks that need \p PerTask each.
+  bool mayStart(const ActiveJob &Job, const Resources &PerTask,
+                std::size_t Tasks) const;
   WorkerSession *session(const std::string &Lifetime);
   /// \returns the registered worker on the machine, or null.
   WorkerSession *sessionOn(const std::string &Machine);
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -4,6 +4,7 @@
 #include "global/logevent.h"
 #include "scheduling/controlrows.h"
 #include "scheduling/demandtracker.h"
+#include "scheduling/icustomerlimitsregistry.h"
 #include "scheduling/istore.h"
 #include "scheduling/machineordertracker.h"
 #include "scheduling/poolleasemanager.h"
@@ -38,6 +39,9 @@
   void onPoolLost(const std::string &Pool);
   void distributeWorkers();
   void reportPending();
+  /// Dispatches the pools in which the limits of customers admit more.
+  void dispatchRaisedPools();
+  void tickLimits();
   /// \returns whether the store has responded recently enough for the known
   /// control rows to count as current.
   bool isControlViewCurrent() const {
@@ -58,6 +62,8 @@
   SchedulingSettings Settings_;
   const IClock &Clock_;
   IStore &Store_;
+  /// Null if customers have no limits.
+  ICustomerLimitsRegistry *Limits_;
   ILogger &Logger_;
   MachineOrderTracker MachineOrders_;
   DemandTracker Demands_;
@@ -87,7 +93,7 @@
 
 SchedulerNode::Parts::Parts(const Builder &Source)
     : Settings_(Source.Settings_), Clock_(*Source.Clock_),
-      Store_(*Source.Store_), Logger_(*Source.Logger_),
+      Store_(*Source.Store_), Limits_(Source.Limits_), Logger_(*Source.Logger_),
       MachineOrders_(Settings_.Node_, Clock_),
       Access_(Settings_.ConfigurationDelay_, Settings_.RevocationDelay_) {
   OwnerBuilder_.settings(Settings_)
@@ -142,6 +148,8 @@
   const std::string QueuePrefix = controlrows::QueuePrefix;
   for (const StoreRow &Row : Rows) {
     const std::string &Key = Row.Name_.Key_;
+    if (Limits_ != nullptr)
+      Limits_->onControlRow(Row);
     if (Row.IsRemoved_)
       continue;
     if (Key.starts_with(OwnerPrefix))
@@ -175,6 +183,9 @@
 }
 
 void SchedulerNode::Parts::onPoolAcquired(const PoolOwnership &Ownership) {
+  if (Limits_ != nullptr)
+    OwnerBuilder_.limits(
+        Limits_->onPoolAcquired(Ownership.Pool_, Ownership.Token_));
   auto Owner = OwnerBuilder_.build(Ownership);
   Owner->onConfiguration(Configuration_);
   Owner->addQueues(Queues_.queuesOf(Ownership.Pool_));
@@ -188,6 +199,8 @@
 
 void SchedulerNode::Parts::onPoolLost(const std::string &Pool) {
   Owners_.erase(Pool);
+  if (Limits_ != nullptr)
+    Limits_->onPoolLost(Pool);
   LastReported_.erase(Pool);
 }
 
@@ -225,6 +238,23 @@
   }
 }
 
+void SchedulerNode::Parts::dispatchRaisedPools() {
+  if (Limits_ == nullptr)
+    return;
+  for (const std::string &Pool : Limits_->takeRaisedPools())
+    if (auto Found = Owners_.find(Pool); Found != Owners_.end())
+      Found->second->requestDispatch();
+}
+
+void SchedulerNode::Parts::tickLimits() {
+  if (Limits_ == nullptr)
+    return;
+  for (auto &[Pool, Owner] : Owners_)
+    if (const CustomerUsage *Usage = Owner->customerUsage())
+      Limits_->onUsage(Pool, *Usage, Owner->isUsageExact());
+  Limits_->tick(Control_->provenAsOf());
+}
+
 void SchedulerNode::Parts::tickOwnership() {
   Ownership_->setViewCurrent(isControlViewCurrent());
   Ownership_->tick();
@@ -285,6 +315,12 @@
   return *this;
 }
 
+SchedulerNode::Builder &
+SchedulerNode::Builder::limits(ICustomerLimitsRegistry &Value) {
+  Limits_ = &Value;
+  return *this;
+}
+
 SchedulerNode::Builder &SchedulerNode::Builder::logger(ILogger &Value) {
   Logger_ = &Value;
   return *this;
@@ -320,6 +356,8 @@
   for (const SchedulingPool &Pool : Parts_->Configuration_->Pools_)
     Pools.push_back(Pool.Name_);
   Parts_->Ownership_->setPools(Pools);
+  if (Parts_->Limits_ != nullptr)
+    Parts_->Limits_->onConfiguration(*Parts_->Configuration_);
   for (auto &[Pool, Owner] : Parts_->Owners_)
     Owner->onConfiguration(Parts_->Configuration_);
 }
@@ -378,11 +416,13 @@
     Parts_->tickOwnership();
   if (Parts_->HaveWorkersChanged_ && Parts_->AreWorkersKnown_)
     Parts_->distributeWorkers();
+  Parts_->dispatchRaisedPools();
   for (auto &[Pool, Owner] : Parts_->Owners_) {
     Owner->tick();
     Parts_->Ownership_->reserveRunNumbers(Pool,
                                           Owner->requestedRunNumberRange());
   }
+  Parts_->tickLimits();
   Parts_->reportPending();
 }
 
--- a/src/scheduling/poolowner.h
+++ b/src/scheduling/poolowner.h
@@ -15,9 +15,11 @@
 
 namespace dragonflylock {
 
+class CustomerUsage;
 class DemandTracker;
 class IAdvisor;
 class IClock;
+class ICustomerLimits;
 class ILogger;
 class IMachineControl;
 class IStore;
@@ -58,6 +60,8 @@
     Builder &advisor(IAdvisor &Value);
     Builder &machineOrders(MachineOrderTracker &Value);
     Builder &demands(DemandTracker &Value);
+    /// \param Value null if customers have no limits.
+    Builder &limits(ICustomerLimits *Value);
     Builder &logger(ILogger &Value);
     /// \returns an owner that issues no calls before its first tick().
     std::unique_ptr<PoolOwner> build(const PoolOwnership &Ownership) const;
@@ -72,6 +76,7 @@
     IAdvisor *Advisor_ = nullptr;
     MachineOrderTracker *MachineOrders_ = nullptr;
     DemandTracker *Demands_ = nullptr;
+    ICustomerLimits *Limits_ = nullptr;
     ILogger *Logger_ = nullptr;
   };
 
@@ -105,6 +110,14 @@
   /// \returns the number of accepted jobs that have not started, by queue;
   /// std::nullopt until the jobs have been loaded.
   std::optional<std::map<std::string, std::uint64_t>> pendingJobs() const;
+  /// \returns what the customers run in the pool; null until the jobs have been
+  /// loaded.
+  const CustomerUsage *customerUsage();
+  /// \returns whether customerUsage() counts only tasks that may really run,
+  /// and not all that previous owners may have started.
+  bool isUsageExact() const;
+  /// Starts tasks with the next tick(), if there are any to start.
+  void requestDispatch();
   /// \returns the rows to store when the pool is released, which tell the next
   /// owner what may run on which worker. This owner must not act any more.
   std::vector<StorePut> rowsForRelease() const;
--- a/src/scheduling/schedulernode.h
+++ b/src/scheduling/schedulernode.h
@@ -15,6 +15,7 @@
 namespace dragonflylock {
 
 class IAdvisor;
+class ICustomerLimitsRegistry;
 class ILogger;
 class IMachineControl;
 class IStore;
@@ -43,6 +44,9 @@
     Builder &workers(IWorkerControl &Value);
     Builder &machines(IMachineControl &Value);
     Builder &advisor(IAdvisor &Value);
+    /// \param Value enforces the limits of customers. Without it, there are no
+    ///   limits.
+    Builder &limits(ICustomerLimitsRegistry &Value);
     Builder &logger(ILogger &Value);
     std::unique_ptr<SchedulerNode> build() const;
 
@@ -56,6 +60,7 @@
     IWorkerControl *Workers_ = nullptr;
     IMachineControl *Machines_ = nullptr;
     IAdvisor *Advisor_ = nullptr;
+    ICustomerLimitsRegistry *Limits_ = nullptr;
     ILogger *Logger_ = nullptr;
   };
 
