--- a/src/limits/grantpolicy.h
+++ b/src/limits/grantpolicy.h
@@ -20,11 +20,15 @@
   Resources LongPeak_;
   /// The start that was refused last and is still wanted.
   std::optional<Resources> Refused_;
+  /// The largest task of Refused_; differs from it for a gang.
+  Resources RefusedTask_;
   /// Amount beyond Running_ to ask for; at least what was refused.
   Resources Step_;
-  /// Whether the pool has left time for other pools to take what it gave back
-  /// to them.
-  bool MayTakeTurn_ = true;
+  /// Whether the pool has left enough time for pools that asked before it.
+  bool HasDeferred_ = false;
+  /// Whether the grant was raised so recently that the pool may not have used
+  /// it yet.
+  bool HasTurn_ = false;
 };
 
 /// What a pool does about its grant.
@@ -37,6 +41,8 @@
   /// Whether another pool asks for more than is unallocated, or the grants sum
   /// to more than the limit. What the pool stops using is then given back.
   bool MustFollowUse_ = false;
+  /// Whether the pool leaves what is unallocated to pools that asked before it.
+  bool IsDeferred_ = false;
   /// Whether a start waits for the limit: no grant for it is possible now.
   bool IsAtLimit_ = false;
 };
@@ -48,9 +54,10 @@
 /// The sum of the grants exceeds the limit in two cases only:
 /// - A pool records what it runs already. That happens when the limit was
 ///   lowered or introduced, or when the row was lost.
-/// - All pools together hold and run less than half of the limit, and the next
-///   task does not fit into the rest. It gets a grant, so that every task can
-///   start at some time; the excess is less than this task.
+/// - This pool runs, and the others hold, less than half of the limit together,
+///   and the next task does not fit into the rest. It gets a grant, so that
+///   every task can start at some time; the excess is less than this task. A
+///   gang may exceed the limit by one of its tasks.
 class GrantPolicy {
 public:
   /// \param Pool the pool that decides.
@@ -65,10 +72,11 @@
                         const PoolDemand &Demand);
   /// \param Held the confirmed grant of the pool.
   /// \param Sum sum of the grants of all pools.
+  /// \param Largest the largest task of what would start.
   /// \returns whether a start keeps the customer within its limit.
   static bool mayStart(const Resources &Limit, const Resources &Held,
                        const Resources &Sum, const Resources &Running,
-                       const Resources &Needed);
+                       const Resources &Needed, const Resources &Largest);
   /// \returns the amount beyond its use that a pool asks for at first.
   static Resources firstStep(const Resources &Limit, const Resources &Refused);
 };
--- a/src/limits/grantrow.h
+++ b/src/limits/grantrow.h
@@ -20,6 +20,9 @@
   /// Amount that the pool asks for in total and could not be granted; zero if
   /// it asks for nothing.
   Resources Wanted_;
+  /// Position among the pools that ask: the lowest one is first. 0 if the pool
+  /// asks for nothing.
+  std::uint64_t Turn_ = 0;
 
   bool operator==(const PoolGrant &) const = default;
 };
--- a/src/limits/internal/amounts.h
+++ b/src/limits/internal/amounts.h
@@ -13,8 +13,7 @@
 Resources combine(const Resources &Left, const Resources &Right,
                   Function Each) {
   return {Each(Left.CpuMillis_, Right.CpuMillis_),
-          Each(Left.MemoryMb_, Right.MemoryMb_),
-          Each(Left.Gpus_, Right.Gpus_)};
+          Each(Left.MemoryMb_, Right.MemoryMb_), Each(Left.Gpus_, Right.Gpus_)};
 }
 
 inline Resources minOf(const Resources &Left, const Resources &Right) {
--- a/src/limits/internal/grantpolicy.cpp
+++ b/src/limits/internal/grantpolicy.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 /// Share of the limit that a pool asks for first. With doubling steps a pool
-/// comes from nothing to half of the limit in five writes.
-constexpr std::int64_t FirstStepDivisor = 32;
+/// comes from nothing to half of the limit in four writes.
+constexpr std::int64_t FirstStepDivisor = 16;
 /// A pool keeps what it used within the last 10 s if that is at most this part
 /// of the limit: a task now and then costs no writes.
 constexpr std::int64_t KeptShareDivisor = 8;
@@ -20,6 +20,15 @@
 /// of its grant only if another pool asks: small changes cost no write.
 constexpr std::int64_t SlackDivisor = 4;
 
+/// \returns whether a start may exceed the limit, so that a customer is not
+/// held back below half of its limit.
+/// \param Used what the other pools hold and this one runs.
+bool mayExceed(const Resources &Limit, const Resources &Used,
+               const Resources &Needed, const Resources &Largest) {
+  const Resources Rest = limitedPart(minus(Needed, Largest), Limit);
+  return isBelowHalf(Used, Limit) && Limit.canFit(plus(Used, Rest));
+}
+
 /// What the decision depends on, in the limited resources.
 struct View {
   View(const std::string &Pool, const GrantRow &Row, const PoolDemand &Demand);
@@ -43,8 +52,9 @@
   Resources Share_;
   /// Whether a pool waits that has less than its share.
   bool IsOtherBehind_ = false;
-  /// Whether another pool has asked for more than it holds.
-  bool IsOtherWaiting_ = false;
+  /// Whether another pool asked before this one and waits.
+  bool IsOtherFirst_ = false;
+  std::uint64_t LastTurn_ = 0;
 };
 
 View::View(const std::string &Pool, const GrantRow &Row,
@@ -71,7 +81,10 @@
       continue;
     const Resources Missing =
         limitedPart(minus(Grant.Wanted_, Grant.Held_), Limit_);
-    IsOtherWaiting_ = IsOtherWaiting_ || !isNone(Missing);
+    LastTurn_ = std::max(LastTurn_, Grant.Turn_);
+    IsOtherFirst_ =
+        IsOtherFirst_ ||
+        (!isNone(Missing) && (Own_.Turn_ == 0 || Grant.Turn_ < Own_.Turn_));
     if (isNone(Missing) || Unallocated.canFit(Missing)) {
       Settled += limitedPart(Grant.Held_, Limit_);
       continue;
@@ -103,8 +116,7 @@
   const Resources Long = limitedPart(Demand.LongPeak_, Limit);
   const Resources Recurring =
       dividedBy(Limit, KeptShareDivisor).canFit(Long) ? Long : Resources();
-  return limitedPart(
-      maxOf(Demand.Running_, maxOf(Steady, Recurring)), Limit);
+  return limitedPart(maxOf(Demand.Running_, maxOf(Steady, Recurring)), Limit);
 }
 
 /// \returns whether giving back all of \p Held but \p Kept is worth a write.
@@ -136,21 +148,22 @@
   Resources Wanted_;
   std::optional<Resources> Ceiling_;
   bool IsAtLimit_ = false;
+  bool IsDeferred_ = false;
 };
 
 Raise raise(const View &Now, const PoolDemand &Demand) {
   const Resources Need =
       plus(Now.Use_, limitedPart(*Demand.Refused_, Now.Limit_));
-  const Resources Wanted = maxOf(
-      Need, minOf(plus(Now.Use_, limitedPart(Demand.Step_, Now.Limit_)),
-                  Now.Limit_));
-  // Nothing keeps a customer below half of its limit from starting a task.
-  const bool IsBelowHalf = isBelowHalf(plus(Now.Others_, Now.Use_), Now.Limit_);
-  if (IsBelowHalf && !Now.Free_.canFit(Need))
+  const Resources Wanted =
+      maxOf(Need, minOf(plus(Now.Use_, limitedPart(Demand.Step_, Now.Limit_)),
+                        Now.Limit_));
+  if (!Now.Free_.canFit(Need) &&
+      mayExceed(Now.Limit_, plus(Now.Others_, Now.Use_), *Demand.Refused_,
+                Demand.RefusedTask_))
     return {maxOf(minOf(Now.Held_, Now.Free_), Need), {}, std::nullopt, false};
   if (Now.IsOver_)
     return {Now.Use_, {}, std::nullopt, true};
-  if (Now.IsOtherBehind_ && !Now.Share_.canFit(Now.Held_)) {
+  if (Now.IsOtherBehind_ && !Demand.HasTurn_ && !Now.Share_.canFit(Now.Held_)) {
     // What the share has room for stays if a task fits into it.
     const Resources Kept =
         Now.Share_.canFit(Need) ? minOf(Now.Held_, Now.Share_) : Now.Use_;
@@ -158,13 +171,13 @@
   }
   if (Now.Held_.canFit(Need))
     return {Now.Held_, {}, std::nullopt, false};
-  if (Now.IsOtherWaiting_ && !Demand.MayTakeTurn_)
-    return {Now.Held_, Wanted, std::nullopt, true};
   Resources Most = minOf(Wanted, Now.Free_);
   if (Now.IsOtherBehind_) {
     // A task that is larger than the share gets its turn.
     Most = minOf(Most, isNone(Now.Use_) ? maxOf(Now.Share_, Need) : Now.Share_);
   }
+  if (Most.canFit(Need) && Now.IsOtherFirst_ && !Demand.HasDeferred_)
+    return {Now.Held_, Wanted, std::nullopt, true, true};
   if (Most.canFit(Need))
     return {maxOf(Now.Held_, Most), {}, std::nullopt, false};
   // A rest that no task fits into is of more use to the others.
@@ -192,10 +205,15 @@
       Own.Wanted_ = Wish.Wanted_;
     Decision.Ceiling_ = Wish.Ceiling_;
     Decision.IsAtLimit_ = Wish.IsAtLimit_;
+    Decision.IsDeferred_ = Wish.IsDeferred_;
   } else {
     Own.Held_ = giveBack(Now, Demand);
     Own.Wanted_ = {};
   }
+  if (isNone(Own.Wanted_))
+    Own.Turn_ = 0;
+  else if (Own.Turn_ == 0)
+    Own.Turn_ = Now.LastTurn_ + 1;
   // What runs counts in any case.
   Own.Held_ = maxOf(Own.Held_, Now.Use_);
   const bool MustConfirm =
@@ -221,15 +239,16 @@
 
 bool GrantPolicy::mayStart(const Resources &Limit, const Resources &Held,
                            const Resources &Sum, const Resources &Running,
-                           const Resources &Needed) {
+                           const Resources &Needed, const Resources &Largest) {
   if (!limitedPart(Held, Limit)
            .canFit(limitedPart(plus(Running, Needed), Limit)))
     return false;
   const Resources All = limitedPart(Sum, Limit);
   return Limit.canFit(All) ||
-         isBelowHalf(plus(minus(All, limitedPart(Held, Limit)),
-                          limitedPart(Running, Limit)),
-                     Limit);
+         mayExceed(Limit,
+                   plus(minus(All, limitedPart(Held, Limit)),
+                        limitedPart(Running, Limit)),
+                   Needed, Largest);
 }
 
 Resources GrantPolicy::firstStep(const Resources &Limit,
--- a/src/limits/internal/grantrow.cpp
+++ b/src/limits/internal/grantrow.cpp
@@ -48,8 +48,10 @@
   for (const auto &[Pool, Grant] : Row.Pools_) {
     json &Entry = Pools[Pool];
     Entry = {{"token", Grant.Token_}, {"held", encodeAmounts(Grant.Held_)}};
-    if (Grant.Wanted_ != Resources())
-      Entry["wanted"] = encodeAmounts(Grant.Wanted_);
+    if (Grant.Wanted_ == Resources())
+      continue;
+    Entry["wanted"] = encodeAmounts(Grant.Wanted_);
+    Entry["turn"] = Grant.Turn_;
   }
   return json{{"configuration", Row.ConfigurationVersion_},
               {"limit", encodeAmounts(Row.Limit_)},
@@ -61,15 +63,16 @@
   try {
     const json Source = json::parse(Text);
     GrantRow Row;
-    Row.ConfigurationVersion_ =
-        Source.at("configuration").get<std::uint64_t>();
+    Row.ConfigurationVersion_ = Source.at("configuration").get<std::uint64_t>();
     Row.Limit_ = decodeAmounts(Source.at("limit"));
     for (const auto &[Pool, Entry] : Source.at("pools").items()) {
       PoolGrant &Grant = Row.Pools_[Pool];
       Grant.Token_ = Entry.at("token").get<FencingToken>();
       Grant.Held_ = decodeAmounts(Entry.at("held"));
-      if (Entry.contains("wanted"))
-        Grant.Wanted_ = decodeAmounts(Entry.at("wanted"));
+      if (!Entry.contains("wanted"))
+        continue;
+      Grant.Wanted_ = decodeAmounts(Entry.at("wanted"));
+      Grant.Turn_ = Entry.at("turn").get<std::uint64_t>();
     }
     return Row;
   } catch (const std::exception &) {
--- a/src/limits/internal/limitledger.cpp
+++ b/src/limits/internal/limitledger.cpp
@@ -29,8 +29,8 @@
 constexpr std::uint64_t ConflictSpreadMs = 100;
 /// Time without a raise after which a pool starts with a small request again.
 constexpr milliseconds StepLifetime{1000};
-/// Time for which a pool leaves what it gave back to others that wait: they
-/// read the row within 0.2 s.
+/// Time for which a pool leaves what is unallocated to others that asked before
+/// it, and keeps a new grant: the owners read the row within 0.2 s.
 constexpr milliseconds TurnDelay{300};
 constexpr milliseconds ReachedLineInterval{1000};
 
@@ -122,11 +122,13 @@
   return Limits;
 }
 
-void LimitLedger::onPoolLoaded(const std::string &Pool,
-                               const CustomerUsage &Usage) {
+void LimitLedger::onUsage(const std::string &Pool, const CustomerUsage &Usage,
+                          bool IsExact) {
   auto Found = Pools_.find(Pool);
-  if (Found != Pools_.end())
-    Found->second->Usage_ = &Usage;
+  if (Found == Pools_.end())
+    return;
+  Found->second->Usage_ = &Usage;
+  Found->second->IsUsageExact_ = IsExact;
 }
 
 void LimitLedger::onPoolLost(const std::string &Pool) {
@@ -218,15 +220,22 @@
   Row.Limit_ = Limit;
   removeGonePools(Grants.customer(), Row);
   PoolDemand Demand = Pool.demandOf(Limit, State);
-  if (Grants.isRecovering())
+  const PoolGrant *Own = Grants.grantOf(Pool.pool());
+  const Resources Held = Own != nullptr ? Own->Held_ : Resources();
+  // The previous owner ran no more than the grant that it left.
+  const bool IsOverestimate =
+      !Pool.IsUsageExact_ && !Held.canFit(Demand.Running_);
+  if (IsOverestimate)
+    Demand.Running_ = amounts::minOf(Demand.Running_, Held);
+  if (Grants.isRecovering() || IsOverestimate)
     Demand.Refused_.reset();
   GrantDecision Decision =
       GrantPolicy::decide(Pool.pool(), Pool.token(), Row, Demand);
   State.DecidedAt_ = Grants.version();
   State.MustFollowUse_ = Decision.MustFollowUse_;
   State.Ceiling_ = Decision.Ceiling_;
-  if (Decision.Ceiling_)
-    State.NextTurn_ = Clock_.now() + TurnDelay;
+  if (Decision.IsDeferred_ && !State.DeferredUntil_)
+    State.DeferredUntil_ = Clock_.now() + TurnDelay;
   if (Decision.IsAtLimit_)
     logReached(Pool, State, Grants);
   // A write without a response is settled by the next change of the row. If
@@ -245,18 +254,10 @@
 
 void LimitLedger::write(PoolGrants &Pool, PoolCustomer &State,
                         CustomerGrants &Grants, const GrantRow &Next) {
-  const PoolGrant *Own = Grants.grantOf(Pool.pool());
   auto Written = Next.Pools_.find(Pool.pool());
   const Resources Held =
       Written != Next.Pools_.end() ? Written->second.Held_ : Resources();
   const StoreVersion Expected = Grants.version();
-  if (State.Refused_ && !amounts::isNone(Held) &&
-      (Own == nullptr || Held != Own->Held_)) {
-    const Resources Step = amounts::maxOf(
-        State.Step_, GrantPolicy::firstStep(Next.Limit_, *State.Refused_));
-    State.Step_ = amounts::minOf(amounts::plus(Step, Step), Next.Limit_);
-    State.StepUntil_ = Clock_.now() + StepLifetime;
-  }
   Grants.IsWriting_ = true;
   State.MayRetry_ = false;
   State.NextWrite_ = Clock_.now() + MinWriteInterval;
@@ -265,14 +266,14 @@
   Transaction.Expected_ = {{grantrows::key(Grants.customer()), Expected}};
   Transaction.Puts_ = {
       {grantrows::key(Grants.customer()), grantrows::encode(Next)}};
-  Store_.transact(
-      std::move(Transaction),
-      [Weak = weak_from_this(), Pool = Pool.pool(), Token = Pool.token(),
-       Customer = Grants.customer(), Next,
-       Expected](const StoreTransactionResult &Result) {
-        if (auto Self = Weak.lock())
-          Self->onWritten(Pool, Token, Customer, Next, Expected, Result);
-      });
+  Store_.transact(std::move(Transaction),
+                  [Weak = weak_from_this(), Pool = Pool.pool(),
+                   Token = Pool.token(), Customer = Grants.customer(), Next,
+                   Expected](const StoreTransactionResult &Result) {
+                    if (auto Self = Weak.lock())
+                      Self->onWritten(Pool, Token, Customer, Next, Expected,
+                                      Result);
+                  });
 }
 
 void LimitLedger::onWritten(const std::string &Pool, FencingToken Token,
@@ -282,8 +283,7 @@
   CustomerGrants &Grants = grantsOf(Customer);
   Grants.IsWriting_ = false;
   auto Found = Pools_.find(Pool);
-  const bool IsOwned =
-      Found != Pools_.end() && Found->second->token() == Token;
+  const bool IsOwned = Found != Pools_.end() && Found->second->token() == Token;
   const PoolGrant *Own = Grants.grantOf(Pool);
   const Resources Before = Own != nullptr ? Own->Held_ : Resources();
   if (Result.Outcome_ == StoreOutcome::Done)
@@ -313,8 +313,17 @@
   auto Written = Next.Pools_.find(Pool);
   const Resources Now =
       Written != Next.Pools_.end() ? Written->second.Held_ : Resources();
-  if (!Before.canFit(Now))
+  if (!Before.canFit(Now)) {
     State.keepUnused(Clock_.now(), Now);
+    State.TurnUntil_ = Clock_.now() + TurnDelay;
+    State.DeferredUntil_.reset();
+    if (State.Refused_) {
+      const Resources Step = amounts::maxOf(
+          State.Step_, GrantPolicy::firstStep(Next.Limit_, *State.Refused_));
+      State.Step_ = amounts::minOf(amounts::plus(Step, Step), Next.Limit_);
+      State.StepUntil_ = Clock_.now() + StepLifetime;
+    }
+  }
   logGranted(*Found->second, Grants, Before, Now);
 }
 
@@ -332,13 +341,14 @@
     State.RetryDelay_ = MinWriteInterval;
     State.NextWrite_ =
         Now + MinWriteInterval +
-        milliseconds(std::hash<std::string>()(
-                         Pool + std::to_string(Now.time_since_epoch().count())) %
-                     ConflictSpreadMs);
+        milliseconds(
+            std::hash<std::string>()(
+                Pool + std::to_string(Now.time_since_epoch().count())) %
+            ConflictSpreadMs);
     return;
   }
-  State.RetryDelay_ = std::clamp(State.RetryDelay_ * 2, FirstRetryDelay,
-                                 MaxRetryDelay);
+  State.RetryDelay_ =
+      std::clamp(State.RetryDelay_ * 2, FirstRetryDelay, MaxRetryDelay);
   State.NextWrite_ = Now + State.RetryDelay_;
 }
 
@@ -388,11 +398,10 @@
   std::erase_if(Row.Pools_, [&](const auto &Each) {
     if (!isGone(Each.first))
       return false;
-    Logger_.write(LogLevel::Info,
-                  LogEvent("limit.pool-gone")
-                      .with("customer", Customer)
-                      .with("pool", Each.first)
-                      .with("held", textOf(Each.second.Held_)));
+    Logger_.write(LogLevel::Info, LogEvent("limit.pool-gone")
+                                      .with("customer", Customer)
+                                      .with("pool", Each.first)
+                                      .with("held", textOf(Each.second.Held_)));
     return true;
   });
 }
--- a/src/limits/internal/poolgrants.cpp
+++ b/src/limits/internal/poolgrants.cpp
@@ -37,6 +37,30 @@
 
 bool PoolGrants::mayStart(const std::string &Customer, const Resources &Running,
                           const Resources &Needed) {
+  return decide(Customer, Running, Needed, Needed);
+}
+
+bool PoolGrants::mayStartGang(const std::string &Customer,
+                              const Resources &Running,
+                              const Resources &PerTask, std::size_t Tasks) {
+  return decide(Customer, Running, times(PerTask, Tasks), PerTask);
+}
+
+bool PoolGrants::hasRoom(const std::string &Customer, const Resources &Running,
+                         const Resources &Needed) {
+  CustomerGrants *Grants = Customer.empty() ? nullptr : Find_(Customer);
+  const Resources *Limit = Grants != nullptr ? Grants->limit() : nullptr;
+  if (Limit == nullptr)
+    return true;
+  const PoolGrant *Own = Grants->grantOf(Pool_);
+  const Resources Others =
+      amounts::minus(Grants->sum(), Own != nullptr ? Own->Held_ : Resources());
+  return Limit->canFit(amounts::limitedPart(
+      amounts::plus(Others, amounts::plus(Running, Needed)), *Limit));
+}
+
+bool PoolGrants::decide(const std::string &Customer, const Resources &Running,
+                        const Resources &Needed, const Resources &Largest) {
   CustomerGrants *Grants = Customer.empty() ? nullptr : Find_(Customer);
   const Resources *Limit = Grants != nullptr ? Grants->limit() : nullptr;
   if (Limit == nullptr)
@@ -47,21 +71,20 @@
   const auto Held = confirmedGrant(*Grants, State);
   const bool IsWithinGrant =
       Held && GrantPolicy::mayStart(*Limit, *Held, Grants->sum(), Running,
-                                    Needed);
+                                    Needed, Largest);
   const bool IsWithinShare =
-      !State.Ceiling_ ||
-      State.Ceiling_->canFit(
-          amounts::limitedPart(amounts::plus(Running, Needed), *Limit));
+      !State.Ceiling_ || State.Ceiling_->canFit(amounts::limitedPart(
+                             amounts::plus(Running, Needed), *Limit));
   if (IsWithinGrant && IsWithinShare) {
     // A larger start that was refused before stays wanted.
     if (State.Refused_ && Needed.canFit(*State.Refused_))
       State.Refused_.reset();
-    State.setRunning(Now, amounts::plus(Running, Needed));
     return true;
   }
   // The first start that is refused is the one that is due first.
   if (!State.Refused_ || Now >= State.RefusedAt_ + RecentWindow) {
     State.Refused_ = Needed;
+    State.RefusedTask_ = Largest;
     State.RefusedAt_ = Now;
   }
   ToReview_.insert(Customer);
@@ -87,7 +110,9 @@
   Demand.SteadyPeak_ = State.SteadyPeak_.value();
   Demand.LongPeak_ = State.LongPeak_.value();
   Demand.Refused_ = State.Refused_;
-  Demand.MayTakeTurn_ = Now >= State.NextTurn_;
+  Demand.RefusedTask_ = State.RefusedTask_;
+  Demand.HasDeferred_ = State.DeferredUntil_ && Now >= *State.DeferredUntil_;
+  Demand.HasTurn_ = Now < State.TurnUntil_;
   if (State.Refused_) {
     if (Now >= State.StepUntil_)
       State.Step_ = {};
@@ -97,8 +122,8 @@
   return Demand;
 }
 
-std::optional<Resources>
-PoolGrants::confirmedGrant(CustomerGrants &Grants, PoolCustomer &State) const {
+std::optional<Resources> PoolGrants::confirmedGrant(CustomerGrants &Grants,
+                                                    PoolCustomer &State) const {
   const PoolGrant *Grant = Grants.grantOf(Pool_);
   if (Grant == nullptr || Grant->Token_ != Token_)
     return std::nullopt;
--- a/src/limits/internal/poolgrants.h
+++ b/src/limits/internal/poolgrants.h
@@ -44,6 +44,8 @@
   UsePeak SteadyPeak_;
   UsePeak LongPeak_;
   std::optional<Resources> Refused_;
+  /// The largest task of Refused_.
+  Resources RefusedTask_;
   TimePoint RefusedAt_;
   /// Amount beyond the use to ask for next; none before the first request.
   Resources Step_;
@@ -60,8 +62,11 @@
   /// Whether a write that found a newer row may be repeated at once.
   bool MayRetry_ = false;
   std::chrono::milliseconds RetryDelay_{0};
-  /// Earliest time at which the pool asks for more than its share again.
-  TimePoint NextTurn_;
+  /// Time until which the pool leaves what is unallocated to pools that asked
+  /// before it; unset if it does not.
+  std::optional<TimePoint> DeferredUntil_;
+  /// Time until which the pool need not yield a new grant.
+  TimePoint TurnUntil_;
   TimePoint NextReachedLine_;
 };
 
@@ -79,6 +84,10 @@
 
   bool mayStart(const std::string &Customer, const Resources &Running,
                 const Resources &Needed) override;
+  bool mayStartGang(const std::string &Customer, const Resources &Running,
+                    const Resources &PerTask, std::size_t Tasks) override;
+  bool hasRoom(const std::string &Customer, const Resources &Running,
+               const Resources &Needed) override;
 
   const std::string &pool() const { return Pool_; }
   FencingToken token() const { return Token_; }
@@ -97,8 +106,13 @@
 
   /// Usage of the pool's customers; null until its jobs have been loaded.
   const CustomerUsage *Usage_ = nullptr;
+  /// Whether Usage_ counts no task of which it is not known whether a previous
+  /// owner started it.
+  bool IsUsageExact_ = false;
 
 private:
+  bool decide(const std::string &Customer, const Resources &Running,
+              const Resources &Needed, const Resources &Largest);
   /// \returns the amount that the customer may use in this pool for certain:
   /// the grant that was confirmed under this owner's token, less what a write
   /// without a response may have given back.
--- a/src/limits/internal/usepeak.cpp
+++ b/src/limits/internal/usepeak.cpp
@@ -14,8 +14,6 @@
   Start_ = Now;
 }
 
-Resources UsePeak::value() const {
-  return amounts::maxOf(Current_, Previous_);
-}
+Resources UsePeak::value() const { return amounts::maxOf(Current_, Previous_); }
 
 } // namespace dragonflylock
--- a/src/limits/limitledger.h
+++ b/src/limits/limitledger.h
@@ -47,8 +47,8 @@
   void onConfiguration(const SchedulingConfiguration &Applied) override;
   ICustomerLimits *onPoolAcquired(const std::string &Pool,
                                   FencingToken Token) override;
-  void onPoolLoaded(const std::string &Pool,
-                    const CustomerUsage &Usage) override;
+  void onUsage(const std::string &Pool, const CustomerUsage &Usage,
+               bool IsExact) override;
   void onPoolLost(const std::string &Pool) override;
   void tick(TimePoint ProvenAsOf) override;
   std::set<std::string> takeRaisedPools() override;
--- a/src/limits/tests/grantpolicy_test.cpp
+++ b/src/limits/tests/grantpolicy_test.cpp
@@ -16,7 +16,8 @@
 
   void grant(const std::string &Pool, std::int64_t Held,
              std::int64_t Wanted = 0) {
-    Row_.Pools_[Pool] = {Token, cpu(Held), cpu(Wanted)};
+    Row_.Pools_[Pool] = {Token, cpu(Held), cpu(Wanted),
+                         Wanted > 0 ? ++Turn_ : 0};
   }
   static PoolDemand using_(std::int64_t Running) {
     PoolDemand Demand;
@@ -28,6 +29,7 @@
                             std::int64_t Step = 0) {
     PoolDemand Demand = using_(Running);
     Demand.Refused_ = cpu(Task);
+    Demand.RefusedTask_ = cpu(Task);
     Demand.Step_ = cpu(std::max(Task, Step));
     return Demand;
   }
@@ -43,6 +45,7 @@
   }
 
   GrantRow Row_;
+  std::uint64_t Turn_ = 0;
 };
 
 TEST_F(GrantPolicyTest, TakesWhatIsUnallocated) {
@@ -78,8 +81,8 @@
 TEST_F(GrantPolicyTest, KeepsASmallSurplus) {
   grant("east", 10);
   EXPECT_FALSE(decide(using_(7)).Next_);
-  EXPECT_TRUE(GrantPolicy::isSettled(Row_.Limit_, Row_.Pools_["east"],
-                                     using_(7)));
+  EXPECT_TRUE(
+      GrantPolicy::isSettled(Row_.Limit_, Row_.Pools_["east"], using_(7)));
 }
 
 // Guards against two writes for each task of a customer that rarely runs one.
@@ -121,13 +124,17 @@
   EXPECT_EQ(*decide(waiting(32, 1)).Ceiling_, cpu(30));
 }
 
-// Guards against pools that take back at once what they have just yielded.
-TEST_F(GrantPolicyTest, LeavesWhatItYieldedToOthers) {
+// Guards against pools that take back at once what they have just yielded, and
+// against a lost owner that never takes its turn.
+TEST_F(GrantPolicyTest, LetsPoolsGoFirstThatAskedFirst) {
   grant("west", 0, 10);
   PoolDemand Demand = waiting(0, 10);
-  Demand.MayTakeTurn_ = false;
-  EXPECT_EQ(heldAfter(decide(Demand)), 0);
-  Demand.MayTakeTurn_ = true;
+  const GrantDecision Decision = decide(Demand);
+  EXPECT_EQ(heldAfter(Decision), 0);
+  EXPECT_TRUE(Decision.IsDeferred_);
+  EXPECT_EQ(Decision.Next_->Pools_.at("east").Turn_, 2U);
+  EXPECT_EQ(heldAfter(decide(Demand, "west"), "west"), 10);
+  Demand.HasDeferred_ = true;
   EXPECT_EQ(heldAfter(decide(Demand)), 10);
 }
 
@@ -146,13 +153,27 @@
   EXPECT_EQ(heldAfter(Decision), 50);
   Row_ = *Decision.Next_;
   EXPECT_TRUE(GrantPolicy::mayStart(Row_.Limit_, cpu(50), Row_.sum(), cpu(0),
-                                    cpu(50)));
+                                    cpu(50), cpu(50)));
   // Nothing more starts beside it, here and elsewhere.
   EXPECT_FALSE(GrantPolicy::mayStart(Row_.Limit_, cpu(100), Row_.sum(), cpu(50),
-                                     cpu(1)));
+                                     cpu(1), cpu(1)));
   EXPECT_EQ(heldAfter(decide(waiting(0, 1), "west"), "west"), 0);
 }
 
+// Guards against a gang that exceeds the limit by more than one task.
+TEST_F(GrantPolicyTest, GrantsAGangThatExceedsTheLimitByOneTask) {
+  PoolDemand Demand = waiting(0, 40);
+  Demand.RefusedTask_ = cpu(8);
+  EXPECT_EQ(heldAfter(decide(Demand)), 40);
+  EXPECT_TRUE(GrantPolicy::mayStart(Row_.Limit_, cpu(40), cpu(40), cpu(0),
+                                    cpu(40), cpu(8)));
+  Demand.Refused_ = cpu(42);
+  Demand.RefusedTask_ = cpu(7);
+  EXPECT_EQ(heldAfter(decide(Demand)), 0);
+  EXPECT_FALSE(GrantPolicy::mayStart(Row_.Limit_, cpu(50), cpu(50), cpu(0),
+                                     cpu(42), cpu(7)));
+}
+
 // Guards against a large task that starts beside half of the limit or more.
 TEST_F(GrantPolicyTest, GrantsALargeTaskOnlyBelowHalfOfTheLimit) {
   grant("west", 16);
@@ -171,7 +192,7 @@
   EXPECT_TRUE(decide(Demand).IsAtLimit_);
   EXPECT_EQ(heldAfter(decide(using_(6))), 6);
   EXPECT_FALSE(GrantPolicy::mayStart(Row_.Limit_, cpu(20), Row_.sum(), cpu(6),
-                                     cpu(1)));
+                                     cpu(1), cpu(1)));
 }
 
 // Guards against a limit on running work that does not count what ran before
@@ -185,7 +206,7 @@
 // Guards against a previous owner whose late write changes a grant that its
 // successor relies on.
 TEST_F(GrantPolicyTest, LeavesTheGrantOfALaterOwnerAlone) {
-  Row_.Pools_["east"] = {Token + 1, cpu(10), {}};
+  Row_.Pools_["east"] = {Token + 1, cpu(10), {}, 0};
   EXPECT_FALSE(decide(using_(0)).Next_);
   EXPECT_FALSE(decide(waiting(0, 1)).Next_);
 }
@@ -193,7 +214,7 @@
 // Guards against an owner that relies on a grant which the previous owner may
 // still change.
 TEST_F(GrantPolicyTest, ConfirmsAnInheritedGrant) {
-  Row_.Pools_["east"] = {Token - 1, cpu(10), {}};
+  Row_.Pools_["east"] = {Token - 1, cpu(10), {}, 0};
   const GrantDecision Decision = decide(waiting(0, 1));
   ASSERT_TRUE(Decision.Next_);
   EXPECT_EQ(Decision.Next_->Pools_.at("east").Token_, Token);
@@ -210,7 +231,7 @@
 // Guards against a limit that is enforced in one resource only.
 TEST_F(GrantPolicyTest, LimitsEachResource) {
   Row_.Limit_ = {32, 1024, 0};
-  Row_.Pools_["west"] = {Token, {4, 1024, 0}, {}};
+  Row_.Pools_["west"] = {Token, {4, 1024, 0}, {}, 0};
   PoolDemand Demand = waiting(0, 1);
   Demand.Refused_->MemoryMb_ = 64;
   Demand.Step_.MemoryMb_ = 64;
--- a/src/limits/tests/grantrow_test.cpp
+++ b/src/limits/tests/grantrow_test.cpp
@@ -9,8 +9,8 @@
   GrantRow Row;
   Row.ConfigurationVersion_ = 7;
   Row.Limit_ = {8000, 4096, 0};
-  Row.Pools_["east"] = {5, {1000, 256, 0}, {3000, 512, 0}};
-  Row.Pools_["west"] = {9, {500, 128, 0}, {}};
+  Row.Pools_["east"] = {5, {1000, 256, 0}, {3000, 512, 0}, 4};
+  Row.Pools_["west"] = {9, {500, 128, 0}, {}, 0};
   return Row;
 }
 
