--- a/src/limits/tests/limitinterleaving_test.cpp
+++ b/src/limits/tests/limitinterleaving_test.cpp
@@ -15,8 +15,10 @@
 constexpr std::size_t PoolCount = 4;
 constexpr std::int64_t HighLimit = 20;
 constexpr std::int64_t LowLimit = 12;
-/// Steps after which every node has read a row or a configuration: 3 s.
-constexpr std::size_t ApplySteps = 150;
+/// Steps after which every node has read a row: 5 s.
+constexpr std::size_t ApplySteps = 250;
+/// Longest time for which a node reads no rows: 4 s.
+constexpr std::size_t MostCutSteps = 200;
 
 /// Plays days of four pools on four nodes: random demand, owners that are lost
 /// and replaced while their writes are on their way, nodes that are cut off,
@@ -54,10 +56,16 @@
       Limits_.pop_front();
     if (HasFaults)
       disturb();
-    for (auto &Node : Nodes_) {
-      Node->IsFollowing_ = !HasFaults || Store_.happens(20);
-      if (Node->IsFollowing_)
-        deliverRows(*Node, Store_.Rows_, Store_.Version_);
+    for (std::size_t Number = 0; Number < Nodes_.size(); ++Number) {
+      LimitNode &Node = *Nodes_[Number];
+      if (HasFaults && Store_.below(300) == 0)
+        CutSteps_[Number] = Store_.below(MostCutSteps);
+      Node.IsFollowing_ =
+          !HasFaults || (CutSteps_[Number] == 0 && Store_.happens(20));
+      if (CutSteps_[Number] > 0)
+        --CutSteps_[Number];
+      if (Node.IsFollowing_)
+        deliverRows(Node, Store_.Rows_, Store_.Version_);
     }
     for (std::size_t Pool = 0; Pool < PoolCount; ++Pool)
       work(Pool);
@@ -131,6 +139,8 @@
   /// By pool: its owner, or its last one.
   std::vector<std::size_t> OwnerOf_;
   std::vector<std::size_t> Demand_;
+  /// By node: steps for which it reads no rows.
+  std::map<std::size_t, std::size_t> CutSteps_;
   /// What pools without an owner run, by pool.
   std::map<std::size_t, std::map<std::string, std::vector<Resources>>> Orphans_;
   FencingToken Token_ = 0;
--- a/src/limits/tests/limitledger_test.cpp
+++ b/src/limits/tests/limitledger_test.cpp
@@ -158,6 +158,24 @@
   EXPECT_EQ(Nodes_[2]->running("p0", "acme"), 12U);
 }
 
+// Guards against a new owner that relies on a grant which the previous owner
+// has given back since this node last read the rows.
+TEST_F(LimitLedgerTest, NextOwnerWithAStaleViewStartsNothing) {
+  play(milliseconds(1500), backlogIn(0));
+  ASSERT_EQ(held("p0"), 32);
+  Nodes_[2]->IsFollowing_ = false;
+  Nodes_[0]->end("p0", "acme", 32);
+  play(milliseconds(1500), backlogIn(1));
+  ASSERT_EQ(running(1), 32U);
+  Nodes_[0]->lose("p0");
+  Nodes_[2]->acquire("p0", 77);
+  play(milliseconds(1500), [this] {
+    backlogIn(1)();
+    Nodes_[2]->startUpTo(1000, "p0", "acme", Task);
+  });
+  EXPECT_EQ(Most_, 32);
+}
+
 // Guards against a lowered limit that stops tasks, or under which more start.
 TEST_F(LimitLedgerTest, LoweredLimitStartsNothingMore) {
   play(milliseconds(2000), backlogIn(0));
