--- a/src/limits/internal/grantpolicy.cpp
+++ b/src/limits/internal/grantpolicy.cpp
@@ -201,7 +201,11 @@
     // A request that is large enough stays as it is, to save the write.
     const Resources Need =
         plus(Now.Use_, limitedPart(*Demand.Refused_, Now.Limit_));
-    if (isNone(Wish.Wanted_) || !Own.Wanted_.canFit(Need))
+    // If no other pool holds or wants anything, there is nobody to ask.
+    const bool IsAlone = isNone(Now.Others_) && Now.LastTurn_ == 0;
+    if (isNone(Wish.Wanted_) || IsAlone)
+      Own.Wanted_ = {};
+    else if (!Own.Wanted_.canFit(Need))
       Own.Wanted_ = Wish.Wanted_;
     Decision.Ceiling_ = Wish.Ceiling_;
     Decision.IsAtLimit_ = Wish.IsAtLimit_;
--- a/src/limits/internal/limitledger.cpp
+++ b/src/limits/internal/limitledger.cpp
@@ -146,7 +146,9 @@
   adoptGrants();
   for (auto &[Name, Pool] : Pools_)
     for (const std::string &Customer : Pool->takeForReview())
-      review(*Pool, Customer);
+      if (auto Found = Pool->customers().find(Customer);
+          Found != Pool->customers().end())
+        review(*Pool, Found->second);
   if (Now < NextReview_)
     return;
   NextReview_ = Now + ReviewInterval;
@@ -166,56 +168,54 @@
     for (auto &[Name, Pool] : Pools_)
       if (const PoolGrant *Grant = Grants.grantOf(Name);
           Grant != nullptr && !Pool->customers().contains(Customer))
-        Pool->stateOf(Customer).keepUnused(Clock_.now(), Grant->Held_);
+        Pool->stateOf(Grants).keepUnused(Clock_.now(), Grant->Held_);
   }
 }
 
 void LimitLedger::reviewAll(PoolGrants &Pool) {
   if (Pool.Usage_ == nullptr)
     return;
+  auto &States = Pool.customers();
   for (const auto &[Customer, Running] : Pool.Usage_->all())
-    if (CustomerGrants *Grants = find(Customer);
-        Grants != nullptr && Grants->limit() != nullptr)
-      Pool.stateOf(Customer);
-  std::vector<std::string> Idle;
-  for (auto &[Customer, State] : Pool.customers()) {
-    review(Pool, Customer);
-    CustomerGrants *Grants = find(Customer);
-    const bool IsIdle =
-        amounts::isNone(State.Running_) && !State.Refused_ &&
-        State.Pending_.empty() &&
-        (Grants == nullptr || Grants->grantOf(Pool.pool()) == nullptr);
-    if (IsIdle || Grants == nullptr || Grants->limit() == nullptr)
-      Idle.push_back(Customer);
+    if (!States.contains(Customer))
+      if (CustomerGrants *Grants = find(Customer);
+          Grants != nullptr && Grants->limit() != nullptr)
+        Pool.stateOf(*Grants);
+  for (auto Each = States.begin(); Each != States.end();) {
+    PoolCustomer &State = Each->second;
+    review(Pool, State);
+    const bool IsIdle = amounts::isNone(State.Running_) && !State.Refused_ &&
+                        State.Pending_.empty() &&
+                        State.ownGrant(Pool.pool()) == nullptr;
+    if (IsIdle || State.Grants_.limit() == nullptr)
+      Each = States.erase(Each);
+    else
+      ++Each;
   }
-  for (const std::string &Customer : Idle)
-    Pool.dropState(Customer);
 }
 
-void LimitLedger::review(PoolGrants &Pool, const std::string &Customer) {
-  CustomerGrants *Grants = find(Customer);
-  const Resources *Limit = Grants != nullptr ? Grants->limit() : nullptr;
+void LimitLedger::review(PoolGrants &Pool, PoolCustomer &State) {
+  CustomerGrants &Grants = State.Grants_;
+  const Resources *Limit = Grants.limit();
   // Before the jobs are loaded, it is not known what the pool runs.
   if (Limit == nullptr || Pool.Usage_ == nullptr)
     return;
-  PoolCustomer &State = Pool.stateOf(Customer);
-  State.setRunning(Clock_.now(), Pool.Usage_->of(Customer));
-  std::erase_if(State.Pending_, [Grants](const auto &Write) {
-    return Write.Expected_ != Grants->version();
-  });
-  const bool IsDecided = State.DecidedAt_ == Grants->version();
-  if (IsDecided && !mayWrite(State, *Grants))
+  State.setRunning(Clock_.now(), Pool.Usage_->of(Grants.customer()));
+  State.dropSettledWrites();
+  const bool IsDecided = State.DecidedAt_ == Grants.version();
+  if (IsDecided && !mayWrite(State, Grants))
     return;
-  const PoolGrant *Own = Grants->grantOf(Pool.pool());
+  const PoolGrant *Own = State.ownGrant(Pool.pool());
   if (IsDecided && !State.MustFollowUse_ && State.Pending_.empty() &&
       GrantPolicy::isSettled(*Limit, Own != nullptr ? *Own : PoolGrant(),
                              Pool.demandOf(*Limit, State)))
     return;
-  decide(Pool, State, *Grants, *Limit);
+  decide(Pool, State, *Limit);
 }
 
 void LimitLedger::decide(PoolGrants &Pool, PoolCustomer &State,
-                         CustomerGrants &Grants, const Resources &Limit) {
+                         const Resources &Limit) {
+  CustomerGrants &Grants = State.Grants_;
   GrantRow Row = Grants.rowToChange();
   Row.Limit_ = Limit;
   removeGonePools(Grants.customer(), Row);
@@ -237,13 +237,13 @@
   if (Decision.IsDeferred_ && !State.DeferredUntil_)
     State.DeferredUntil_ = Clock_.now() + TurnDelay;
   if (Decision.IsAtLimit_)
-    logReached(Pool, State, Grants);
+    logReached(Pool, State);
   // A write without a response is settled by the next change of the row. If
   // nothing else changes it, this owner does.
   if (!Decision.Next_ && !State.Pending_.empty() && !Grants.IsWriting_)
     Decision.Next_ = Row;
   if (Decision.Next_ && mayWrite(State, Grants))
-    write(Pool, State, Grants, *Decision.Next_);
+    write(Pool, State, *Decision.Next_);
 }
 
 bool LimitLedger::mayWrite(const PoolCustomer &State,
@@ -253,7 +253,8 @@
 }
 
 void LimitLedger::write(PoolGrants &Pool, PoolCustomer &State,
-                        CustomerGrants &Grants, const GrantRow &Next) {
+                        const GrantRow &Next) {
+  CustomerGrants &Grants = State.Grants_;
   auto Written = Next.Pools_.find(Pool.pool());
   const Resources Held =
       Written != Next.Pools_.end() ? Written->second.Held_ : Resources();
@@ -297,7 +298,7 @@
   }
   if (!IsOwned)
     return;
-  PoolCustomer &State = Found->second->stateOf(Customer);
+  PoolCustomer &State = Found->second->stateOf(Grants);
   // An earlier write that expects the same version may still take effect,
   // unless the row has another version now.
   if (Result.Outcome_ == StoreOutcome::NotDone && !State.Pending_.empty() &&
@@ -352,8 +353,8 @@
   State.NextWrite_ = Now + State.RetryDelay_;
 }
 
-void LimitLedger::logReached(const PoolGrants &Pool, PoolCustomer &State,
-                             CustomerGrants &Grants) {
+void LimitLedger::logReached(const PoolGrants &Pool, PoolCustomer &State) {
+  CustomerGrants &Grants = State.Grants_;
   if (Clock_.now() < State.NextReachedLine_)
     return;
   State.NextReachedLine_ = Clock_.now() + ReachedLineInterval;
--- a/src/limits/internal/poolgrants.cpp
+++ b/src/limits/internal/poolgrants.cpp
@@ -20,9 +20,9 @@
 
 } // namespace
 
-PoolCustomer::PoolCustomer(TimePoint Now)
-    : RecentPeak_(RecentWindow, Now), SteadyPeak_(SteadyWindow, Now),
-      LongPeak_(LongWindow, Now) {}
+PoolCustomer::PoolCustomer(CustomerGrants &Grants, TimePoint Now)
+    : Grants_(Grants), RecentPeak_(RecentWindow, Now),
+      SteadyPeak_(SteadyWindow, Now), LongPeak_(LongWindow, Now) {}
 
 void PoolCustomer::setRunning(TimePoint Now, const Resources &Running) {
   Running_ = Running;
@@ -35,6 +35,24 @@
   SteadyPeak_.add(Now, Held);
 }
 
+const PoolGrant *PoolCustomer::ownGrant(const std::string &Pool) {
+  const GrantRow &Row = Grants_.row();
+  if (OwnVersion_ != Grants_.version()) {
+    OwnVersion_ = Grants_.version();
+    auto Found = Row.Pools_.find(Pool);
+    Own_.reset();
+    if (Found != Row.Pools_.end())
+      Own_ = Found->second;
+  }
+  return Own_ ? &*Own_ : nullptr;
+}
+
+void PoolCustomer::dropSettledWrites() {
+  std::erase_if(Pending_, [this](const PendingWrite &Write) {
+    return Write.Expected_ != Grants_.version();
+  });
+}
+
 bool PoolGrants::mayStart(const std::string &Customer, const Resources &Running,
                           const Resources &Needed) {
   return decide(Customer, Running, Needed, Needed);
@@ -66,9 +84,9 @@
   if (Limit == nullptr)
     return true;
   const TimePoint Now = Clock_.now();
-  PoolCustomer &State = stateOf(Customer);
+  PoolCustomer &State = stateOf(*Grants);
   State.setRunning(Now, Running);
-  const auto Held = confirmedGrant(*Grants, State);
+  const auto Held = confirmedGrant(State);
   const bool IsWithinGrant =
       Held && GrantPolicy::mayStart(*Limit, *Held, Grants->sum(), Running,
                                     Needed, Largest);
@@ -91,8 +109,9 @@
   return false;
 }
 
-PoolCustomer &PoolGrants::stateOf(const std::string &Customer) {
-  return Customers_.try_emplace(Customer, Clock_.now()).first->second;
+PoolCustomer &PoolGrants::stateOf(CustomerGrants &Grants) {
+  return Customers_.try_emplace(Grants.customer(), Grants, Clock_.now())
+      .first->second;
 }
 
 std::set<std::string> PoolGrants::takeForReview() {
@@ -122,15 +141,12 @@
   return Demand;
 }
 
-std::optional<Resources> PoolGrants::confirmedGrant(CustomerGrants &Grants,
-                                                    PoolCustomer &State) const {
-  const PoolGrant *Grant = Grants.grantOf(Pool_);
+std::optional<Resources> PoolGrants::confirmedGrant(PoolCustomer &State) const {
+  const PoolGrant *Grant = State.ownGrant(Pool_);
   if (Grant == nullptr || Grant->Token_ != Token_)
     return std::nullopt;
   Resources Held = Grant->Held_;
-  std::erase_if(State.Pending_, [&Grants](const auto &Write) {
-    return Write.Expected_ != Grants.version();
-  });
+  State.dropSettledWrites();
   for (const auto &Write : State.Pending_)
     Held = amounts::minOf(Held, Write.Held_);
   return Held;
--- a/src/limits/internal/poolgrants.h
+++ b/src/limits/internal/poolgrants.h
@@ -24,7 +24,7 @@
 
 /// What the owner of a pool knows of one customer.
 struct PoolCustomer {
-  explicit PoolCustomer(TimePoint Now);
+  PoolCustomer(CustomerGrants &Grants, TimePoint Now);
 
   /// A write whose response has not arrived or was lost.
   struct PendingWrite {
@@ -39,6 +39,13 @@
   /// Counts a new grant as used, so that it is not given back at once.
   void keepUnused(TimePoint Now, const Resources &Held);
 
+  /// \returns the pool's entry in the known row, or null. The entry is looked
+  /// up once for each version of the row.
+  const PoolGrant *ownGrant(const std::string &Pool);
+  /// Forgets the writes that expect another version than the known one.
+  void dropSettledWrites();
+
+  CustomerGrants &Grants_;
   Resources Running_;
   UsePeak RecentPeak_;
   UsePeak SteadyPeak_;
@@ -68,6 +75,11 @@
   /// Time until which the pool need not yield a new grant.
   TimePoint TurnUntil_;
   TimePoint NextReachedLine_;
+
+private:
+  std::optional<PoolGrant> Own_;
+  /// Version of the row that holds Own_.
+  std::optional<StoreVersion> OwnVersion_;
 };
 
 /// The limits of customers for one owned pool. The cost of a decision grows
@@ -92,9 +104,7 @@
   const std::string &pool() const { return Pool_; }
   FencingToken token() const { return Token_; }
   /// \returns the state of a customer, which is created if needed.
-  PoolCustomer &stateOf(const std::string &Customer);
-  /// Drops the state of customers that hold, run and want nothing here.
-  void dropState(const std::string &Customer) { Customers_.erase(Customer); }
+  PoolCustomer &stateOf(CustomerGrants &Grants);
   std::map<std::string, PoolCustomer> &customers() { return Customers_; }
   /// Makes takeForReview() return the customer.
   void reviewSoon(const std::string &Customer) { ToReview_.insert(Customer); }
@@ -116,8 +126,7 @@
   /// \returns the amount that the customer may use in this pool for certain:
   /// the grant that was confirmed under this owner's token, less what a write
   /// without a response may have given back.
-  std::optional<Resources> confirmedGrant(CustomerGrants &Grants,
-                                          PoolCustomer &State) const;
+  std::optional<Resources> confirmedGrant(PoolCustomer &State) const;
 
   std::string Pool_;
   FencingToken Token_;
--- a/src/limits/limitledger.h
+++ b/src/limits/limitledger.h
@@ -70,21 +70,18 @@
   void adoptGrants();
   /// Looks at all customers that run, hold or want something in the pool.
   void reviewAll(PoolGrants &Pool);
-  void review(PoolGrants &Pool, const std::string &Customer);
+  void review(PoolGrants &Pool, PoolCustomer &State);
   /// Decides about the pool's grant and writes it if it has to change.
-  void decide(PoolGrants &Pool, PoolCustomer &State, CustomerGrants &Grants,
-              const Resources &Limit);
+  void decide(PoolGrants &Pool, PoolCustomer &State, const Resources &Limit);
   bool mayWrite(const PoolCustomer &State, const CustomerGrants &Grants) const;
-  void write(PoolGrants &Pool, PoolCustomer &State, CustomerGrants &Grants,
-             const GrantRow &Next);
+  void write(PoolGrants &Pool, PoolCustomer &State, const GrantRow &Next);
   void onWritten(const std::string &Pool, FencingToken Token,
                  const std::string &Customer, const GrantRow &Next,
                  StoreVersion Expected, const StoreTransactionResult &Result);
   /// Sets when the pool may write again.
   void scheduleRetry(const std::string &Pool, PoolCustomer &State,
                      StoreOutcome Outcome);
-  void logReached(const PoolGrants &Pool, PoolCustomer &State,
-                  CustomerGrants &Grants);
+  void logReached(const PoolGrants &Pool, PoolCustomer &State);
   void logGranted(const PoolGrants &Pool, const CustomerGrants &Grants,
                   const Resources &Before, const Resources &Now);
   /// \returns whether no run of the pool can exist any more: the pool is not
