Ask no grant for a start that can never be within the limit

A gang larger than the limit and one task asked for a grant for good. Other pools of the customer then gave back what they did not use at once and were held to an equal part, and smaller tasks of the same pool asked for nothing. Such a start is now refused with limit.reached only.

--- a/src/limits/grantpolicy.h
+++ b/src/limits/grantpolicy.h
@@ -77,6 +77,9 @@
   static bool mayStart(const Resources &Limit, const Resources &Held,
                        const Resources &Sum, const Resources &Running,
                        const Resources &Needed, const Resources &Largest);
+  /// \returns whether a start could stay within the limit if nothing else ran.
+  static bool isPossible(const Resources &Limit, const Resources &Needed,
+                         const Resources &Largest);
   /// \returns the amount beyond its use that a pool asks for at first.
   static Resources firstStep(const Resources &Limit, const Resources &Refused);
 };
--- a/src/limits/internal/grantpolicy.cpp
+++ b/src/limits/internal/grantpolicy.cpp
@@ -255,6 +255,12 @@
                    Needed, Largest);
 }
 
+bool GrantPolicy::isPossible(const Resources &Limit, const Resources &Needed,
+                             const Resources &Largest) {
+  return Limit.canFit(limitedPart(Needed, Limit)) ||
+         mayExceed(Limit, {}, Needed, Largest);
+}
+
 Resources GrantPolicy::firstStep(const Resources &Limit,
                                  const Resources &Refused) {
   return maxOf(Refused, dividedBy(Limit, FirstStepDivisor));
--- a/src/limits/internal/limitledger.cpp
+++ b/src/limits/internal/limitledger.cpp
@@ -202,6 +202,8 @@
     return;
   State.setRunning(Clock_.now(), Pool.Usage_->of(Grants.customer()));
   State.dropSettledWrites();
+  if (std::exchange(State.WasImpossible_, false))
+    logReached(Pool, State);
   const bool IsDecided = State.DecidedAt_ == Grants.version();
   if (IsDecided && !mayWrite(State, Grants))
     return;
--- a/src/limits/internal/poolgrants.cpp
+++ b/src/limits/internal/poolgrants.cpp
@@ -99,13 +99,17 @@
       State.Refused_.reset();
     return true;
   }
+  ToReview_.insert(Customer);
+  if (!GrantPolicy::isPossible(*Limit, Needed, Largest)) {
+    State.WasImpossible_ = true;
+    return false;
+  }
   // The first start that is refused is the one that is due first.
   if (!State.Refused_ || Now >= State.RefusedAt_ + RecentWindow) {
     State.Refused_ = Needed;
     State.RefusedTask_ = Largest;
     State.RefusedAt_ = Now;
   }
-  ToReview_.insert(Customer);
   return false;
 }
 
--- a/src/limits/internal/poolgrants.h
+++ b/src/limits/internal/poolgrants.h
@@ -51,6 +51,9 @@
   UsePeak SteadyPeak_;
   UsePeak LongPeak_;
   std::optional<Resources> Refused_;
+  /// Whether a start was refused that can never be within the limit. It asks
+  /// for no grant, since that would keep grants from others for good.
+  bool WasImpossible_ = false;
   /// The largest task of Refused_.
   Resources RefusedTask_;
   TimePoint RefusedAt_;
--- a/src/limits/tests/limitledger_test.cpp
+++ b/src/limits/tests/limitledger_test.cpp
@@ -279,6 +279,42 @@
   EXPECT_EQ(Most_, 50);
 }
 
+// Guards against a gang that can never start and keeps the customer's other
+// tasks, here and in other pools, from what they need.
+TEST_F(LimitLedgerTest, GangThatCanNeverStartKeepsNothingFromOthers) {
+  play(milliseconds(3000), [this] {
+    EXPECT_FALSE(Nodes_[0]->mayStartGang("p0", "acme", Task, 40));
+    Nodes_[0]->startUpTo(8 - std::min<std::size_t>(8, running(0)), "p0", "acme",
+                         Task);
+    backlogIn(1)();
+  });
+  EXPECT_EQ(running(0), 8U);
+  EXPECT_EQ(running(1), 24U);
+  play(milliseconds(1000)); // The other pool stops asking.
+  const std::size_t Before = calls();
+  play(milliseconds(3000), [this] {
+    EXPECT_FALSE(Nodes_[0]->mayStartGang("p0", "acme", Task, 40));
+  });
+  EXPECT_EQ(calls(), Before);
+}
+
+// Guards against plans that count what other pools hold as available, or that
+// ask for grants.
+TEST_F(LimitLedgerTest, PlansWithWhatOtherPoolsLeave) {
+  play(milliseconds(2000), [this] {
+    Nodes_[0]->startUpTo(20 - std::min<std::size_t>(20, running(0)), "p0",
+                         "acme", Task);
+  });
+  const std::size_t Before = calls();
+  ICustomerLimits &Limits = *Nodes_[1]->Pools_.at("p1").Limits_;
+  const std::int64_t Rest = 32 - held("p0");
+  EXPECT_TRUE(Limits.hasRoom("acme", {}, {Rest, 0, 0}));
+  EXPECT_FALSE(Limits.hasRoom("acme", {1, 0, 0}, {Rest, 0, 0}));
+  EXPECT_TRUE(Limits.hasRoom("birch", {}, {1000, 0, 0}));
+  play(milliseconds(1000));
+  EXPECT_EQ(calls(), Before); // Planning asks for nothing.
+}
+
 // Guards against a customer that is held back although it uses less than half
 // of its limit: each refusal is followed by a grant with one write.
 TEST_F(LimitLedgerTest, HoldsNothingBackBelowHalfOfTheLimit) {
--- a/src/limits/tests/mocks/limitfleet.h
+++ b/src/limits/tests/mocks/limitfleet.h
@@ -62,6 +62,13 @@
     record(Of, Customer);
     return true;
   }
+  /// \returns whether the limit admits a gang, which is not started.
+  bool mayStartGang(const std::string &Name, const std::string &Customer,
+                    const Resources &Task, std::size_t Tasks) {
+    Pool &Of = Pools_.at(Name);
+    return Of.Limits_->mayStartGang(Customer, Of.Usage_->of(Customer), Task,
+                                    Tasks);
+  }
   /// Starts tasks until the limit refuses one.
   /// \returns the number of started tasks.
   std::size_t startUpTo(std::size_t Most, const std::string &Name,
