--- a/src/limits/tests/grantpolicy_test.cpp
+++ b/src/limits/tests/grantpolicy_test.cpp
@@ -19,7 +19,7 @@
     Row_.Pools_[Pool] = {Token, cpu(Held), cpu(Wanted),
                          Wanted > 0 ? ++Turn_ : 0};
   }
-  static PoolDemand using_(std::int64_t Running) {
+  static PoolDemand runningOnly(std::int64_t Running) {
     PoolDemand Demand;
     Demand.Running_ = Demand.RecentPeak_ = Demand.SteadyPeak_ =
         Demand.LongPeak_ = cpu(Running);
@@ -27,7 +27,7 @@
   }
   static PoolDemand waiting(std::int64_t Running, std::int64_t Task,
                             std::int64_t Step = 0) {
-    PoolDemand Demand = using_(Running);
+    PoolDemand Demand = runningOnly(Running);
     Demand.Refused_ = cpu(Task);
     Demand.RefusedTask_ = cpu(Task);
     Demand.Step_ = cpu(std::max(Task, Step));
@@ -73,32 +73,32 @@
 
 TEST_F(GrantPolicyTest, GivesBackWhatIsUnusedForASecond) {
   grant("east", 20);
-  EXPECT_EQ(heldAfter(decide(using_(8))), 10);
-  EXPECT_EQ(heldAfter(decide(using_(0))), 0);
+  EXPECT_EQ(heldAfter(decide(runningOnly(8))), 10);
+  EXPECT_EQ(heldAfter(decide(runningOnly(0))), 0);
 }
 
 // Guards against a write for each small change of use.
 TEST_F(GrantPolicyTest, KeepsASmallSurplus) {
   grant("east", 10);
-  EXPECT_FALSE(decide(using_(7)).Next_);
+  EXPECT_FALSE(decide(runningOnly(7)).Next_);
   EXPECT_TRUE(
-      GrantPolicy::isSettled(Row_.Limit_, Row_.Pools_["east"], using_(7)));
+      GrantPolicy::isSettled(Row_.Limit_, Row_.Pools_["east"], runningOnly(7)));
 }
 
 // Guards against two writes for each task of a customer that rarely runs one.
 TEST_F(GrantPolicyTest, KeepsASmallGrantForTasksThatRecur) {
   grant("east", 2);
-  PoolDemand Demand = using_(0);
+  PoolDemand Demand = runningOnly(0);
   Demand.LongPeak_ = cpu(2);
   EXPECT_FALSE(decide(Demand).Next_);
-  EXPECT_EQ(heldAfter(decide(using_(0))), 0);
+  EXPECT_EQ(heldAfter(decide(runningOnly(0))), 0);
 }
 
 // Guards against a pool that keeps what it does not use from another one.
 TEST_F(GrantPolicyTest, GivesBackAtOnceWhenAnotherPoolAsks) {
   grant("east", 30);
   grant("west", 2, 10);
-  PoolDemand Demand = using_(5);
+  PoolDemand Demand = runningOnly(5);
   Demand.SteadyPeak_ = cpu(30);
   EXPECT_EQ(heldAfter(decide(Demand)), 5);
 }
@@ -190,7 +190,7 @@
   PoolDemand Demand = waiting(6, 1);
   EXPECT_EQ(heldAfter(decide(Demand)), 6);
   EXPECT_TRUE(decide(Demand).IsAtLimit_);
-  EXPECT_EQ(heldAfter(decide(using_(6))), 6);
+  EXPECT_EQ(heldAfter(decide(runningOnly(6))), 6);
   EXPECT_FALSE(GrantPolicy::mayStart(Row_.Limit_, cpu(20), Row_.sum(), cpu(6),
                                      cpu(1), cpu(1)));
 }
@@ -199,7 +199,7 @@
 // there was a limit.
 TEST_F(GrantPolicyTest, RecordsWhatRunsBeyondTheGrant) {
   grant("west", 30);
-  EXPECT_EQ(heldAfter(decide(using_(10))), 10);
+  EXPECT_EQ(heldAfter(decide(runningOnly(10))), 10);
   EXPECT_EQ(heldAfter(decide(waiting(10, 1))), 10);
 }
 
@@ -207,7 +207,7 @@
 // successor relies on.
 TEST_F(GrantPolicyTest, LeavesTheGrantOfALaterOwnerAlone) {
   Row_.Pools_["east"] = {Token + 1, cpu(10), {}, 0};
-  EXPECT_FALSE(decide(using_(0)).Next_);
+  EXPECT_FALSE(decide(runningOnly(0)).Next_);
   EXPECT_FALSE(decide(waiting(0, 1)).Next_);
 }
 
--- a/src/limits/tests/limitledger_test.cpp
+++ b/src/limits/tests/limitledger_test.cpp
@@ -471,6 +471,7 @@
   std::vector<std::string> Pools;
   for (int Number = 0; Number < 110; ++Number)
     Limits["customer-" + std::to_string(Number)] = {100000, 0, 0};
+  Pools.reserve(279);
   for (int Number = 0; Number < 279; ++Number)
     Pools.push_back("pool-" + std::to_string(Number));
   Node.Ledger_->onConfiguration(limitsOf(1, Limits, Pools));
