--- a/src/scheduling/tests/demandforecast_test.cpp
+++ b/src/scheduling/tests/demandforecast_test.cpp
@@ -327,6 +327,24 @@
             << Compare(price(), Plain.price()) << "\n";
 }
 
+// Guards against a first peak that is met more slowly than without the setting:
+// nothing predicts it.
+TEST_F(DemandForecastTest, MeetsTheFirstPeakSooner) {
+  auto TimeToMeet = [](PoolModel &Model) {
+    Model.playToPeak(0);
+    milliseconds Time{0};
+    for (; Model.readyMachines() < PeakLoad && Time < PeakLength; Time += Round)
+      Model.play(Round, peaks);
+    return Time;
+  };
+  PoolModel Plain(/*UsesForecast=*/false);
+  const milliseconds With = TimeToMeet(*this);
+  const milliseconds Without = TimeToMeet(Plain);
+  std::cout << "first peak met after " << With.count() << " ms, without "
+            << Without.count() << " ms\n";
+  EXPECT_LT(With, Without);
+}
+
 // Guards against home machines that are given away without a forecast, and
 // against a reserve that is given away with one.
 TEST_F(DemandForecastTest, KeepsTheReserveOfHomeMachines) {
