--- a/src/scheduling/tests/demandforecast_test.cpp
+++ b/src/scheduling/tests/demandforecast_test.cpp
@@ -150,6 +150,10 @@
       Entry.Zone_ = "zone";
       Entry.Born_ = Each.Born_;
       Entry.Capacity_ = {16000, 32000, 0};
+      if (Name == MachineWithAccelerator_)
+        Entry.Capacity_.Gpus_ = 1;
+      if (Name == MachineWithLabel_)
+        Entry.Labels_ = {"label"};
       Listed.insert(Entry.lifetime());
       WorkerSession &Session = Pool_.findOrCreateSession(Entry);
       Session.IsFenced_ = true;
@@ -276,6 +280,8 @@
   std::shared_ptr<MachineMoveManager> MoveManager_;
   std::shared_ptr<MachineMoveManager> SpareMoveManager_;
   std::set<std::string> DueForMaintenance_;
+  std::string MachineWithAccelerator_;
+  std::string MachineWithLabel_;
   std::deque<std::string> Waiting_;
   std::map<std::string, RunningJob> Running_;
   milliseconds Elapsed_{0};
@@ -449,8 +455,20 @@
   playToPeak(6);
   play(PeakLength + milliseconds(4000), peaks);
   ASSERT_FALSE(storedDemand().Returned_.empty());
-  EXPECT_FALSE(storedDemand().Returned_.contains("home-0"));
-  EXPECT_FALSE(storedDemand().Returned_.contains("home-1"));
+  for (const std::string &Name : DueForMaintenance_)
+    EXPECT_EQ(Machines_.Machines_[Name].Pool_, "pool");
+}
+
+// Guards against steps that find no machine for their requirements in an idle
+// phase, since the returned machines were the only ones that meet them.
+TEST_F(DemandForecastTest, AcceleratorsAndTheLastMachineOfALabelStay) {
+  MachineWithAccelerator_ = "home-0";
+  MachineWithLabel_ = "home-1";
+  playToPeak(6);
+  play(PeakLength + milliseconds(4000), peaks);
+  ASSERT_FALSE(storedDemand().Returned_.empty());
+  EXPECT_EQ(Machines_.Machines_["home-0"].Pool_, "pool");
+  EXPECT_EQ(Machines_.Machines_["home-1"].Pool_, "pool");
 }
 
 // Guards against any effect in deployments that do not name the component.
