Keep one machine of each zone and label in repeated returns

The share of a zone or label that stays was computed from the machines that were left, so that several returns in a row reduced it below the reserve's share. It now follows the reserve of the home machines, with at least one machine.

--- a/src/scheduling/internal/machinemovemanager.cpp
+++ b/src/scheduling/internal/machinemovemanager.cpp
@@ -319,21 +319,34 @@
     return Kinds;
   };
   std::map<std::string, std::uint32_t> Total;
-  for (const auto &[Lifetime, Session] : Pool_.Sessions_)
-    if (Session->IsListed_ && !Session->isBeingDrained())
-      for (const std::string &Kind : KindsOf(Session->entry()))
-        ++Total[Kind];
+  std::uint32_t Machines = 0;
+  for (const auto &[Lifetime, Session] : Pool_.Sessions_) {
+    if (!Session->IsListed_ || Session->isBeingDrained())
+      continue;
+    ++Machines;
+    for (const std::string &Kind : KindsOf(Session->entry()))
+      ++Total[Kind];
+  }
+  const std::uint32_t Reserve =
+      CapacityPlanner::reserveOf(Demands_.demandOf(Pool_.Pool_).Row_.Home_);
+  // Machines of each kind stay in proportion to the reserve, one at least.
   std::map<std::string, std::uint32_t> Left = Total;
+  const std::uint32_t All = std::max(1U, Machines);
+  auto IsNeeded = [&](const std::string &Kind) {
+    return Left[Kind] <= std::max(1U, Reserve * Total[Kind] / All);
+  };
   std::erase_if(Names, [&](const std::string &Name) {
-    const WorkerEntry &Entry = Pool_.sessionOn(Name)->entry();
+    const WorkerSession *Session = Pool_.sessionOn(Name);
+    if (Session == nullptr)
+      return true;
+    const WorkerEntry &Entry = Session->entry();
     // The spare pool has few accelerators to replace these.
     if (Entry.Capacity_.Gpus_ > 0 ||
         (IsDueForMaintenance_ && IsDueForMaintenance_(Name)))
       return true;
     const std::vector<std::string> Kinds = KindsOf(Entry);
-    for (const std::string &Kind : Kinds)
-      if (Left[Kind] <= CapacityPlanner::reserveOf(Total[Kind]))
-        return true;
+    if (std::any_of(Kinds.begin(), Kinds.end(), IsNeeded))
+      return true;
     for (const std::string &Kind : Kinds)
       --Left[Kind];
     return false;
