--- a/src/scheduling/internal/machinemovemanager.h
+++ b/src/scheduling/internal/machinemovemanager.h
@@ -84,7 +84,8 @@
   /// Returns idle home machines for a long idle phase.
   void returnHomeMachines(PoolLoad Load);
   /// Removes machines that are due for maintenance, that have accelerators, or
-  /// without which a zone or a label would have less than its share of the reserve.
+  /// without which a zone or a label would have less than its share of the
+  /// reserve.
   void retainReserve(std::vector<std::string> &Names) const;
   /// Grants home machines that were returned by a pool which requests machines
   /// now. Otherwise removes all returned machines from \p Names, since the
