--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -77,6 +77,9 @@
         Reporter_(State_, Demands_, *Dispatcher_, *Follower_),
         InheritedRuns_(State_, hasPredecessor(Ownership)) {
     State_.Limits_ = Source.Limits_;
+    Moves_->setMaintenanceCheck([this](const std::string &Machine) {
+      return Maintenance_->isDue(Machine);
+    });
     State_.Token_ = Ownership.Token_;
     State_.LatestSubmission_ = Ownership.Token_;
     State_.RunNumberBase_ = runnumbers::baseOf(Ownership.RunNumberRange_);
