Refuse jobs that cannot be served in time, where the settings ask for it

Cause: every node accepted every job, however full the pool. Before a refusal the job's rows are read: a job that was accepted before is answered as a repeat, and if the store does not tell within 80 ms the job is submitted as before. Nothing is refused for 5 s after a call to the store has failed, so that no attempt of another node is under way.

--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYLOCK_SCHEDULING_CONTROLROWS_H
 #define DRAGONFLYLOCK_SCHEDULING_CONTROLROWS_H
 
+#include "admission/poolbacklog.h"
 #include "scheduling/schedulingtypes.h"
 #include "scheduling/storetypes.h"
 
@@ -52,6 +53,9 @@
   /// previous owner, which may be written late.
   FencingToken Token_ = 0;
   std::map<std::string, std::uint64_t> Pending_;
+  /// The pool's backlog for admission; absent if there is none, or if the owner
+  /// does not report it.
+  std::optional<PoolBacklog> Backlog_;
 };
 
 /// What the next owner of a pool needs to find all jobs and tasks that may be
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/controlrows.h"
+#include "scheduling/internal/backlogcodec.h"
 
 #include <nlohmann/json.hpp>
 
@@ -109,7 +110,10 @@
 }
 
 std::string encode(const PendingRow &Row) {
-  return json{{"token", Row.Token_}, {"pending", Row.Pending_}}.dump();
+  json Encoded{{"token", Row.Token_}, {"pending", Row.Pending_}};
+  if (Row.Backlog_)
+    Encoded["backlog"] = backlogcodec::encode(*Row.Backlog_);
+  return Encoded.dump();
 }
 
 std::string encode(const DemandRow &Row) {
@@ -189,6 +193,8 @@
     Row.Token_ = Source.at("token").get<FencingToken>();
     Row.Pending_ =
         Source.at("pending").get<std::map<std::string, std::uint64_t>>();
+    if (Source.contains("backlog"))
+      Row.Backlog_ = backlogcodec::decode(Source.at("backlog"));
     return Row;
   });
 }
--- a/src/scheduling/internal/jobrequesthandler.cpp
+++ b/src/scheduling/internal/jobrequesthandler.cpp
@@ -2,6 +2,8 @@
 #include "global/ilogger.h"
 #include "global/logevent.h"
 #include "scheduling/controlrows.h"
+#include "scheduling/iadmission.h"
+#include "scheduling/internal/pooladmission.h"
 #include "scheduling/istore.h"
 #include "scheduling/jobprogress.h"
 #include "scheduling/jobrowcodec.h"
@@ -22,6 +24,14 @@
 /// Retry-after time of a request that was refused since the store failed.
 constexpr std::chrono::milliseconds StoreRetryAfter{1000};
 
+/// Time within which the store tells whether a job was accepted before. Later,
+/// a refusal would not reach the caller within 100 ms.
+constexpr std::chrono::milliseconds AcceptanceReadTimeout{80};
+/// Time after a failed call to the store in which nothing is refused. An
+/// earlier attempt to store the same job, made by another node, may then still
+/// be under way. Nodes give such an attempt up after MaxRequestTimeout.
+constexpr std::chrono::milliseconds NoRefusalsAfterFailure{5000};
+
 const char *nameOf(JobRequestOutcome Outcome) {
   switch (Outcome) {
   case JobRequestOutcome::Accepted:
@@ -52,6 +62,10 @@
   /// Whether the outcome of an attempt is unknown.
   bool MayHaveTakenEffect_ = false;
   bool IsFinished_ = false;
+  /// Whether the store was asked if the job has been accepted before.
+  bool IsReadingAcceptance_ = false;
+  /// What admission knows of the submission.
+  std::optional<AdmissionOffer> Offer_;
   ResponseCallback OnResponse_;
 };
 
@@ -93,9 +107,74 @@
       begin("submit", Queue.Name_, Job, Timeout, std::move(OnResponse));
   Request->Pool_ = Queue.Pool_;
   Request->Row_ = jobrowcodec::encode(Stored);
+  if (Admission_ != nullptr && !Request->IsFinished_) {
+    Request->Offer_ = {Queue.Pool_, Queue.Name_, Job,
+                       admissionJobOf(Queue, Stored.Spec_)};
+    if (auto Refusal = Admission_->refusalOf(*Request->Offer_);
+        Refusal && mayRefuse(*Request)) {
+      refuseUnlessAccepted(Request, *Refusal);
+      return;
+    }
+  }
   trySubmit(Request);
 }
 
+bool JobRequestHandler::mayRefuse(const PendingRequest &Request) const {
+  if (Clock_.now() < NoRefusalsBefore_)
+    return false;
+  // An earlier attempt at this node may still store the job.
+  return std::none_of(Pending_.begin(), Pending_.end(), [&](const auto &Each) {
+    auto Other = Each.lock();
+    return Other && Other.get() != &Request && Other->Job_ == Request.Job_ &&
+           Other->Offer_;
+  });
+}
+
+void JobRequestHandler::refuseUnlessAccepted(
+    const std::shared_ptr<PendingRequest> &Request,
+    const AdmissionRefusal &Refusal) {
+  Request->IsReadingAcceptance_ = true;
+  readJob(Request, [this, Request, Refusal](const StoreRange &Read) {
+    onAcceptanceRead(Request, Refusal, Read);
+  });
+  if (!Request->IsReadingAcceptance_)
+    return;
+  Retries_.emplace_back(Clock_.now() + AcceptanceReadTimeout, [this, Request] {
+    if (std::exchange(Request->IsReadingAcceptance_, false))
+      trySubmit(Request);
+  });
+}
+
+void JobRequestHandler::onAcceptanceRead(
+    const std::shared_ptr<PendingRequest> &Request,
+    const AdmissionRefusal &Refusal, const StoreRange &Read) {
+  if (!std::exchange(Request->IsReadingAcceptance_, false) ||
+      Request->IsFinished_)
+    return;
+  if (Read.Outcome_ != StoreOutcome::Done) {
+    NoRefusalsBefore_ = Clock_.now() + NoRefusalsAfterFailure;
+    Logger_.write(
+        LogLevel::Warning,
+        LogEvent("admission.unread")
+            .with("job", Request->Job_)
+            .with("queue", Request->Queue_)
+            .with("store-outcome", dragonflylock::nameOf(Read.Outcome_)));
+    trySubmit(Request);
+    return;
+  }
+  const bool WasAccepted = std::any_of(
+      Read.Rows_.begin(), Read.Rows_.end(), [](const StoreRow &Row) {
+        return jobrows::kindOf(Row.Name_) == JobRowKind::Submission;
+      });
+  if (WasAccepted) {
+    finish(Request, {JobRequestOutcome::Accepted, {}, JobPhase::Queued});
+    return;
+  }
+  Admission_->onRefused(*Request->Offer_, Refusal);
+  finish(Request,
+         {JobRequestOutcome::Refused, Refusal.RetryAfter_, JobPhase::Queued});
+}
+
 void JobRequestHandler::trySubmit(
     const std::shared_ptr<PendingRequest> &Request) {
   if (Request->IsFinished_)
@@ -127,6 +206,8 @@
   const TimePoint Now = Clock_.now();
   const bool WasOpen = Breaker_.isOpen(Now);
   Breaker_.record(Outcome, Now);
+  if (Outcome != StoreOutcome::Done && Outcome != StoreOutcome::ConditionFailed)
+    NoRefusalsBefore_ = Now + NoRefusalsAfterFailure;
   if (Breaker_.isOpen(Now) != WasOpen)
     Logger_.write(
         WasOpen ? LogLevel::Info : LogLevel::Warning,
@@ -174,6 +255,9 @@
   recordWrite(End.Outcome_);
   switch (End.Outcome_) {
   case StoreOutcome::Done:
+    if (Admission_ != nullptr && Request->Offer_)
+      Admission_->onAccepted(*Request->Offer_);
+    [[fallthrough]];
   case StoreOutcome::ConditionFailed:
     // An existing row holds this same job, from an earlier attempt.
     finish(Request, {JobRequestOutcome::Accepted, {}, JobPhase::Queued});
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -3,6 +3,7 @@
 #include "global/logevent.h"
 #include "scheduling/demandtracker.h"
 #include "scheduling/internal/advicecache.h"
+#include "scheduling/internal/backlogmeter.h"
 #include "scheduling/internal/dispatcher.h"
 #include "scheduling/internal/fillerthrottler.h"
 #include "scheduling/internal/inheritedruns.h"
@@ -75,7 +76,7 @@
             State_.Store_, State_.Clock_, State_.Logger_,
             [this](const StoreRow &Row) { Jobs_.onRow(Row); })),
         Reporter_(State_, Demands_, *Dispatcher_, *Follower_),
-        InheritedRuns_(State_, hasPredecessor(Ownership)) {
+        InheritedRuns_(State_, hasPredecessor(Ownership)), Backlog_(State_) {
     State_.Token_ = Ownership.Token_;
     State_.LatestSubmission_ = Ownership.Token_;
     State_.RunNumberBase_ = runnumbers::baseOf(Ownership.RunNumberRange_);
@@ -130,6 +131,7 @@
   /// Whether onWorkers() has been called.
   bool AreWorkersKnown_ = false;
   InheritedRuns InheritedRuns_;
+  BacklogMeter Backlog_;
   TimePoint NextDispatch_;
 };
 
@@ -468,6 +470,10 @@
   return Pending;
 }
 
+std::optional<PoolBacklog> PoolOwner::measureBacklog() {
+  return Parts_->IsLoaded_ ? Parts_->Backlog_.measure() : std::nullopt;
+}
+
 std::vector<StorePut> PoolOwner::rowsForRelease() const {
   std::vector<StorePut> Rows;
   if (auto Row = Parts_->Roster_->rowForRelease())
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYLOCK_SCHEDULING_INTERNAL_POOLSTATE_H
 #define DRAGONFLYLOCK_SCHEDULING_INTERNAL_POOLSTATE_H
 
+#include "admission/poolspeedmeter.h"
 #include "scheduling/activejob.h"
 #include "scheduling/internal/jobindex.h"
 #include "scheduling/schedulingsettings.h"
@@ -82,6 +83,8 @@
   /// By job id.
   std::map<std::string, std::vector<PendingAcknowledgement>>
       PendingAcknowledgements_;
+  /// Sum over the tasks that this owner has started and seen finished.
+  FinishedWork Finished_;
   /// Whether the pool's work needs more machines than the pool has.
   bool LacksMachines_ = false;
   /// Set when a change may allow a task to start.
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -96,6 +96,8 @@
       End.Kind_ == EndKind::Done || End.Kind_ == EndKind::Failed;
   if (IsCurrent && IsLongRunning && HasEndedByItself)
     delayRestart(End.Task_, Run);
+  if (End.Kind_ == EndKind::Done && IsCurrent && !IsLongRunning)
+    countFinishedWork(Job->step(End.Task_), Run);
   if (End.Kind_ == EndKind::Done && !IsLongRunning)
     markDone(*Job, End.Task_);
   if (End.Kind_ == EndKind::Done)
@@ -154,6 +156,17 @@
     Note(Member);
 }
 
+void RunTracker::countFinishedWork(const StepSpec &Step, const TaskRun &Run) {
+  // A run that a previous owner started has no known start.
+  if (Run.StartedAt_ == TimePoint())
+    return;
+  const auto RunTime = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Pool_.Clock_.now() - Run.StartedAt_);
+  const std::int64_t CpuMillis = Step.PerTask_.CpuMillis_;
+  Pool_.Finished_.Declared_ += Step.Estimate_.count() * CpuMillis / 1000;
+  Pool_.Finished_.Occupied_ += RunTime.count() * CpuMillis / 1000;
+}
+
 void RunTracker::markDone(ActiveJob &Job, const TaskName &Name) {
   if (!Job.step(Name).IsGang_) {
     markTaskDone(Job, Name);
--- a/src/scheduling/internal/runtracker.h
+++ b/src/scheduling/internal/runtracker.h
@@ -70,6 +70,8 @@
                       const ListedRun &Listed) const;
   void recordCheckpoint(ActiveJob &Job, const TaskName &Name,
                         const std::string &Checkpoint);
+  /// Counts the run of a task that has ended as done.
+  void countFinishedWork(const StepSpec &Step, const TaskRun &Run);
   void markDone(ActiveJob &Job, const TaskName &Name);
   void markTaskDone(ActiveJob &Job, const TaskName &Name);
   void noteFailure(WorkerSession &Session, ActiveJob &Job,
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -1,9 +1,11 @@
 #include "scheduling/schedulernode.h"
 #include "access/accesscontroller.h"
+#include "admission/backlogpublication.h"
 #include "global/ilogger.h"
 #include "global/logevent.h"
 #include "scheduling/controlrows.h"
 #include "scheduling/demandtracker.h"
+#include "scheduling/internal/pooladmission.h"
 #include "scheduling/istore.h"
 #include "scheduling/machineordertracker.h"
 #include "scheduling/poolleasemanager.h"
@@ -81,6 +83,9 @@
   std::map<std::string, PendingRow> Pending_;
   /// By pool: the last report that this node has written or is writing.
   std::map<std::string, PendingRow> LastReported_;
+  /// By pool: the last backlog that this node has reported.
+  std::map<std::string, BacklogPublication> Publications_;
+  PoolAdmission Admission_;
   TimePoint NextPendingReport_;
   bool IsReleased_ = false;
 };
@@ -89,7 +94,10 @@
     : Settings_(Source.Settings_), Clock_(*Source.Clock_),
       Store_(*Source.Store_), Logger_(*Source.Logger_),
       MachineOrders_(Settings_.Node_, Clock_),
-      Access_(Settings_.ConfigurationDelay_, Settings_.RevocationDelay_) {
+      Access_(Settings_.ConfigurationDelay_, Settings_.RevocationDelay_),
+      Admission_(Settings_, Clock_, Logger_, [this](const std::string &Pool) {
+        return Ownership_->currentToken(Pool);
+      }) {
   OwnerBuilder_.settings(Settings_)
       .clock(Clock_)
       .store(Store_)
@@ -107,6 +115,7 @@
             return State;
         return std::nullopt;
       });
+  JobRequests_->setAdmission(Admission_);
   Ownership_ = std::make_shared<PoolLeaseManager>(
       Settings_, Source.Process_,
       Source.LeaseStore_ != nullptr ? *Source.LeaseStore_ : Store_, Clock_,
@@ -160,8 +169,11 @@
         onQueueRow(*Read);
     if (!Key.starts_with(PendingPrefix))
       continue;
-    if (auto Read = controlrows::decodePending(Row.Value_))
-      Pending_[Key.substr(PendingPrefix.size())] = *Read;
+    if (auto Read = controlrows::decodePending(Row.Value_)) {
+      const std::string Pool = Key.substr(PendingPrefix.size());
+      Admission_.onPendingRow(Pool, Row.Version_, *Read, IsSnapshot);
+      Pending_[Pool] = *Read;
+    }
   }
   if (IsSnapshot)
     Ownership_->setLoaded();
@@ -189,6 +201,7 @@
 void SchedulerNode::Parts::onPoolLost(const std::string &Pool) {
   Owners_.erase(Pool);
   LastReported_.erase(Pool);
+  Publications_.erase(Pool);
 }
 
 void SchedulerNode::Parts::distributeWorkers() {
@@ -208,19 +221,26 @@
     auto Pending = Owner->pendingJobs();
     if (!Pending)
       continue;
-    PendingRow Row{Owner->token(), *Pending};
+    PendingRow Row{Owner->token(), *Pending, std::nullopt};
+    if (Settings_.RefusesUnderPressure_)
+      Row.Backlog_ = Owner->measureBacklog();
+    BacklogPublication &Publication = Publications_[Pool];
     if (LastReported_.contains(Pool) &&
-        LastReported_[Pool].Pending_ == Row.Pending_)
+        LastReported_[Pool].Pending_ == Row.Pending_ &&
+        !Publication.isDue(Row.Backlog_, Clock_.now()))
       continue;
+    Publication.onWrite(Row.Backlog_, Clock_.now());
     LastReported_[Pool] = Row;
     StoreTransaction Wanted;
     Wanted.Puts_ = {{controlrows::pending(Pool), controlrows::encode(Row)}};
     Store_.transact(std::move(Wanted), [this, Pool = Pool, Row](
                                            const StoreTransactionResult &End) {
-      if (End.Outcome_ == StoreOutcome::Done)
-        Pending_[Pool] = Row;
-      else
+      if (End.Outcome_ != StoreOutcome::Done) {
         LastReported_.erase(Pool);
+        return;
+      }
+      Admission_.onPendingRow(Pool, End.Version_, Row, /*IsSnapshot=*/false);
+      Pending_[Pool] = Row;
     });
   }
 }
@@ -374,6 +394,7 @@
   Parts_->Control_->tick();
   Parts_->watchConfigurationAge();
   Parts_->JobRequests_->tick();
+  Parts_->Admission_.tick();
   if (!Parts_->IsReleased_)
     Parts_->tickOwnership();
   if (Parts_->HaveWorkersChanged_ && Parts_->AreWorkersKnown_)
--- a/src/scheduling/jobrequesthandler.h
+++ b/src/scheduling/jobrequesthandler.h
@@ -20,7 +20,9 @@
 class IClock;
 class ILogger;
 class IStore;
+class IAdmission;
 class QueueDirectory;
+struct AdmissionRefusal;
 
 /// Outcome of a caller's request.
 enum class JobRequestOutcome {
@@ -55,6 +57,9 @@
   JobRequestHandler(IStore &Store, const IClock &Clock, ILogger &Logger,
                     QueueDirectory &Queues, LocalStateLookup Local);
 
+  /// Sets what decides which submissions are refused; it must outlive the
+  /// handler. Without it, none is refused.
+  void setAdmission(IAdmission &Value) { Admission_ = &Value; }
   /// Stores a job and then calls \p OnResponse.
   /// \param Timeout the time within which the caller expects a response.
   void submit(const QueueSetting &Queue, const std::string &Job, JobSpec Spec,
@@ -78,6 +83,16 @@
   std::shared_ptr<PendingRequest>
   begin(const char *Kind, const std::string &Queue, const std::string &Job,
         std::chrono::milliseconds Timeout, ResponseCallback OnResponse);
+  /// \returns whether a refusal of the submission would be true, as far as this
+  /// node can know.
+  bool mayRefuse(const PendingRequest &Request) const;
+  /// Refuses the submission unless its job has been accepted before. Submits it
+  /// if the store does not tell.
+  void refuseUnlessAccepted(const std::shared_ptr<PendingRequest> &Request,
+                            const AdmissionRefusal &Refusal);
+  void onAcceptanceRead(const std::shared_ptr<PendingRequest> &Request,
+                        const AdmissionRefusal &Refusal,
+                        const StoreRange &Read);
   void trySubmit(const std::shared_ptr<PendingRequest> &Request);
   /// Records the outcome of a write for a submission.
   void recordWrite(StoreOutcome Outcome);
@@ -111,6 +126,10 @@
   std::vector<std::pair<TimePoint, Attempt>> Retries_;
   std::set<std::weak_ptr<PendingRequest>, std::owner_less<>> Pending_;
   bool IsEnding_ = false;
+  IAdmission *Admission_ = nullptr;
+  /// No submission is refused before this time, because calls to the store have
+  /// failed.
+  TimePoint NoRefusalsBefore_;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/poolowner.h
+++ b/src/scheduling/poolowner.h
@@ -23,6 +23,7 @@
 class IStore;
 class IWorkerControl;
 class MachineOrderTracker;
+struct PoolBacklog;
 struct PoolView;
 struct SchedulingSettings;
 
@@ -105,6 +106,9 @@
   /// \returns the number of accepted jobs that have not started, by queue;
   /// std::nullopt until the jobs have been loaded.
   std::optional<std::map<std::string, std::uint64_t>> pendingJobs() const;
+  /// \returns the pool's backlog as of now, or nothing if there is none or the
+  /// jobs have not been loaded. Called at each report of the pending jobs.
+  std::optional<PoolBacklog> measureBacklog();
   /// \returns the rows to store when the pool is released, which tell the next
   /// owner what may run on which worker. This owner must not act any more.
   std::vector<StorePut> rowsForRelease() const;
