Test the way of a backlog from the owner to the caller's answer, and its cost

Cause: each part was tested, their connection was not; and the measurement searched the queue of each job linearly. Change: PressureTest plays a node with a full pool; BacklogMeter looks each queue up once in a measurement.

--- a/src/scheduling/internal/backlogmeter.cpp
+++ b/src/scheduling/internal/backlogmeter.cpp
@@ -58,10 +58,11 @@
   for (const auto &[Lifetime, Session] : Pool_.Sessions_)
     if (takesTasks(*Session))
       CpuMillis += Session->entry().Capacity_.CpuMillis_;
-  for (const auto &[Id, Job] : Pool_.Jobs_)
-    if (Job->isLongRunning())
-      Job->forEachStep(
-          [&](std::uint32_t Number, const std::vector<TaskRun> &Runs) {
+  for (const auto &[Id, Each] : Pool_.Jobs_)
+    if (Each->isLongRunning())
+      Each->forEachStep(
+          [&, Job = Each.get()](std::uint32_t Number,
+                                const std::vector<TaskRun> &Runs) {
             const StepSpec &Step = Job->submission().Spec_.Steps_[Number];
             if (!Step.IsLongRunning_ || Step.IsFiller_)
               return;
@@ -71,6 +72,13 @@
   return coresOf(std::max<std::int64_t>(0, CpuMillis));
 }
 
+const QueuePolicy &BacklogMeter::policyOf(const ActiveJob &Job) {
+  const QueuePolicy *&Known = Policies_[Job.submission().Queue_];
+  if (Known == nullptr)
+    Known = &Pool_.policyOf(Job);
+  return *Known;
+}
+
 std::int64_t BacklogMeter::workLeft(const StepSpec &Step,
                                     const TaskRun &Run) const {
   const auto Left = Run.StartedAt_ + Step.Estimate_ - Pool_.Clock_.now();
@@ -81,7 +89,7 @@
 
 void BacklogMeter::addJob(const ActiveJob &Job, PoolBacklog &Sum,
                           std::map<std::uint32_t, OnTimeWork> &OnTime) {
-  const QueuePolicy &Policy = Pool_.policyOf(Job);
+  const QueuePolicy &Policy = policyOf(Job);
   const std::vector<StepSpec> &Steps = Job.submission().Spec_.Steps_;
   const milliseconds Wall = Pool_.wallTime();
   std::int64_t Waiting = 0;
@@ -131,7 +139,7 @@
     std::int64_t Work = 0;
     for (const StepSpec &Step : Job->submission().Spec_.Steps_)
       Work += isCounted(Step) ? Step.TaskCount_ * workOf(Step) : 0;
-    Arrivals_.push_back({Now, Pool_.policyOf(*Job).Priority_, Work});
+    Arrivals_.push_back({Now, policyOf(*Job).Priority_, Work});
   }
   CountedSubmission_ = Latest;
   if (!FirstAt_)
@@ -151,6 +159,7 @@
   Sum.MeasuredAt_ = Pool_.wallTime();
   std::map<std::uint32_t, OnTimeWork> OnTime;
   BusyCores_ = 0;
+  Policies_.clear();
   for (const auto &[Id, Job] : Pool_.Jobs_)
     if (!Job->isOver())
       addJob(*Job, Sum, OnTime);
--- a/src/scheduling/internal/backlogmeter.h
+++ b/src/scheduling/internal/backlogmeter.h
@@ -10,6 +10,8 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -17,8 +19,9 @@
 
 class ActiveJob;
 struct PoolState;
-struct TaskRun;
+struct QueuePolicy;
 struct StepSpec;
+struct TaskRun;
 
 /// Measures the backlog of a pool for the nodes that accept its jobs. Scans all
 /// jobs of the pool, like the count of pending jobs with which it is reported.
@@ -46,6 +49,7 @@
   double cores() const;
   void addJob(const ActiveJob &Job, PoolBacklog &Sum,
               std::map<std::uint32_t, OnTimeWork> &OnTime);
+  const QueuePolicy &policyOf(const ActiveJob &Job);
   /// \returns the core-milliseconds of work that a running task has left.
   std::int64_t workLeft(const StepSpec &Step, const TaskRun &Run) const;
   /// Adds the jobs that have been accepted since the last call.
@@ -61,6 +65,9 @@
   std::deque<Arrival> Arrivals_;
   /// Cores that tasks which end by themselves hold, by the last measurement.
   double BusyCores_ = 0;
+  /// By queue, during a measurement: the search for the policy of each job is
+  /// linear in the number of queues.
+  std::unordered_map<std::string, const QueuePolicy *> Policies_;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/tests/backlogreport_test.cpp
+++ b/src/scheduling/tests/backlogreport_test.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdio>
+
 namespace dragonflylock {
 namespace {
 
@@ -97,6 +99,23 @@
   EXPECT_FALSE(Owner_->measureBacklog());
 }
 
+// Guards against a report that costs more than its share of a small node.
+TEST_F(BacklogMeterTest, LargeBacklogIsMeasuredInLittleTime) {
+  constexpr int Jobs = 3000;
+  for (int Job = 0; Job < Jobs; ++Job)
+    storeJob(specOf(4, milliseconds(500)), std::to_string(100000 + Job));
+  takeOwnership(0, {workerOf("w", {1000, 1000, 0})});
+  ASSERT_TRUE(Owner_->measureBacklog());
+  const auto Start = std::chrono::steady_clock::now();
+  for (int Round = 0; Round < 10; ++Round)
+    ASSERT_TRUE(Owner_->measureBacklog());
+  const std::chrono::duration<double, std::micro> Took =
+      std::chrono::steady_clock::now() - Start;
+  std::printf("one measurement of %d jobs: %.0f us\n", Jobs, Took.count() / 10);
+  // Loose, since the machine that runs the tests may be busy.
+  EXPECT_LT(Took.count() / 10 / Jobs, 50);
+}
+
 /// A node that owns the pool "pool", which has no workers.
 class BacklogWritesTest : public testing::Test {
 protected:
@@ -162,5 +181,77 @@
   EXPECT_LE(Writes, 5U);
 }
 
+/// A node that owns the pool "pool" with one worker of one core.
+class PressureTest : public OwnerTest {
+protected:
+  PressureTest() {
+    Settings_.Node_ = "node-1";
+    Settings_.RefusesUnderPressure_ = true;
+    Queue_.Stretch_ = 1.6;
+    // The stored jobs are still on time when the last one is submitted; it
+    // would go before late ones.
+    Queue_.TargetLatency_ = milliseconds(6000);
+    Node_ = nodeBuilder(Clock_, Store_, Workers_, Machines_, Advisor_, Logger_)
+                .settings(Settings_)
+                .process("process-1")
+                .build();
+    SchedulingConfiguration Configuration;
+    Configuration.Version_ = 1;
+    Configuration.Queues_ = {Queue_};
+    Configuration.Pools_ = {{"pool", true, false}};
+    Node_->onConfiguration(Configuration);
+    Node_->onWorkerSnapshot({workerOf("w", {1000, 1000, 0})});
+    Node_->tick();
+  }
+
+  JobResponse submit(const std::string &Job) {
+    StepSpec Step;
+    Step.Estimate_ = milliseconds(500);
+    Step.PerTask_.CpuMillis_ = 1000;
+    JobSpec Spec;
+    Spec.Steps_ = {Step};
+    JobResponse Last;
+    Node_->jobRequests().submit(
+        Queue_, Job, Spec, milliseconds(1000),
+        [&](const JobResponse &Response) { Last = Response; });
+    return Last;
+  }
+
+  /// Lets \p Time pass, in which the worker answers but ends nothing.
+  void run(milliseconds Time) {
+    for (milliseconds Passed{0}; Passed < Time; Passed += milliseconds(50)) {
+      Clock_.advance(milliseconds(50));
+      Node_->tick();
+      while (!Workers_.Holds_.empty()) {
+        HoldAnswer Answer = acceptedAnswer({});
+        Answer.Clock_ = WorkerClock(1000) + Passed;
+        Workers_.takeHold().Done_(Answer);
+      }
+    }
+  }
+
+  std::unique_ptr<SchedulerNode> Node_;
+};
+
+// Guards against a part of the way from the owner's jobs to the caller's answer
+// that is not connected.
+TEST_F(PressureTest, FullPoolRefusesAtOnceUntilItsReportIsTooOld) {
+  for (int Job = 0; Job < 100; ++Job)
+    ASSERT_EQ(submit(std::to_string(Job)).Outcome_,
+              JobRequestOutcome::Accepted);
+  run(milliseconds(5000));
+  const auto Row = Store_.Rows_[controlrows::pending("pool")];
+  auto Read = controlrows::decodePending(Row.Value_);
+  ASSERT_TRUE(Read && Read->Backlog_);
+  EXPECT_NEAR(Read->Backlog_->Speed_, 1, 0.01);
+  EXPECT_GE(Read->Backlog_->waiting(), 99 * 500);
+  const JobResponse Refused = submit("aa");
+  EXPECT_EQ(Refused.Outcome_, JobRequestOutcome::Refused);
+  EXPECT_GE(Refused.RetryAfter_, milliseconds(1000));
+  // The node's own backlog counts no longer than that of another node.
+  Clock_.advance(milliseconds(3100));
+  EXPECT_EQ(submit("bb").Outcome_, JobRequestOutcome::Accepted);
+}
+
 } // namespace
 } // namespace dragonflylock
