Judge objectives by the run times that the pool's tasks really take

Cause: where tasks take longer than declared, the forecast took the time until a job's latest start for longer than it is, and accepted jobs that ended in vain. Change: the report states the actual run time of finished tasks as a multiple of the declared one, and the forecast corrects the job's own run time by it.

--- a/src/admission/internal/admissionforecast.cpp
+++ b/src/admission/internal/admissionforecast.cpp
@@ -163,7 +163,8 @@
   if (std::max(Age, Wall - Report_->MeasuredAt_) > MaxReportAge)
     return std::nullopt;
   const double Speed = Report_->Speed_;
-  const double RunTime = std::max(static_cast<double>(Job.Chain_.count()),
+  const double RunTime = std::max(Report_->RunTimeFactor_ *
+                                      static_cast<double>(Job.Chain_.count()),
                                   static_cast<double>(Job.Work_) / Speed);
   const auto Objective = static_cast<double>(Job.objective().count());
   const double Limit = WorthlessFactor * Objective;
--- a/src/admission/internal/poolspeedmeter.cpp
+++ b/src/admission/internal/poolspeedmeter.cpp
@@ -45,11 +45,14 @@
   HasLast_ = true;
 }
 
-double PoolSpeedMeter::speedOf(double Cores) const {
+double PoolSpeedMeter::ratioOf(double Cores) const {
   const double Initial = std::max(1.0, Cores * InitialWeightMs);
   const double Ratio = (Declared_ + Initial) / (Occupied_ + Initial);
-  return Cores * std::clamp(Ratio, LowestRatio, HighestRatio) *
-         std::max(Utilization_, LowestUtilization);
+  return std::clamp(Ratio, LowestRatio, HighestRatio);
+}
+
+double PoolSpeedMeter::speedOf(double Cores) const {
+  return Cores * ratioOf(Cores) * std::max(Utilization_, LowestUtilization);
 }
 
 } // namespace dragonflylock
--- a/src/admission/poolbacklog.h
+++ b/src/admission/poolbacklog.h
@@ -80,6 +80,9 @@
   /// Declared work that the pool does in a millisecond while it is full, in
   /// core-milliseconds: its cores, corrected by what it was seen to finish.
   double Speed_ = 0;
+  /// Actual run time of the tasks that were finished, as a multiple of the
+  /// declared one.
+  double RunTimeFactor_ = 1;
   std::map<std::uint32_t, PriorityBacklog> Priorities_;
 
   bool operator==(const PoolBacklog &) const = default;
--- a/src/admission/poolspeedmeter.h
+++ b/src/admission/poolspeedmeter.h
@@ -34,8 +34,15 @@
   /// \returns the declared work that \p Cores do in a millisecond, in
   /// core-milliseconds.
   double speedOf(double Cores) const;
+  /// \returns the actual run time of the pool's tasks as a multiple of the
+  /// declared one.
+  /// \param Cores as for speedOf().
+  double runTimeFactor(double Cores) const { return 1 / ratioOf(Cores); }
 
 private:
+  /// \returns the ratio of declared to actual run times.
+  double ratioOf(double Cores) const;
+
   TimePoint LastAt_;
   FinishedWork Last_;
   bool HasLast_ = false;
--- a/src/admission/tests/mocks/simulatedpool.h
+++ b/src/admission/tests/mocks/simulatedpool.h
@@ -264,6 +264,7 @@
     Meter_.observe(timePointOf(Now_), Finished_, Options_.Cores_,
                    Options_.Cores_ - FreeCores_, Measured.waiting());
     Measured.Speed_ = Meter_.speedOf(Options_.Cores_);
+    Measured.RunTimeFactor_ = Meter_.runTimeFactor(Options_.Cores_);
     std::optional<PoolBacklog> Next;
     if (BacklogPublication::isBacklog(Measured))
       Next = Measured;
--- a/src/admission/tests/poolspeedmeter_test.cpp
+++ b/src/admission/tests/poolspeedmeter_test.cpp
@@ -36,6 +36,20 @@
   EXPECT_NEAR(speedAfter(0.5, 20, 100000), 40, 6);
 }
 
+// Guards against objectives that are judged by the declared run times.
+TEST(PoolSpeedMeterTest, TellsRunTimesOfFinishedTasks) {
+  PoolSpeedMeter Meter;
+  TimePoint Now = TimePoint(std::chrono::hours(1));
+  EXPECT_EQ(Meter.runTimeFactor(20), 1);
+  FinishedWork Finished;
+  for (int Round = 0; Round < 25; ++Round, Now += milliseconds(400)) {
+    Finished.Occupied_ += 8000;
+    Finished.Declared_ += 4000;
+    Meter.observe(Now, Finished, 20, 20, 0);
+  }
+  EXPECT_NEAR(Meter.runTimeFactor(20), 2, 0.3);
+}
+
 // Guards against cores that count as capacity though another resource is short.
 TEST(PoolSpeedMeterTest, LearnsThatCoresCannotBeUsed) {
   EXPECT_NEAR(speedAfter(1, 14, 100000), 14, 1);
--- a/src/scheduling/internal/backlogcodec.cpp
+++ b/src/scheduling/internal/backlogcodec.cpp
@@ -49,6 +49,7 @@
         {"running", Each.Running_}};
   return {{"at-ms", Backlog.MeasuredAt_.count()},
           {"speed", std::round(Backlog.Speed_ * 1000) / 1000},
+          {"run-time", std::round(Backlog.RunTimeFactor_ * 1000) / 1000},
           {"priorities", Priorities}};
 }
 
@@ -58,6 +59,7 @@
     Backlog.MeasuredAt_ =
         std::chrono::milliseconds(Source.at("at-ms").get<std::int64_t>());
     Backlog.Speed_ = Source.at("speed").get<double>();
+    Backlog.RunTimeFactor_ = Source.at("run-time").get<double>();
     for (const auto &[Priority, Each] : Source.at("priorities").items()) {
       PriorityBacklog &Of =
           Backlog.Priorities_[static_cast<std::uint32_t>(std::stoul(Priority))];
--- a/src/scheduling/internal/backlogmeter.cpp
+++ b/src/scheduling/internal/backlogmeter.cpp
@@ -169,6 +169,7 @@
   Speed_.observe(Pool_.Clock_.now(), Pool_.Finished_, Cores, BusyCores_,
                  Sum.waiting());
   Sum.Speed_ = Speed_.speedOf(Cores);
+  Sum.RunTimeFactor_ = Speed_.runTimeFactor(Cores);
   if (!BacklogPublication::isBacklog(Sum))
     return std::nullopt;
   for (auto &[Priority, Work] : OnTime)
