Keep an answer whole while a refused request is ignored

Cause: a read that RESTinio aborts itself, because it writes its last answer or has closed the connection, was reported to it as a reset connection. That would cut the answer and close the connection a second time.

Change: such reads are passed on as they are. A test plays a request over the limit during a long answer.

--- a/src/http/internal/trackedsocket.h
+++ b/src/http/internal/trackedsocket.h
@@ -87,15 +87,12 @@
               onBytes(Length);
               if (Length > 0 && !IsRefused_)
                 follow(asio::buffer_sequence_begin(Target)->data(), Length);
-              if (IsShed_) {
-                Next(asio::error::connection_reset, 0);
-                return;
-              }
-              if (IsRefused_ && !Failure) {
+              if (IsShed_)
+                end(Next, Failure);
+              else if (IsRefused_ && !Failure)
                 discard(Target, Executor, std::move(Next));
-                return;
-              }
-              Next(Failure, Length);
+              else
+                Next(Failure, Length);
             }));
   }
 
@@ -128,12 +125,23 @@
             On, [this, Target, On, Next = std::move(Next)](
                     const asio::error_code &Failure, std::size_t) mutable {
               if (Failure || IsShed_)
-                Next(asio::error::connection_reset, 0);
+                end(Next, Failure);
               else
                 discard(Target, On, std::move(Next));
             }));
   }
 
+  /// Makes RESTinio close the connection. It aborts a read itself only if it
+  /// has closed the connection or is writing its last answer, which must not be
+  /// cut.
+  template <typename Handler>
+  static void end(Handler &Next, const asio::error_code &Failure) {
+    if (Failure == asio::error::operation_aborted)
+      Next(Failure, 0);
+    else
+      Next(asio::error::connection_reset, 0);
+  }
+
   /// Called before RESTinio reads. It has no request in its handler then.
   void onReadBegins();
   void onBytes(std::size_t Length);
--- a/src/http/tests/unboundedclients_test.cpp
+++ b/src/http/tests/unboundedclients_test.cpp
@@ -26,6 +26,8 @@
 
 constexpr std::size_t HeadLimit = 1000;
 constexpr std::size_t BodyLimit = 100'000;
+/// More than the kernel buffers for a connection.
+constexpr std::size_t LongAnswer = 20'000'000;
 
 /// Answers with the size of the body; requests to /held wait for release().
 class SizeHandler : public IHttpHandler {
@@ -38,6 +40,10 @@
       Held_.push_back(std::move(Responder));
       return;
     }
+    if (Request.path() == "/long") {
+      Responder->answer({200, {}, std::string(LongAnswer, 'x') + "end"});
+      return;
+    }
     Responder->answer({200, {}, std::to_string(Request.Body_.size())});
   }
   void release() {
@@ -190,6 +196,19 @@
   EXPECT_EQ(Handler_.Handled_, 1);
 }
 
+// Guards against an answer that is cut, and a connection that is closed twice,
+// where a request over the limit arrives while the answer before it is written.
+TEST_F(UnboundedClientsTest, AnExcessDuringALongAnswerDoesNotCutIt) {
+  for (int Round = 0; Round < 3; ++Round) {
+    Caller Each = connect();
+    Each.send("GET /long HTTP/1.1\r\n\r\n");
+    Each.send("POST / HTTP/1.1\r\nContent-Length: 5000000\r\n\r\n");
+    EXPECT_TRUE(Each.readToEnd().ends_with("end")) << Round;
+  }
+  EXPECT_TRUE(eventually([this] { return Server_.openConnections() == 0; }));
+  EXPECT_EQ(Handler_.Handled_, 3);
+}
+
 // Guards against limits that are in force for later connections only.
 TEST_F(UnboundedClientsTest, ChangedLimitsApplyToOpenConnections) {
   Caller Each = connect();
