--- a/src/app/schedulerdaemon.cpp
+++ b/src/app/schedulerdaemon.cpp
@@ -112,25 +112,6 @@
     return Builder.build();
   }
 
-  std::unique_ptr<SchedulerNode> buildNode() {
-    SchedulerNode::Builder Builder;
-    Builder.settings(Settings_.Scheduling_)
-        .process(randomId(ProcessIdBytes))
-        .clock(Clock_)
-        .store(Store_)
-        .leaseStore(Leases_)
-        .workers(Workers_)
-        .machines(Machines_)
-        .advisor(Advisor_)
-        .logger(Logger_);
-    if (Settings_.Scheduling_.HasCustomerLimits_) {
-      Limits_ =
-          LimitLedger::create(Settings_.Scheduling_, Store_, Clock_, Logger_);
-      Builder.limits(*Limits_);
-    }
-    return Builder.build();
-  }
-
   void tick() {
     Feeds_.tick();
     Node_->tick();
