--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -1,6 +1,7 @@
 #ifndef DRAGONFLYLOCK_SCHEDULING_CONTROLROWS_H
 #define DRAGONFLYLOCK_SCHEDULING_CONTROLROWS_H
 
+#include "admission/poolbacklog.h"
 #include "scheduling/schedulingtypes.h"
 #include "scheduling/storetypes.h"
 
@@ -52,6 +53,9 @@
   /// previous owner, which may be written late.
   FencingToken Token_ = 0;
   std::map<std::string, std::uint64_t> Pending_;
+  /// The pool's backlog for admission; absent if there is none, or if the owner
+  /// does not report it.
+  std::optional<PoolBacklog> Backlog_;
 };
 
 /// What the next owner of a pool needs to find all jobs and tasks that may be
@@ -103,6 +107,12 @@
   /// Number of machines that the pool had before any was moved; 0 if not
   /// known.
   std::uint32_t Home_ = 0;
+  /// Home machines that were returned to the spare pool for a long idle phase.
+  /// The spare pool's owner keeps them for this pool.
+  std::set<std::string> Returned_;
+  /// Pattern of the pool's arrivals, as TurnForecast::encode() gives it; empty
+  /// if none is known.
+  std::string Forecast_;
 
   bool operator==(const DemandRow &) const = default;
 };
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -1,4 +1,5 @@
 #include "scheduling/controlrows.h"
+#include "scheduling/internal/backlogcodec.h"
 
 #include <nlohmann/json.hpp>
 
@@ -109,13 +110,20 @@
 }
 
 std::string encode(const PendingRow &Row) {
-  return json{{"token", Row.Token_}, {"pending", Row.Pending_}}.dump();
+  json Encoded{{"token", Row.Token_}, {"pending", Row.Pending_}};
+  if (Row.Backlog_)
+    Encoded["backlog"] = backlogcodec::encode(*Row.Backlog_);
+  return Encoded.dump();
 }
 
 std::string encode(const DemandRow &Row) {
-  return json{
-      {"missing", Row.Missing_}, {"coming", Row.Coming_}, {"home", Row.Home_}}
-      .dump();
+  json Target{
+      {"missing", Row.Missing_}, {"coming", Row.Coming_}, {"home", Row.Home_}};
+  if (!Row.Returned_.empty())
+    Target["returned"] = Row.Returned_;
+  if (!Row.Forecast_.empty())
+    Target["forecast"] = Row.Forecast_;
+  return Target.dump();
 }
 
 std::string encode(const QueueRow &Row) {
@@ -189,6 +197,8 @@
     Row.Token_ = Source.at("token").get<FencingToken>();
     Row.Pending_ =
         Source.at("pending").get<std::map<std::string, std::uint64_t>>();
+    if (Source.contains("backlog"))
+      Row.Backlog_ = backlogcodec::decode(Source.at("backlog"));
     return Row;
   });
 }
@@ -199,6 +209,10 @@
     Row.Missing_ = Source.at("missing").get<std::uint32_t>();
     Row.Coming_ = Source.at("coming").get<std::set<std::string>>();
     Row.Home_ = Source.at("home").get<std::uint32_t>();
+    // Rows without a forecast, and those of earlier versions, do not contain
+    // these.
+    Row.Returned_ = Source.value("returned", std::set<std::string>());
+    Row.Forecast_ = Source.value("forecast", std::string());
     return Row;
   });
 }
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -3,6 +3,7 @@
 #include "global/logevent.h"
 #include "scheduling/demandtracker.h"
 #include "scheduling/internal/advicecache.h"
+#include "scheduling/internal/backlogmeter.h"
 #include "scheduling/internal/dispatcher.h"
 #include "scheduling/internal/fillerthrottler.h"
 #include "scheduling/internal/inheritedruns.h"
@@ -75,8 +76,11 @@
             State_.Store_, State_.Clock_, State_.Logger_,
             [this](const StoreRow &Row) { Jobs_.onRow(Row); })),
         Reporter_(State_, Demands_, *Dispatcher_, *Follower_),
-        InheritedRuns_(State_, hasPredecessor(Ownership)) {
+        InheritedRuns_(State_, hasPredecessor(Ownership)), Backlog_(State_) {
     State_.Limits_ = Source.Limits_;
+    Moves_->setMaintenanceCheck([this](const std::string &Machine) {
+      return Maintenance_->isDue(Machine);
+    });
     State_.Token_ = Ownership.Token_;
     State_.LatestSubmission_ = Ownership.Token_;
     State_.RunNumberBase_ = runnumbers::baseOf(Ownership.RunNumberRange_);
@@ -131,6 +135,7 @@
   /// Whether onWorkers() has been called.
   bool AreWorkersKnown_ = false;
   InheritedRuns InheritedRuns_;
+  BacklogMeter Backlog_;
   TimePoint NextDispatch_;
 };
 
@@ -487,6 +492,10 @@
 
 void PoolOwner::requestDispatch() { Parts_->State_.NeedsDispatch_ = true; }
 
+std::optional<PoolBacklog> PoolOwner::measureBacklog() {
+  return Parts_->IsLoaded_ ? Parts_->Backlog_.measure() : std::nullopt;
+}
+
 std::vector<StorePut> PoolOwner::rowsForRelease() const {
   std::vector<StorePut> Rows;
   if (auto Row = Parts_->Roster_->rowForRelease())
--- a/src/scheduling/poolowner.h
+++ b/src/scheduling/poolowner.h
@@ -25,6 +25,7 @@
 class IStore;
 class IWorkerControl;
 class MachineOrderTracker;
+struct PoolBacklog;
 struct PoolView;
 struct SchedulingSettings;
 
@@ -118,6 +119,9 @@
   bool isUsageExact() const;
   /// Starts tasks with the next tick(), if there are any to start.
   void requestDispatch();
+  /// \returns the pool's backlog as of now, or nothing if there is none or the
+  /// jobs have not been loaded. Called at each report of the pending jobs.
+  std::optional<PoolBacklog> measureBacklog();
   /// \returns the rows to store when the pool is released, which tell the next
   /// owner what may run on which worker. This owner must not act any more.
   std::vector<StorePut> rowsForRelease() const;
