--- a/src/access/tests/accesscontroller_test.cpp
+++ b/src/access/tests/accesscontroller_test.cpp
@@ -26,7 +26,7 @@
     Access_.setProof({Start_});
   }
 
-  AccessDecision decide(std::vector<std::string_view> Authorization,
+  AccessDecision decide(const std::vector<std::string_view> &Authorization,
                         milliseconds After = milliseconds(0)) const {
     return Access_.decide(Authorization, Start_ + After);
   }
--- a/src/admission/tests/admissionforecast_test.cpp
+++ b/src/admission/tests/admissionforecast_test.cpp
@@ -101,7 +101,7 @@
   addWaiting(1, milliseconds(60000), milliseconds(3000));
   EXPECT_FALSE(refusalAfter(milliseconds(0)));
   // Large jobs go after each other.
-  Job_.Work_ = 30 * 800;
+  Job_.Work_ = std::int64_t{30} * 800;
   Job_.Chain_ = milliseconds(800);
   EXPECT_TRUE(refusalAfter(milliseconds(0)));
 }
