--- a/src/limits/tests/limitledger_test.cpp
+++ b/src/limits/tests/limitledger_test.cpp
@@ -219,7 +219,7 @@
     }
     EXPECT_EQ(running(Pool), 32U) << Turn;
     EXPECT_LE(Took, milliseconds(1000)) << Turn;
-    EXPECT_LE(calls() - Before, 14U) << Turn;
+    EXPECT_LE(calls() - Before, 12U) << Turn;
     Nodes_[Pool]->end(Names_[Pool], "acme", 32);
   }
   EXPECT_EQ(Most_, 32);
