Review case 8: a late start runs a task beside another run of it

Cause: a task whose start was not answered is started elsewhere once the start can't take effect on the life of the worker that it was sent to. A worker that is back under its id, with its clock anew, still carries it out.

It takes the place of the case of lasting jobs that are given up after crashes, which the earlier case 1 already shows. The five cases are listed in KNOWN-RED.txt.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bin/dragonflylockd ] && [ -x target/review-2/standin ] || exit 2
 work=$(mktemp -d) || exit 2
-target/review-2/standin case lasting-job "$work" target/review-2/standin
+target/review-2/standin case late-start "$work" target/review-2/standin
 result=$?
 cp "$work/record.txt" review/8/record.txt || result=2
 rm -rf "$work"
