--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,5 +4,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-g++ -std=c++20 -O1 -Wall -Wextra -pthread review/standins-2/standin.cc \
+g++ -std=c++20 -O1 -Wall -Wextra -pthread review/6/standin.cc \
   -o target/review-2/standin
