Keep late acknowledgements from later lifetimes' ends

Cause: a hold order that acknowledges ends names them by numbers that begin anew with each lifetime of a worker. One that was carried out seconds late, after the worker had come back under its id, removed ends that no owner had seen. They came from starts that were sent before or after the acknowledgement under the same fencing token.

Change: ends are acknowledged only when the lifetime has listed every run that was ordered there, and each acknowledgement raises the worker's token, so that a lifetime which has carried out a later start refuses it. The versions between two renewals of the pool's lease serve as tokens; no call is added to the store.

The fixtures of CapacityChangeTest and RunNumbersTest renew the lease now, as owners do; without a renewal a start waits for the response to the acknowledgement.

--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -364,6 +364,7 @@
   case OrderOutcome::Unknown:
     // A hold order resolves this: either the worker lists the run, or the lease
     // of the start expires.
+    Known->IsUnanswered_ = true;
     if (Task != nullptr && Task->Phase_ == TaskPhase::Starting)
       Task->Phase_ = TaskPhase::Uncertain;
     Session->NextHoldAt_ = Now;
--- a/src/scheduling/internal/leaserenewer.cpp
+++ b/src/scheduling/internal/leaserenewer.cpp
@@ -51,14 +51,14 @@
       Session.NextHoldAt_ > Pool_.Clock_.now())
     return false;
   // The first hold, which grants no lease, need not wait for the roster.
-  if (!Session.IsInRoster_ && Session.ConfirmedToken_ == Session.Token_)
+  if (!Session.IsInRoster_ && Session.ConfirmedToken_ >= Session.RequiredToken_)
     return false;
   if (Session.HasEnded_ && !Session.IsListed_ && Session.runs().empty())
     return false;
-  return !Session.IsFenced_ || Session.ConfirmedToken_ < Session.Token_ ||
+  return !Session.IsFenced_ ||
+         Session.ConfirmedToken_ < Session.RequiredToken_ ||
          !Session.runs().empty() || Session.HoldFailures_ > 0 ||
-         Session.hasUnwantedRuns() ||
-         Session.acknowledgeableUpTo() > Session.acknowledged();
+         Session.hasUnwantedRuns() || hasEndsToAcknowledge(Session);
 }
 
 std::chrono::milliseconds
@@ -81,6 +81,7 @@
   Order.Token_ = Session.Token_;
   Order.AcknowledgedEnd_ = endToAcknowledge(Session);
   Order.Wait_ = holdWaitFor(Session);
+  prepareAcknowledgement(Session, Order);
   // The lease of a worker that does not respond is not extended, so that its
   // runs expire within one lease and can be started elsewhere.
   if (Session.hasClock() && Session.HoldFailures_ == 0) {
@@ -102,16 +103,50 @@
       });
 }
 
+void LeaseRenewer::prepareAcknowledgement(WorkerSession &Session,
+                                          HoldOrder &Order) {
+  if (std::exchange(Session.AwaitsListsOfStarts_, false))
+    Pool_.NeedsDispatch_ = true;
+  if (Order.AcknowledgedEnd_ > 0) {
+    Session.AcknowledgingToken_ = Order.Token_;
+    // Without a higher token for starts they wait for the response.
+    if (!Pool_.raiseToken(Session))
+      Order.Wait_ = std::chrono::milliseconds(0);
+    return;
+  }
+  if (!hasEndsToAcknowledge(Session) || Session.HoldFailures_ > 0)
+    return;
+  Order.Wait_ = std::chrono::milliseconds(0);
+  Session.AwaitsListsOfStarts_ = !Session.hasUnansweredStarts();
+}
+
+bool LeaseRenewer::hasEndsToAcknowledge(const WorkerSession &Session) {
+  return Session.acknowledgeableUpTo() > Session.acknowledged();
+}
+
 std::uint64_t
 LeaseRenewer::endToAcknowledge(const WorkerSession &Session) const {
-  std::uint64_t Settled = Session.acknowledgeableUpTo();
   // A later lifetime of the same worker id numbers its run ends from the
-  // beginning, so an acknowledgement meant for the earlier lifetime would make
-  // it forget ends that no owner has seen. After a hold that failed, the worker
-  // may have restarted.
+  // beginning, so an acknowledgement meant for the earlier lifetime makes it
+  // forget ends that no owner has seen. After a hold that failed, the worker
+  // may have restarted; it may also have begun such runs by the starts that the
+  // earlier lifetime has not listed.
   bool IsSameLifetime = Session.HoldFailures_ == 0 &&
                         Pool_.Clock_.now() < Session.LastListsAt_ + MaxListsAge;
-  return Settled > Session.acknowledged() && IsSameLifetime ? Settled : 0;
+  if (!IsSameLifetime || Session.hasUnlistedRuns())
+    return 0;
+  return hasEndsToAcknowledge(Session) ? Session.acknowledgeableUpTo() : 0;
+}
+
+void LeaseRenewer::settleAcknowledgement(WorkerSession &Session,
+                                         const SentHold &Sent,
+                                         OrderOutcome Outcome) const {
+  if (Sent.Acknowledged_ == 0 || Outcome == OrderOutcome::Unknown ||
+      Session.AcknowledgingToken_ != Sent.Token_)
+    return;
+  if (Session.isAcknowledgementUnsettled())
+    Pool_.NeedsDispatch_ = true;
+  Session.AcknowledgingToken_ = 0;
 }
 
 void LeaseRenewer::onAnswer(const std::string &Lifetime, const SentHold &Sent,
@@ -120,6 +155,13 @@
   if (Session == nullptr)
     return;
   Session->IsHoldPending_ = false;
+  settleAcknowledgement(*Session, Sent, Answer.Outcome_);
+  // A start that was sent after the order has overtaken it.
+  if (Answer.Outcome_ == OrderOutcome::Fenced &&
+      Sent.Token_ < Session->Token_) {
+    Session->NextHoldAt_ = Pool_.Clock_.now();
+    return;
+  }
   auto Born = Session->entry().Born_;
   bool IsOtherLifetime =
       Answer.Born_.count() > 0 && Born.count() > 0 && Answer.Born_ != Born;
@@ -160,10 +202,9 @@
   // Runs may hold a lease of full length that a previous owner granted, or an
   // order to an earlier lifetime of the id. From now on the worker refuses
   // orders of both.
-  if (Session.ConfirmedToken_ < Sent.Token_) {
+  if (Session.ConfirmedToken_ < Session.RequiredToken_)
     Session.recordLease(Pool_.latestLeaseExpiry(Now));
-    Session.ConfirmedToken_ = Sent.Token_;
-  }
+  Session.ConfirmedToken_ = std::max(Session.ConfirmedToken_, Sent.Token_);
   Session.IsFenced_ = true;
   Session.HoldFailures_ = 0;
   Session.HasEnded_ = false;
@@ -177,6 +218,9 @@
     Session.NextHoldAt_ = Now + UnwantedRunsDelay;
   if (Session.hasPendingEnds())
     Session.NextHoldAt_ = Now + PendingEndsDelay;
+  // Starts wait for the acknowledgement.
+  if (Session.AwaitsListsOfStarts_)
+    Session.NextHoldAt_ = Now;
 }
 
 void LeaseRenewer::recordEnds(WorkerSession &Session,
--- a/src/scheduling/internal/leaserenewer.h
+++ b/src/scheduling/internal/leaserenewer.h
@@ -29,6 +29,10 @@
   bool isHoldDue(const WorkerSession &Session) const;
   void sendHold(WorkerSession &Session);
   std::chrono::milliseconds holdWaitFor(const WorkerSession &Session) const;
+  /// Completes an order that acknowledges ends, or prepares for the next one.
+  void prepareAcknowledgement(WorkerSession &Session, HoldOrder &Order);
+  /// \returns whether the worker lists ends that may be acknowledged.
+  static bool hasEndsToAcknowledge(const WorkerSession &Session);
   /// \returns the sequence number up to which the next hold order acknowledges
   /// run ends; 0 to acknowledge none.
   std::uint64_t endToAcknowledge(const WorkerSession &Session) const;
@@ -40,6 +44,9 @@
     bool GrantsLease_ = false;
   };
 
+  /// Called when a hold order has been answered or has failed.
+  void settleAcknowledgement(WorkerSession &Session, const SentHold &Sent,
+                             OrderOutcome Outcome) const;
   void onAnswer(const std::string &Lifetime, const SentHold &Sent,
                 const HoldAnswer &Answer);
   void applyLists(WorkerSession &Session, const SentHold &Sent,
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -347,7 +347,7 @@
                             std::uint64_t RunNumberRange) {
   PoolState &State = Parts_->State_;
   State.LeaseEnd_ = End;
-  State.RenewalToken_ = Renewal;
+  State.RenewalToken_ = std::max(State.RenewalToken_, Renewal);
   State.assignTokens();
   if (RunNumberRange <= State.ReservedRunNumberRange_)
     return;
--- a/src/scheduling/internal/poolstate.cpp
+++ b/src/scheduling/internal/poolstate.cpp
@@ -95,11 +95,23 @@
     if (Each->IsTokenUsed_ && Each->Token_ >= Latest)
       return;
   Session.Token_ = Latest;
+  Session.RequiredToken_ = Latest;
 }
 
 void PoolState::assignTokens() {
-  for (auto &[Lifetime, Session] : Sessions_)
+  for (auto &[Lifetime, Session] : Sessions_) {
     assignToken(*Session);
+    if (Session->Token_ != 0 && Session->isAcknowledgementUnsettled() &&
+        raiseToken(*Session))
+      NeedsDispatch_ = true;
+  }
+}
+
+bool PoolState::raiseToken(WorkerSession &Session) const {
+  if (Session.Token_ >= RenewalToken_)
+    return false;
+  ++Session.Token_;
+  return true;
 }
 
 void PoolState::onOrderEnded(const WorkerSession &Session,
@@ -138,8 +150,10 @@
 }
 
 void PoolState::onFenced(WorkerSession &Session) {
-  if (Session.IsListed_ && !Session.IsSuperseded_)
-    Session.Token_ = std::max(Session.Token_, RenewalToken_);
+  if (!Session.IsListed_ || Session.IsSuperseded_)
+    return;
+  Session.Token_ = std::max(Session.Token_, RenewalToken_);
+  Session.RequiredToken_ = Session.Token_;
 }
 
 void PoolState::addJob(std::unique_ptr<ActiveJob> Job) {
--- a/src/scheduling/internal/poolstate.h
+++ b/src/scheduling/internal/poolstate.h
@@ -114,8 +114,14 @@
   /// it started after that of \p Session; null otherwise.
   const WorkerSession *successorOf(const WorkerSession &Session) const;
   /// Gives each worker without a token one that is higher than those of the
-  /// orders to its earlier lifetimes, if the last renewal provides it.
+  /// orders to its earlier lifetimes, if the last renewal provides it. Raises
+  /// the token of workers with an acknowledgement that may still be carried
+  /// out.
   void assignTokens();
+  /// Raises the token of the worker by one. All tokens up to the version of the
+  /// last renewal are this owner's, since the next owner's is higher.
+  /// \returns false if there is none left until the next renewal.
+  bool raiseToken(WorkerSession &Session) const;
   /// Called when an order that may grant a lease has been answered or has
   /// failed, unless the worker's lifetime has listed its runs in response. A
   /// later lifetime of the same id may just have carried it out.
--- a/src/scheduling/internal/workerchooser.cpp
+++ b/src/scheduling/internal/workerchooser.cpp
@@ -10,8 +10,11 @@
 
 bool WorkerChooser::isUsable(const WorkerSession &Session,
                              const PoolState &Pool) {
-  return Session.IsFenced_ && Session.ConfirmedToken_ == Session.Token_ &&
-         !Session.HasSuccessor_ && Session.IsInRoster_ && Session.IsListed_ &&
+  return Session.IsFenced_ &&
+         Session.ConfirmedToken_ >= Session.RequiredToken_ &&
+         !Session.isAcknowledgementUnsettled() &&
+         !Session.AwaitsListsOfStarts_ && !Session.HasSuccessor_ &&
+         Session.IsInRoster_ && Session.IsListed_ &&
          !Session.isBeingDrained() && !Session.hasRunOnTrial() &&
          !Session.IsDeclaredSilent_ && Session.hasClock() &&
          Session.HoldFailures_ == 0 &&
--- a/src/scheduling/internal/workersession.cpp
+++ b/src/scheduling/internal/workersession.cpp
@@ -90,6 +90,17 @@
   return *Usage_;
 }
 
+bool WorkerSession::hasUnlistedRuns() const {
+  return std::any_of(Runs_.begin(), Runs_.end(),
+                     [](const auto &Each) { return !Each.second.WasListed_; });
+}
+
+bool WorkerSession::hasUnansweredStarts() const {
+  return std::any_of(Runs_.begin(), Runs_.end(), [](const auto &Each) {
+    return Each.second.IsUnanswered_ && !Each.second.WasListed_;
+  });
+}
+
 SessionRun *WorkerSession::run(const TaskName &Name) {
   auto Found = Runs_.find(Name);
   return Found == Runs_.end() ? nullptr : &Found->second;
--- a/src/scheduling/tests/capacitychange_test.cpp
+++ b/src/scheduling/tests/capacitychange_test.cpp
@@ -22,6 +22,7 @@
   void startJob(std::uint32_t Tasks) {
     storeJob(jobOf(Tasks));
     Fleet_ = takeOwnershipOfFleet(1);
+    renewLease();
     tickTwice();
   }
 
@@ -64,6 +65,7 @@
   storeJob(jobOf(20));
   Fleet_ = {worker("w0")};
   takeOwnership(0, Fleet_);
+  renewLease();
   const TaskName Unknown{"00000000000000bb", 0, 0, 0};
   answerHold(acceptedAnswer({{Unknown, 3, "", 100, 0}}));
   tickTwice();
--- a/src/scheduling/tests/mocks/leasedworker.h
+++ b/src/scheduling/tests/mocks/leasedworker.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <chrono>
 #include <map>
+#include <vector>
 
 namespace dragonflylock {
 
@@ -40,12 +41,25 @@
     grantLease(Order.LeaseEnd_);
     Answer.Outcome_ = OrderOutcome::Accepted;
     Answer.Born_ = Born_;
+    std::erase_if(Ended_, [&](const ListedEnd &Each) {
+      return Each.Sequence_ <= Order.AcknowledgedEnd_;
+    });
+    Answer.Ended_ = Ended_;
     if (isLeased())
       for (const auto &[Task, Run] : Running_)
         Answer.Running_.push_back({Task, Run, "", 100, 0});
     return Answer;
   }
 
+  /// Ends the run of the task as done.
+  void finish(const TaskName &Task) {
+    Ended_.push_back({++LastEnd_, Task, Running_.at(Task), EndKind::Done, ""});
+    Running_.erase(Task);
+  }
+
+  /// \returns the ends that were not acknowledged.
+  const std::vector<ListedEnd> &ends() const { return Ended_; }
+
   bool isRunning(const TaskName &Task) const {
     return isLeased() && Running_.contains(Task);
   }
@@ -72,6 +86,8 @@
   FencingToken Token_ = 0;
   WorkerClock LeaseEnd_{0};
   std::map<TaskName, RunNumber> Running_;
+  std::vector<ListedEnd> Ended_;
+  std::uint64_t LastEnd_ = 0;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/tests/mocks/ownertest.h
+++ b/src/scheduling/tests/mocks/ownertest.h
@@ -93,6 +93,13 @@
       Owner_->tick();
   }
 
+  /// Renews the lease, as an owner does several times a second. The owner then
+  /// has further tokens for its orders.
+  void renewLease(std::uint64_t RunNumberRange = 0) {
+    Owner_->extendLease(Clock_.now() + std::chrono::hours(1), Token + 10,
+                        RunNumberRange);
+  }
+
   /// Ticks twice, so that changes made by one component of the owner reach the
   /// others.
   void tickTwice() {
--- a/src/scheduling/tests/runnumbers_test.cpp
+++ b/src/scheduling/tests/runnumbers_test.cpp
@@ -36,6 +36,7 @@
   /// Takes ownership and lets the task's run \p Number fail.
   void failRun(RunNumber Number) {
     takeOwnership(0, {worker("w1")});
+    renewLease();
     answerHold(acceptedAnswer({}));
     ASSERT_EQ(Workers_.Starts_.size(), 1U);
     Workers_.takeStart().Done_({OrderOutcome::Accepted, WorkerClock(1000)});
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -29,6 +29,8 @@
   /// Whether the worker's lifetime has listed the run. A start may be confirmed
   /// by a later lifetime of the same id, which then runs the task.
   bool WasListed_ = false;
+  /// Whether the start got no response and may still be carried out.
+  bool IsUnanswered_ = false;
   /// Time from which a start without a response can no longer take effect on
   /// the lifetime that it was sent to.
   TimePoint OrderExpires_;
@@ -111,6 +113,16 @@
   TimePoint leaseExpiresAt(const SessionRun &Run) const;
 
   const std::map<TaskName, SessionRun> &runs() const { return Runs_; }
+  /// \returns whether this lifetime has not listed some of the runs yet, so
+  /// that a later one may have carried out their starts.
+  bool hasUnlistedRuns() const;
+  /// \returns whether some of these starts got no response.
+  bool hasUnansweredStarts() const;
+  /// \returns whether an order that acknowledges ends may reach a later
+  /// lifetime after a start that is sent now.
+  bool isAcknowledgementUnsettled() const {
+    return AcknowledgingToken_ >= Token_;
+  }
   /// \returns whether the worker is being drained for maintenance or for a move
   /// to another pool.
   bool isBeingDrained() const {
@@ -164,10 +176,21 @@
 
   /// Token that orders to the worker carry: higher than that of any order to an
   /// earlier lifetime of the same id, so that once the worker has seen it, it
-  /// refuses those orders. 0 until the owner has such a token.
+  /// refuses those orders. 0 until the owner has such a token. It rises with
+  /// each acknowledgement of ends.
   FencingToken Token_ = 0;
+  /// Token under which the worker must have responded before it gets starts.
+  FencingToken RequiredToken_ = 0;
   /// Highest token under which the worker has responded; 0 if there is none.
   FencingToken ConfirmedToken_ = 0;
+  /// Token of the latest acknowledgement of ends that may still be carried out;
+  /// 0 if there is none. Starts carry a higher one: a later lifetime that has
+  /// carried one out then refuses the acknowledgement, instead of forgetting
+  /// ends that no owner has seen.
+  FencingToken AcknowledgingToken_ = 0;
+  /// Whether starts wait until the worker has listed those before them, so that
+  /// its ends can be acknowledged.
+  bool AwaitsListsOfStarts_ = false;
   /// Whether Token_ has been sent in an order that grants a lease or
   /// acknowledges ends.
   bool IsTokenUsed_ = false;
