Write pending counts and wave states under the version of their row

Cause: the row was written without a condition. A write whose response was lost was applied seconds later, after a newer one, and the owner compared its counts only with what it had written last. The state of a wave had the same fault: a late "running" replaces "completed".

Change: VersionedRowWriter writes a row under the version that was read or written last; PendingReporter, taken out of SchedulerNode, writes again after a failed condition or no response. The fake store of the tests can lose and apply writes, and answers calls that wait for changes.

--- a/src/emulator/internal/emulatednode.cpp
+++ b/src/emulator/internal/emulatednode.cpp
@@ -26,6 +26,7 @@
   if (Node_)
     return;
   ++Incarnation_;
+  WaveStates_.emplace(*this);
   IsStopping_ = false;
   IsTickQueued_ = false;
   CpuBusyUntil_ = TimePoint();
@@ -283,13 +284,11 @@
 
 void EmulatedNode::reportWave(std::uint64_t Wave, bool IsCompleted,
                               ReportDone Done) {
-  StoreTransaction Transaction;
-  Transaction.Puts_ = {{{"status", "", "wave/" + std::to_string(Wave)},
-                        IsCompleted ? "completed" : "running"}};
-  transact(std::move(Transaction),
-           [Done](const StoreTransactionResult &TransactionResult) {
-             Done(TransactionResult.Outcome_ == StoreOutcome::Done);
-           });
+  WaveStates_->write({"status", "", "wave/" + std::to_string(Wave)},
+                     IsCompleted ? "completed" : "running",
+                     [Done](const StoreTransactionResult &TransactionResult) {
+                       Done(TransactionResult.Outcome_ == StoreOutcome::Done);
+                     });
 }
 
 void EmulatedNode::write(LogLevel, const LogEvent &Event) {
--- a/src/emulator/internal/emulatednode.h
+++ b/src/emulator/internal/emulatednode.h
@@ -9,6 +9,7 @@
 #include "scheduling/istore.h"
 #include "scheduling/iworkercontrol.h"
 #include "scheduling/schedulernode.h"
+#include "scheduling/versionedrowwriter.h"
 
 #include <memory>
 #include <optional>
@@ -110,6 +111,8 @@
   std::string Name_;
   double Cores_;
   EmulationContext &Context_;
+  /// Begins anew with each process.
+  std::optional<VersionedRowWriter> WaveStates_;
   std::unique_ptr<SchedulerNode> Node_;
   std::uint64_t Incarnation_ = 0;
   TimePoint FrozenUntil_;
--- a/src/scheduling/internal/schedulernode.cpp
+++ b/src/scheduling/internal/schedulernode.cpp
@@ -1,11 +1,11 @@
 #include "scheduling/schedulernode.h"
 #include "access/accesscontroller.h"
-#include "admission/backlogpublication.h"
 #include "global/ilogger.h"
 #include "global/logevent.h"
 #include "scheduling/controlrows.h"
 #include "scheduling/demandtracker.h"
 #include "scheduling/icustomerlimitsregistry.h"
+#include "scheduling/internal/pendingreporter.h"
 #include "scheduling/internal/pooladmission.h"
 #include "scheduling/istore.h"
 #include "scheduling/machineordertracker.h"
@@ -87,11 +87,8 @@
   std::map<std::string, std::unique_ptr<PoolOwner>> Owners_;
   /// Last report of each pool's owner, by pool.
   std::map<std::string, PendingRow> Pending_;
-  /// By pool: the last report that this node has written or is writing.
-  std::map<std::string, PendingRow> LastReported_;
-  /// By pool: the last backlog that this node has reported.
-  std::map<std::string, BacklogPublication> Publications_;
   PoolAdmission Admission_;
+  std::shared_ptr<PendingReporter> PendingReporter_;
   TimePoint NextPendingReport_;
   bool IsReleased_ = false;
 };
@@ -122,6 +119,13 @@
         return std::nullopt;
       });
   JobRequests_->setAdmission(Admission_);
+  PendingReporter_ = std::make_shared<PendingReporter>(
+      Store_, Clock_,
+      [this](const std::string &Pool, StoreVersion Version,
+             const PendingRow &Row) {
+        Admission_.onPendingRow(Pool, Version, Row, /*IsSnapshot=*/false);
+        Pending_[Pool] = Row;
+      });
   Ownership_ = std::make_shared<PoolLeaseManager>(
       Settings_, Source.Process_,
       Source.LeaseStore_ != nullptr ? *Source.LeaseStore_ : Store_, Clock_,
@@ -179,6 +183,8 @@
       continue;
     if (auto Read = controlrows::decodePending(Row.Value_)) {
       const std::string Pool = Key.substr(PendingPrefix.size());
+      if (!PendingReporter_->onRow(Pool, Row, *Read))
+        continue;
       Admission_.onPendingRow(Pool, Row.Version_, *Read, IsSnapshot);
       Pending_[Pool] = *Read;
     }
@@ -213,8 +219,7 @@
   Owners_.erase(Pool);
   if (Limits_ != nullptr)
     Limits_->onPoolLost(Pool);
-  LastReported_.erase(Pool);
-  Publications_.erase(Pool);
+  PendingReporter_->forget(Pool);
 }
 
 void SchedulerNode::Parts::distributeWorkers() {
@@ -237,24 +242,7 @@
     PendingRow Row{Owner->token(), *Pending, std::nullopt};
     if (Settings_.RefusesUnderPressure_)
       Row.Backlog_ = Owner->measureBacklog();
-    BacklogPublication &Publication = Publications_[Pool];
-    if (LastReported_.contains(Pool) &&
-        LastReported_[Pool].Pending_ == Row.Pending_ &&
-        !Publication.isDue(Row.Backlog_, Clock_.now()))
-      continue;
-    Publication.onWrite(Row.Backlog_, Clock_.now());
-    LastReported_[Pool] = Row;
-    StoreTransaction Wanted;
-    Wanted.Puts_ = {{controlrows::pending(Pool), controlrows::encode(Row)}};
-    Store_.transact(std::move(Wanted), [this, Pool = Pool, Row](
-                                           const StoreTransactionResult &End) {
-      if (End.Outcome_ != StoreOutcome::Done) {
-        LastReported_.erase(Pool);
-        return;
-      }
-      Admission_.onPendingRow(Pool, End.Version_, Row, /*IsSnapshot=*/false);
-      Pending_[Pool] = Row;
-    });
+    PendingReporter_->report(Pool, Row);
   }
 }
 
--- a/src/scheduling/tests/mocks/fakefleet.h
+++ b/src/scheduling/tests/mocks/fakefleet.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -50,6 +51,13 @@
       Done({Outcome_, 0, {}});
       return;
     }
+    if (LosesNextWriteOf_ && !Wanted.Puts_.empty() &&
+        Wanted.Puts_.front().Name_ == *LosesNextWriteOf_) {
+      LosesNextWriteOf_.reset();
+      LateWrites_.push_back(std::move(Wanted));
+      Done({StoreOutcome::Unknown, 0, {}});
+      return;
+    }
     std::size_t Bytes = 0;
     for (const StorePut &Each : Wanted.Puts_)
       Bytes += Each.Value_.size();
@@ -58,6 +66,13 @@
       Done({IsRefused ? StoreOutcome::NotDone : StoreOutcome::Unknown, 0, {}});
       return;
     }
+    const StoreTransactionResult End = apply(Wanted);
+    if (DelaysResponses_)
+      DelayedResponses_.push_back([End, Done = std::move(Done)] { Done(End); });
+    else
+      Done(End);
+  }
+  StoreTransactionResult apply(const StoreTransaction &Wanted) {
     StoreTransactionResult End;
     bool Holds = true;
     for (const StoreExpectation &Each : Wanted.Expected_) {
@@ -74,10 +89,12 @@
       for (const StorePut &Each : Wanted.Puts_)
         Rows_[Each.Name_] = {Each.Name_, Each.Value_, Version_, false};
     }
-    if (DelaysResponses_)
-      DelayedResponses_.push_back([End, Done = std::move(Done)] { Done(End); });
-    else
-      Done(End);
+    return End;
+  }
+  /// Applies the writes that were lost, if their conditions still hold.
+  void applyLateWrites() {
+    for (const StoreTransaction &Late : std::exchange(LateWrites_, {}))
+      apply(Late);
   }
   /// Delivers the delayed responses, and responds synchronously from then on.
   void release() {
@@ -102,12 +119,40 @@
       }
     Done(Read);
   }
-  void awaitChanges(const std::string &, StoreVersion,
-                    std::chrono::milliseconds, ChangesCallback) override {}
+  void awaitChanges(const std::string &Table, StoreVersion After,
+                    std::chrono::milliseconds, ChangesCallback Done) override {
+    Waits_.push_back({Table, After, std::move(Done)});
+  }
+  /// Responds to the calls that wait for changes, if there are any.
+  void deliverChanges() {
+    for (Wait &Each : std::exchange(Waits_, {})) {
+      StoreChanges Changes;
+      Changes.Outcome_ = StoreOutcome::Done;
+      Changes.Version_ = Version_;
+      for (const auto &[Name, Row] : Rows_)
+        if (Name.Table_ == Each.Table_ && Row.Version_ > Each.After_)
+          Changes.Rows_.push_back(Row);
+      if (Changes.Rows_.empty())
+        Waits_.push_back(std::move(Each));
+      else
+        Each.Done_(Changes);
+    }
+  }
 
+  /// A call that waits for changes.
+  struct Wait {
+    std::string Table_;
+    StoreVersion After_ = 0;
+    ChangesCallback Done_;
+  };
+  std::vector<Wait> Waits_;
   /// Whether responses to transactions are delayed until release().
   bool DelaysResponses_ = false;
   std::vector<std::function<void()>> DelayedResponses_;
+  /// The next transaction that writes this row first gets no response and is
+  /// kept until applyLateWrites().
+  std::optional<StoreKey> LosesNextWriteOf_;
+  std::vector<StoreTransaction> LateWrites_;
   /// Number of calls by the row that is written, or the key from which rows
   /// are read; includes failed calls.
   std::map<StoreKey, std::size_t> Calls_;
