Store the time that is left for late starts

Cause: each owner took over the late starts of the one before for the whole 12.5 s, so that owners which serve for a short time pass the wait on.

Change: the record tells the time that is left as of its writing, is written again every 400 ms while it names starts, and the next owner counts from the time at which the previous one had certainly stopped acting.

Test: LateStartsTest.ChangesOfOwnerDoNotProlongTheWait.

--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -5,6 +5,7 @@
 #include "scheduling/schedulingtypes.h"
 #include "scheduling/storetypes.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -74,10 +75,10 @@
 
 /// Starts without a response that may still be carried out; see LateStarts.
 struct LateStartsRow {
-  /// The tasks that they start, by worker id.
-  std::map<std::string, std::set<std::string>> Tasks_;
-
-  bool operator==(const LateStartsRow &) const = default;
+  /// By worker id and task: the time left in which the start may be carried
+  /// out, as of when the row was written.
+  std::map<std::string, std::map<std::string, std::chrono::milliseconds>>
+      TimeLeft_;
 };
 
 /// Version up to which the owner of a pool may have started jobs.
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -158,12 +158,21 @@
 }
 
 std::string encode(const LateStartsRow &Row) {
-  return encodeTasks(Row.Tasks_).dump();
+  json Starts = json::array();
+  for (const auto &[Worker, Tasks] : Row.TimeLeft_)
+    for (const auto &[Task, Left] : Tasks)
+      Starts.push_back({Worker, Task, Left.count()});
+  return json{{"starts", Starts}}.dump();
 }
 
 std::optional<LateStartsRow> decodeLateStarts(const std::string &Text) {
   return read<LateStartsRow>(Text, [](const json &Source) {
-    return LateStartsRow{decodeTasks(Source)};
+    LateStartsRow Row;
+    for (const json &Each : Source.at("starts"))
+      Row.TimeLeft_[Each.at(0).get<std::string>()]
+                   [Each.at(1).get<std::string>()] =
+          std::chrono::milliseconds(Each.at(2).get<std::int64_t>());
+    return Row;
   });
 }
 
--- a/src/scheduling/internal/latestartrecord.cpp
+++ b/src/scheduling/internal/latestartrecord.cpp
@@ -11,8 +11,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds RetryDelay{100};
-/// Interval at which the late starts are compared with the stored ones.
-constexpr std::chrono::milliseconds CheckInterval{300};
+/// Interval at which the row is written while it names starts.
+constexpr std::chrono::milliseconds WriteInterval{400};
 /// Time without a response after which a start is recorded. Nearly all
 /// responses arrive sooner.
 constexpr std::chrono::milliseconds UsualResponseTime{200};
@@ -29,18 +29,18 @@
   }
   if (!AreJobsLoaded)
     return;
-  NextCall_ = Now + CheckInterval;
-  LateStartsRow Next{Pool_.LateStarts_.tasksByWorker(UsualResponseTime)};
-  if (Next != Stored_)
-    write(std::move(Next));
+  NextCall_ = Now + WriteInterval;
+  const LateStartsRow Next = Pool_.LateStarts_.row(UsualResponseTime);
+  if (MayNameStarts_ || !Next.TimeLeft_.empty())
+    write(Next);
 }
 
 std::optional<StorePut> LateStartRecord::rowForRelease() const {
   if (!IsLoaded_)
     return std::nullopt;
-  const LateStartsRow Last{
-      Pool_.LateStarts_.tasksByWorker(std::chrono::milliseconds(0))};
-  if (Last == Stored_)
+  const LateStartsRow Last =
+      Pool_.LateStarts_.row(std::chrono::milliseconds(0));
+  if (!MayNameStarts_ && Last.TimeLeft_.empty())
     return std::nullopt;
   return StorePut{controlrows::lateStarts(Pool_.Pool_),
                   controlrows::encode(Last)};
@@ -77,31 +77,32 @@
         LogEvent("late-starts.unreadable").with("pool", Pool_.Pool_));
     return;
   }
-  Stored_ = *Row;
-  Pool_.LateStarts_.inherit(Row->Tasks_);
+  MayNameStarts_ = !Row->TimeLeft_.empty();
+  Pool_.LateStarts_.inherit(*Row, PredecessorEnd_.value_or(Pool_.Clock_.now()));
 }
 
-void LateStartRecord::write(LateStartsRow Next) {
+void LateStartRecord::write(const LateStartsRow &Next) {
   IsBusy_ = true;
   const StoreKey Row = controlrows::lateStarts(Pool_.Pool_);
   StoreTransaction Transaction;
   Transaction.Expected_ = {{Row, RowVersion_}};
   Transaction.Puts_ = {{Row, controlrows::encode(Next)}};
-  Pool_.Store_.transact(std::move(Transaction),
-                        [Weak = weak_from_this(), Next = std::move(Next)](
-                            const StoreTransactionResult &Result) {
-                          if (auto Self = Weak.lock())
-                            Self->onWritten(Next, Result);
-                        });
+  Pool_.Store_.transact(
+      std::move(Transaction),
+      [Weak = weak_from_this(), NamesStarts = !Next.TimeLeft_.empty()](
+          const StoreTransactionResult &Result) {
+        if (auto Self = Weak.lock())
+          Self->onWritten(NamesStarts, Result);
+      });
 }
 
-void LateStartRecord::onWritten(const LateStartsRow &Written,
+void LateStartRecord::onWritten(bool NamesStarts,
                                 const StoreTransactionResult &Result) {
   IsBusy_ = false;
   switch (Result.Outcome_) {
   case StoreOutcome::Done:
     RowVersion_ = Result.Version_;
-    Stored_ = Written;
+    MayNameStarts_ = NamesStarts;
     return;
   case StoreOutcome::ConditionFailed:
     // An earlier write of this owner, or of a previous one, was applied late.
@@ -115,8 +116,7 @@
                             .with("pool", Pool_.Pool_)
                             .with("outcome", nameOf(Result.Outcome_)));
   }
-  // What the row holds is not known, so that it is written again.
-  Stored_.Tasks_[""].insert("");
+  MayNameStarts_ = true;
 }
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/latestartrecord.h
+++ b/src/scheduling/internal/latestartrecord.h
@@ -18,31 +18,36 @@
 /// pool waits for them as well.
 class LateStartRecord : public std::enable_shared_from_this<LateStartRecord> {
 public:
-  explicit LateStartRecord(PoolState &Pool) : Pool_(Pool) {}
+  /// \param PredecessorEnd time by which the previous owner had certainly
+  ///   stopped acting; unset if that is certain only when the row is read.
+  LateStartRecord(PoolState &Pool, std::optional<TimePoint> PredecessorEnd)
+      : Pool_(Pool), PredecessorEnd_(PredecessorEnd) {}
 
-  /// Reads the row once, then writes it at intervals if it has to change.
+  /// Reads the row once, then writes it at intervals while it names starts, so
+  /// that the time that is left falls, or if it has to change.
   /// \param AreJobsLoaded whether the inherited starts are known to the pool.
   void tick(bool AreJobsLoaded);
   /// \returns whether the row of the previous owner was read.
   bool isLoaded() const { return IsLoaded_; }
   /// \returns the row to store when the pool is released; std::nullopt if it
-  /// need not change.
+  /// names no starts before and after.
   std::optional<StorePut> rowForRelease() const;
 
 private:
   void load();
   void onLoaded(const StoreRange &Read);
-  void write(LateStartsRow Next);
-  void onWritten(const LateStartsRow &Written,
-                 const StoreTransactionResult &Result);
+  void write(const LateStartsRow &Next);
+  void onWritten(bool NamesStarts, const StoreTransactionResult &Result);
 
   PoolState &Pool_;
+  const std::optional<TimePoint> PredecessorEnd_;
   bool IsLoaded_ = false;
   bool IsBusy_ = false;
   TimePoint NextCall_;
   TimePoint LoadStart_;
   StoreVersion RowVersion_ = 0;
-  LateStartsRow Stored_;
+  /// Whether the stored row may name starts.
+  bool MayNameStarts_ = false;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/latestarts.cpp
+++ b/src/scheduling/internal/latestarts.cpp
@@ -36,18 +36,17 @@
   Starts_.erase(Found);
 }
 
-void LateStarts::inherit(
-    const std::map<std::string, std::set<std::string>> &Tasks) {
-  Inherited_ = Tasks;
-  InheritedArrival_ = Pool_.Clock_.now() + Pool_.Settings_.MaxOrderDelay_;
+void LateStarts::inherit(const LateStartsRow &Row, TimePoint StoredAt) {
+  Inherited_ = Row;
+  InheritedAt_ = StoredAt;
 }
 
 void LateStarts::onLoaded() {
-  for (const auto &[Worker, Tasks] : Inherited_)
-    for (const std::string &Task : Tasks)
+  for (const auto &[Worker, Tasks] : Inherited_.TimeLeft_)
+    for (const auto &[Task, Left] : Tasks)
       if (auto Name = TaskName::parse(Task))
-        add(Worker, *Name, 0, InheritedArrival_);
-  Inherited_.clear();
+        add(Worker, *Name, 0, InheritedAt_ + Left);
+  Inherited_ = {};
 }
 
 void LateStarts::update() {
@@ -82,19 +81,26 @@
   return false;
 }
 
-std::map<std::string, std::set<std::string>>
-LateStarts::tasksByWorker(std::chrono::milliseconds MinAge) const {
-  std::map<std::string, std::set<std::string>> Tasks;
-  for (const auto &[Name, Late] : Starts_)
-    Tasks[Name.Worker_].insert(Name.Task_.text());
+LateStartsRow LateStarts::row(std::chrono::milliseconds MinAge) const {
   const TimePoint Now = Pool_.Clock_.now();
+  LateStartsRow Row;
+  auto Add = [&](const std::string &Worker, const TaskName &Task,
+                 TimePoint LatestArrival) {
+    auto Left =
+        std::chrono::ceil<std::chrono::milliseconds>(LatestArrival - Now);
+    // Past its time a start may still have begun a run that was not listed.
+    Row.TimeLeft_[Worker][Task.text()] =
+        std::max(Left, std::chrono::milliseconds(0));
+  };
   const TimePoint Latest = Now + Pool_.Settings_.MaxOrderDelay_ - MinAge;
   for (const auto &[Lifetime, Session] : Pool_.Sessions_)
     for (const auto &[Name, Run] : Session->runs())
       if (!Run.WasListed_ && Run.LatestArrival_ > Now &&
           Run.LatestArrival_ <= Latest)
-        Tasks[Session->entry().Id_].insert(Name.text());
-  return Tasks;
+        Add(Session->entry().Id_, Name, Run.LatestArrival_);
+  for (const auto &[Name, Late] : Starts_)
+    Add(Name.Worker_, Name.Task_, Late.LatestArrival_);
+  return Row;
 }
 
 void LateStarts::release(const Key &Name, const Start &Late,
--- a/src/scheduling/internal/latestarts.h
+++ b/src/scheduling/internal/latestarts.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_SCHEDULING_INTERNAL_LATESTARTS_H
 
 #include "global/iclock.h"
+#include "scheduling/controlrows.h"
 #include "scheduling/schedulingtypes.h"
 
 #include <chrono>
@@ -34,9 +35,9 @@
   /// the start has been carried out.
   void onListed(const std::string &Worker, const TaskName &Task,
                 RunNumber Number);
-  /// Takes over what the previous owner has stored, as of now.
-  /// \param Tasks the tasks that wait, by worker id.
-  void inherit(const std::map<std::string, std::set<std::string>> &Tasks);
+  /// Takes over what the previous owner has stored.
+  /// \param StoredAt time by which that owner had certainly written the row.
+  void inherit(const LateStartsRow &Row, TimePoint StoredAt);
   /// Makes the inherited tasks wait. Call it when the jobs have been loaded.
   void onLoaded();
   /// Lets the tasks start whose starts can no longer be carried out.
@@ -44,10 +45,8 @@
   /// \returns whether the lists of the worker are needed to settle a start.
   bool needsLists(const WorkerSession &Session) const;
   /// \param MinAge time for which a start must have had no response.
-  /// \returns the tasks of all starts that may still be carried out, by worker
-  /// id.
-  std::map<std::string, std::set<std::string>>
-  tasksByWorker(std::chrono::milliseconds MinAge) const;
+  /// \returns all starts that may still be carried out.
+  LateStartsRow row(std::chrono::milliseconds MinAge) const;
   std::size_t size() const { return Starts_.size(); }
 
 private:
@@ -68,9 +67,8 @@
 
   PoolState &Pool_;
   std::map<Key, Start> Starts_;
-  std::map<std::string, std::set<std::string>> Inherited_;
-  /// Time until which inherited starts may be carried out.
-  TimePoint InheritedArrival_;
+  LateStartsRow Inherited_;
+  TimePoint InheritedAt_;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -61,7 +61,8 @@
             std::make_shared<LeaseRenewer>(State_, Runs_, *Dispatcher_)),
         Writer_(std::make_shared<ProgressWriter>(State_, Runs_)),
         Roster_(std::make_shared<RosterManager>(State_)),
-        LateStartRecord_(std::make_shared<LateStartRecord>(State_)),
+        LateStartRecord_(std::make_shared<LateStartRecord>(
+            State_, Ownership.PredecessorEnd_)),
         Watermark_(std::make_shared<StartWatermark>(
             State_, Ownership.PredecessorToken_)),
         FillerThrottler_(std::make_shared<FillerThrottler>(State_)),
--- a/src/scheduling/tests/latestarts_test.cpp
+++ b/src/scheduling/tests/latestarts_test.cpp
@@ -148,6 +148,22 @@
   EXPECT_EQ(Workers_.Starts_.size(), 1U);
 }
 
+// Guards against a task that waits longer with each change of owner.
+TEST_F(LateStartsTest, ChangesOfOwnerDoNotProlongTheWait) {
+  constexpr milliseconds Bound{15000};
+  loseStart();
+  for (std::uint64_t Change = 1; Change <= 5; ++Change) {
+    serveFor(milliseconds(2000), &*Former_);
+    Owner_.reset();
+    Workers_.Holds_.clear();
+    takeOwnership(Change, {worker("w1"), worker("w2")});
+  }
+  serveFor(milliseconds(14000), &*Former_);
+  EXPECT_EQ(Workers_.Starts_.size(), 1U);
+  EXPECT_GE(sinceSent(), Settings_.MaxOrderDelay_);
+  EXPECT_LE(sinceSent(), Bound);
+}
+
 // Guards against the same if the previous owner stopped while the start was
 // under way.
 TEST_F(LateStartsTest, ReleaseNamesStartsThatAreUnderWay) {
@@ -156,7 +172,7 @@
   for (const StorePut &Row : Owner_->rowsForRelease())
     if (Row.Name_ == controlrows::lateStarts("pool")) {
       auto Read = controlrows::decodeLateStarts(Row.Value_);
-      IsNamed = Read && Read->Tasks_["w1"].contains(task().text());
+      IsNamed = Read && Read->TimeLeft_["w1"].contains(task().text());
     }
   EXPECT_TRUE(IsNamed);
 }
