Bound the connections to a worker and close idle ones

What callers saw: after bursts the owner of a pool had 64 connections to each worker, all that a worker accepts.

Cause: CurlAsyncClient bounded the connections over all servers, not those to one, and kept them without a limit in time. Owners that lost a pool, or their power, gave none back.

Change: orders to workers have an HTTP client of their own, with at most five connections to a worker, closed after 5 s without a request. A request that gets no connection in its time ends as not sent. A worker that two starts in a row did not reach gets none for 2.5 s.

--- a/src/app/schedulerdaemon.cpp
+++ b/src/app/schedulerdaemon.cpp
@@ -36,7 +36,12 @@
 
 constexpr std::size_t DecisionRing = 16384;
 constexpr std::size_t ExchangeRing = 8192;
+constexpr std::size_t WorkerRing = 4096;
 constexpr std::size_t LeaseRing = 64;
+/// A worker accepts a limited number of connections, 64 on the smallest, and
+/// former owners of its pool, some of which have lost power, may hold some too.
+constexpr ConnectionLimits WorkerConnections{
+    .PerServer_ = 5, .IdleTimeout_ = std::chrono::milliseconds(5000)};
 constexpr std::chrono::milliseconds TickInterval{40};
 /// Bytes of a caller's request body.
 constexpr std::size_t LargestBody = 1U << 20U;
@@ -61,6 +66,11 @@
               return Loop_.post(std::move(Next));
             },
             ExchangeRing, &Waits_, &Logger_),
+        WorkerHttp_(
+            [this](EventLoop::Work Next) {
+              return Loop_.post(std::move(Next));
+            },
+            WorkerRing, &Waits_, &Logger_, WorkerConnections),
         LeaseClient_(
             [this](EventLoop::Work Next) {
               return Loop_.postUrgent(std::move(Next));
@@ -68,7 +78,7 @@
             LeaseRing, &Waits_, &Logger_),
         Table_(Client_, Settings_.Store_), Store_(Table_, Metrics_),
         LeaseTable_(LeaseClient_, Settings_.Store_),
-        Leases_(LeaseTable_, Metrics_), WorkerCalls_(Client_),
+        Leases_(LeaseTable_, Metrics_), WorkerCalls_(WorkerHttp_),
         Workers_(WorkerCalls_, Metrics_),
         Machines_(Client_, Settings_.Machines_, Store_),
         Advisor_(Client_, Settings_.Advice_), Node_(buildNode()),
@@ -163,6 +173,7 @@
   WaitMeter Waits_;
   EventLoop Loop_;
   CurlAsyncClient Client_;
+  CurlAsyncClient WorkerHttp_;
   /// A client of its own, so that no lease is lost behind other calls.
   CurlAsyncClient LeaseClient_;
   TableStore Table_;
@@ -216,6 +227,7 @@
   if (Parts_->MetricsServer_)
     Parts_->MetricsServer_->stop();
   Parts_->Client_.stop();
+  Parts_->WorkerHttp_.stop();
   Parts_->LeaseClient_.stop();
   Parts_->Loop_.stop();
 }
@@ -223,6 +235,7 @@
 Result<void> SchedulerDaemon::start() {
   Parts_->Loop_.start([this] { Parts_->tick(); });
   Parts_->Client_.start();
+  Parts_->WorkerHttp_.start();
   Parts_->LeaseClient_.start();
   if (auto Started = Parts_->ReadinessServer_.start(); !Started)
     return Started;
--- a/src/forward/internal/curlendpointclient.cpp
+++ b/src/forward/internal/curlendpointclient.cpp
@@ -34,7 +34,10 @@
                                        std::size_t RingCapacity)
     : Clock_(Clock), Listener_(Listener),
       Loop_(
-          {ConnectTimeout, MaxKeptConnections, MaxKeptExchanges, RingCapacity},
+          {ConnectTimeout,
+           {.Kept_ = MaxKeptConnections},
+           MaxKeptExchanges,
+           RingCapacity},
           [this](Exchange &Pending) { return prepare(Pending); },
           [this](Exchange &Finished) { report(Finished); }) {}
 
--- a/src/http/internal/curlasyncclient.cpp
+++ b/src/http/internal/curlasyncclient.cpp
@@ -6,19 +6,17 @@
 namespace {
 
 constexpr std::chrono::milliseconds ConnectLimit{700};
-/// Covers a long call and an order at a time for each of 500 workers. Beyond it
-/// a new connection is made for nearly every order.
-constexpr long KeptConnections = 1024;
 constexpr std::size_t KeptExchanges = 64;
 constexpr std::size_t LargestAnswer = 16U << 20U;
 
 } // namespace
 
 CurlAsyncClient::CurlAsyncClient(Poster Post, std::size_t RingCapacity,
-                                 IWaitObserver *Waits, ILogger *Logger)
+                                 IWaitObserver *Waits, ILogger *Logger,
+                                 const ConnectionLimits &Limits)
     : Post_(std::move(Post)), Waits_(Waits), Logger_(Logger),
       Loop_(
-          {ConnectLimit, KeptConnections, KeptExchanges, RingCapacity},
+          {ConnectLimit, Limits, KeptExchanges, RingCapacity},
           [this](Exchange &Started) { return prepare(Started); },
           [this](Exchange &Ended) { reportEnd(Ended); }) {}
 
--- a/src/http/internal/curlasyncclient.h
+++ b/src/http/internal/curlasyncclient.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_HTTP_INTERNAL_CURLASYNCCLIENT_H
 
 #include "global/iwaitobserver.h"
+#include "http/connectionlimits.h"
 #include "http/iasynchttpclient.h"
 #include "http/internal/curlloop.h"
 
@@ -23,7 +24,8 @@
   ///   must outlive the client.
   /// \param Logger may be null, must outlive the client.
   CurlAsyncClient(Poster Post, std::size_t RingCapacity,
-                  IWaitObserver *Waits = nullptr, ILogger *Logger = nullptr);
+                  IWaitObserver *Waits = nullptr, ILogger *Logger = nullptr,
+                  const ConnectionLimits &Limits = {});
 
   void start() { Loop_.start(); }
   void stop() { Loop_.stop(); }
--- a/src/http/internal/curlloop.h
+++ b/src/http/internal/curlloop.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_HTTP_INTERNAL_CURLLOOP_H
 
 #include "global/boundedring.h"
+#include "http/connectionlimits.h"
 #include "http/internal/curlpoller.h"
 #include "http/internal/curltransfer.h"
 
@@ -20,8 +21,7 @@
 struct CurlLoopLimits {
   /// Time in which a connection must be made.
   std::chrono::milliseconds Connect_{1000};
-  /// Connections kept open between requests, over all addresses.
-  long KeptConnections_ = 0;
+  ConnectionLimits Connections_;
   /// Transfer objects kept for later requests.
   std::size_t KeptExchanges_ = 0;
   /// Requests that may wait for the thread.
@@ -46,7 +46,7 @@
 
   CurlLoop(CurlLoopLimits Limits, Prepare OnPrepare, Ended OnEnded)
       : Limits_(Limits), OnPrepare_(std::move(OnPrepare)),
-        OnEnded_(std::move(OnEnded)), Poller_(Limits.KeptConnections_),
+        OnEnded_(std::move(OnEnded)), Poller_(Limits.Connections_),
         Waiting_(Limits.RingCapacity_, Poller_) {}
   ~CurlLoop() { stop(); }
   CurlLoop(const CurlLoop &) = delete;
--- a/src/http/internal/curlpoller.cpp
+++ b/src/http/internal/curlpoller.cpp
@@ -17,6 +17,8 @@
 
 /// Sockets handled between two looks for new transfers.
 constexpr std::size_t EventsPerRound = 64;
+/// Interval at which idle connections are looked for.
+constexpr std::chrono::milliseconds IdleCheckInterval{500};
 /// libcurl counts time in whole milliseconds.
 constexpr std::chrono::milliseconds ClockTolerance{2};
 
@@ -48,12 +50,14 @@
 
 } // namespace
 
-CurlPoller::CurlPoller(long KeptConnections)
+CurlPoller::CurlPoller(const ConnectionLimits &Limits)
     : Epoll_(checked(epoll_create1(EPOLL_CLOEXEC), "epoll_create1")),
       Wakeup_(checked(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC), "eventfd")),
-      Multi_(curl_multi_init()) {
+      IdleTimeout_(Limits.IdleTimeout_), Multi_(curl_multi_init()) {
   watch(Wakeup_, CURL_POLL_IN);
-  curl_multi_setopt(Multi_.get(), CURLMOPT_MAXCONNECTS, KeptConnections);
+  curl_multi_setopt(Multi_.get(), CURLMOPT_MAXCONNECTS, Limits.Kept_);
+  curl_multi_setopt(Multi_.get(), CURLMOPT_MAX_HOST_CONNECTIONS,
+                    Limits.PerServer_);
   curl_multi_setopt(Multi_.get(), CURLMOPT_SOCKETFUNCTION,
                     &CurlPoller::onSocket);
   curl_multi_setopt(Multi_.get(), CURLMOPT_SOCKETDATA, this);
@@ -80,12 +84,24 @@
 }
 
 void CurlPoller::endSuspectConnections(const CurlTransfer &Unanswered) {
+  endConnections(Connections_.takeSuspects(
+      Unanswered.server(), Unanswered.preparedAt(), Clock::now()));
+}
+
+void CurlPoller::endConnections(const std::vector<int> &Sockets) {
   // libcurl closes a kept connection that has ended when it looks for one.
-  for (int Socket : Connections_.takeSuspects(
-           Unanswered.server(), Unanswered.preparedAt(), Clock::now()))
+  for (int Socket : Sockets)
     shutdown(Socket, SHUT_RDWR);
 }
 
+void CurlPoller::endIdleConnections() {
+  const Clock::time_point Now = Clock::now();
+  if (IdleTimeout_.count() == 0 || Now < NextIdleCheck_)
+    return;
+  NextIdleCheck_ = Now + IdleCheckInterval;
+  endConnections(Connections_.takeIdleSince(Now - IdleTimeout_));
+}
+
 int CurlPoller::onClose(void *Self, curl_socket_t Socket) {
   static_cast<CurlPoller *>(Self)->Connections_.onClosed(Socket);
   return close(Socket);
@@ -96,7 +112,7 @@
   auto *Poller = static_cast<CurlPoller *>(Self);
   if (What == CURL_POLL_REMOVE) {
     epoll_ctl(Poller->Epoll_, EPOLL_CTL_DEL, Socket, nullptr);
-    Poller->Connections_.onIdle(Socket);
+    Poller->Connections_.onIdle(Socket, Clock::now());
   } else {
     const CurlTransfer &Transfer = CurlTransfer::of(Handle);
     Poller->watch(Socket, What);
@@ -166,6 +182,7 @@
     eventfd_read(Wakeup_, &Wakes);
   }
   endOverdue();
+  endIdleConnections();
   if (!TimerAt_ || Clock::now() < *TimerAt_)
     return;
   TimerAt_.reset();
--- a/src/http/internal/curlpoller.h
+++ b/src/http/internal/curlpoller.h
@@ -2,6 +2,7 @@
 #define DRAGONFLYLOCK_HTTP_INTERNAL_CURLPOLLER_H
 
 #include "global/iwaker.h"
+#include "http/connectionlimits.h"
 #include "http/internal/serverconnections.h"
 
 #include <curl/curl.h>
@@ -11,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace dragonflylock {
 
@@ -21,9 +23,7 @@
 /// their answers.
 class CurlPoller : public IWaker {
 public:
-  /// \param KeptConnections connections kept open between transfers, those in
-  ///   use included.
-  explicit CurlPoller(long KeptConnections);
+  explicit CurlPoller(const ConnectionLimits &Limits);
   ~CurlPoller() override;
   CurlPoller(const CurlPoller &) = delete;
   CurlPoller &operator=(const CurlPoller &) = delete;
@@ -56,9 +56,14 @@
   void act(curl_socket_t Socket, int Flags);
   /// Lets transfers end whose time is up.
   void endOverdue();
+  /// Closes connections that have been idle for too long, at intervals.
+  void endIdleConnections();
+  static void endConnections(const std::vector<int> &Sockets);
 
   int Epoll_;
   int Wakeup_;
+  const std::chrono::milliseconds IdleTimeout_;
+  Clock::time_point NextIdleCheck_;
   ServerConnections Connections_;
   std::unique_ptr<CURLM, MultiDeleter> Multi_;
   std::optional<Clock::time_point> TimerAt_;
--- a/src/http/internal/serverconnections.cpp
+++ b/src/http/internal/serverconnections.cpp
@@ -16,14 +16,26 @@
   Entry->second.IsBusy_ = true;
 }
 
-void ServerConnections::onIdle(int Socket) {
+void ServerConnections::onIdle(int Socket, TimePoint Now) {
   auto Found = Open_.find(Socket);
-  if (Found != Open_.end())
-    Found->second.IsBusy_ = false;
+  if (Found == Open_.end())
+    return;
+  Found->second.IsBusy_ = false;
+  Found->second.IdleSince_ = Now;
 }
 
 void ServerConnections::onClosed(int Socket) { Open_.erase(Socket); }
 
+std::vector<int> ServerConnections::takeIdleSince(TimePoint Time) {
+  std::vector<int> Idle;
+  for (const auto &[Socket, Each] : Open_)
+    if (!Each.IsBusy_ && Each.IdleSince_ <= Time)
+      Idle.push_back(Socket);
+  for (int Socket : Idle)
+    Open_.erase(Socket);
+  return Idle;
+}
+
 std::vector<int> ServerConnections::takeSuspects(const std::string &Server,
                                                  TimePoint SentAt,
                                                  TimePoint Now) {
--- a/src/http/internal/serverconnections.h
+++ b/src/http/internal/serverconnections.h
@@ -18,7 +18,7 @@
   /// Called when a request to \p Server begins to use the connection.
   void onBusy(int Socket, const std::string &Server);
   /// Called when the request has ended.
-  void onIdle(int Socket);
+  void onIdle(int Socket, TimePoint Now);
   void onClosed(int Socket);
   /// Called when a request on a kept connection to \p Server got no answer.
   /// \param SentAt when the request was sent; if that was before the previous
@@ -27,11 +27,15 @@
   /// \returns the idle connections to the server, which must not be used again.
   std::vector<int> takeSuspects(const std::string &Server, TimePoint SentAt,
                                 TimePoint Now);
+  /// \returns the connections that have had no request since \p Time or
+  ///   before, which must not be used again.
+  std::vector<int> takeIdleSince(TimePoint Time);
 
 private:
   struct Connection {
     std::string Server_;
     bool IsBusy_ = false;
+    TimePoint IdleSince_;
   };
 
   std::map<int, Connection> Open_;
--- a/src/http/tests/mocks/countingserver.h
+++ b/src/http/tests/mocks/countingserver.h
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <cerrno>
@@ -64,6 +65,10 @@
 
   std::uint16_t port() const { return Port_; }
   std::uint64_t connections() const { return Connections_; }
+  /// \returns the connections that clients have not closed.
+  std::uint64_t openConnections() const { return OpenConnections_; }
+  /// \returns the most connections that were open at a time.
+  std::uint64_t mostConnections() const { return MostConnections_; }
   /// Stops answering on all connections that are open now. They stay open, and
   /// later connections are served.
   void silenceConnections() {
@@ -100,6 +105,9 @@
         if (Open_[Index].revents != 0)
           serve(Open_[Index]);
       std::erase_if(Open_, [](const pollfd &Each) { return Each.fd < 0; });
+      OpenConnections_ = Open_.size() - 1;
+      MostConnections_ =
+          std::max<std::uint64_t>(MostConnections_, Open_.size() - 1);
     }
   }
 
@@ -154,6 +162,8 @@
   std::atomic<bool> IsSilencing_ = false;
   std::atomic<bool> IsClosing_ = false;
   std::atomic<std::uint64_t> Connections_ = 0;
+  std::atomic<std::uint64_t> OpenConnections_ = 0;
+  std::atomic<std::uint64_t> MostConnections_ = 0;
   std::atomic<std::uint64_t> Held_ = 0;
   std::atomic<std::uint64_t> Resets_ = 0;
   std::atomic<bool> IsStopping_ = false;
--- a/src/http/tests/serverconnections_test.cpp
+++ b/src/http/tests/serverconnections_test.cpp
@@ -16,7 +16,7 @@
       Connections_.onBusy(Socket, "A");
     Connections_.onBusy(4, "B");
     for (int Socket : {1, 2, 4})
-      Connections_.onIdle(Socket);
+      Connections_.onIdle(Socket, Start_);
   }
 
   const ServerConnections::TimePoint Start_ =
@@ -32,7 +32,7 @@
 TEST_F(ServerConnectionsTest, TrustsConnectionsOpenedSinceTheLastSuspicion) {
   Connections_.takeSuspects("A", Start_, Start_ + seconds(1));
   Connections_.onBusy(5, "A");
-  Connections_.onIdle(5);
+  Connections_.onIdle(5, Start_);
   EXPECT_TRUE(
       Connections_.takeSuspects("A", Start_, Start_ + seconds(2)).empty());
   EXPECT_EQ(
@@ -46,5 +46,15 @@
             (Sockets{2}));
 }
 
+// Guards against a server whose connections are taken by clients that don't
+// use them any more.
+TEST_F(ServerConnectionsTest, FindsConnectionsThatHaveBeenIdleForLong) {
+  Connections_.onBusy(2, "A");
+  Connections_.onIdle(2, Start_ + seconds(2));
+  EXPECT_EQ(Connections_.takeIdleSince(Start_ + seconds(1)), (Sockets{1, 4}));
+  EXPECT_TRUE(Connections_.takeIdleSince(Start_ + seconds(1)).empty());
+  EXPECT_EQ(Connections_.takeIdleSince(Start_ + seconds(2)), (Sockets{2}));
+}
+
 } // namespace
 } // namespace dragonflylock
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -21,6 +21,9 @@
 /// tasks.
 constexpr std::chrono::milliseconds NoRoomDelay{200};
 constexpr std::chrono::milliseconds UnhealthyDelay{1000};
+/// The same while further starts do not reach the worker. No job may wait for
+/// 3 s beside free workers.
+constexpr std::chrono::milliseconds UnreachableDelay{2500};
 /// Delay before a task whose start was refused is tried again.
 constexpr std::chrono::milliseconds RefusedStartDelay{50};
 /// Number of doublings of the step from one run number to the next. The last
@@ -354,6 +357,7 @@
   switch (Answer.Outcome_) {
   case OrderOutcome::Accepted:
     Known->ConfirmedAt_ = Now;
+    Session->UnsentStarts_ = 0;
     if (Task != nullptr)
       Task->StaleStarts_ = 0;
     if (!Known->ConfirmedClock_ && Answer.Clock_.count() > 0)
@@ -395,6 +399,10 @@
   if (Outcome == OrderOutcome::BadTicket)
     Advice_.invalidateTicket(Name, Session.entry().lifetime());
   std::chrono::milliseconds Delay = UnhealthyDelay;
+  Session.UnsentStarts_ =
+      Outcome == OrderOutcome::NotSent ? Session.UnsentStarts_ + 1 : 0;
+  if (Session.UnsentStarts_ > 1)
+    Delay = UnreachableDelay;
   if (Outcome == OrderOutcome::NoRoom || Outcome == OrderOutcome::TooLate ||
       Outcome == OrderOutcome::StaleRun)
     Delay = NoRoomDelay;
--- a/src/scheduling/tests/passedover_test.cpp
+++ b/src/scheduling/tests/passedover_test.cpp
@@ -262,5 +262,32 @@
   EXPECT_TRUE(hasStarted({JobId, 1, 1, 0}));
 }
 
+// Guards against starts that are sent again and again to a worker which accepts
+// no connections, beside one that does.
+TEST_F(PassedOverTest, WorkerThatStartsDoNotReachIsPassedOverForLonger) {
+  storeJob(jobOf(stepOf(1)));
+  takeOwnership(0, {workerOf("w1", {10000, 32000, 0})});
+  Workers_.takeHold().Done_(acceptedAnswer({}));
+  tickTwice();
+  std::vector<milliseconds> Delays;
+  TimePoint RefusedAt = Clock_.now();
+  for (int Round = 0; Round < 500 && Delays.size() < 3; ++Round) {
+    while (!Workers_.Holds_.empty())
+      Workers_.takeHold().Done_(acceptedAnswer({}));
+    if (!Workers_.Starts_.empty()) {
+      Delays.push_back(
+          std::chrono::duration_cast<milliseconds>(Clock_.now() - RefusedAt));
+      RefusedAt = Clock_.now();
+      Workers_.takeStart().Done_({OrderOutcome::NotSent, WorkerClock(0)});
+    }
+    Clock_.advance(milliseconds(20));
+    tickTwice();
+  }
+  ASSERT_EQ(Delays.size(), 3U);
+  EXPECT_GE(Delays[2], Delays[1] * 2);
+  // No job may wait for 3 s beside free workers.
+  EXPECT_LT(Delays[2], milliseconds(3000));
+}
+
 } // namespace
 } // namespace dragonflylock
--- a/src/scheduling/workersession.h
+++ b/src/scheduling/workersession.h
@@ -245,6 +245,8 @@
   TimePoint NextPaceAt_;
   /// The worker gets no starts before this time.
   TimePoint NoStartsBefore_;
+  /// Starts in a row that did not reach the worker.
+  std::uint32_t UnsentStarts_ = 0;
   std::uint32_t FailuresInRow_ = 0;
   /// The worker gets no starts before this time because runs failed there.
   TimePoint SetAsideUntil_;
