Withdraw a job whose submission may still be under way

Cause: the write of the submission was applied late, on the condition that there was no row. A cancellation that found no row answered 410 and left nothing behind.

Change: such a cancellation stores a row in place of the submission, on the condition that there is none, and answers 410 only then. The row is no job for callers and owners; a repeated submission is refused; the owner of the pool removes it with the time limit of ended jobs, and a node stores 2,000 at most in that time. Cancellations and removals name the version of the submission, and a submission isn't sent again after its time. The emulator plays callers that give up.

--- a/src/emulator/emulator.h
+++ b/src/emulator/emulator.h
@@ -36,6 +36,9 @@
   std::uint32_t ReturningWorkersFaults_ = 0;
   /// Share of the jobs with a step whose tasks take about 10 s.
   double LongJobShare_ = 0;
+  /// Share of the callers that get no response to a submission and then cancel
+  /// the job instead of submitting it again.
+  double GivingUpShare_ = 0;
   /// Whether a maintenance wave is announced.
   bool HasMaintenanceWave_ = true;
   /// Number of waves, if there are any. They are announced one after the other
--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -45,6 +45,7 @@
       : Options_(Chosen), Simulation_(Chosen.Seed_), Store_(Simulation_),
         Checker_(Simulation_), Workers_(Simulation_, Checker_),
         LongJobRandom_(Simulation_.separateGenerator("long jobs")),
+        GivingUpRandom_(Simulation_.separateGenerator("giving up")),
         Context_{Simulation_,           Store_, Workers_, {}, {}, false,
                  Chosen.CpuTimePerCall_} {}
 
@@ -54,7 +55,10 @@
   void submit(const std::string &Id, const QueueSetting &Queue,
               std::uint32_t Attempt);
   void poll(const std::string &Id, const std::string &Queue);
-  void cancel(const std::string &Id, const std::string &Queue);
+  void cancel(const std::string &Id, const QueueSetting &Queue);
+  /// Cancels a job whose submission got no response, until a node responds.
+  void withdraw(const std::string &Id, const QueueSetting &Queue,
+                std::uint32_t Attempt);
   EmulatedNode *pickReadyNode();
   void logCaller(const char *Step, const std::string &Id, std::uint32_t Attempt,
                  const std::string &Node) const;
@@ -71,6 +75,7 @@
   InvariantChecker Checker_;
   ModelWorkers Workers_;
   RandomGenerator LongJobRandom_;
+  RandomGenerator GivingUpRandom_;
   EmulationContext Context_;
   std::vector<std::unique_ptr<EmulatedNode>> Nodes_;
   std::unique_ptr<FaultInjector> Faults_;
@@ -277,7 +282,7 @@
           Simulation_.schedule(
               milliseconds(Simulation_.randomInRange(100, 4000)), [=, this] {
                 if (IsCancelled)
-                  cancel(Id, Queue.Name_);
+                  cancel(Id, Queue);
                 else
                   poll(Id, Queue.Name_);
               });
@@ -285,13 +290,20 @@
         }
         if (Response.Outcome_ == JobRequestOutcome::Refused)
           Checker_.onRefused(Id);
+        else if (GivingUpRandom_.withProbability(Options_.GivingUpShare_)) {
+          withdraw(Id, Queue, 1);
+          return;
+        }
         ScheduleRetry(Response.RetryAfter_ + milliseconds(100));
       });
   Simulation_.schedule(CallerTimeout, [=, this, Name = Node->name()] {
     if (*HasResponse)
       return;
     logCaller("timed-out", Id, Attempt, Name);
-    ScheduleRetry(milliseconds(100));
+    if (GivingUpRandom_.withProbability(Options_.GivingUpShare_))
+      withdraw(Id, Queue, 1);
+    else
+      ScheduleRetry(milliseconds(100));
   });
 }
 
@@ -313,10 +325,10 @@
       });
 }
 
-void Emulator::Impl::cancel(const std::string &Id, const std::string &Queue) {
+void Emulator::Impl::cancel(const std::string &Id, const QueueSetting &Queue) {
   EmulatedNode *Node = pickReadyNode();
   if (Node == nullptr) {
-    poll(Id, Queue);
+    poll(Id, Queue.Name_);
     return;
   }
   Checker_.onCancellationSent(Id);
@@ -327,7 +339,34 @@
         if (Response.Outcome_ != JobRequestOutcome::Unknown)
           Checker_.onCancellationSettled(Id, IsCancelled);
         if (!IsCancelled)
-          poll(Id, Queue);
+          poll(Id, Queue.Name_);
+      });
+}
+
+void Emulator::Impl::withdraw(const std::string &Id, const QueueSetting &Queue,
+                              std::uint32_t Attempt) {
+  auto ScheduleRetry = [=, this] {
+    if (Attempt < MaxSubmitAttempts)
+      Simulation_.schedule(milliseconds(100),
+                           [=, this] { withdraw(Id, Queue, Attempt + 1); });
+  };
+  EmulatedNode *Node = pickReadyNode();
+  if (Node == nullptr) {
+    ScheduleRetry();
+    return;
+  }
+  logCaller("withdrawn", Id, Attempt, Node->name());
+  Checker_.onCancellationSent(Id);
+  Node->readyScheduler()->jobRequests().cancel(
+      Queue, Id, CallerTimeout, [=, this](const JobResponse &Response) {
+        const bool IsCancelled =
+            Response.Outcome_ == JobRequestOutcome::NoSuchJob ||
+            (Response.Outcome_ == JobRequestOutcome::Accepted &&
+             Response.State_ == JobPhase::Cancelled);
+        if (IsCancelled)
+          Checker_.onCancellationSettled(Id, true);
+        else
+          ScheduleRetry();
       });
 }
 
--- a/src/emulator/tests/emulator_test.cpp
+++ b/src/emulator/tests/emulator_test.cpp
@@ -161,5 +161,21 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, VariedDays, testing::Range(1000, 1010));
 
+class CallersThatGiveUp : public testing::TestWithParam<std::uint64_t> {};
+
+// Guards against jobs that run after their cancellation was acknowledged, since
+// their submission, which got no response, is stored seconds later.
+TEST_P(CallersThatGiveUp, GetNoRunOfACancelledJob) {
+  EmulatorOptions Options;
+  Options.Seed_ = GetParam();
+  Options.Faults_ = 8;
+  Options.GivingUpShare_ = 0.5;
+  runEmulator(Options);
+}
+
+INSTANTIATE_TEST_SUITE_P(Emulator, CallersThatGiveUp,
+                         testing::Values(90075, 90086, 90149),
+                         testing::PrintToStringParamName());
+
 } // namespace
 } // namespace dragonflylock
--- a/src/scheduling/internal/jobregistry.cpp
+++ b/src/scheduling/internal/jobregistry.cpp
@@ -38,6 +38,11 @@
 void JobRegistry::onSubmission(const std::string &Id, const StoreRow &Row) {
   if (Pool_.job(Id) != nullptr)
     return;
+  if (auto Withdrawn = jobrowcodec::decodeWithdrawn(Row.Value_)) {
+    if (Withdrawn->Pool_ == Pool_.Pool_)
+      removeRowsLater(Id, Withdrawn->Queue_, Row.Version_);
+    return;
+  }
   auto Stored = jobrowcodec::decode(Row.Value_);
   if (!Stored) {
     Pool_.Logger_.write(LogLevel::Error,
@@ -82,17 +87,23 @@
   Pool_.Index_.refresh();
   const JobIndex::JobSet Removable = Pool_.Index_.removable();
   for (ActiveJob *Job : Removable) {
-    EndedIds_.insert(Job->id());
-    EndedJobs_.push_back({Job->id(), Job->submission().Queue_,
-                          Pool_.Clock_.now() +
-                              Pool_.Settings_.StatusRetention_ +
-                              RetentionMargin});
+    removeRowsLater(Job->id(), Job->submission().Queue_,
+                    Job->submissionVersion());
     Pool_.removeJob(*Job);
   }
   removeOldRows();
   return !Removable.empty();
 }
 
+void JobRegistry::removeRowsLater(const std::string &Id,
+                                  const std::string &Queue,
+                                  StoreVersion Submission) {
+  EndedIds_.insert(Id);
+  EndedJobs_.push_back({Id, Queue, Submission,
+                        Pool_.Clock_.now() + Pool_.Settings_.StatusRetention_ +
+                            RetentionMargin});
+}
+
 void JobRegistry::removeOldRows() {
   if (EndedJobs_.empty() || EndedJobs_.front().RemoveAt_ > Pool_.Clock_.now() ||
       !Pool_.holdsLease())
@@ -101,6 +112,10 @@
   EndedJobs_.pop_front();
   EndedIds_.erase(Oldest.Job_);
   StoreTransaction Transaction;
+  // The id may be in use again when a late removal is applied.
+  Transaction.Expected_ = {
+      {jobrows::keyOf(Oldest.Queue_, Oldest.Job_, JobRowKind::Submission),
+       Oldest.Submission_}};
   for (JobRowKind Kind :
        {JobRowKind::Submission, JobRowKind::Progress, JobRowKind::Cancellation})
     Transaction.Removals_.push_back(
--- a/src/scheduling/internal/jobregistry.h
+++ b/src/scheduling/internal/jobregistry.h
@@ -31,12 +31,18 @@
   struct EndedJob {
     std::string Job_;
     std::string Queue_;
+    /// Version of its submission row.
+    StoreVersion Submission_ = 0;
     TimePoint RemoveAt_;
   };
 
   void onSubmission(const std::string &Id, const StoreRow &Row);
   void onProgress(ActiveJob &Job, const StoreRow &Row);
   void onCancellation(ActiveJob &Job);
+  /// Ignores the job's rows from now on and removes them after the retention
+  /// period.
+  void removeRowsLater(const std::string &Id, const std::string &Queue,
+                       StoreVersion Submission);
   void removeOldRows();
 
   PoolState &Pool_;
--- a/src/scheduling/internal/jobrequesthandler.cpp
+++ b/src/scheduling/internal/jobrequesthandler.cpp
@@ -23,6 +23,15 @@
 constexpr std::chrono::milliseconds MaxRequestTimeout{1200};
 /// Retry-after time of a request that was refused since the store failed.
 constexpr std::chrono::milliseconds StoreRetryAfter{1000};
+/// Retry-After time of a submission of a withdrawn job. Earlier, another one is
+/// refused as well.
+constexpr std::chrono::milliseconds WithdrawnRetryAfter{120000};
+/// Period in which withdrawals are limited, about the time for which their rows
+/// are kept.
+constexpr std::chrono::milliseconds WithdrawalPeriod{130000};
+/// Maximum number of jobs that one node withdraws in that period, so that
+/// cancellations of jobs that never existed do not fill the store.
+constexpr std::size_t MaxWithdrawals = 2000;
 
 /// Time within which the store tells whether a job was accepted before. Later,
 /// a refusal would not reach the caller within 100 ms.
@@ -46,6 +55,25 @@
   return "unknown";
 }
 
+/// \returns the submission row among the rows of a job, or null.
+const StoreRow *submissionIn(const std::vector<StoreRow> &Rows) {
+  auto Found = std::find_if(Rows.begin(), Rows.end(), [](const StoreRow &Row) {
+    return jobrows::kindOf(Row.Name_) == JobRowKind::Submission;
+  });
+  return Found == Rows.end() ? nullptr : &*Found;
+}
+
+/// \returns whether the rows of a job tell that it was withdrawn.
+bool isWithdrawn(const std::vector<StoreRow> &Rows) {
+  const StoreRow *Submission = submissionIn(Rows);
+  return Submission != nullptr &&
+         jobrowcodec::decodeWithdrawn(Submission->Value_).has_value();
+}
+
+JobResponse withdrawnResponse() {
+  return {JobRequestOutcome::Refused, WithdrawnRetryAfter, JobPhase::Cancelled};
+}
+
 } // namespace
 
 struct JobRequestHandler::PendingRequest {
@@ -162,11 +190,11 @@
     trySubmit(Request);
     return;
   }
-  const bool WasAccepted = std::any_of(
-      Read.Rows_.begin(), Read.Rows_.end(), [](const StoreRow &Row) {
-        return jobrows::kindOf(Row.Name_) == JobRowKind::Submission;
-      });
-  if (WasAccepted) {
+  if (isWithdrawn(Read.Rows_)) {
+    finish(Request, withdrawnResponse());
+    return;
+  }
+  if (submissionIn(Read.Rows_) != nullptr) {
     finish(Request, {JobRequestOutcome::Accepted, {}, JobPhase::Queued});
     return;
   }
@@ -179,13 +207,18 @@
     const std::shared_ptr<PendingRequest> &Request) {
   if (Request->IsFinished_)
     return;
+  // After a pause of this process, the caller may have withdrawn the job.
+  if (Clock_.now() >= Request->Deadline_) {
+    finishWithoutResult(Request);
+    return;
+  }
   // A write that may have taken effect is repeated to learn its outcome.
   if (!Request->MayHaveTakenEffect_ && !Breaker_.admit(Clock_.now())) {
     finishWithoutResult(Request);
     return;
   }
   if (!Queues_.contains(Request->Pool_, Request->Queue_)) {
-    recordQueue(Request);
+    recordQueue(Request, [this, Request] { trySubmit(Request); });
     return;
   }
   Request->IsWriting_ = true;
@@ -216,10 +249,10 @@
 }
 
 void JobRequestHandler::recordQueue(
-    const std::shared_ptr<PendingRequest> &Request) {
+    const std::shared_ptr<PendingRequest> &Request, Attempt Then) {
   StoreKey Row = controlrows::queue(Request->Pool_, Request->Queue_);
   auto &Waiting = Recording_[Row];
-  Waiting.push_back(Request);
+  Waiting.emplace_back(Request, std::move(Then));
   if (Waiting.size() > 1)
     return;
   StoreTransaction Transaction;
@@ -238,13 +271,13 @@
   recordWrite(Outcome);
   auto Waiting = std::exchange(Recording_[Row], {});
   Recording_.erase(Row);
-  for (const auto &Request : Waiting) {
+  for (auto &[Request, Then] : Waiting) {
     if (Outcome != StoreOutcome::Done) {
-      retry(Request, [this, Request] { trySubmit(Request); });
+      retry(Request, std::move(Then));
       continue;
     }
     Queues_.add(Request->Pool_, Request->Queue_);
-    trySubmit(Request);
+    Then();
   }
 }
 
@@ -259,6 +292,10 @@
       Admission_->onAccepted(*Request->Offer_);
     [[fallthrough]];
   case StoreOutcome::ConditionFailed:
+    if (isWithdrawn(End.Current_)) {
+      finish(Request, withdrawnResponse());
+      return;
+    }
     // An existing row holds this same job, from an earlier attempt.
     finish(Request, {JobRequestOutcome::Accepted, {}, JobPhase::Queued});
     return;
@@ -320,15 +357,17 @@
   Pending_.erase(Request);
   bool IsRoutine = Response.Outcome_ == JobRequestOutcome::Accepted &&
                    std::string_view(Request->Kind_) == "state";
-  Logger_.write(
-      IsRoutine ? LogLevel::Debug : LogLevel::Info,
-      LogEvent("caller.answered")
-          .with("call", Request->Kind_)
-          .with("job", Request->Job_)
-          .with("queue", Request->Queue_)
-          .with("outcome", nameOf(Response.Outcome_))
-          .with("took", std::chrono::duration_cast<std::chrono::microseconds>(
-                            Clock_.now() - Request->StartTime_)));
+  LogEvent Event("caller.answered");
+  Event.with("call", Request->Kind_)
+      .with("job", Request->Job_)
+      .with("queue", Request->Queue_)
+      .with("outcome", nameOf(Response.Outcome_))
+      .with("took", std::chrono::duration_cast<std::chrono::microseconds>(
+                        Clock_.now() - Request->StartTime_));
+  if (Response.Outcome_ == JobRequestOutcome::Refused &&
+      Response.State_ == JobPhase::Cancelled)
+    Event.with("reason", "withdrawn");
+  Logger_.write(IsRoutine ? LogLevel::Debug : LogLevel::Info, Event);
   Request->OnResponse_(Response);
 }
 
@@ -391,17 +430,27 @@
     });
     return;
   }
-  if (Read.Rows_.empty()) {
+  if (submissionIn(Read.Rows_) == nullptr || isWithdrawn(Read.Rows_)) {
     finish(Request, {JobRequestOutcome::NoSuchJob, {}, JobPhase::Queued});
     return;
   }
   finish(Request, {JobRequestOutcome::Accepted, {}, stateFrom(Read.Rows_)});
 }
 
-void JobRequestHandler::cancel(const std::string &Queue, const std::string &Job,
+void JobRequestHandler::cancel(const QueueSetting &Queue,
+                               const std::string &Job,
                                std::chrono::milliseconds Timeout,
                                ResponseCallback OnResponse) {
-  auto Request = begin("cancel", Queue, Job, Timeout, std::move(OnResponse));
+  auto Request =
+      begin("cancel", Queue.Name_, Job, Timeout, std::move(OnResponse));
+  Request->Pool_ = Queue.Pool_;
+  readToCancel(Request);
+}
+
+void JobRequestHandler::readToCancel(
+    const std::shared_ptr<PendingRequest> &Request) {
+  if (Request->IsFinished_)
+    return;
   readJob(Request, [this, Request](const StoreRange &Read) {
     onCancelRead(Request, Read);
   });
@@ -410,15 +459,16 @@
 void JobRequestHandler::onCancelRead(
     const std::shared_ptr<PendingRequest> &Request, const StoreRange &Read) {
   if (Read.Outcome_ != StoreOutcome::Done) {
-    retry(Request, [this, Request] {
-      readJob(Request, [this, Request](const StoreRange &Again) {
-        onCancelRead(Request, Again);
-      });
-    });
+    retry(Request, [this, Request] { readToCancel(Request); });
     return;
   }
-  if (Read.Rows_.empty()) {
-    finish(Request, {JobRequestOutcome::NoSuchJob, {}, JobPhase::Queued});
+  const StoreRow *Submission = submissionIn(Read.Rows_);
+  if (Submission == nullptr) {
+    tryWithdraw(Request);
+    return;
+  }
+  if (isWithdrawn(Read.Rows_)) {
+    finish(Request, {JobRequestOutcome::NoSuchJob, {}, JobPhase::Cancelled});
     return;
   }
   JobPhase State = stateFrom(Read.Rows_);
@@ -426,33 +476,78 @@
     finish(Request, {JobRequestOutcome::Accepted, {}, State});
     return;
   }
-  tryCancel(Request);
+  tryCancel(Request, Submission->Version_);
 }
 
 void JobRequestHandler::tryCancel(
+    const std::shared_ptr<PendingRequest> &Request, StoreVersion Submission) {
+  // Without the condition, a late write would outlive the job's other rows.
+  StoreTransaction Transaction;
+  Transaction.Expected_ = {
+      {jobrows::keyOf(Request->Queue_, Request->Job_, JobRowKind::Submission),
+       Submission}};
+  Transaction.Puts_ = {
+      {jobrows::keyOf(Request->Queue_, Request->Job_, JobRowKind::Cancellation),
+       "{}"}};
+  writeToCancel(Request, std::move(Transaction),
+                {JobRequestOutcome::Accepted, {}, JobPhase::Cancelled});
+}
+
+bool JobRequestHandler::mayWithdraw() {
+  const TimePoint Now = Clock_.now();
+  while (!Withdrawals_.empty() &&
+         Withdrawals_.front() + WithdrawalPeriod <= Now)
+    Withdrawals_.pop_front();
+  return Withdrawals_.size() < MaxWithdrawals;
+}
+
+void JobRequestHandler::tryWithdraw(
     const std::shared_ptr<PendingRequest> &Request) {
   if (Request->IsFinished_)
     return;
-  Request->IsWriting_ = true;
+  if (!mayWithdraw()) {
+    finishWithoutResult(Request);
+    return;
+  }
+  // The owner of the pool removes the row, and it finds only recorded queues.
+  if (!Queues_.contains(Request->Pool_, Request->Queue_)) {
+    recordQueue(Request, [this, Request] { tryWithdraw(Request); });
+    return;
+  }
+  Withdrawals_.push_back(Clock_.now());
+  const StoreKey Submission =
+      jobrows::keyOf(Request->Queue_, Request->Job_, JobRowKind::Submission);
   StoreTransaction Transaction;
+  Transaction.Expected_ = {{Submission, 0}};
+  // A node of an earlier version can't read the first row. By the second one,
+  // it shows the job as cancelled.
   Transaction.Puts_ = {
+      {Submission,
+       jobrowcodec::encode(WithdrawnJob{Request->Queue_, Request->Pool_})},
       {jobrows::keyOf(Request->Queue_, Request->Job_, JobRowKind::Cancellation),
        "{}"}};
+  writeToCancel(Request, std::move(Transaction),
+                {JobRequestOutcome::NoSuchJob, {}, JobPhase::Cancelled});
+}
+
+void JobRequestHandler::writeToCancel(
+    const std::shared_ptr<PendingRequest> &Request,
+    StoreTransaction Transaction, JobResponse Response) {
+  Request->IsWriting_ = true;
   Store_.transact(
-      std::move(Transaction),
-      [Weak = weak_from_this(), Request](const StoreTransactionResult &End) {
+      std::move(Transaction), [Weak = weak_from_this(), Request,
+                               Response](const StoreTransactionResult &End) {
         auto Self = Weak.lock();
         if (!Self)
           return;
         Request->IsWriting_ = false;
         if (End.Outcome_ == StoreOutcome::Done) {
-          Self->finish(Request,
-                       {JobRequestOutcome::Accepted, {}, JobPhase::Cancelled});
+          Self->finish(Request, Response);
           return;
         }
         Request->MayHaveTakenEffect_ = Request->MayHaveTakenEffect_ ||
                                        End.Outcome_ == StoreOutcome::Unknown;
-        Self->retry(Request, [Self, Request] { Self->tryCancel(Request); });
+        Self->retry(Request, [Self, Request] { Self->readToCancel(Request); });
       });
 }
 
--- a/src/scheduling/internal/jobrowcodec.cpp
+++ b/src/scheduling/internal/jobrowcodec.cpp
@@ -20,6 +20,9 @@
     {JobPhase::Cancelled, "cancelled"},
 }};
 
+/// Name of the field that only the rows of withdrawn jobs have.
+constexpr const char *WithdrawnName = "withdrawn";
+
 /// Maximum failed runs of a task whose row was written by an earlier version,
 /// which did not store the policy.
 constexpr std::uint32_t DefaultMaxFailedRuns = 4;
@@ -140,6 +143,27 @@
   }
 }
 
+std::string encode(const WithdrawnJob &Job) {
+  const json Row = {
+      {"queue", Job.Queue_}, {"pool", Job.Pool_}, {WithdrawnName, true}};
+  return Row.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<WithdrawnJob> decodeWithdrawn(const std::string &Text) {
+  // Most rows hold submitted jobs, which need not be decoded.
+  if (Text.find(WithdrawnName) == std::string::npos)
+    return std::nullopt;
+  try {
+    const json Row = json::parse(Text);
+    if (!Row.value(WithdrawnName, false))
+      return std::nullopt;
+    return WithdrawnJob{Row.at("queue").get<std::string>(),
+                        Row.at("pool").get<std::string>()};
+  } catch (const json::exception &) {
+    return std::nullopt;
+  }
+}
+
 const char *nameOf(JobPhase State) {
   for (const auto &[Each, Name] : StateNames)
     if (Each == State)
--- a/src/scheduling/jobrequesthandler.h
+++ b/src/scheduling/jobrequesthandler.h
@@ -6,6 +6,7 @@
 #include "scheduling/storetypes.h"
 
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -39,6 +40,8 @@
   JobRequestOutcome Outcome_ = JobRequestOutcome::Unknown;
   /// For a refused request, the time after which to retry.
   std::chrono::milliseconds RetryAfter_{0};
+  /// The job's state. A submission that is refused as Cancelled will be refused
+  /// again.
   JobPhase State_ = JobPhase::Queued;
 };
 
@@ -67,8 +70,11 @@
   /// Reads the state of a job.
   void state(const std::string &Queue, const std::string &Job,
              std::chrono::milliseconds Timeout, ResponseCallback OnResponse);
-  /// Stores the request to cancel a job, unless the job has ended.
-  void cancel(const std::string &Queue, const std::string &Job,
+  /// Stores the request to cancel a job, unless the job has ended. A job that
+  /// is not stored is withdrawn: a submission of it that is still under way
+  /// takes no effect, and NoSuchJob is responded once that is certain.
+  /// \param Timeout the time within which the caller expects a response.
+  void cancel(const QueueSetting &Queue, const std::string &Job,
               std::chrono::milliseconds Timeout, ResponseCallback OnResponse);
   /// Retries the store calls whose retry delay has passed.
   void tick();
@@ -96,9 +102,10 @@
   void trySubmit(const std::shared_ptr<PendingRequest> &Request);
   /// Records the outcome of a write for a submission.
   void recordWrite(StoreOutcome Outcome);
-  /// Records the request's queue, then submits this request and those that
-  /// have waited for the same record.
-  void recordQueue(const std::shared_ptr<PendingRequest> &Request);
+  /// Records the request's queue, then continues with \p Then and with the
+  /// requests that have waited for the same record.
+  void recordQueue(const std::shared_ptr<PendingRequest> &Request,
+                   Attempt Then);
   void onQueueRecorded(const StoreKey &Row, StoreOutcome Outcome);
   void onSubmitted(const std::shared_ptr<PendingRequest> &Request,
                    const StoreTransactionResult &End);
@@ -108,7 +115,19 @@
                    const StoreRange &Read);
   void onCancelRead(const std::shared_ptr<PendingRequest> &Request,
                     const StoreRange &Read);
-  void tryCancel(const std::shared_ptr<PendingRequest> &Request);
+  void readToCancel(const std::shared_ptr<PendingRequest> &Request);
+  /// Stores the cancellation of a job.
+  /// \param Submission version of its submission row.
+  void tryCancel(const std::shared_ptr<PendingRequest> &Request,
+                 StoreVersion Submission);
+  /// Stores a row in place of the job's submission, so that a late one fails.
+  void tryWithdraw(const std::shared_ptr<PendingRequest> &Request);
+  /// \returns whether this node may store one more such row.
+  bool mayWithdraw();
+  /// Sends a write of a cancellation and finishes with \p Response once it is
+  /// applied. If it is not, the job is read again.
+  void writeToCancel(const std::shared_ptr<PendingRequest> &Request,
+                     StoreTransaction Transaction, JobResponse Response);
   void retry(const std::shared_ptr<PendingRequest> &Request, Attempt Again);
   /// Responds to a request whose outcome does not become known in time.
   void finishWithoutResult(const std::shared_ptr<PendingRequest> &Request);
@@ -121,8 +140,13 @@
   QueueDirectory &Queues_;
   LocalStateLookup LocalState_;
   StoreCircuitBreaker Breaker_;
-  /// Requests that wait until their queue is recorded, by the row of that.
-  std::map<StoreKey, std::vector<std::shared_ptr<PendingRequest>>> Recording_;
+  /// Requests that wait until their queue is recorded and how they continue, by
+  /// the row of that.
+  std::map<StoreKey,
+           std::vector<std::pair<std::shared_ptr<PendingRequest>, Attempt>>>
+      Recording_;
+  /// When jobs were withdrawn, oldest first.
+  std::deque<TimePoint> Withdrawals_;
   std::vector<std::pair<TimePoint, Attempt>> Retries_;
   std::set<std::weak_ptr<PendingRequest>, std::owner_less<>> Pending_;
   bool IsEnding_ = false;
--- a/src/scheduling/jobrowcodec.h
+++ b/src/scheduling/jobrowcodec.h
@@ -23,6 +23,14 @@
   std::chrono::milliseconds AcceptedAt_{0};
 };
 
+/// A job that was cancelled before it was stored, as the row in place of its
+/// submission holds it. The row makes a late submission fail.
+struct WithdrawnJob {
+  std::string Queue_;
+  /// Pool of the queue; its owner removes the row.
+  std::string Pool_;
+};
+
 /// Encodes and decodes submission rows as JSON. This project defines the names
 /// of the fields.
 namespace jobrowcodec {
@@ -31,6 +39,10 @@
 /// \returns the job, or SchedulingErrc::MalformedRow.
 Result<SubmittedJob> decode(const std::string &Text);
 
+std::string encode(const WithdrawnJob &Job);
+/// \returns the withdrawn job, or nothing if the row holds another one.
+std::optional<WithdrawnJob> decodeWithdrawn(const std::string &Text);
+
 /// \returns the state's name in rows and logs, for example "running".
 const char *nameOf(JobPhase State);
 std::optional<JobPhase> stateOf(const std::string &Name);
--- a/src/scheduling/tests/mocks/fakefleet.h
+++ b/src/scheduling/tests/mocks/fakefleet.h
@@ -88,6 +88,8 @@
       End.Version_ = ++Version_;
       for (const StorePut &Each : Wanted.Puts_)
         Rows_[Each.Name_] = {Each.Name_, Each.Value_, Version_, false};
+      for (const StoreKey &Each : Wanted.Removals_)
+        Rows_.erase(Each);
     }
     return End;
   }
--- a/tools/emulator/main.cpp
+++ b/tools/emulator/main.cpp
@@ -23,6 +23,8 @@
   --returns=N    Faults in which workers crash, come back under their old ids
                  and are cut off soon after [default: 0].
   --long=N       Percentage of jobs with a step of about 10 s [default: 0].
+  --give-up=N    Percentage of callers that cancel a job whose submission got no
+                 response [default: 0].
   --jobs=N       Jobs per second [default: 6].
   --pools=N      Number of pools [default: 2].
   --workers=N    Workers of each pool [default: 6].
@@ -65,6 +67,8 @@
         static_cast<std::uint32_t>(numberOf(Arguments.at("--returns")));
     Options.LongJobShare_ =
         static_cast<double>(numberOf(Arguments.at("--long"))) / 100;
+    Options.GivingUpShare_ =
+        static_cast<double>(numberOf(Arguments.at("--give-up"))) / 100;
     Options.Pools_ =
         static_cast<std::uint32_t>(numberOf(Arguments.at("--pools")));
     Options.WorkersPerPool_ =
