Emulator: count late start orders as a fault until the last has arrived

Cause: the check was wrong. It took the fault for over 5 s after its end, while the emulator carries out such orders up to 12 s late.

Change: the fault is recorded until the last order may have arrived. All other faults last as before, and the bounds of the checks are the same.

--- a/src/emulator/internal/faultinjector.cpp
+++ b/src/emulator/internal/faultinjector.cpp
@@ -6,16 +6,8 @@
 
 namespace dragonflylock {
 
-namespace {
-
 using std::chrono::milliseconds;
 
-/// Time for which the effects of a fault last beyond its duration: until a cut
-/// worker is back in the registry, or a stopped process has been started.
-constexpr milliseconds MaxAftermath{5000};
-
-} // namespace
-
 FaultInjector::FaultInjector(Simulation &Sim, ModelStore &Store,
                              ModelWorkers &Workers, Nodes &AllNodes)
     : Simulation_(Sim), Store_(Store), Workers_(Workers), Nodes_(AllNodes),
@@ -38,12 +30,13 @@
         [this] { injectFault(); });
 }
 
-void FaultInjector::record(const std::string &What, milliseconds Duration) {
+void FaultInjector::record(const std::string &What, milliseconds Duration,
+                           milliseconds Aftermath) {
   InjectedFaults_.push_back(std::to_string(Simulation_.elapsed().count()) +
                             "ms " + What + " for " +
                             std::to_string(Duration.count()) + "ms");
-  LastFaultEnd_ = std::max<TimePoint>(
-      LastFaultEnd_, Simulation_.now() + Duration + MaxAftermath);
+  LastFaultEnd_ = std::max<TimePoint>(LastFaultEnd_,
+                                      Simulation_.now() + Duration + Aftermath);
 }
 
 EmulatedNode &FaultInjector::pickNode() {
@@ -157,7 +150,8 @@
       Workers_.restart(Id, milliseconds(1000));
     });
   } else {
-    record("start orders carried out late", Duration);
+    record("start orders carried out late", Duration,
+           ModelWorkers::MaxStartDelay);
     Workers_.DelayedExecutionProbability_ = 0.1;
     Simulation_.schedule(Duration,
                          [this] { Workers_.DelayedExecutionProbability_ = 0; });
--- a/src/emulator/internal/faultinjector.h
+++ b/src/emulator/internal/faultinjector.h
@@ -46,11 +46,19 @@
   TimePoint lastFaultEnd() const { return LastFaultEnd_; }
 
 private:
+  /// Time for which the effects of most faults last beyond their duration:
+  /// until a cut worker is back in the registry, or a stopped process has been
+  /// started.
+  static constexpr std::chrono::milliseconds MaxAftermath{5000};
+
   void injectFault();
   void injectNodeFault(std::int64_t Kind, std::chrono::milliseconds Duration);
   void injectStoreFault(std::int64_t Kind, std::chrono::milliseconds Duration);
   void injectWorkerFault(std::int64_t Kind, std::chrono::milliseconds Duration);
-  void record(const std::string &What, std::chrono::milliseconds Duration);
+  /// Records a fault.
+  /// \param Aftermath time for which its effects last beyond \p Duration.
+  void record(const std::string &What, std::chrono::milliseconds Duration,
+              std::chrono::milliseconds Aftermath = MaxAftermath);
   EmulatedNode &pickNode();
 
   Simulation &Simulation_;
--- a/src/emulator/internal/modelworkerorders.cpp
+++ b/src/emulator/internal/modelworkerorders.cpp
@@ -87,7 +87,8 @@
   bool IsDelayed = Simulation_.withProbability(DelayedExecutionProbability_);
   if (IsDelayed)
     Delivery_.deliverLate(Target.Id_,
-                          milliseconds(Simulation_.randomInRange(2000, 12000)),
+                          milliseconds(Simulation_.randomInRange(
+                              MinStartDelay.count(), MaxStartDelay.count())),
                           [=] { CarryOut(/*IsAnswered=*/false); });
   bool IsDiverted =
       !IsDelayed &&
--- a/src/emulator/modelworkers.h
+++ b/src/emulator/modelworkers.h
@@ -71,6 +71,10 @@
 /// and end of a run to the invariant checker.
 class ModelWorkers {
 public:
+  /// Limits of the time after which a delayed start order is carried out.
+  static constexpr std::chrono::milliseconds MinStartDelay{2000};
+  static constexpr std::chrono::milliseconds MaxStartDelay{12000};
+
   using Responder = std::function<void(std::function<void()>)>;
 
   ModelWorkers(Simulation &Sim, InvariantChecker &Checker);
