--- a/src/emulator/internal/emulator.cpp
+++ b/src/emulator/internal/emulator.cpp
@@ -3,6 +3,7 @@
 #include "emulator/internal/faultinjector.h"
 #include "emulator/internal/idlecapacitychecker.h"
 #include "emulator/internal/jobvariety.h"
+#include "emulator/internal/pendingcountchecker.h"
 #include "emulator/invariantchecker.h"
 #include "emulator/modelstore.h"
 #include "emulator/modelworkers.h"
@@ -80,6 +81,7 @@
   std::vector<std::unique_ptr<EmulatedNode>> Nodes_;
   std::unique_ptr<FaultInjector> Faults_;
   std::unique_ptr<IdleCapacityChecker> IdleCapacity_;
+  std::unique_ptr<PendingCountChecker> PendingCounts_;
   std::uint64_t NextAddedJob_ = 0;
   std::uint64_t NextAddedQueue_ = 0;
 };
@@ -205,6 +207,7 @@
                                const QueueSetting &Queue) {
   ObservedJob &Record = Checker_.job(Id);
   Record.Spec_ = makeJob(Id, Queue.NeedsAdvice_);
+  Record.Queue_ = Queue.Name_;
   Record.Pool_ = Queue.Pool_;
   Record.NeedsAdvice_ = Queue.NeedsAdvice_;
   if (Options_.DeadlyJobShare_ > 0 &&
@@ -431,6 +434,13 @@
         *Emulation.Faults_);
     Emulation.IdleCapacity_->check();
   }
+  std::vector<std::string> Queues;
+  for (const QueueSetting &Queue : Emulation.Context_.Configuration_.Queues_)
+    Queues.push_back(Queue.Name_);
+  Emulation.PendingCounts_ = std::make_unique<PendingCountChecker>(
+      Emulation.Simulation_, Emulation.Checker_, Emulation.Nodes_,
+      *Emulation.Faults_, std::move(Queues));
+  Emulation.PendingCounts_->check();
   Emulation.Simulation_.runUntil(TrafficStart +
                                  Emulation.Options_.TrafficDuration_ +
                                  Emulation.Options_.CompletionTimeout_);
--- a/src/emulator/invariantchecker.h
+++ b/src/emulator/invariantchecker.h
@@ -20,6 +20,7 @@
 /// One job as its callers and the workers have observed it.
 struct ObservedJob {
   JobSpec Spec_;
+  std::string Queue_;
   std::string Pool_;
   /// Whether starts must carry a ticket.
   bool NeedsAdvice_ = false;
--- a/src/emulator/tests/emulator_test.cpp
+++ b/src/emulator/tests/emulator_test.cpp
@@ -161,6 +161,20 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, VariedDays, testing::Range(1000, 1010));
 
+class PendingCounts : public testing::TestWithParam<std::uint64_t> {};
+
+// Guards against a number of pending jobs that stays wrong after a late write.
+TEST_P(PendingCounts, AreRightAfterStoreFaults) {
+  EmulatorOptions Options;
+  Options.Seed_ = GetParam();
+  Options.Faults_ = 8;
+  runEmulator(Options);
+}
+
+INSTANTIATE_TEST_SUITE_P(Emulator, PendingCounts,
+                         testing::Values(91017, 91025, 91030),
+                         testing::PrintToStringParamName());
+
 class CallersThatGiveUp : public testing::TestWithParam<std::uint64_t> {};
 
 // Guards against jobs that run after their cancellation was acknowledged, since
