Wait for no late start of a worker that is gone for good

What callers would see: tasks with nothing running for seconds beside idle capacity.

Cause: a start to a worker that was moved since was waited for until a lease after its latest arrival, though no worker could take it. And an owner counted the time that was left from the end of its predecessor's lease, however long before the record had been written.

Change: a list of the machines that was requested after the start and shows another worker, or another pool, settles it. A worker that is only down may come back and is waited for as before. The record holds the time of the store's steady clock, counted so that the row is never taken for older than it is.

--- a/src/emulator/internal/modelstore.cpp
+++ b/src/emulator/internal/modelstore.cpp
@@ -134,6 +134,7 @@
 
 StoreTransactionResult ModelStore::apply(const StoreTransaction &Transaction) {
   StoreTransactionResult TransactionResult;
+  TransactionResult.Now_ = Simulation_.elapsed();
   bool ExpectationsHold = true;
   for (const StoreExpectation &Each : Transaction.Expected_) {
     auto Found = Rows_.find(Each.Name_);
@@ -172,6 +173,7 @@
         StoreRange Read;
         Read.Outcome_ = StoreOutcome::Done;
         Read.Version_ = Version_;
+        Read.Now_ = Simulation_.elapsed();
         for (auto Each = Rows_.lower_bound(From); Each != Rows_.end(); ++Each) {
           const StoreKey &Name = Each->first;
           bool IsOutside = Name.Table_ != From.Table_ ||
--- a/src/emulator/internal/pendingcountchecker.cpp
+++ b/src/emulator/internal/pendingcountchecker.cpp
@@ -39,9 +39,11 @@
   }
   for (const auto &Node : Nodes_)
     for (const std::string &Queue : Queues_) {
-      auto Count = Node->readyScheduler() == nullptr
-                       ? std::nullopt
-                       : Node->readyScheduler()->pendingJobCount(Queue);
+      const SchedulerNode *Scheduler = Node->readyScheduler();
+      if (Scheduler == nullptr)
+        continue;
+      const std::optional<std::uint64_t> Count =
+          Scheduler->pendingJobCount(Queue);
       const std::pair Place(Node->name(), Queue);
       if (!Count || isPlausible(Queue, *Count)) {
         WrongSince_.erase(Place);
--- a/src/scheduling/controlrows.h
+++ b/src/scheduling/controlrows.h
@@ -79,6 +79,9 @@
   /// out, as of when the row was written.
   std::map<std::string, std::map<std::string, std::chrono::milliseconds>>
       TimeLeft_;
+  /// Time of the store's clock by which the row was certainly made, if the
+  /// owner knew it.
+  std::optional<std::chrono::milliseconds> MadeAt_;
 };
 
 /// Version up to which the owner of a pool may have started jobs.
--- a/src/scheduling/internal/controlrows.cpp
+++ b/src/scheduling/internal/controlrows.cpp
@@ -162,7 +162,10 @@
   for (const auto &[Worker, Tasks] : Row.TimeLeft_)
     for (const auto &[Task, Left] : Tasks)
       Starts.push_back({Worker, Task, Left.count()});
-  return json{{"starts", Starts}}.dump();
+  json Encoded = {{"starts", Starts}};
+  if (Row.MadeAt_)
+    Encoded["made-ms"] = Row.MadeAt_->count();
+  return Encoded.dump();
 }
 
 std::optional<LateStartsRow> decodeLateStarts(const std::string &Text) {
@@ -172,6 +175,9 @@
       Row.TimeLeft_[Each.at(0).get<std::string>()]
                    [Each.at(1).get<std::string>()] =
           std::chrono::milliseconds(Each.at(2).get<std::int64_t>());
+    if (Source.contains("made-ms"))
+      Row.MadeAt_ =
+          std::chrono::milliseconds(Source["made-ms"].get<std::int64_t>());
     return Row;
   });
 }
--- a/src/scheduling/internal/latestartrecord.cpp
+++ b/src/scheduling/internal/latestartrecord.cpp
@@ -5,6 +5,7 @@
 #include "scheduling/internal/readlog.h"
 #include "scheduling/istore.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace dragonflylock {
@@ -16,6 +17,9 @@
 /// Time without a response after which a start is recorded. Nearly all
 /// responses arrive sooner.
 constexpr std::chrono::milliseconds UsualResponseTime{200};
+/// Age up to which a reading of the store's clock is used. Later, the drift of
+/// the two clocks could count.
+constexpr std::chrono::milliseconds MaxReadingAge{10000};
 
 } // namespace
 
@@ -30,7 +34,7 @@
   if (!AreJobsLoaded)
     return;
   NextCall_ = Now + WriteInterval;
-  const LateStartsRow Next = Pool_.LateStarts_.row(UsualResponseTime);
+  const LateStartsRow Next = makeRow(UsualResponseTime);
   if (MayNameStarts_ || !Next.TimeLeft_.empty())
     write(Next);
 }
@@ -38,14 +42,31 @@
 std::optional<StorePut> LateStartRecord::rowForRelease() const {
   if (!IsLoaded_)
     return std::nullopt;
-  const LateStartsRow Last =
-      Pool_.LateStarts_.row(std::chrono::milliseconds(0));
+  const LateStartsRow Last = makeRow(std::chrono::milliseconds(0));
   if (!MayNameStarts_ && Last.TimeLeft_.empty())
     return std::nullopt;
   return StorePut{controlrows::lateStarts(Pool_.Pool_),
                   controlrows::encode(Last)};
 }
 
+LateStartsRow LateStartRecord::makeRow(std::chrono::milliseconds MinAge) const {
+  LateStartsRow Row = Pool_.LateStarts_.row(MinAge);
+  const TimePoint Now = Pool_.Clock_.now();
+  // Counted from the request, the time is not before the real one, so that the
+  // next owner does not take the row for older than it is.
+  if (ClockReading_ && Now < ClockReading_->RequestedAt_ + MaxReadingAge)
+    Row.MadeAt_ = ClockReading_->StoreTime_ +
+                  std::chrono::ceil<std::chrono::milliseconds>(
+                      Now - ClockReading_->RequestedAt_);
+  return Row;
+}
+
+void LateStartRecord::readClock(
+    TimePoint RequestedAt, std::optional<std::chrono::milliseconds> StoreTime) {
+  if (StoreTime)
+    ClockReading_ = {RequestedAt, *StoreTime};
+}
+
 void LateStartRecord::load() {
   IsBusy_ = true;
   LoadStart_ = Pool_.Clock_.now();
@@ -67,6 +88,7 @@
     return;
   }
   IsLoaded_ = true;
+  readClock(LoadStart_, Read.Now_);
   if (Read.Rows_.empty())
     return;
   RowVersion_ = Read.Rows_.front().Version_;
@@ -78,7 +100,11 @@
     return;
   }
   MayNameStarts_ = !Row->TimeLeft_.empty();
-  Pool_.LateStarts_.inherit(*Row, PredecessorEnd_.value_or(Pool_.Clock_.now()));
+  const TimePoint Now = Pool_.Clock_.now();
+  TimePoint MadeAt = std::min(Now, PredecessorEnd_.value_or(Now));
+  if (Row->MadeAt_ && Read.Now_ && *Read.Now_ > *Row->MadeAt_)
+    MadeAt = std::min<TimePoint>(MadeAt, Now - (*Read.Now_ - *Row->MadeAt_));
+  Pool_.LateStarts_.inherit(*Row, MadeAt);
 }
 
 void LateStartRecord::write(const LateStartsRow &Next) {
@@ -89,16 +115,17 @@
   Transaction.Puts_ = {{Row, controlrows::encode(Next)}};
   Pool_.Store_.transact(
       std::move(Transaction),
-      [Weak = weak_from_this(), NamesStarts = !Next.TimeLeft_.empty()](
-          const StoreTransactionResult &Result) {
+      [Weak = weak_from_this(), NamesStarts = !Next.TimeLeft_.empty(),
+       RequestedAt = Pool_.Clock_.now()](const StoreTransactionResult &Result) {
         if (auto Self = Weak.lock())
-          Self->onWritten(NamesStarts, Result);
+          Self->onWritten(NamesStarts, RequestedAt, Result);
       });
 }
 
-void LateStartRecord::onWritten(bool NamesStarts,
+void LateStartRecord::onWritten(bool NamesStarts, TimePoint RequestedAt,
                                 const StoreTransactionResult &Result) {
   IsBusy_ = false;
+  readClock(RequestedAt, Result.Now_);
   switch (Result.Outcome_) {
   case StoreOutcome::Done:
     RowVersion_ = Result.Version_;
--- a/src/scheduling/internal/latestartrecord.h
+++ b/src/scheduling/internal/latestartrecord.h
@@ -4,6 +4,7 @@
 #include "global/iclock.h"
 #include "scheduling/controlrows.h"
 
+#include <chrono>
 #include <memory>
 #include <optional>
 
@@ -34,10 +35,23 @@
   std::optional<StorePut> rowForRelease() const;
 
 private:
+  /// The store's clock, as of one of its responses.
+  struct ClockReading {
+    /// Time of the request.
+    TimePoint RequestedAt_;
+    std::chrono::milliseconds StoreTime_{0};
+  };
+
   void load();
   void onLoaded(const StoreRange &Read);
   void write(const LateStartsRow &Next);
-  void onWritten(bool NamesStarts, const StoreTransactionResult &Result);
+  void onWritten(bool NamesStarts, TimePoint RequestedAt,
+                 const StoreTransactionResult &Result);
+  /// \returns the starts to store.
+  /// \param MinAge time for which a start must have had no response.
+  LateStartsRow makeRow(std::chrono::milliseconds MinAge) const;
+  void readClock(TimePoint RequestedAt,
+                 std::optional<std::chrono::milliseconds> StoreTime);
 
   PoolState &Pool_;
   const std::optional<TimePoint> PredecessorEnd_;
@@ -48,6 +62,7 @@
   StoreVersion RowVersion_ = 0;
   /// Whether the stored row may name starts.
   bool MayNameStarts_ = false;
+  std::optional<ClockReading> ClockReading_;
 };
 
 } // namespace dragonflylock
--- a/src/scheduling/internal/latestarts.cpp
+++ b/src/scheduling/internal/latestarts.cpp
@@ -2,24 +2,34 @@
 #include "global/ilogger.h"
 #include "global/logevent.h"
 #include "scheduling/internal/poolstate.h"
+#include "scheduling/machinetypes.h"
 
 #include <algorithm>
 #include <tuple>
 
 namespace dragonflylock {
+namespace {
+
+/// Holds without a response in a row after which the list of the machines may
+/// show that the worker is gone.
+constexpr std::uint32_t FailedHoldsBeforeMachines = 2;
+
+} // namespace
 
 bool LateStarts::Key::operator<(const Key &Other) const {
   return std::tie(Worker_, Task_) < std::tie(Other.Worker_, Other.Task_);
 }
 
 void LateStarts::add(const std::string &Worker, const TaskName &Task,
-                     RunNumber Number, TimePoint LatestArrival) {
+                     RunNumber Number, const std::string &Machine,
+                     TimePoint LatestArrival) {
   ActiveJob *Job = Pool_.job(Task.Job_);
   if (Job == nullptr || Job->isOver() || !Job->progress().contains(Task) ||
       Job->step(Task).AllowsDuplicates_)
     return;
-  auto [Place, IsNew] = Starts_.try_emplace(
-      {Worker, Task}, Start{Number, LatestArrival, Pool_.Clock_.now()});
+  auto [Place, IsNew] =
+      Starts_.try_emplace({Worker, Task}, Start{Number, Machine, LatestArrival,
+                                                Pool_.Clock_.now()});
   if (IsNew)
     ++Job->mutableRun(Task).LateStarts_;
   Start &Late = Place->second;
@@ -36,16 +46,20 @@
   Starts_.erase(Found);
 }
 
-void LateStarts::inherit(const LateStartsRow &Row, TimePoint StoredAt) {
+void LateStarts::inherit(const LateStartsRow &Row, TimePoint MadeAt) {
   Inherited_ = Row;
-  InheritedAt_ = StoredAt;
+  InheritedAt_ = MadeAt;
 }
 
 void LateStarts::onLoaded() {
-  for (const auto &[Worker, Tasks] : Inherited_.TimeLeft_)
+  for (const auto &[Worker, Tasks] : Inherited_.TimeLeft_) {
+    const WorkerSession *Latest = Pool_.latestOf(Worker);
+    const std::string Machine =
+        Latest == nullptr ? std::string() : Latest->entry().Machine_;
     for (const auto &[Task, Left] : Tasks)
       if (auto Name = TaskName::parse(Task))
-        add(Worker, *Name, 0, InheritedAt_ + Left);
+        add(Worker, *Name, 0, Machine, InheritedAt_ + Left);
+  }
   Inherited_ = {};
 }
 
@@ -60,6 +74,34 @@
   });
 }
 
+void LateStarts::onMachines(const std::map<std::string, Machine> &Machines,
+                            TimePoint ListedAt) {
+  std::erase_if(Starts_, [&](const auto &Each) {
+    const auto &[Name, Late] = Each;
+    const auto Found = Machines.find(Late.Machine_);
+    // An earlier list may date from before the worker was on the machine.
+    if (Found == Machines.end() ||
+        ListedAt < Late.LatestArrival_ - Pool_.Settings_.MaxOrderDelay_)
+      return false;
+    // A worker that is only down may come back under its id.
+    const bool HasLeft = Found->second.Pool_ != Pool_.Pool_ ||
+                         (!Found->second.Worker_.empty() &&
+                          Found->second.Worker_ != Name.Worker_);
+    if (HasLeft)
+      release(Name, Late, "worker-gone");
+    return HasLeft;
+  });
+}
+
+bool LateStarts::needsMachines() const {
+  return std::any_of(Starts_.begin(), Starts_.end(), [&](const auto &Each) {
+    const WorkerSession *Latest = Pool_.latestOf(Each.first.Worker_);
+    return !Each.second.Machine_.empty() &&
+           (Latest == nullptr || Latest->HasEnded_ ||
+            Latest->HoldFailures_ >= FailedHoldsBeforeMachines);
+  });
+}
+
 bool LateStarts::isOver(const std::string &Worker, const Start &Late) const {
   // The run's lease ends at the latest.
   if (Pool_.Clock_.now() >= Pool_.latestLeaseExpiry(Late.LatestArrival_))
--- a/src/scheduling/internal/latestarts.h
+++ b/src/scheduling/internal/latestarts.h
@@ -15,6 +15,7 @@
 namespace dragonflylock {
 
 class WorkerSession;
+struct Machine;
 struct PoolState;
 
 /// Start orders without a response that may still be carried out. A worker that
@@ -28,20 +29,28 @@
   /// Makes the task wait.
   /// \param Worker id of the worker that the start was sent to.
   /// \param Number the run that the start orders; 0 if it is not known.
+  /// \param Machine machine of that worker; empty if it is not known.
   /// \param LatestArrival time until which the start may be carried out.
   void add(const std::string &Worker, const TaskName &Task, RunNumber Number,
-           TimePoint LatestArrival);
+           const std::string &Machine, TimePoint LatestArrival);
   /// Called when a lifetime of \p Worker has listed the run or its end, so that
   /// the start has been carried out.
   void onListed(const std::string &Worker, const TaskName &Task,
                 RunNumber Number);
   /// Takes over what the previous owner has stored.
-  /// \param StoredAt time by which that owner had certainly written the row.
-  void inherit(const LateStartsRow &Row, TimePoint StoredAt);
+  /// \param MadeAt time by which that owner had certainly made the row.
+  void inherit(const LateStartsRow &Row, TimePoint MadeAt);
   /// Makes the inherited tasks wait. Call it when the jobs have been loaded.
   void onLoaded();
   /// Lets the tasks start whose starts can no longer be carried out.
   void update();
+  /// Lets the tasks start whose worker has left its machine for good.
+  /// \param ListedAt when the list of the machines was requested.
+  void onMachines(const std::map<std::string, Machine> &Machines,
+                  TimePoint ListedAt);
+  /// \returns whether a list of the machines may settle a start, since the
+  /// worker does not respond.
+  bool needsMachines() const;
   /// \returns whether the lists of the worker are needed to settle a start.
   bool needsLists(const WorkerSession &Session) const;
   /// \param MinAge time for which a start must have had no response.
@@ -57,6 +66,7 @@
   };
   struct Start {
     RunNumber Number_ = 0;
+    std::string Machine_;
     TimePoint LatestArrival_;
     TimePoint AddedAt_;
   };
--- a/src/scheduling/internal/poolowner.cpp
+++ b/src/scheduling/internal/poolowner.cpp
@@ -109,6 +109,8 @@
   /// Releases the confirmed runs of unresponsive workers that the platform no
   /// longer lists on their machine.
   void releaseRunsOnStoppedMachines();
+  /// Lets the tasks start whose late starts have been settled.
+  void updateLateStarts();
   bool hasLeftItsMachine(const WorkerSession &Session) const;
   /// Releases the runs of earlier lifetimes of the same worker. Runs that may
   /// have reached \p Latest are transferred to it, to be stopped there.
@@ -311,6 +313,13 @@
                                 : Listed.Worker_ != Session.entry().Id_;
 }
 
+void PoolOwner::Parts::updateLateStarts() {
+  if (State_.LateStarts_.needsMachines())
+    Machines_->refresh(MachineListInterval);
+  State_.LateStarts_.onMachines(Machines_->machines(), Machines_->listedAt());
+  State_.LateStarts_.update();
+}
+
 void PoolOwner::Parts::releaseRunsOnStoppedMachines() {
   for (auto &[Lifetime, Session] : State_.Sessions_) {
     bool MayHoldRuns =
@@ -440,7 +449,7 @@
   Parts_->endSessionsOfReplacedWorkers();
   Parts_->releaseRunsOnStoppedMachines();
   Parts_->Runs_.judgeTrials();
-  State.LateStarts_.update();
+  Parts_->updateLateStarts();
   Parts_->InheritedRuns_.update();
   Parts_->Maintenance_->updateReservations();
   Parts_->Dispatcher_->stopUnwanted();
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -407,7 +407,7 @@
   if (Known != nullptr && !Known->WasListed_ &&
       Known->LatestArrival_ > Pool_.Clock_.now())
     Pool_.LateStarts_.add(Session.entry().Id_, Name, Known->Run_,
-                          Known->LatestArrival_);
+                          Session.entry().Machine_, Known->LatestArrival_);
   Session.changeRuns().erase(Name);
   ActiveJob *Job = Pool_.job(Name.Job_);
   if (Job == nullptr || !Job->progress().contains(Name))
--- a/src/scheduling/storetypes.h
+++ b/src/scheduling/storetypes.h
@@ -1,8 +1,10 @@
 #ifndef DRAGONFLYLOCK_SCHEDULING_STORETYPES_H
 #define DRAGONFLYLOCK_SCHEDULING_STORETYPES_H
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -83,6 +85,8 @@
   StoreVersion Version_ = 0;
   /// The current state of the expected rows if an expectation failed.
   std::vector<StoreRow> Current_;
+  /// Time of the store's steady clock at the transaction, if it tells.
+  std::optional<std::chrono::milliseconds> Now_ = std::nullopt;
 };
 
 /// Rows of a key range, all read at one point in time.
@@ -92,6 +96,8 @@
   bool HasMore_ = false;
   /// Newest version of the store when the rows were read.
   StoreVersion Version_ = 0;
+  /// Time of the store's steady clock then, if it tells.
+  std::optional<std::chrono::milliseconds> Now_ = std::nullopt;
 };
 
 /// Changes of a table after a version.
--- a/src/scheduling/tests/latestarts_test.cpp
+++ b/src/scheduling/tests/latestarts_test.cpp
@@ -52,6 +52,17 @@
     Owner_->onWorkers({Entry, worker("w2")});
   }
 
+  /// Sets the list of the machines: that of w1 has \p Worker in \p Pool.
+  void listMachine(const std::string &Worker, const std::string &Pool) {
+    Machine Entry;
+    Entry.Name_ = worker("w1").Machine_;
+    Entry.Pool_ = Pool;
+    Entry.State_ = Worker.empty() ? MachineState::Down : MachineState::Up;
+    Entry.Worker_ = Worker;
+    Machines_.List_.IsValid_ = true;
+    Machines_.List_.Machines_ = {Entry};
+  }
+
   RecordingWorkers::Start Late_;
   TimePoint SentAt_;
 };
@@ -114,6 +125,34 @@
   EXPECT_FALSE(Later_->isRunning(task()));
 }
 
+// Guards against tasks that wait for a worker that was moved or replaced, whose
+// orders no other worker takes as its own.
+TEST_F(LateStartsTest, TaskOfAWorkerThatHasLeftItsMachineStarts) {
+  loseStart();
+  listMachine("w9", "pool");
+  Owner_->onWorkers({worker("w2")});
+  serveFor(milliseconds(12000), nullptr);
+  EXPECT_EQ(Workers_.Starts_.size(), 1U);
+  EXPECT_LT(sinceSent(), Settings_.MaxOrderDelay_);
+}
+
+TEST_F(LateStartsTest, TaskOfAWorkerInAnotherPoolStarts) {
+  loseStart();
+  listMachine("w1", "other");
+  Owner_->onWorkers({worker("w2")});
+  serveFor(milliseconds(12000), nullptr);
+  EXPECT_EQ(Workers_.Starts_.size(), 1U);
+}
+
+// Guards against two runs of a task whose worker is only down and comes back.
+TEST_F(LateStartsTest, TaskOfAWorkerThatIsDownWaits) {
+  loseStart();
+  listMachine("", "pool");
+  Owner_->onWorkers({worker("w2")});
+  serveFor(milliseconds(12000), nullptr);
+  EXPECT_TRUE(Workers_.Starts_.empty());
+}
+
 // Guards against a worker whose resources stay taken by starts that it can no
 // longer carry out.
 TEST_F(LateStartsTest, OtherTasksUseTheWorkerMeanwhile) {
@@ -164,6 +203,23 @@
   EXPECT_LE(sinceSent(), Bound);
 }
 
+// Guards against a task that waits anew because the pool had no owner for some
+// time.
+TEST_F(LateStartsTest, TimeWithoutAnOwnerCountsAsWell) {
+  Store_.Clock_ = &Clock_;
+  constexpr milliseconds Bound{14000};
+  loseStart();
+  serveFor(milliseconds(1000), &*Former_);
+  Owner_.reset();
+  Workers_.Holds_.clear();
+  Clock_.advance(milliseconds(7000));
+  takeOwnership(1, {worker("w1"), worker("w2")});
+  serveFor(milliseconds(20000), &*Former_);
+  EXPECT_EQ(Workers_.Starts_.size(), 1U);
+  EXPECT_GE(sinceSent(), Settings_.MaxOrderDelay_);
+  EXPECT_LE(sinceSent(), Bound);
+}
+
 // Guards against the same if the previous owner stopped while the start was
 // under way.
 TEST_F(LateStartsTest, ReleaseNamesStartsThatAreUnderWay) {
--- a/src/scheduling/tests/mocks/fakefleet.h
+++ b/src/scheduling/tests/mocks/fakefleet.h
@@ -66,7 +66,8 @@
       Done({IsRefused ? StoreOutcome::NotDone : StoreOutcome::Unknown, 0, {}});
       return;
     }
-    const StoreTransactionResult End = apply(Wanted);
+    StoreTransactionResult End = apply(Wanted);
+    End.Now_ = storeTime();
     if (DelaysResponses_)
       DelayedResponses_.push_back([End, Done = std::move(Done)] { Done(End); });
     else
@@ -93,6 +94,12 @@
     }
     return End;
   }
+  std::optional<std::chrono::milliseconds> storeTime() const {
+    if (Clock_ == nullptr)
+      return std::nullopt;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        Clock_->now().time_since_epoch());
+  }
   /// Applies the writes that were lost, if their conditions still hold.
   void applyLateWrites() {
     for (const StoreTransaction &Late : std::exchange(LateWrites_, {}))
@@ -111,6 +118,7 @@
     StoreRange Read;
     Read.Outcome_ = Outcome_;
     Read.Version_ = Version_;
+    Read.Now_ = storeTime();
     for (const auto &[Name, Row] : Rows_)
       if (Name.Table_ == Table && Name.Part_ == Part && Name.Key_ >= From &&
           (To.empty() || Name.Key_ < To)) {
@@ -162,6 +170,8 @@
   std::size_t MostPuts_ = std::numeric_limits<std::size_t>::max();
   /// Transactions with more bytes are refused.
   std::size_t MostBytes_ = std::numeric_limits<std::size_t>::max();
+  /// The clock that responses tell; null for none.
+  const IClock *Clock_ = nullptr;
   /// Outcome of every call. Done unless a test simulates a failure.
   StoreOutcome Outcome_ = StoreOutcome::Done;
   StoreVersion Version_ = 0;
