Count no job as pending whose runs have failed or were stopped

What callers would see: a number of pending jobs that is too high while a job waits for its next run (MIXED, found by the emulator's new check).

Cause: ActiveJob::hasStarted went by the phases of the tasks in the memory of the present owner. After a change of owner a job whose only run had failed was pending again, and after a stop also for the same owner.

Change: it goes by the stored progress too, and by whether a run was ever seen.

Both new tests of PoolOwnerTest fail on 1 commit before.

--- a/src/scheduling/activejob.h
+++ b/src/scheduling/activejob.h
@@ -184,8 +184,10 @@
                                   std::chrono::milliseconds Wall) const;
   /// \returns the number of runs that may exist on workers.
   std::size_t runCount() const;
-  /// \returns whether any task is running, is done or has failed.
-  bool hasStarted() const;
+  /// Called when a worker has shown that it runs a task of the job.
+  void markStarted() { HasRun_ = true; }
+  /// \returns whether any task has ever run.
+  bool hasStarted() const { return HasRun_ || Progress_.hasStarted(); }
   /// \returns the declared run time of the longest chain of dependent steps.
   /// \param OnlyRemaining leaves out the steps that are done.
   std::chrono::milliseconds criticalPathTime(bool OnlyRemaining) const;
@@ -276,6 +278,7 @@
   std::uint64_t ChangeCount_ = 0;
   std::uint64_t StoredChangeCount_ = 0;
   bool IsCancelled_ = false;
+  bool HasRun_ = false;
   IJobObserver *Observer_ = nullptr;
   std::optional<TimePoint> CapacityWaitSince_;
   std::optional<TimePoint> HeldBackSince_;
--- a/src/scheduling/internal/activejob.cpp
+++ b/src/scheduling/internal/activejob.cpp
@@ -95,16 +95,6 @@
   return Count;
 }
 
-bool ActiveJob::hasStarted() const {
-  for (const auto &Steps : Runs_)
-    for (const auto &Tasks : Steps)
-      for (const TaskRun &Run : Tasks)
-        if (Run.Phase_ == TaskPhase::Running || Run.Phase_ == TaskPhase::Done ||
-            !Run.LastFailedWorker_.empty())
-          return true;
-  return false;
-}
-
 std::int64_t ActiveJob::remainingWork() const {
   std::int64_t Work = 0;
   for (const auto &Steps : Runs_)
--- a/src/scheduling/internal/dispatcher.cpp
+++ b/src/scheduling/internal/dispatcher.cpp
@@ -364,6 +364,8 @@
       Known->ConfirmedClock_ = Answer.Clock_;
     if (Task != nullptr && Task->Phase_ == TaskPhase::Starting)
       Task->Phase_ = TaskPhase::Running;
+    if (Job != nullptr)
+      Job->markStarted();
     if (Job != nullptr && !Job->isOver())
       RunTracker::recordRunning(*Job);
     Session->NextHoldAt_ = std::min(Session->NextHoldAt_, Now);
--- a/src/scheduling/internal/jobprogress.cpp
+++ b/src/scheduling/internal/jobprogress.cpp
@@ -84,6 +84,16 @@
   return true;
 }
 
+bool JobProgress::hasStarted() const {
+  for (const auto &Steps : Tasks_)
+    for (const auto &Tasks : Steps)
+      for (const TaskProgress &Task : Tasks)
+        if (Task.IsDone_ || !Task.FailedRuns_.empty() ||
+            !Task.CrashedRuns_.empty() || !Task.Checkpoint_.empty())
+          return true;
+  return false;
+}
+
 void JobProgress::merge(const JobProgress &Other) {
   if (isFinal(Other.State_) ||
       (State_ == JobPhase::Queued && Other.State_ == JobPhase::Running))
--- a/src/scheduling/internal/runtracker.cpp
+++ b/src/scheduling/internal/runtracker.cpp
@@ -275,6 +275,7 @@
       Run.Worker_ == Lifetime && Run.Run_ == Listed.Run_ &&
       Run.Percent_ == Listed.Percent_ &&
       (Run.Phase_ == TaskPhase::Running || Run.Phase_ == TaskPhase::Stopping);
+  Job->markStarted();
   if (!IsUnchanged)
     applyListedRun(Job->mutableRun(Listed.Task_), Lifetime, Listed);
   recordRunning(*Job);
--- a/src/scheduling/jobprogress.h
+++ b/src/scheduling/jobprogress.h
@@ -46,6 +46,9 @@
   bool isStepDone(std::uint32_t Occurrence, std::uint32_t Step) const;
   /// \returns whether all tasks of all occurrences are done.
   bool areAllDone() const;
+  /// \returns whether a task has ended, failed, crashed with its worker or left
+  /// a checkpoint.
+  bool hasStarted() const;
 
   JobPhase state() const { return State_; }
   void setState(JobPhase State) { State_ = State; }
--- a/src/scheduling/tests/poolowner_test.cpp
+++ b/src/scheduling/tests/poolowner_test.cpp
@@ -261,6 +261,50 @@
   EXPECT_EQ(Owner_->pendingJobs()->at("queue"), 1U);
 }
 
+// Guards against a job that counts as pending again with the next owner, since
+// its only run has failed.
+TEST_F(PoolOwnerTest, JobWhoseRunFailedIsNotPendingForTheNextOwner) {
+  storeJob(jobOf(1));
+  takeOwnership(0, {worker("w1")});
+  answerHold(acceptedAnswer({}));
+  const auto Start = Workers_.takeStart();
+  Start.Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+  ListedEnd End;
+  End.Sequence_ = 1;
+  End.Task_ = {JobId, 0, 0, 0};
+  End.Run_ = Start.Order_.Run_;
+  Clock_.advance(milliseconds(100));
+  Owner_->tick();
+  answerHold(acceptedAnswer({}, {End}));
+  Owner_->tick();
+  ASSERT_EQ(Owner_->pendingJobs()->at("queue"), 0U);
+  Owner_.reset();
+  Workers_.Holds_.clear();
+  Workers_.Starts_.clear();
+  takeOwnership(1, {worker("w1")});
+  ASSERT_TRUE(Owner_->pendingJobs().has_value());
+  EXPECT_EQ(Owner_->pendingJobs()->at("queue"), 0U);
+}
+
+// Guards against a job that counts as pending again after its run was stopped.
+TEST_F(PoolOwnerTest, JobWhoseRunWasStoppedIsNotPendingAgain) {
+  storeJob(jobOf(1));
+  takeOwnership(0, {worker("w1")});
+  answerHold(acceptedAnswer({}));
+  const auto Start = Workers_.takeStart();
+  Start.Done_({OrderOutcome::Accepted, WorkerClock(1000)});
+  ASSERT_EQ(Owner_->pendingJobs()->at("queue"), 0U);
+  ListedEnd End;
+  End.Sequence_ = 1;
+  End.Task_ = {JobId, 0, 0, 0};
+  End.Run_ = Start.Order_.Run_;
+  End.Kind_ = EndKind::Stopped;
+  Clock_.advance(milliseconds(100));
+  Owner_->tick();
+  answerHold(acceptedAnswer({}, {End}));
+  EXPECT_EQ(Owner_->pendingJobs()->at("queue"), 0U);
+}
+
 TEST_F(PoolOwnerTest, UnansweredStartIsStoppedOnLaterLifetime) {
   storeJob(jobOf(1));
   takeOwnership(0, {worker("w1")});
