--- a/src/scheduling/internal/jobprogress.cpp
+++ b/src/scheduling/internal/jobprogress.cpp
@@ -89,7 +89,7 @@
     for (const auto &Tasks : Steps)
       for (const TaskProgress &Task : Tasks)
         if (Task.IsDone_ || !Task.FailedRuns_.empty() ||
-            !Task.CrashedRuns_.empty() || !Task.Checkpoint_.empty())
+            !Task.Checkpoint_.empty())
           return true;
   return false;
 }
