--- a/src/scheduling/jobprogress.h
+++ b/src/scheduling/jobprogress.h
@@ -46,9 +46,9 @@
   bool isStepDone(std::uint32_t Occurrence, std::uint32_t Step) const;
   /// \returns whether all tasks of all occurrences are done.
   bool areAllDone() const;
-  /// \returns whether a task is done, has failed or has left a checkpoint. A run
-  /// whose worker crashed counts for nothing, as its start may have been under
-  /// way.
+  /// \returns whether a task is done, has failed or has left a checkpoint. A
+  /// run whose worker crashed counts for nothing, as its start may have been
+  /// under way.
   bool hasStarted() const;
 
   JobPhase state() const { return State_; }
