Stand-in of the store: tell the store's time, as its protocol says

The log shows that they waited for late starts (late-start-tasks=2): the owner had lost the pool 6 s before it won it back and counted their time from then on, since the stand-in's responses had no now_ms. They have it now; the product is unchanged.

--- a/tests/system/standinstore.cpp
+++ b/tests/system/standinstore.cpp
@@ -8,6 +8,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
+#include <cstdint>
 #include <stdexcept>
 
 namespace dragonflylock {
@@ -19,6 +21,13 @@
 constexpr std::size_t LargestBody = 1U << 20U;
 constexpr std::chrono::milliseconds TimerInterval{5};
 
+/// \returns the time of the steady clock that responses tell.
+std::int64_t millisecondsNow() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             Clock::now().time_since_epoch())
+      .count();
+}
+
 std::string parameter(const HttpRequest &Request, const char *Name) {
   const std::string Text = Request.query(Name);
   std::string Result;
@@ -100,14 +109,16 @@
     Current.push_back(std::move(Row));
   }
   if (!Holds)
-    return jsonAnswer(httpstatus::PreconditionFailed,
-                      {{"rows", Current}, {"ver", Version_}});
+    return jsonAnswer(
+        httpstatus::PreconditionFailed,
+        {{"rows", Current}, {"ver", Version_}, {"now_ms", millisecondsNow()}});
   ++Version_;
   for (const Json &Each : Wanted.at("puts"))
     Rows_[NameOf(Each)] = {Each.at("value"), Version_, false};
   for (const Json &Each : Wanted.at("remove"))
     Rows_[NameOf(Each)] = {"", Version_, true};
-  return jsonAnswer(httpstatus::Ok, {{"ver", Version_}});
+  return jsonAnswer(httpstatus::Ok,
+                    {{"ver", Version_}, {"now_ms", millisecondsNow()}});
 }
 
 HttpAnswer StandInStore::read(const HttpRequest &Request) const {
@@ -131,8 +142,10 @@
     Rows.push_back(
         {{"key", Key}, {"value", Each.EncodedValue_}, {"ver", Each.Version_}});
   }
-  return jsonAnswer(httpstatus::Ok,
-                    {{"rows", Rows}, {"has_more", HasMore}, {"ver", Version_}});
+  return jsonAnswer(httpstatus::Ok, {{"rows", Rows},
+                                     {"has_more", HasMore},
+                                     {"ver", Version_},
+                                     {"now_ms", millisecondsNow()}});
 }
 
 bool StandInStore::hasChanges(const std::string &Table,
@@ -160,7 +173,9 @@
   for (const auto &[Version, Changed] : InOrder)
     for (const Json &Row : Changed)
       Rows.push_back(Row);
-  return jsonAnswer(httpstatus::Ok, {{"rows", Rows}, {"ver", Version_}});
+  return jsonAnswer(
+      httpstatus::Ok,
+      {{"rows", Rows}, {"ver", Version_}, {"now_ms", millisecondsNow()}});
 }
 
 void StandInStore::answerWaits() {
