Use the versioned writer for late starts; look up a submission once

LateStartRecord kept the version of its row beside VersionedRowWriter, which does the same. JobRegistry searched each submission for the mark of a withdrawn job before it decoded it; now only rows that are no job are looked at for it. JobRequestHandler looked up the submission row twice.

--- a/src/scheduling/internal/jobregistry.cpp
+++ b/src/scheduling/internal/jobregistry.cpp
@@ -38,13 +38,13 @@
 void JobRegistry::onSubmission(const std::string &Id, const StoreRow &Row) {
   if (Pool_.job(Id) != nullptr)
     return;
-  if (auto Withdrawn = jobrowcodec::decodeWithdrawn(Row.Value_)) {
-    if (Withdrawn->Pool_ == Pool_.Pool_)
-      removeRowsLater(Id, Withdrawn->Queue_, Row.Version_);
-    return;
-  }
   auto Stored = jobrowcodec::decode(Row.Value_);
   if (!Stored) {
+    if (auto Withdrawn = jobrowcodec::decodeWithdrawn(Row.Value_)) {
+      if (Withdrawn->Pool_ == Pool_.Pool_)
+        removeRowsLater(Id, Withdrawn->Queue_, Row.Version_);
+      return;
+    }
     Pool_.Logger_.write(LogLevel::Error,
                         LogEvent("job.unreadable")
                             .with("job", Id)
--- a/src/scheduling/internal/jobrequesthandler.cpp
+++ b/src/scheduling/internal/jobrequesthandler.cpp
@@ -63,9 +63,9 @@
   return Found == Rows.end() ? nullptr : &*Found;
 }
 
-/// \returns whether the rows of a job tell that it was withdrawn.
-bool isWithdrawn(const std::vector<StoreRow> &Rows) {
-  const StoreRow *Submission = submissionIn(Rows);
+/// \returns whether there is a submission row and it tells that the job was
+/// withdrawn.
+bool isWithdrawn(const StoreRow *Submission) {
   return Submission != nullptr &&
          jobrowcodec::decodeWithdrawn(Submission->Value_).has_value();
 }
@@ -190,11 +190,12 @@
     trySubmit(Request);
     return;
   }
-  if (isWithdrawn(Read.Rows_)) {
+  const StoreRow *Submission = submissionIn(Read.Rows_);
+  if (isWithdrawn(Submission)) {
     finish(Request, withdrawnResponse());
     return;
   }
-  if (submissionIn(Read.Rows_) != nullptr) {
+  if (Submission != nullptr) {
     finish(Request, {JobRequestOutcome::Accepted, {}, JobPhase::Queued});
     return;
   }
@@ -292,7 +293,7 @@
       Admission_->onAccepted(*Request->Offer_);
     [[fallthrough]];
   case StoreOutcome::ConditionFailed:
-    if (isWithdrawn(End.Current_)) {
+    if (isWithdrawn(submissionIn(End.Current_))) {
       finish(Request, withdrawnResponse());
       return;
     }
@@ -430,7 +431,8 @@
     });
     return;
   }
-  if (submissionIn(Read.Rows_) == nullptr || isWithdrawn(Read.Rows_)) {
+  const StoreRow *Submission = submissionIn(Read.Rows_);
+  if (Submission == nullptr || isWithdrawn(Submission)) {
     finish(Request, {JobRequestOutcome::NoSuchJob, {}, JobPhase::Queued});
     return;
   }
@@ -467,7 +469,7 @@
     tryWithdraw(Request);
     return;
   }
-  if (isWithdrawn(Read.Rows_)) {
+  if (isWithdrawn(Submission)) {
     finish(Request, {JobRequestOutcome::NoSuchJob, {}, JobPhase::Cancelled});
     return;
   }
--- a/src/scheduling/internal/latestartrecord.cpp
+++ b/src/scheduling/internal/latestartrecord.cpp
@@ -23,6 +23,10 @@
 
 } // namespace
 
+LateStartRecord::LateStartRecord(PoolState &Pool,
+                                 std::optional<TimePoint> PredecessorEnd)
+    : Pool_(Pool), PredecessorEnd_(PredecessorEnd), Writer_(Pool.Store_) {}
+
 void LateStartRecord::tick(bool AreJobsLoaded) {
   const TimePoint Now = Pool_.Clock_.now();
   if (IsBusy_ || Now < NextCall_ || !Pool_.holdsLease())
@@ -91,7 +95,7 @@
   readClock(LoadStart_, Read.Now_);
   if (Read.Rows_.empty())
     return;
-  RowVersion_ = Read.Rows_.front().Version_;
+  Writer_.onRow(Read.Rows_.front());
   auto Row = controlrows::decodeLateStarts(Read.Rows_.front().Value_);
   if (!Row) {
     Pool_.Logger_.write(
@@ -110,11 +114,8 @@
 void LateStartRecord::write(const LateStartsRow &Next) {
   IsBusy_ = true;
   const StoreKey Row = controlrows::lateStarts(Pool_.Pool_);
-  StoreTransaction Transaction;
-  Transaction.Expected_ = {{Row, RowVersion_}};
-  Transaction.Puts_ = {{Row, controlrows::encode(Next)}};
-  Pool_.Store_.transact(
-      std::move(Transaction),
+  Writer_.write(
+      Row, controlrows::encode(Next),
       [Weak = weak_from_this(), NamesStarts = !Next.TimeLeft_.empty(),
        RequestedAt = Pool_.Clock_.now()](const StoreTransactionResult &Result) {
         if (auto Self = Weak.lock())
@@ -128,13 +129,10 @@
   readClock(RequestedAt, Result.Now_);
   switch (Result.Outcome_) {
   case StoreOutcome::Done:
-    RowVersion_ = Result.Version_;
     MayNameStarts_ = NamesStarts;
     return;
   case StoreOutcome::ConditionFailed:
     // An earlier write of this owner, or of a previous one, was applied late.
-    RowVersion_ =
-        Result.Current_.empty() ? 0 : Result.Current_.front().Version_;
     NextCall_ = Pool_.Clock_.now();
     break;
   default:
--- a/src/scheduling/internal/latestartrecord.h
+++ b/src/scheduling/internal/latestartrecord.h
@@ -3,6 +3,7 @@
 
 #include "global/iclock.h"
 #include "scheduling/controlrows.h"
+#include "scheduling/versionedrowwriter.h"
 
 #include <chrono>
 #include <memory>
@@ -21,8 +22,7 @@
 public:
   /// \param PredecessorEnd time by which the previous owner had certainly
   ///   stopped acting; unset if that is certain only when the row is read.
-  LateStartRecord(PoolState &Pool, std::optional<TimePoint> PredecessorEnd)
-      : Pool_(Pool), PredecessorEnd_(PredecessorEnd) {}
+  LateStartRecord(PoolState &Pool, std::optional<TimePoint> PredecessorEnd);
 
   /// Reads the row once, then writes it at intervals while it names starts, so
   /// that the time that is left falls, or if it has to change.
@@ -59,7 +59,7 @@
   bool IsBusy_ = false;
   TimePoint NextCall_;
   TimePoint LoadStart_;
-  StoreVersion RowVersion_ = 0;
+  VersionedRowWriter Writer_;
   /// Whether the stored row may name starts.
   bool MayNameStarts_ = false;
   std::optional<ClockReading> ClockReading_;
