review: show a task that waits 12.5 s after a reset (case 15)

Cause: a start without an answer counts as under way for MaxOrderDelay_, and its task waits for all that time. Change: case 15, a script.

--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -5,5 +5,5 @@
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
-[ -x target/review-3/case-sameid ] || exit 2
-target/review-3/case-sameid "$here/record.txt"
+[ -x target/review-3/case-reset ] || exit 2
+target/review-3/case-reset "$here/record.txt"
--- a/review/standins-3/support.h
+++ b/review/standins-3/support.h
@@ -642,6 +642,16 @@
   }
   void leaveRegistry() { Platform_.remove("servers", Id_); }
   const std::string &id() const { return Id_; }
+  /// Resets the connection of the next start of a task of a job instead of
+  /// reading the order; the order has no effect.
+  void resetNextStart(const std::string &Job) {
+    const std::lock_guard Lock(Mutex_);
+    ResetJob_ = Job;
+  }
+  bool hasReset() {
+    const std::lock_guard Lock(Mutex_);
+    return HasReset_;
+  }
   std::size_t runs() {
     const std::lock_guard Lock(Mutex_);
     return Runs_.size();
@@ -767,6 +777,14 @@
       return {421, "{}"};
     if (!Body.is_object())
       return {400, "{}"};
+    if (Read.Path_ == "/run-start" && !ResetJob_.empty() && !HasReset_ &&
+        Body.at("task").get<std::string>().starts_with(ResetJob_)) {
+      HasReset_ = true;
+      RECORD("worker %s: the connection of the start of %s is reset; the order "
+             "has no effect",
+             Id_.c_str(), Body.at("task").get<std::string>().c_str());
+      return {0, "", true};
+    }
     const std::uint64_t Token = Body.value("fencing_token", std::uint64_t{0});
     if (Token < Token_)
       return conflict("fence");
@@ -900,6 +918,8 @@
   std::map<std::string, std::uint64_t> Over_;
   std::vector<End> Ends_;
   bool IsUp_ = false;
+  std::string ResetJob_;
+  bool HasReset_ = false;
   std::atomic<bool> IsEnding_ = false;
   std::thread Timer_;
   HttpServer Server_;
