--- a/review/standins-3/case-hang.cpp
+++ b/review/standins-3/case-hang.cpp
@@ -1,10 +1,11 @@
-// A client that nobody controls hands in twelve jobs whose second step names
-// its first one very often in `after`. Judged: ordinary jobs handed in later.
+// A client that nobody controls hands in sixteen jobs at once whose second step
+// names its first one very often in `after`. Judged: ordinary jobs handed in
+// later.
 #include "fleet.h"
 
 namespace {
 
-constexpr unsigned LargeJobs = 12;
+constexpr unsigned LargeJobs = 16;
 constexpr std::size_t AfterEntries = 24000;
 constexpr unsigned Occurrences = 10000;
 constexpr unsigned SmallJobs = 5;
@@ -46,10 +47,16 @@
   RECORD("check: 5 jobs completed before the client comes");
   const std::string Body = largeBody();
   RECORD("client: the body of its jobs has %zu bytes", Body.size());
-  unsigned Accepted = 0;
+  std::atomic<unsigned> Accepted = 0;
+  std::vector<std::thread> Calls;
   for (unsigned Number = 101; Number <= 100 + LargeJobs; ++Number)
-    Accepted += Here.submitBody("swap", jobId(Number), Body, 3) ? 1 : 0;
-  RECORD("check: %u of its %u jobs are accepted", Accepted, LargeJobs);
+    Calls.emplace_back([&, Number] {
+      if (Here.submitBody("swap", jobId(Number), Body, 5))
+        ++Accepted;
+    });
+  for (std::thread &Each : Calls)
+    Each.join();
+  RECORD("check: %u of its %u jobs are accepted", Accepted.load(), LargeJobs);
   std::vector<std::string> After;
   for (unsigned Number = 201; Number <= 200 + SmallJobs; ++Number) {
     const std::string Id = jobId(Number);
--- a/review/standins-3/fleet.h
+++ b/review/standins-3/fleet.h
@@ -177,7 +177,7 @@
   std::vector<std::unique_ptr<Worker>> Workers_;
   std::unique_ptr<MachineList> Machines_;
   std::vector<std::unique_ptr<Node>> Nodes_;
-  std::size_t NextNode_ = 0;
+  std::atomic<std::size_t> NextNode_ = 0;
 
 private:
   std::vector<std::string> Services_;
